--- /dev/null
+++ b/src/admission/state.rs
@@ -0,0 +1,104 @@
+//! What the teams have in flight at this router.
+
+use std::{
+    collections::BTreeMap,
+    str::FromStr,
+    sync::{Arc, Mutex},
+    time::Duration,
+};
+
+use super::RetryBudget;
+use crate::{sync::lock, Category, Error, Result, TeamName};
+
+/// Delay proposed to a caller whose retry budget is spent.
+const RETRY_DELAY: Duration = Duration::from_secs(2);
+
+/// How soon a caller needs the answer.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, PartialOrd, Ord)]
+pub enum Class {
+    /// Someone waits for it.
+    #[default]
+    Interactive,
+    /// It may run slowly, but must finish.
+    Draft,
+}
+
+impl FromStr for Class {
+    type Err = Error;
+
+    fn from_str(text: &str) -> Result<Self> {
+        match text {
+            "interactive" => Ok(Class::Interactive),
+            "draft" => Ok(Class::Draft),
+            _ => Err(Error::not_run(
+                Category::BadInput,
+                "class is interactive or draft",
+            )),
+        }
+    }
+}
+
+#[derive(Debug, Default)]
+struct TeamUse {
+    in_flight: u32,
+    budget: RetryBudget,
+}
+
+/// The admission state of a router.
+#[derive(Debug, Default)]
+pub struct Admission {
+    teams: Mutex<BTreeMap<TeamName, TeamUse>>,
+}
+
+impl Admission {
+    /// Admits a request of `team`, which is attempt number `attempt` from 1.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`Category::RetryBudget`] when the team has spent its retries.
+    pub fn admit(self: &Arc<Self>, team: &TeamName, attempt: u32) -> Result<Permit> {
+        let mut teams = lock(&self.teams);
+        let usage = teams.entry(team.clone()).or_default();
+        if attempt <= 1 {
+            usage.budget.earn();
+        } else if !usage.budget.spend() {
+            let err = Error::not_run(Category::RetryBudget, format!("team {team}"));
+            return Err(err.with_retry_after(RETRY_DELAY));
+        }
+        usage.in_flight += 1;
+        Ok(Permit {
+            admission: self.clone(),
+            team: team.clone(),
+        })
+    }
+
+    /// Spends one retry of `team` for a repetition by the router itself.
+    pub fn may_retry(&self, team: &TeamName) -> bool {
+        let mut teams = lock(&self.teams);
+        teams
+            .get_mut(team)
+            .is_some_and(|usage| usage.budget.spend())
+    }
+
+    /// Returns the requests in flight by team.
+    pub fn in_flight(&self) -> BTreeMap<TeamName, u32> {
+        let teams = lock(&self.teams);
+        let count = |(name, usage): (&TeamName, &TeamUse)| (name.clone(), usage.in_flight);
+        teams.iter().map(count).collect()
+    }
+}
+
+/// A request that is in; dropping it lets the next one in.
+#[derive(Debug)]
+pub struct Permit {
+    admission: Arc<Admission>,
+    team: TeamName,
+}
+
+impl Drop for Permit {
+    fn drop(&mut self) {
+        if let Some(usage) = lock(&self.admission.teams).get_mut(&self.team) {
+            usage.in_flight -= 1;
+        }
+    }
+}
--- /dev/null
+++ b/src/config/settings/mod.rs
@@ -0,0 +1,160 @@
+//! The settings file of a router, checked whole before anything starts.
+
+mod reader;
+
+use std::{net::SocketAddr, time::Duration};
+
+use self::reader::Reader;
+use crate::{DomainName, Error, Result, RouterName, TeamName};
+
+/// Settings of one router process.
+#[derive(Debug, Clone)]
+pub struct Settings {
+    /// Name of this router.
+    pub name: RouterName,
+    /// Failure domain of this router.
+    pub domain: DomainName,
+    /// Addresses it listens on.
+    pub listen: Listen,
+    /// Base address of the platform's services, such as `http://127.0.0.1:6000`.
+    pub platform: http::Uri,
+    /// Keys that peers prove: the first one signs, each is accepted.
+    pub peer_keys: Vec<Secret>,
+    /// Operators and their tokens.
+    pub operators: Vec<Operator>,
+    /// Limits on callers and on waiting.
+    pub limits: Limits,
+}
+
+/// Addresses a router listens on.
+#[derive(Debug, Clone)]
+pub struct Listen {
+    /// Callers, over HTTP.
+    pub callers: SocketAddr,
+    /// Other routers, over TCP and UDP.
+    pub peers: SocketAddr,
+    /// Operators, over HTTP.
+    pub operators: SocketAddr,
+}
+
+/// An operator who may use the administration interface.
+#[derive(Debug, Clone)]
+pub struct Operator {
+    /// Name, kept in the record of changes.
+    pub name: String,
+    /// Token that proves the name.
+    pub token: Secret,
+    /// Teams the operator may change; all objects when absent.
+    pub teams: Option<Vec<TeamName>>,
+}
+
+/// A secret that is neither logged nor dumped.
+#[derive(Clone, PartialEq, Eq)]
+pub struct Secret(Vec<u8>);
+
+impl Secret {
+    /// Creates a secret of the given bytes.
+    pub fn new(bytes: impl Into<Vec<u8>>) -> Self {
+        Secret(bytes.into())
+    }
+
+    /// Returns the bytes.
+    pub fn expose(&self) -> &[u8] {
+        &self.0
+    }
+}
+
+impl std::fmt::Debug for Secret {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        f.write_str("***")
+    }
+}
+
+/// Limits on callers and on waiting.
+#[derive(Debug, Clone)]
+pub struct Limits {
+    /// Largest request body, in bytes.
+    pub body_bytes: usize,
+    /// Most connections from callers.
+    pub connections: usize,
+    /// Longest time for a caller to send its headers or its body.
+    pub receive: Duration,
+    /// Longest time to open a connection.
+    pub connect: Duration,
+    /// Longest time a backend server may stay silent.
+    pub progress: Duration,
+    /// Longest time a request waits for an engine.
+    pub queue: Duration,
+    /// Longest time a leaving router waits for its requests.
+    pub drain: Duration,
+}
+
+impl Settings {
+    /// Reads and checks a settings file.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`crate::Category::Settings`] with all faults, one a line, each with its
+    /// path and the allowed values.
+    ///
+    /// # Examples
+    ///
+    /// ```
+    /// use ebonyspur::config::Settings;
+    ///
+    /// let err = Settings::from_yaml("router: {name: r1}\ncolour: blue\n").unwrap_err();
+    /// assert!(err.message().contains("colour: unknown key"));
+    /// ```
+    pub fn from_yaml(text: &str) -> Result<Self> {
+        let mut root = Reader::parse(text)?;
+        let settings = Settings {
+            name: root.section("router").required("name"),
+            domain: root.section("router").required("failure_domain"),
+            listen: read_listen(&mut root),
+            platform: root.section("platform").url("url"),
+            peer_keys: root.section("peers").secrets("keys"),
+            operators: read_operators(&mut root),
+            limits: read_limits(&mut root),
+        };
+        root.finish(settings)
+    }
+}
+
+fn read_listen(root: &mut Reader) -> Listen {
+    let mut listen = root.section("listen");
+    Listen {
+        callers: listen.address("callers"),
+        peers: listen.address("peers"),
+        operators: listen.address("operators"),
+    }
+}
+
+fn read_operators(root: &mut Reader) -> Vec<Operator> {
+    let mut operators = Vec::new();
+    for mut item in root.items("operators") {
+        operators.push(Operator {
+            name: item.required::<RouterName>("name").to_string(),
+            token: item.secret("token"),
+            teams: item.names("teams"),
+        });
+    }
+    operators
+}
+
+fn read_limits(root: &mut Reader) -> Limits {
+    let mut limits = root.section("limits");
+    Limits {
+        body_bytes: limits.number("body_bytes", 1_048_576, 1_024..=67_108_864) as usize,
+        connections: limits.number("connections", 4_096, 1..=1_000_000) as usize,
+        receive: limits.millis("receive_ms", 10_000, 100..=600_000),
+        connect: limits.millis("connect_ms", 1_000, 10..=60_000),
+        progress: limits.millis("progress_ms", 10_000, 100..=600_000),
+        queue: limits.millis("queue_ms", 5_000, 0..=600_000),
+        drain: limits.millis("drain_ms", 60_000, 0..=3_600_000),
+    }
+}
+
+/// Builds the error for a settings file with faults.
+fn settings_error(faults: &[String]) -> Error {
+    Error::not_run(crate::Category::Settings, faults.join("\n"))
+}
--- /dev/null
+++ b/src/http/caller.rs
@@ -0,0 +1,267 @@
+//! The interface for callers.
+
+use std::{future::Future, io, sync::Arc};
+
+use futures_util::stream;
+use gotham::{
+    helpers::http::Body,
+    prelude::*,
+    router::{builder::build_simple_router, Router as Routes},
+};
+use http::{header, HeaderValue, Method, Response, StatusCode, Uri};
+use http_body_util::{BodyExt, StreamBody};
+use hyper::body::Frame;
+use serde::{Deserialize, Serialize};
+
+use super::{
+    endpoint::{Endpoint, Incoming},
+    head::{self, Sender},
+    refusal::{json, whole},
+};
+use crate::{
+    admission::Class,
+    config::{Service, ServiceKind},
+    lookup::{self, VALIDITY},
+    once::Key,
+    placement::Hint,
+    relay::{self, AnswerStream, ChatAnswer, Head, ServiceCall},
+    Category, ChatId, Error, Result, Router, ServiceName,
+};
+
+/// Header that carries the hint, in both directions.
+const HINT: &str = "ebonyspur-hint";
+
+/// Returns the routes for callers.
+pub fn routes(cx: Arc<Router>) -> Routes {
+    build_simple_router(|route| {
+        let endpoint = Endpoint::new(&cx, |cx, req| counted(cx, req, get_route));
+        route.get("/v1/route").to_new_handler(endpoint);
+        let endpoint = Endpoint::new(&cx, |cx, req| counted(cx, req, post_chat));
+        route.post("/v1/chat/completions").to_new_handler(endpoint);
+        let endpoint = Endpoint::new(&cx, |cx, req| counted(cx, req, call_service));
+        let methods = vec![Method::GET, Method::POST, Method::PUT, Method::DELETE];
+        route
+            .request(methods, "/v1/services/*")
+            .to_new_handler(endpoint);
+    })
+}
+
+/// Runs one handler, counts its answer and takes the time to it.
+async fn counted<H, F>(cx: Arc<Router>, req: Incoming, handler: H) -> Result<Response<Body>>
+where
+    H: FnOnce(Arc<Router>, Incoming) -> F,
+    F: Future<Output = Result<Response<Body>>>,
+{
+    let started = cx.clock.now();
+    let answer = handler(cx.clone(), req).await;
+    cx.metrics.count_answer(answer.as_ref().err());
+    let took = cx.clock.now().since(started);
+    cx.metrics.answer_seconds.observe(took.as_secs_f64());
+    answer
+}
+
+#[derive(Serialize)]
+struct RouteAnswer {
+    addresses: Vec<RouteAddress>,
+    valid_seconds: u64,
+    ticket: String,
+    #[serde(skip_serializing_if = "Option::is_none")]
+    hint: Option<String>,
+}
+
+#[derive(Serialize)]
+struct RouteAddress {
+    router: String,
+    address: String,
+    failure_domain: String,
+}
+
+async fn get_route(cx: Arc<Router>, req: Incoming) -> Result<Response<Body>> {
+    cx.check_serving()?;
+    let query = head::query(&req.uri);
+    let team = head::param(&query, "team")?;
+    let service: ServiceName = head::param(&query, "service")?;
+    let chat = match query.contains_key("chat") {
+        true => head::param(&query, "chat")?,
+        false => head::fresh_chat(&cx.fresh_request_id()),
+    };
+    let hint = head::header::<Hint>(&req.headers, HINT)?.unwrap_or_default();
+    let state = cx.config.current();
+    state.team(&team)?;
+    let service = state.service(&service)?;
+    let answer = {
+        let view = cx.membership.view();
+        lookup::Answer::new(&view, &cx.address(), service, &chat, &hint)?
+    };
+    let answer = RouteAnswer {
+        addresses: answer.addresses.iter().map(encode_address).collect(),
+        valid_seconds: VALIDITY.as_secs(),
+        ticket: cx.issue_ticket().to_string(),
+        hint: (!hint.is_empty()).then(|| hint.to_string()),
+    };
+    Ok(json(StatusCode::OK, &answer))
+}
+
+fn encode_address(address: &lookup::Address) -> RouteAddress {
+    RouteAddress {
+        router: address.router.to_string(),
+        address: address.address.to_string(),
+        failure_domain: address.domain.to_string(),
+    }
+}
+
+/// The part of a chat request that the router reads; the rest is the engine's.
+#[derive(Deserialize)]
+struct ChatBody {
+    model: String,
+}
+
+async fn post_chat(cx: Arc<Router>, req: Incoming) -> Result<Response<Body>> {
+    let sender = Sender::from_headers(&req.headers)?;
+    let floor = sender.verdict_floor();
+    let answer = answer_chat(&cx, sender, req).await;
+    answer.map_err(|err| err.with_verdict_at_least(floor))
+}
+
+async fn answer_chat(cx: &Arc<Router>, sender: Sender, req: Incoming) -> Result<Response<Body>> {
+    cx.check_serving()?;
+    let limits = &cx.settings.limits;
+    let body = head::read_body(req.body, limits.body_bytes, limits.receive).await?;
+    let chat_body: ChatBody = serde_json::from_slice(&body)
+        .map_err(|err| Error::not_run(Category::BadInput, err.to_string()))?;
+    let name = ServiceName::new(&chat_body.model)?;
+    let service = find_service(cx, &sender, &name, ServiceKind::Chat)?;
+    let chat = head::header::<ChatId>(&req.headers, "ebonyspur-chat")?;
+    let head = Head {
+        chat: chat.unwrap_or_else(|| head::fresh_chat(&sender.id)),
+        hint: head::header(&req.headers, HINT)?.unwrap_or_default(),
+        class: head::header::<Class>(&req.headers, "ebonyspur-class")?.unwrap_or_default(),
+        id: sender.id,
+        team: sender.team,
+        pool: service.pool,
+        attempt: sender.attempt,
+    };
+    let id = head.id.clone();
+    let answer = relay::chat(cx, head, body).await?;
+    let mut answer = match answer {
+        ChatAnswer::Stream { stream, hint } => with_hint(stream_answer(stream), &hint),
+        ChatAnswer::Whole { body, hint } => {
+            let mut answer = Response::new(whole(body));
+            set(
+                &mut answer,
+                header::CONTENT_TYPE.as_str(),
+                "application/json",
+            );
+            with_hint(answer, &hint)
+        }
+    };
+    set(&mut answer, "x-request-id", id.as_str());
+    Ok(answer)
+}
+
+fn find_service(
+    cx: &Router,
+    sender: &Sender,
+    name: &ServiceName,
+    kind: ServiceKind,
+) -> Result<Service> {
+    let state = cx.config.current();
+    state.team(&sender.team)?;
+    let service = state.service(name)?;
+    if service.kind != kind {
+        let message = format!("service {name} is of another kind");
+        return Err(Error::not_run(Category::BadInput, message));
+    }
+    Ok(service.clone())
+}
+
+/// Streams the parts; an error breaks the body off, so that it never looks whole.
+fn stream_answer(stream: Box<AnswerStream>) -> Response<Body> {
+    let parts = stream::unfold(Some(stream), |stream| async move {
+        let mut stream = stream?;
+        let part = stream.next_part().await?;
+        let part = part.map(Frame::data).inspect_err(|err| {
+            log::warn!("answer broken off error=\"{err}\"");
+        });
+        let rest = part.is_ok().then_some(stream);
+        Some((part.map_err(io::Error::other), rest))
+    });
+    let mut answer = Response::new(StreamBody::new(parts).boxed_unsync());
+    set(
+        &mut answer,
+        header::CONTENT_TYPE.as_str(),
+        "text/event-stream",
+    );
+    set(&mut answer, header::CACHE_CONTROL.as_str(), "no-store");
+    answer
+}
+
+fn with_hint(mut answer: Response<Body>, hint: &Hint) -> Response<Body> {
+    set(&mut answer, HINT, &hint.to_string());
+    answer
+}
+
+fn set(answer: &mut Response<Body>, key: &'static str, value: &str) {
+    if let Ok(value) = HeaderValue::from_str(value) {
+        answer.headers_mut().insert(key, value);
+    }
+}
+
+async fn call_service(cx: Arc<Router>, req: Incoming) -> Result<Response<Body>> {
+    let sender = Sender::from_headers(&req.headers)?;
+    let floor = sender.verdict_floor();
+    let answer = answer_service(&cx, sender, req).await;
+    answer.map_err(|err| err.with_verdict_at_least(floor))
+}
+
+async fn answer_service(cx: &Arc<Router>, sender: Sender, req: Incoming) -> Result<Response<Body>> {
+    cx.check_serving()?;
+    let (name, path) = split_service_path(&req.uri)?;
+    let service = find_service(cx, &sender, &name, ServiceKind::Plain)?;
+    let limits = &cx.settings.limits;
+    let body = head::read_body(req.body, limits.body_bytes, limits.receive).await?;
+    let key = head::header(&req.headers, "idempotency-key")?.map(|call| Key {
+        team: sender.team.clone(),
+        service: name,
+        call,
+    });
+    let content_type = req.headers.get(header::CONTENT_TYPE);
+    let call = ServiceCall {
+        id: sender.id,
+        team: sender.team,
+        pool: service.pool,
+        method: req.method,
+        path,
+        content_type: content_type
+            .and_then(|value| value.to_str().ok())
+            .map(str::to_string),
+        body,
+        attempt: sender.attempt,
+        key,
+    };
+    let answer = relay::call_service(cx, call).await?;
+    let mut encoded = Response::new(whole(answer.body));
+    *encoded.status_mut() = StatusCode::from_u16(answer.status).unwrap_or(StatusCode::BAD_GATEWAY);
+    set(
+        &mut encoded,
+        header::CONTENT_TYPE.as_str(),
+        &answer.content_type,
+    );
+    set(&mut encoded, super::refusal::VERDICT, "ran");
+    if answer.replayed {
+        set(&mut encoded, "ebonyspur-replayed", "true");
+    }
+    Ok(encoded)
+}
+
+/// Splits `/v1/services/<service>/<path>` into the service and the server's path and query.
+fn split_service_path(uri: &Uri) -> Result<(ServiceName, String)> {
+    let rest = uri.path().trim_start_matches("/v1/services/");
+    let (name, path) = rest.split_once('/').unwrap_or((rest, ""));
+    let name = ServiceName::new(name)?;
+    let query = uri
+        .query()
+        .map(|query| format!("?{query}"))
+        .unwrap_or_default();
+    Ok((name, format!("/{path}{query}")))
+}
--- /dev/null
+++ b/src/http/head.rs
@@ -0,0 +1,114 @@
+//! Request heads, decoded.
+
+use std::{collections::HashMap, str::FromStr, time::Duration};
+
+use bytes::Bytes;
+use gotham::helpers::http::Body;
+use http::{HeaderMap, Uri};
+use http_body_util::{BodyExt, LengthLimitError, Limited};
+use uuid::Uuid;
+
+use crate::{Category, ChatId, Error, RequestId, Result, TeamName, Verdict};
+
+/// Returns the parameters of the query.
+///
+/// Values are names, which need no escapes, so an escaped value is simply malformed.
+pub(super) fn query(uri: &Uri) -> HashMap<&str, &str> {
+    let pairs = uri.query().unwrap_or_default().split('&');
+    pairs.filter_map(|pair| pair.split_once('=')).collect()
+}
+
+/// Parses the parameter `key` of a query.
+pub(super) fn param<T: FromStr<Err = Error>>(query: &HashMap<&str, &str>, key: &str) -> Result<T> {
+    let missing = || Error::not_run(Category::BadInput, format!("parameter {key} is missing"));
+    let text = query.get(key).ok_or_else(missing)?;
+    text.parse().map_err(|err| named(key, &err))
+}
+
+/// Parses the header `key`, if it is there.
+pub(super) fn header<T: FromStr<Err = Error>>(headers: &HeaderMap, key: &str) -> Result<Option<T>> {
+    let Some(value) = headers.get(key) else {
+        return Ok(None);
+    };
+    let text = value.to_str();
+    let text = text.map_err(|_| Error::not_run(Category::BadInput, format!("header {key}")))?;
+    text.parse().map(Some).map_err(|err| named(key, &err))
+}
+
+fn named(key: &str, err: &Error) -> Error {
+    Error::not_run(Category::BadInput, format!("{key}: {}", err.message()))
+}
+
+/// Who sends a request, and which attempt it is.
+pub(super) struct Sender {
+    pub(super) id: RequestId,
+    pub(super) team: TeamName,
+    pub(super) attempt: u32,
+    first: bool,
+}
+
+impl Sender {
+    /// Reads the headers that every request carries.
+    pub(super) fn from_headers(headers: &HeaderMap) -> Result<Self> {
+        let missing = || Error::not_run(Category::BadInput, "header ebonyspur-team is missing");
+        let team = header(headers, "ebonyspur-team")?.ok_or_else(missing)?;
+        let attempt = header::<Attempt>(headers, "ebonyspur-attempt")?;
+        let id = header::<RequestId>(headers, "x-request-id")?;
+        let named = id.is_some() || headers.contains_key("idempotency-key");
+        let first = attempt.as_ref().map_or(!named, |attempt| attempt.0 == 1);
+        Ok(Sender {
+            id: id.unwrap_or_else(fresh_id),
+            team,
+            attempt: attempt.map_or(1, |attempt| attempt.0),
+            first,
+        })
+    }
+
+    /// Returns the strongest verdict that this router may give.
+    ///
+    /// Only of a request whose first attempt this provably is can a router say that
+    /// nothing has run; an earlier attempt may be under way elsewhere.
+    pub(super) fn verdict_floor(&self) -> Verdict {
+        if self.first {
+            Verdict::NotRun
+        } else {
+            Verdict::MayHaveRun
+        }
+    }
+}
+
+struct Attempt(u32);
+
+impl FromStr for Attempt {
+    type Err = Error;
+
+    fn from_str(text: &str) -> Result<Self> {
+        let number = text.parse().ok().filter(|number| *number >= 1);
+        let malformed = || Error::not_run(Category::BadInput, "an attempt is a number from 1");
+        number.map(Attempt).ok_or_else(malformed)
+    }
+}
+
+fn fresh_id() -> RequestId {
+    let text = Uuid::new_v4().to_string();
+    RequestId::new(&text).expect("a UUID is a valid name")
+}
+
+/// Returns a chat id for a request that belongs to no chat.
+pub(super) fn fresh_chat(id: &RequestId) -> ChatId {
+    ChatId::new(id.as_str()).expect("a request id is a valid name")
+}
+
+/// Reads a body of at most `limit` bytes within `timeout`.
+pub(super) async fn read_body(body: Body, limit: usize, timeout: Duration) -> Result<Bytes> {
+    let collected = tokio::time::timeout(timeout, Limited::new(body, limit).collect()).await;
+    let late = |_| Error::not_run(Category::Timeout, "the body did not arrive in time");
+    match collected.map_err(late)? {
+        Ok(body) => Ok(body.to_bytes()),
+        Err(err) if err.is::<LengthLimitError>() => {
+            let message = format!("the body exceeds {limit} bytes");
+            Err(Error::not_run(Category::TooLarge, message))
+        }
+        Err(err) => Err(Error::not_run(Category::BadInput, err.to_string())),
+    }
+}
--- /dev/null
+++ b/src/http/mod.rs
@@ -0,0 +1,12 @@
+//! The HTTP front end: encodes and decodes, and leaves every decision to the slices.
+
+mod caller;
+mod endpoint;
+mod head;
+mod operator;
+mod refusal;
+mod server;
+
+pub use self::{
+    caller::routes as caller_routes, operator::routes as operator_routes, server::serve,
+};
--- /dev/null
+++ b/src/inspect/dump.rs
@@ -0,0 +1,82 @@
+//! The state dump.
+
+use std::{collections::BTreeMap, sync::Arc};
+
+use serde::Serialize;
+
+use crate::{
+    config, membership::Engine, DomainName, EngineName, Incarnation, Offset, Router, RouterName,
+    TeamName,
+};
+
+/// The state of a router as an operator reads it.
+#[derive(Debug, Serialize)]
+pub struct Dump {
+    router: RouterName,
+    incarnation: Incarnation,
+    failure_domain: DomainName,
+    phase: &'static str,
+    config_applied: Offset,
+    config_head: Offset,
+    config: Arc<config::State>,
+    routers: BTreeMap<RouterName, &'static str>,
+    engines: Vec<EngineDump>,
+    granted: BTreeMap<EngineName, u32>,
+    admitted: BTreeMap<TeamName, u32>,
+    keys_held: usize,
+}
+
+#[derive(Debug, Serialize)]
+struct EngineDump {
+    name: EngineName,
+    pool: String,
+    address: String,
+    incarnation: Incarnation,
+    leaving: bool,
+}
+
+impl Dump {
+    /// Takes the state of `cx`.
+    pub fn new(cx: &Router) -> Self {
+        let config = cx.config.current();
+        let view = cx.membership.view();
+        let routers = view
+            .peers()
+            .map(|peer| (peer.name.clone(), state_name(peer.leaving)));
+        Dump {
+            router: cx.settings.name.clone(),
+            incarnation: cx.incarnation,
+            failure_domain: cx.settings.domain.clone(),
+            phase: cx.membership.phase(),
+            config_applied: config.applied,
+            config_head: view.config_head(),
+            config,
+            routers: routers.collect(),
+            engines: view
+                .all_engines()
+                .map(|engine| dump_engine(engine))
+                .collect(),
+            granted: cx.steward.in_flight(),
+            admitted: cx.admission.in_flight(),
+            keys_held: cx.once.len(),
+        }
+    }
+}
+
+fn dump_engine(engine: &Engine) -> EngineDump {
+    EngineDump {
+        name: engine.name.clone(),
+        pool: engine.pool.to_string(),
+        address: engine.address.to_string(),
+        incarnation: engine.incarnation,
+        leaving: engine.leaving,
+    }
+}
+
+fn state_name(leaving: bool) -> &'static str {
+    if leaving {
+        "leaving"
+    } else {
+        "live"
+    }
+}
--- /dev/null
+++ b/src/inspect/metrics.rs
@@ -0,0 +1,83 @@
+//! Metrics of a router.
+
+use std::sync::atomic::AtomicU64;
+
+use prometheus_client::{
+    encoding::{text::encode, EncodeLabelSet},
+    metrics::{counter::Counter, family::Family, histogram::Histogram},
+    registry::{Registry, Unit},
+};
+
+use crate::Error;
+
+/// Bounds of the buckets for answer times, in seconds.
+const ANSWER_BUCKETS: [f64; 10] = [0.001, 0.005, 0.02, 0.1, 0.25, 0.5, 1.0, 2.0, 5.0, 30.0];
+
+/// Labels of the answer counter.
+#[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
+pub struct AnswerLabels {
+    reason: &'static str,
+    verdict: &'static str,
+}
+
+/// Metrics of a router, by `prometheus-client`.
+#[derive(Debug)]
+pub struct Metrics {
+    registry: Registry,
+    /// Answers to callers by reason and verdict.
+    pub answers: Family<AnswerLabels, Counter<u64, AtomicU64>>,
+    /// Time to the head of an answer.
+    pub answer_seconds: Histogram,
+    /// Datagrams that were malformed or not sealed by a peer.
+    pub datagrams_dropped: Counter<u64, AtomicU64>,
+}
+
+impl Metrics {
+    /// Creates the metrics with all counts at zero.
+    pub fn new() -> Self {
+        let mut registry = Registry::with_prefix("ebonyspur");
+        let answers = Family::default();
+        let answer_seconds = Histogram::new(ANSWER_BUCKETS);
+        let datagrams_dropped = Counter::default();
+        registry.register("answers", "Answers to callers", answers.clone());
+        registry.register_with_unit(
+            "answer",
+            "Time to the head of an answer",
+            Unit::Seconds,
+            answer_seconds.clone(),
+        );
+        registry.register(
+            "datagrams_dropped",
+            "Datagrams that were malformed or not sealed by a peer",
+            datagrams_dropped.clone(),
+        );
+        Metrics {
+            registry,
+            answers,
+            answer_seconds,
+            datagrams_dropped,
+        }
+    }
+
+    /// Counts an answer to a caller, `None` for one that is no refusal.
+    pub fn count_answer(&self, err: Option<&Error>) {
+        let labels = AnswerLabels {
+            reason: err.map_or("none", |err| err.classify().as_str()),
+            verdict: err.map_or("ran", |err| err.verdict().as_str()),
+        };
+        self.answers.get_or_create(&labels).inc();
+    }
+
+    /// Returns the metrics in the OpenMetrics text format.
+    pub fn encode(&self) -> String {
+        let mut text = String::new();
+        encode(&mut text, &self.registry).expect("writing to a string cannot fail");
+        text
+    }
+}
+
+impl Default for Metrics {
+    fn default() -> Self {
+        Metrics::new()
+    }
+}
--- /dev/null
+++ b/src/once/key.rs
@@ -0,0 +1,80 @@
+//! The identity of a call that must not be repeated.
+
+use std::{fmt, time::Duration};
+
+use serde::{Deserialize, Serialize};
+use uuid::Uuid;
+use xxhash_rust::xxh3::xxh3_64;
+
+use super::PARTITIONS;
+use crate::{
+    lookup::Ticket, peer::Sealer, CallKey, Category, Error, Result, ServiceName, TeamName,
+    UnixMillis,
+};
+
+/// Age beyond which a key is never run; below the retention of the log.
+pub const WINDOW: Duration = Duration::from_secs(24 * 3600);
+
+/// How far the clock of whoever issued a key may be ahead.
+const CLOCK_ERROR: Duration = Duration::from_secs(60);
+
+/// Key of a call within its team and service.
+#[derive(Debug, Clone, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize, Deserialize)]
+pub struct Key {
+    /// Team that calls.
+    pub team: TeamName,
+    /// Service that is called.
+    pub service: ServiceName,
+    /// Key chosen by the caller.
+    pub call: CallKey,
+}
+
+impl Key {
+    /// Returns the stream that carries the claims of this key.
+    pub fn partition(&self) -> usize {
+        (xxh3_64(self.to_string().as_bytes()) % PARTITIONS as u64) as usize
+    }
+
+    /// Checks that the key was issued within the window.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`Category::BadInput`] when the key is neither a UUIDv7 nor a ticket, and
+    /// [`Category::KeyExpired`] when it is too old or from the future. An old key may
+    /// have run within its window.
+    pub fn check_age(&self, sealer: &Sealer, now: UnixMillis) -> Result<()> {
+        let issued = self.issued(sealer)?;
+        if now.since(issued) > WINDOW {
+            let message = "the key is older than the window";
+            return Err(Error::may_have_run(Category::KeyExpired, message));
+        }
+        if issued.since(now) > CLOCK_ERROR {
+            let message = "the key is from the future";
+            return Err(Error::not_run(Category::KeyExpired, message));
+        }
+        Ok(())
+    }
+
+    fn issued(&self, sealer: &Sealer) -> Result<UnixMillis> {
+        let text = self.call.as_str();
+        let uuid_time = || uuid_time(text);
+        let issued = Ticket::open(text, sealer).or_else(uuid_time);
+        let malformed = "an Idempotency-Key is a UUIDv7 or a ticket from /v1/route";
+        issued.ok_or_else(|| Error::not_run(Category::BadInput, malformed))
+    }
+}
+
+fn uuid_time(text: &str) -> Option<UnixMillis> {
+    let uuid = Uuid::parse_str(text).ok()?;
+    if uuid.get_version_num() != 7 {
+        return None;
+    }
+    let (secs, nanos) = uuid.get_timestamp()?.to_unix();
+    Some(UnixMillis(secs * 1_000 + u64::from(nanos) / 1_000_000))
+}
+
+impl fmt::Display for Key {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{}/{}/{}", self.team, self.service, self.call)
+    }
+}
--- /dev/null
+++ b/src/peer/message.rs
@@ -0,0 +1,56 @@
+//! The calls that routers make to each other, gathered from the slices.
+
+use serde::{Deserialize, Serialize};
+
+use crate::{
+    steward::{GrantReply, GrantRequest, ReleaseRequest},
+    Incarnation, RouterName,
+};
+
+/// First frame of a connection.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Hello {
+    /// Router that opened the connection.
+    pub router: RouterName,
+    /// Life of that router.
+    pub incarnation: Incarnation,
+}
+
+/// A call as carried on the wire.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub enum Request {
+    /// Asks for a slot on an engine.
+    Grant(GrantRequest),
+    /// Gives a slot back.
+    Release(ReleaseRequest),
+}
+
+/// The answer to a [`Request`] as carried on the wire.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub enum Reply {
+    /// Answer to [`Request::Grant`].
+    Grant(GrantReply),
+    /// Answer to [`Request::Release`].
+    Released,
+}
+
+/// A typed call: what it asks and what it is answered with.
+pub trait Call {
+    /// Type of the answer.
+    type Answer;
+
+    /// Wraps the call for the wire.
+    fn into_request(self) -> Request;
+
+    /// Unwraps the answer; `None` when the peer answered another call.
+    fn answer(reply: Reply) -> Option<Self::Answer>;
+}
+
+/// A request or reply with the number that ties them together.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub(super) struct Envelope<T> {
+    /// Number chosen by the router that calls.
+    pub(super) number: u64,
+    /// The request or reply.
+    pub(super) body: T,
+}
--- /dev/null
+++ b/src/peer/seal.rs
@@ -0,0 +1,59 @@
+//! Proof that a frame or datagram comes from a router that holds a shared key.
+
+use hmac::{Hmac, KeyInit, Mac};
+use sha2::Sha256;
+
+use crate::config::Secret;
+
+/// Length of the proof before each payload, in bytes.
+pub const SEAL_LEN: usize = 16;
+
+/// What a proof is for; a proof for one purpose does not hold for another.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Purpose {
+    /// A frame of a connection.
+    Frame = 1,
+    /// A datagram.
+    Datagram = 2,
+    /// A ticket given to a caller.
+    Ticket = 3,
+}
+
+/// Seals with the first key and opens with any of them.
+#[derive(Clone)]
+pub struct Sealer {
+    keys: Vec<Hmac<Sha256>>,
+}
+
+impl Sealer {
+    /// Creates a sealer of one purpose for `keys`, of which there is at least one.
+    pub fn new(keys: &[Secret], purpose: Purpose) -> Self {
+        let mac = |key: &Secret| {
+            let mac = Hmac::<Sha256>::new_from_slice(key.expose());
+            mac.expect("HMAC takes keys of any length")
+                .chain_update([purpose as u8])
+        };
+        Sealer {
+            keys: keys.iter().map(mac).collect(),
+        }
+    }
+
+    /// Returns `payload` behind its proof.
+    pub fn seal(&self, payload: &[u8]) -> Vec<u8> {
+        let proof = self.keys[0].clone().chain_update(payload).finalize();
+        let mut sealed = Vec::with_capacity(SEAL_LEN + payload.len());
+        sealed.extend_from_slice(&proof.into_bytes()[..SEAL_LEN]);
+        sealed.extend_from_slice(payload);
+        sealed
+    }
+
+    /// Returns the payload when its proof holds under one of the keys.
+    pub fn open<'a>(&self, sealed: &'a [u8]) -> Option<&'a [u8]> {
+        let (proof, payload) = sealed.split_at_checked(SEAL_LEN)?;
+        let holds = |key: &Hmac<Sha256>| {
+            let mac = key.clone().chain_update(payload);
+            mac.verify_truncated_left(proof).is_ok()
+        };
+        self.keys.iter().any(holds).then_some(payload)
+    }
+}
--- /dev/null
+++ b/src/placement/hint.rs
@@ -0,0 +1,106 @@
+//! The hint that travels with a chat: the engines that served it last.
+
+use std::{fmt, str::FromStr};
+
+use crate::{membership::Engine, Category, EngineName, Error, Incarnation, Result};
+
+/// Most engines that a hint names.
+pub const MAX_HINT_ENTRIES: usize = 3;
+
+/// Longest accepted hint, in bytes.
+const MAX_HINT_LEN: usize = 512;
+
+/// One engine of a hint.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct HintEntry {
+    /// Name of the engine.
+    pub engine: EngineName,
+    /// Life of the engine that served the chat.
+    pub incarnation: Incarnation,
+}
+
+/// The last engines of a chat, the newest first, as `name@incarnation,...`.
+///
+/// # Examples
+///
+/// ```
+/// use ebonyspur::placement::Hint;
+///
+/// let hint: Hint = "engine-4@7,engine-1@3".parse()?;
+/// assert_eq!(hint.to_string(), "engine-4@7,engine-1@3");
+/// # Ok::<(), ebonyspur::Error>(())
+/// ```
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
+pub struct Hint {
+    entries: Vec<HintEntry>,
+}
+
+impl Hint {
+    /// Returns the entries, the newest first.
+    pub fn entries(&self) -> &[HintEntry] {
+        &self.entries
+    }
+
+    /// Returns whether the hint names no engine.
+    pub fn is_empty(&self) -> bool {
+        self.entries.is_empty()
+    }
+
+    /// Returns the place of this life of `engine` in the hint, 0 for the newest.
+    pub fn position(&self, engine: &Engine) -> Option<usize> {
+        let same = |entry: &HintEntry| {
+            entry.engine == engine.name && entry.incarnation == engine.incarnation
+        };
+        self.entries.iter().position(same)
+    }
+
+    /// Returns the hint after `engine` has served the chat.
+    #[must_use]
+    pub fn with_served_by(&self, engine: &Engine) -> Hint {
+        let newest = HintEntry {
+            engine: engine.name.clone(),
+            incarnation: engine.incarnation,
+        };
+        let older = self
+            .entries
+            .iter()
+            .filter(|entry| entry.engine != engine.name);
+        let entries = std::iter::once(&newest).chain(older);
+        Hint {
+            entries: entries.take(MAX_HINT_ENTRIES).cloned().collect(),
+        }
+    }
+}
+
+impl FromStr for Hint {
+    type Err = Error;
+
+    fn from_str(text: &str) -> Result<Self> {
+        let malformed = || Error::not_run(Category::BadInput, "malformed hint");
+        if text.len() > MAX_HINT_LEN {
+            return Err(malformed());
+        }
+        let mut entries = Vec::new();
+        for part in text.split(',').filter(|part| !part.is_empty()) {
+            let (name, incarnation) = part.split_once('@').ok_or_else(malformed)?;
+            entries.push(HintEntry {
+                engine: EngineName::new(name).map_err(|_| malformed())?,
+                incarnation: Incarnation(incarnation.parse().map_err(|_| malformed())?),
+            });
+        }
+        if entries.len() > MAX_HINT_ENTRIES {
+            return Err(malformed());
+        }
+        Ok(Hint { entries })
+    }
+}
+
+impl fmt::Display for Hint {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        for (index, entry) in self.entries.iter().enumerate() {
+            let separator = if index == 0 { "" } else { "," };
+            write!(f, "{separator}{}@{}", entry.engine, entry.incarnation.0)?;
+        }
+        Ok(())
+    }
+}
--- /dev/null
+++ b/src/platform/client.rs
@@ -0,0 +1,136 @@
+//! A small JSON client over HTTP with deadlines.
+
+use std::time::Duration;
+
+use bytes::Bytes;
+use http::{header::CONTENT_TYPE, Method, Request, StatusCode, Uri};
+use http_body_util::{BodyExt, Full, Limited};
+use hyper_util::{
+    client::legacy::{connect::HttpConnector, Client},
+    rt::{TokioExecutor, TokioTimer},
+};
+use serde::{de::DeserializeOwned, Serialize};
+
+use crate::{Category, Error, Result};
+
+/// Largest answer accepted, in bytes.
+const MAX_ANSWER: usize = 16 * 1024 * 1024;
+
+/// Longest time an idle connection is used again.
+const IDLE_TIMEOUT: Duration = Duration::from_secs(5);
+
+/// Longest time to open a connection.
+const CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
+
+/// A client that sends and receives JSON.
+#[derive(Debug, Clone)]
+pub struct JsonClient {
+    base: String,
+    http: Client<HttpConnector, Full<Bytes>>,
+}
+
+impl JsonClient {
+    /// Creates a client for the service at `base`.
+    pub fn new(base: &Uri) -> Self {
+        let mut connector = HttpConnector::new();
+        connector.set_nodelay(true);
+        connector.set_connect_timeout(Some(CONNECT_TIMEOUT));
+        let http = Client::builder(TokioExecutor::new())
+            .pool_timer(TokioTimer::new())
+            .pool_idle_timeout(IDLE_TIMEOUT)
+            .retry_canceled_requests(false)
+            .build(connector);
+        let base = base.to_string().trim_end_matches('/').to_string();
+        JsonClient { base, http }
+    }
+
+    /// Reads `path`.
+    ///
+    /// # Errors
+    ///
+    /// Fails when no readable answer arrives within `timeout`; a read changes nothing,
+    /// so the verdict is "not run".
+    pub async fn get<T: DeserializeOwned>(&self, path: &str, timeout: Duration) -> Result<T> {
+        let req = self.request(Method::GET, path, Bytes::new())?;
+        self.send(req, timeout)
+            .await
+            .map_err(|err| Error::not_run(err.classify(), err.message()))
+    }
+
+    /// Posts `body` to `path`.
+    ///
+    /// # Errors
+    ///
+    /// Fails when no readable answer arrives within `timeout`. The verdict is "may have
+    /// run" unless the connection failed or the service refused.
+    pub async fn post<T: DeserializeOwned>(
+        &self,
+        path: &str,
+        body: &impl Serialize,
+        timeout: Duration,
+    ) -> Result<T> {
+        let body = serde_json::to_vec(body)
+            .map_err(|err| Error::not_run(Category::BadInput, err.to_string()))?;
+        let req = self.request(Method::POST, path, body.into())?;
+        self.send(req, timeout).await
+    }
+
+    fn request(&self, method: Method, path: &str, body: Bytes) -> Result<Request<Full<Bytes>>> {
+        Request::builder()
+            .method(method)
+            .uri(format!("{}{path}", self.base))
+            .header(CONTENT_TYPE, "application/json")
+            .body(Full::new(body))
+            .map_err(|err| Error::not_run(Category::BadInput, err.to_string()))
+    }
+
+    async fn send<T: DeserializeOwned>(
+        &self,
+        req: Request<Full<Bytes>>,
+        timeout: Duration,
+    ) -> Result<T> {
+        match tokio::time::timeout(timeout, self.exchange(req)).await {
+            Ok(answer) => answer,
+            Err(_) => Err(Error::may_have_run(Category::Timeout, "no answer in time")),
+        }
+    }
+
+    async fn exchange<T: DeserializeOwned>(&self, req: Request<Full<Bytes>>) -> Result<T> {
+        let answer = self.http.request(req).await.map_err(transport_error)?;
+        let status = answer.status();
+        let body = Limited::new(answer.into_body(), MAX_ANSWER);
+        let body = body.collect().await.map_err(body_error)?.to_bytes();
+        check_status(status, &body)?;
+        serde_json::from_slice(&body).map_err(body_error)
+    }
+}
+
+fn transport_error(err: hyper_util::client::legacy::Error) -> Error {
+    if err.is_connect() {
+        Error::not_run(Category::Unavailable, err.to_string())
+    } else {
+        Error::may_have_run(Category::Unavailable, err.to_string())
+    }
+}
+
+fn body_error(err: impl std::fmt::Display) -> Error {
+    Error::may_have_run(Category::Protocol, err.to_string())
+}
+
+/// Turns a refusal into an error; only a 4xx or 503 proves that nothing happened.
+fn check_status(status: StatusCode, body: &[u8]) -> Result<()> {
+    if status.is_success() {
+        return Ok(());
+    }
+    let text = String::from_utf8_lossy(&body[..body.len().min(200)]);
+    let message = format!("answered {status}: {text}");
+    Err(match status {
+        StatusCode::GONE => Error::not_run(Category::KeyExpired, message),
+        StatusCode::NOT_FOUND => Error::not_run(Category::NotFound, message),
+        StatusCode::CONFLICT => Error::not_run(Category::Conflict, message),
+        StatusCode::TOO_MANY_REQUESTS => Error::not_run(Category::Overloaded, message),
+        StatusCode::SERVICE_UNAVAILABLE => Error::not_run(Category::Unavailable, message),
+        _ if status.is_client_error() => Error::not_run(Category::BadInput, message),
+        _ => Error::may_have_run(Category::Backend, message),
+    })
+}
--- /dev/null
+++ b/src/platform/mod.rs
@@ -0,0 +1,34 @@
+//! Clients of the platform: the log service and the instance list.
+//!
+//! Every operation has a deadline, and every error says whether it may have
+//! taken effect.
+
+mod client;
+mod instance;
+mod log;
+
+pub use self::{
+    client::JsonClient,
+    instance::{Instance, InstanceChanges, InstanceKind, InstanceList, InstanceState},
+    log::{Entry, LogService, Page},
+};
+
+/// The platform's services as this router reaches them.
+#[derive(Debug)]
+pub struct Platform {
+    /// The log service.
+    pub log: LogService,
+    /// The instance list.
+    pub instances: InstanceList,
+}
+
+impl Platform {
+    /// Creates clients for the platform at `base`.
+    pub fn new(base: &http::Uri) -> Self {
+        let client = JsonClient::new(base);
+        Platform {
+            log: LogService::new(client.clone()),
+            instances: InstanceList::new(client),
+        }
+    }
+}
--- /dev/null
+++ b/src/relay/mod.rs
@@ -0,0 +1,22 @@
+//! Carries one request to a backend server and its whole answer back.
+//!
+//! A request moves through the stages of [`Request`]; each stage owns what it has
+//! acquired, and dropping the request at any stage gives everything back.
+
+mod backend;
+mod chat;
+mod event;
+mod request;
+mod sequence;
+mod service;
+mod stream;
+
+pub use self::{
+    backend::Backends,
+    chat::{chat, ChatAnswer},
+    event::{Event, EventReader, Oversized, MAX_EVENT},
+    request::{Admitted, Dispatched, Failed, Head, Placed, Received, Request},
+    sequence::{Sequence, Step},
+    service::{call_service, ServiceAnswer, ServiceCall},
+    stream::AnswerStream,
+};
--- /dev/null
+++ b/src/relay/sequence.rs
@@ -0,0 +1,95 @@
+//! Checks that a streamed answer is whole, in order and for the request that was sent.
+
+use serde::Deserialize;
+
+use super::Event;
+use crate::{Category, Error, RequestId, Result};
+
+/// Data of the event that ends an answer.
+const END: &str = "[DONE]";
+
+/// What an event means for the answer.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Step {
+    /// The event is the next part; it goes to the caller.
+    Part,
+    /// The event repeats a part that the caller has; it is dropped.
+    Repeated,
+    /// The event ends the answer; it goes to the caller.
+    End,
+}
+
+#[derive(Deserialize)]
+struct Chunk<'a> {
+    #[serde(borrow)]
+    id: std::borrow::Cow<'a, str>,
+}
+
+/// Place in an answer: the parts so far, and whether it has ended.
+#[derive(Debug)]
+pub struct Sequence {
+    expected_id: String,
+    next: u64,
+    ended: bool,
+}
+
+impl Sequence {
+    /// Creates the place before the first part of the answer to `request`.
+    pub fn new(request: &RequestId) -> Self {
+        Sequence {
+            expected_id: answer_id(request),
+            next: 0,
+            ended: false,
+        }
+    }
+
+    /// Checks the next event.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`Category::Backend`] when the event belongs to another request, a part is
+    /// missing before it, or the answer has already ended.
+    pub fn accept(&mut self, event: &Event) -> Result<Step> {
+        if self.ended {
+            return Err(broken("an event follows the end"));
+        }
+        if event.data == END {
+            self.ended = true;
+            return Ok(Step::End);
+        }
+        let chunk: Chunk<'_> =
+            serde_json::from_str(&event.data).map_err(|_| broken("an event is not a chunk"))?;
+        if chunk.id != self.expected_id {
+            return Err(broken("an event belongs to another request"));
+        }
+        let number = event.id.as_deref().and_then(|id| id.parse::<u64>().ok());
+        let number = number.ok_or_else(|| broken("an event has no number"))?;
+        if number < self.next {
+            return Ok(Step::Repeated);
+        }
+        if number > self.next {
+            return Err(broken("an event is missing"));
+        }
+        self.next += 1;
+        Ok(Step::Part)
+    }
+
+    /// Returns the number of the next part.
+    pub fn next(&self) -> u64 {
+        self.next
+    }
+
+    /// Returns whether the answer is whole.
+    pub fn is_ended(&self) -> bool {
+        self.ended
+    }
+}
+
+/// Returns the `id` that the answer to `request` carries.
+pub(super) fn answer_id(request: &RequestId) -> String {
+    format!("chatcmpl-{request}")
+}
+
+fn broken(message: &str) -> Error {
+    Error::may_have_run(Category::Backend, message)
+}
--- /dev/null
+++ b/src/router.rs
@@ -0,0 +1,197 @@
+//! One router: the state of all slices, and the tasks that run them.
+
+use std::{
+    sync::{
+        atomic::{AtomicU64, Ordering},
+        Arc,
+    },
+    time::Duration,
+};
+
+use tokio::{
+    net::{TcpListener, UdpSocket},
+    sync::watch,
+    task::JoinSet,
+};
+use uuid::Uuid;
+
+use crate::{
+    admission::Admission,
+    config::{self, Config, Settings},
+    http,
+    inspect::Metrics,
+    lookup::{Address, Ticket},
+    membership::{self, Membership, Peer, PoolLoad},
+    once::{self, Once},
+    peer::{self, Peers, Purpose, Sealer},
+    placement,
+    platform::Platform,
+    relay::Backends,
+    steward::{self, GrantId, Steward},
+    Category, Clock, EngineName, Error, Incarnation, PoolName, RequestId, Result,
+};
+
+/// Delay proposed to a caller of a router that does not serve.
+const NOT_SERVING_DELAY: Duration = Duration::from_secs(1);
+
+/// How long a leaving router goes on spreading the news after its last request.
+const FAREWELL: Duration = Duration::from_millis(500);
+
+/// The state of a router, shared by its tasks.
+pub struct Router {
+    /// Settings of the process.
+    pub settings: Settings,
+    /// Which life of the router this is.
+    pub incarnation: Incarnation,
+    /// Source of the time.
+    pub clock: Clock,
+    /// Configuration in force.
+    pub config: Config,
+    /// Routers and engines known.
+    pub membership: Membership,
+    /// Grants on the engines that this router counts.
+    pub steward: Steward,
+    /// Load of the teams.
+    pub admission: Arc<Admission>,
+    /// Claims of calls that must not be repeated.
+    pub once: Once,
+    /// Clients of the platform.
+    pub platform: Platform,
+    /// Clients of the backend servers.
+    pub backends: Backends,
+    /// Connections to other routers.
+    pub peers: Peers,
+    /// Proof of the tickets given to callers.
+    pub tickets: Sealer,
+    /// Metrics.
+    pub metrics: Metrics,
+    next_number: AtomicU64,
+}
+
+impl Router {
+    /// Creates a router that has not started.
+    pub fn new(settings: Settings) -> Arc<Self> {
+        let clock = Clock::new();
+        let incarnation = Incarnation(clock.wall().0);
+        let frames = Sealer::new(&settings.peer_keys, Purpose::Frame);
+        Arc::new(Router {
+            incarnation,
+            clock,
+            config: Config::default(),
+            membership: Membership::new(settings.name.clone()),
+            steward: Steward::default(),
+            admission: Arc::default(),
+            once: Once::new(),
+            platform: Platform::new(&settings.platform),
+            backends: Backends::new(&settings.limits),
+            peers: Peers::new(settings.name.clone(), incarnation, frames),
+            tickets: Sealer::new(&settings.peer_keys, Purpose::Ticket),
+            metrics: Metrics::new(),
+            next_number: AtomicU64::new(0),
+            settings,
+        })
+    }
+
+    /// Runs the router until `stop` turns true and its requests have ended.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`Category::Io`] when an address cannot be listened on.
+    pub async fn run(self: Arc<Self>, mut stop: watch::Receiver<bool>) -> Result<()> {
+        let listen = &self.settings.listen;
+        let callers = TcpListener::bind(listen.callers).await?;
+        let operators = TcpListener::bind(listen.operators).await?;
+        let peers = TcpListener::bind(listen.peers).await?;
+        let datagrams = Arc::new(UdpSocket::bind(listen.peers).await?);
+
+        let mut tasks = JoinSet::new();
+        tasks.spawn(config::follow(self.clone()));
+        tasks.spawn(membership::follow_instances(self.clone()));
+        tasks.spawn(membership::gossip(self.clone(), datagrams.clone()));
+        tasks.spawn(membership::receive(self.clone(), datagrams));
+        tasks.spawn(peer::serve(self.clone(), peers));
+        for partition in 0..once::PARTITIONS {
+            tasks.spawn(once::append_batches(self.clone(), partition));
+            tasks.spawn(once::tail(self.clone(), partition));
+        }
+
+        let limits = self.settings.limits.clone();
+        let routes = http::operator_routes(self.clone());
+        // Operators are answered until the very end.
+        let (_running, until_end) = watch::channel(false);
+        tasks.spawn(http::serve(operators, routes, limits.clone(), until_end));
+        let routes = http::caller_routes(self.clone());
+        let serving = tokio::spawn(http::serve(callers, routes, limits, stop.clone()));
+
+        // An error means that the sender is gone, which is a request to stop as well.
+        let _ = stop.wait_for(|stop| *stop).await;
+        self.membership.leave();
+        let drained = tokio::time::timeout(self.settings.limits.drain, serving).await;
+        if drained.is_err() {
+            log::warn!("requests still in flight at the end of the drain");
+        }
+        tokio::time::sleep(FAREWELL).await;
+        Ok(())
+    }
+
+    /// Checks that new requests are taken.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`Category::NotServing`] while the router starts or leaves.
+    pub fn check_serving(&self) -> Result<()> {
+        if self.membership.is_serving() {
+            return Ok(());
+        }
+        let message = format!("the router is {}", self.membership.phase());
+        let err = Error::not_run(Category::NotServing, message);
+        Err(err.with_retry_after(NOT_SERVING_DELAY))
+    }
+
+    /// Returns the steward of `engine`, or `None` when it is this router.
+    pub fn steward_of(&self, engine: &EngineName) -> Option<Arc<Peer>> {
+        let view = self.membership.view();
+        let name = placement::first(engine.as_str(), view.duty_routers())?;
+        view.peer(name)
+            .filter(|peer| peer.name != self.settings.name)
+            .cloned()
+    }
+
+    /// Returns the load bound of the engines of `pool`.
+    pub fn bound(&self, pool: &PoolName) -> u32 {
+        let state = self.config.current();
+        let factor = state.pools.get(pool).map(|pool| pool.load_factor);
+        let own = self.steward.loads().get(pool).copied().unwrap_or_default();
+        let view = self.membership.view();
+        let load = PoolLoad {
+            in_flight: own.in_flight + view.reported_load(pool).in_flight,
+            engines: view.engines(pool).filter(|engine| !engine.leaving).count() as u32,
+        };
+        steward::load_bound(load, factor.unwrap_or(config::DEFAULT_LOAD_FACTOR))
+    }
+
+    /// Returns the number for the next grant or claim of this life.
+    pub fn next_grant(&self) -> GrantId {
+        GrantId(self.next_number.fetch_add(1, Ordering::Relaxed))
+    }
+
+    /// Returns an id for a request that brings none.
+    pub fn fresh_request_id(&self) -> RequestId {
+        let text = Uuid::new_v4().to_string();
+        RequestId::new(&text).expect("a UUID is a valid name")
+    }
+
+    /// Issues a ticket.
+    pub fn issue_ticket(&self) -> Ticket {
+        Ticket::new(&self.tickets, self.clock.wall(), Uuid::new_v4().as_u128())
+    }
+
+    /// Returns how callers reach this router.
+    pub fn address(&self) -> Address {
+        Address {
+            router: self.settings.name.clone(),
+            address: self.settings.listen.callers,
+            domain: self.settings.domain.clone(),
+        }
+    }
+}
--- /dev/null
+++ b/stand-in/src/caller.rs
@@ -0,0 +1,375 @@
+//! Callers with returning chats and bookings, bounded in time and count.
+
+use std::{
+    collections::HashMap,
+    sync::{Arc, Mutex},
+    time::{Duration, Instant},
+};
+
+use hdrhistogram::Histogram;
+use http_body_util::BodyExt;
+use rand::{RngExt, SeedableRng};
+use rand_pcg::Pcg64Mcg;
+use serde_json::{json, Value};
+
+use crate::web::{self, Http};
+
+/// Most requests of one run.
+const MAX_REQUESTS: u64 = 1_000_000;
+
+/// Most attempts at one request.
+const MAX_ATTEMPTS: u32 = 4;
+
+#[derive(clap::Args)]
+pub struct Args {
+    /// Routers to ask for an address, as HOST:PORT.
+    #[arg(long, value_delimiter = ',', required = true)]
+    routers: Vec<String>,
+    /// Team of the callers.
+    #[arg(long, default_value = "kerb")]
+    team: String,
+    /// Chat service.
+    #[arg(long, default_value = "planner")]
+    model: String,
+    /// Plain service with bookings.
+    #[arg(long, default_value = "trade")]
+    service: String,
+    /// Requests started a second.
+    #[arg(long, default_value_t = 50)]
+    rate: u64,
+    /// Seconds to run.
+    #[arg(long, default_value_t = 10)]
+    seconds: u64,
+    /// Chats that return.
+    #[arg(long, default_value_t = 100)]
+    chats: u64,
+    /// Percentage of requests that are bookings.
+    #[arg(long, default_value_t = 20)]
+    bookings: u32,
+    /// Tokens of an answer.
+    #[arg(long, default_value_t = 8)]
+    tokens: u64,
+    /// Seed of the choices.
+    #[arg(long, default_value_t = 1)]
+    seed: u64,
+    /// Engines whose load is sampled, as HOST:PORT.
+    #[arg(long, value_delimiter = ',')]
+    engines: Vec<String>,
+    /// Servers that count the runs of bookings, as HOST:PORT.
+    #[arg(long, value_delimiter = ',')]
+    servers: Vec<String>,
+}
+
+struct Report {
+    sent: u64,
+    answered: u64,
+    whole: u64,
+    mixed: u64,
+    refused: u64,
+    warm: u64,
+    returned: u64,
+    broken: u64,
+    reasons: HashMap<String, u64>,
+    first_token_us: Histogram<u64>,
+}
+
+struct Caller {
+    args: Args,
+    http: Http,
+    report: Mutex<Report>,
+    hints: Mutex<HashMap<u64, String>>,
+    addresses: Mutex<HashMap<u64, (Vec<String>, Instant)>>,
+    skews: Mutex<Vec<f64>>,
+}
+
+/// What one attempt came to.
+enum Outcome {
+    Answered,
+    Refused(String),
+    Broken(String),
+}
+
+pub async fn run(args: Args) {
+    let caller = Arc::new(Caller {
+        http: web::client(),
+        report: Mutex::new(Report {
+            sent: 0,
+            answered: 0,
+            whole: 0,
+            mixed: 0,
+            refused: 0,
+            warm: 0,
+            returned: 0,
+            broken: 0,
+            reasons: HashMap::new(),
+            first_token_us: Histogram::new_with_max(60_000_000, 3).expect("three digits"),
+        }),
+        hints: Mutex::default(),
+        addresses: Mutex::default(),
+        skews: Mutex::default(),
+        args,
+    });
+    let sampler = tokio::spawn(sample_skew(caller.clone()));
+    start_requests(&caller).await;
+    sampler.abort();
+    let doubled = count_doubled(&caller).await;
+    println!("{}", caller.summary(doubled));
+}
+
+async fn start_requests(caller: &Arc<Caller>) {
+    let mut rng = Pcg64Mcg::seed_from_u64(caller.args.seed);
+    let total = (caller.args.rate * caller.args.seconds).min(MAX_REQUESTS);
+    let mut period = tokio::time::interval(Duration::from_secs(1) / caller.args.rate as u32);
+    let mut requests = tokio::task::JoinSet::new();
+    for number in 0..total {
+        period.tick().await;
+        let chat = rng.random_range(0..caller.args.chats);
+        let booking = rng.random_range(0..100) < caller.args.bookings;
+        requests.spawn(one_request(caller.clone(), number, chat, booking));
+    }
+    while requests.join_next().await.is_some() {}
+}
+
+async fn one_request(caller: Arc<Caller>, number: u64, chat: u64, booking: bool) {
+    caller.report.lock().unwrap().sent += 1;
+    let id = format!("req-{}-{number}", caller.args.seed);
+    let mut last = Outcome::Broken("not tried".into());
+    let mut key = None;
+    for attempt in 1..=MAX_ATTEMPTS {
+        let Some(address) = caller.address(chat, booking, attempt, &mut key).await else {
+            tokio::time::sleep(Duration::from_millis(200)).await;
+            continue;
+        };
+        last = if booking {
+            caller
+                .book(&address, &id, attempt, key.as_deref().unwrap_or_default())
+                .await
+        } else {
+            caller.chat(&address, &id, attempt, chat).await
+        };
+        if matches!(last, Outcome::Answered) {
+            break;
+        }
+        caller.addresses.lock().unwrap().remove(&chat);
+        tokio::time::sleep(Duration::from_millis(100 << attempt)).await;
+    }
+    let mut report = caller.report.lock().unwrap();
+    match last {
+        Outcome::Answered => report.answered += 1,
+        Outcome::Refused(reason) | Outcome::Broken(reason) => {
+            report.refused += 1;
+            *report.reasons.entry(reason).or_default() += 1;
+        }
+    }
+}
+
+impl Caller {
+    /// Returns the router for a chat: kept from before, or asked of any router.
+    async fn address(
+        &self,
+        chat: u64,
+        booking: bool,
+        attempt: u32,
+        key: &mut Option<String>,
+    ) -> Option<String> {
+        let kept = self.addresses.lock().unwrap().get(&chat).cloned();
+        let fresh = kept.filter(|(_, until)| *until > Instant::now());
+        let needs_key = booking && key.is_none();
+        if let (Some((addresses, _)), false) = (fresh, needs_key) {
+            return addresses.first().cloned();
+        }
+        let count = self.args.routers.len();
+        let router = &self.args.routers[(chat as usize + attempt as usize) % count];
+        let service = if booking {
+            &self.args.service
+        } else {
+            &self.args.model
+        };
+        let url = format!(
+            "http://{router}/v1/route?team={}&service={service}&chat=chat-{chat}",
+            self.args.team
+        );
+        let hint = self.hint(chat);
+        let headers = [("ebonyspur-hint", hint.as_str())];
+        let call = web::call(&self.http, "GET", &url, &headers, String::new());
+        let call = tokio::time::timeout(Duration::from_secs(2), call)
+            .await
+            .ok()?;
+        let (_, answer) = call.ok()?;
+        let addresses = answer["addresses"].as_array()?.iter();
+        let addresses = addresses.filter_map(|address| address["address"].as_str());
+        let addresses: Vec<_> = addresses.map(str::to_string).collect();
+        let valid = Duration::from_secs(answer["valid_seconds"].as_u64()?);
+        if needs_key {
+            *key = answer["ticket"].as_str().map(str::to_string);
+        }
+        let first = addresses.first().cloned();
+        let entry = (addresses, Instant::now() + valid);
+        self.addresses.lock().unwrap().insert(chat, entry);
+        first
+    }
+
+    fn hint(&self, chat: u64) -> String {
+        self.hints
+            .lock()
+            .unwrap()
+            .get(&chat)
+            .cloned()
+            .unwrap_or_default()
+    }
+
+    async fn chat(&self, address: &str, id: &str, attempt: u32, chat: u64) -> Outcome {
+        let hint = self.hint(chat);
+        let (attempt, name) = (attempt.to_string(), format!("chat-{chat}"));
+        let headers = [
+            ("content-type", "application/json"),
+            ("ebonyspur-team", self.args.team.as_str()),
+            ("ebonyspur-chat", name.as_str()),
+            ("ebonyspur-hint", hint.as_str()),
+            ("ebonyspur-attempt", attempt.as_str()),
+            ("x-request-id", id),
+        ];
+        let body = json!({
+            "model": self.args.model, "stream": true, "max_tokens": self.args.tokens,
+            "messages": [{ "role": "user", "content": "a bathroom" }],
+        });
+        let url = format!("http://{address}/v1/chat/completions");
+        let started = Instant::now();
+        let answer = web::send(&self.http, "POST", &url, &headers, body.to_string()).await;
+        let answer = match answer {
+            Ok(answer) => answer,
+            Err(err) => return Outcome::Broken(err),
+        };
+        if !answer.status().is_success() {
+            return Outcome::Refused(answer.status().to_string());
+        }
+        let next_hint = answer.headers().get("ebonyspur-hint").cloned();
+        let mut body = answer.into_body();
+        let mut text = String::new();
+        while let Some(frame) = body.frame().await {
+            let Ok(frame) = frame else {
+                self.report.lock().unwrap().broken += 1;
+                return Outcome::Broken("broken off".into());
+            };
+            if text.is_empty() {
+                self.first_token(started);
+            }
+            text += &String::from_utf8_lossy(frame.data_ref().unwrap_or(&bytes::Bytes::new()));
+        }
+        if let Some(hint) = next_hint.and_then(|hint| hint.to_str().ok().map(str::to_string)) {
+            self.hints.lock().unwrap().insert(chat, hint);
+        }
+        self.check_answer(id, &text, !hint.is_empty())
+    }
+
+    fn first_token(&self, started: Instant) {
+        let micros = started.elapsed().as_micros() as u64;
+        let mut report = self.report.lock().unwrap();
+        report.first_token_us.saturating_record(micros);
+    }
+
+    /// Checks that the answer has all tokens of this request, once each and in order.
+    fn check_answer(&self, id: &str, text: &str, returned: bool) -> Outcome {
+        let expected: String = (0..self.args.tokens)
+            .map(|n| format!("{id}/{n} "))
+            .collect();
+        let chunks = text.lines().filter_map(|line| line.strip_prefix("data: "));
+        let chunks: Vec<Value> = chunks
+            .filter_map(|data| serde_json::from_str(data).ok())
+            .collect();
+        let content = |chunk: &Value| {
+            chunk["choices"][0]["delta"]["content"]
+                .as_str()
+                .map(str::to_string)
+        };
+        let received: String = chunks.iter().filter_map(content).collect();
+        let cached =
+            |chunk: &Value| chunk["usage"]["prompt_tokens_details"]["cached_tokens"].as_u64();
+        let warm = chunks.first().and_then(cached).unwrap_or(0) > 0;
+        let mut report = self.report.lock().unwrap();
+        report.returned += u64::from(returned);
+        report.warm += u64::from(returned && warm);
+        if received == expected && text.ends_with("data: [DONE]\n\n") {
+            report.whole += 1;
+        } else {
+            report.mixed += 1;
+        }
+        Outcome::Answered
+    }
+
+    async fn book(&self, address: &str, id: &str, attempt: u32, key: &str) -> Outcome {
+        let attempt = attempt.to_string();
+        let headers = [
+            ("ebonyspur-team", self.args.team.as_str()),
+            ("ebonyspur-attempt", attempt.as_str()),
+            ("idempotency-key", key),
+            ("x-request-id", id),
+        ];
+        let url = format!(
+            "http://{address}/v1/services/{}/bookings",
+            self.args.service
+        );
+        let answer = web::call(&self.http, "POST", &url, &headers, String::new()).await;
+        match answer {
+            Err(err) => Outcome::Broken(err),
+            Ok((status, _)) if !status.is_success() => Outcome::Refused(status.to_string()),
+            Ok((_, answer)) => {
+                let own = answer["booked"] == json!(key);
+                let mut report = self.report.lock().unwrap();
+                report.whole += u64::from(own);
+                report.mixed += u64::from(!own);
+                Outcome::Answered
+            }
+        }
+    }
+
+    fn summary(&self, doubled: u64) -> Value {
+        let report = self.report.lock().unwrap();
+        let millis = |quantile| report.first_token_us.value_at_quantile(quantile) as f64 / 1_000.0;
+        let mut skews = self.skews.lock().unwrap().clone();
+        skews.sort_by(f64::total_cmp);
+        let skew = skews.get(skews.len() * 99 / 100).copied().unwrap_or(0.0);
+        let reuse = report.warm as f64 / report.returned.max(1) as f64;
+        json!({
+            "sent": report.sent, "answered": report.answered, "whole": report.whole,
+            "mixed": report.mixed, "doubled": doubled, "refused": report.refused,
+            "broken": report.broken, "reasons": report.reasons,
+            "cache_reuse": (reuse * 1_000.0).round() / 1_000.0,
+            "skew": (skew * 100.0).round() / 100.0,
+            "first_token_ms": { "p50": millis(0.5), "p99": millis(0.99) },
+        })
+    }
+}
+
+/// Samples the busiest engine over the mean, from the engines' own counts.
+async fn sample_skew(caller: Arc<Caller>) {
+    loop {
+        tokio::time::sleep(Duration::from_millis(100)).await;
+        let mut loads = Vec::new();
+        for engine in &caller.args.engines {
+            let url = format!("http://{engine}/load");
+            let call = web::call(&caller.http, "GET", &url, &[], String::new()).await;
+            loads.extend(call.ok().and_then(|(_, load)| load["in_flight"].as_f64()));
+        }
+        let mean = loads.iter().sum::<f64>() / loads.len().max(1) as f64;
+        if mean >= 1.0 {
+            let busiest = loads.iter().copied().fold(0.0, f64::max);
+            caller.skews.lock().unwrap().push(busiest / mean);
+        }
+    }
+}
+
+/// Counts the bookings that the servers ran more than once.
+async fn count_doubled(caller: &Caller) -> u64 {
+    let mut runs: HashMap<String, u64> = HashMap::new();
+    for server in &caller.args.servers {
+        let url = format!("http://{server}/runs");
+        let Ok((_, counts)) = web::call(&caller.http, "GET", &url, &[], String::new()).await else {
+            continue;
+        };
+        for (key, count) in counts.as_object().into_iter().flatten() {
+            *runs.entry(key.clone()).or_default() += count.as_u64().unwrap_or(0);
+        }
+    }
+    runs.values().filter(|count| **count > 1).count() as u64
+}
--- /dev/null
+++ b/stand-in/src/engine.rs
@@ -0,0 +1,249 @@
+//! A model engine: streams chats, with a slot limit and a prefix cache.
+
+use std::{
+    collections::VecDeque,
+    net::SocketAddr,
+    sync::{Arc, Mutex},
+    time::{Duration, SystemTime, UNIX_EPOCH},
+};
+
+use bytes::Bytes;
+use futures_util::stream;
+use gotham::helpers::http::Body;
+use http::{Response, StatusCode};
+use http_body_util::{BodyExt, StreamBody};
+use hyper::body::Frame;
+use serde::Deserialize;
+use serde_json::{json, Value};
+use tokio::sync::{OwnedSemaphorePermit, Semaphore};
+
+use crate::web::{self, Req};
+
+#[derive(clap::Args)]
+pub struct Args {
+    /// Address to listen on.
+    #[arg(long)]
+    listen: SocketAddr,
+    /// Name in the instance list.
+    #[arg(long)]
+    name: String,
+    /// Pool.
+    #[arg(long)]
+    pool: String,
+    /// Failure domain.
+    #[arg(long)]
+    domain: String,
+    /// Address of the platform.
+    #[arg(long)]
+    platform: String,
+    /// Requests that run at once; the others wait.
+    #[arg(long, default_value_t = 16)]
+    slots: usize,
+    /// Chats whose prefix is cached.
+    #[arg(long, default_value_t = 200)]
+    cached_chats: usize,
+    /// Time to the first token with a cold prefix.
+    #[arg(long, default_value_t = 60)]
+    cold_ms: u64,
+    /// Time to the first token with a warm prefix.
+    #[arg(long, default_value_t = 10)]
+    warm_ms: u64,
+    /// Time between tokens.
+    #[arg(long, default_value_t = 5)]
+    token_ms: u64,
+}
+
+#[derive(Default)]
+struct Counts {
+    in_flight: u32,
+    peak: u32,
+    warm: u64,
+    cold: u64,
+    cache: VecDeque<String>,
+}
+
+struct Engine {
+    args: Args,
+    incarnation: u64,
+    slots: Arc<Semaphore>,
+    counts: Mutex<Counts>,
+}
+
+pub async fn run(args: Args) {
+    let since = SystemTime::now()
+        .duration_since(UNIX_EPOCH)
+        .unwrap_or_default();
+    let listen = args.listen;
+    let engine = Arc::new(Engine {
+        incarnation: since.as_millis() as u64,
+        slots: Arc::new(Semaphore::new(args.slots)),
+        counts: Mutex::default(),
+        args,
+    });
+    tokio::spawn(register(engine.clone()));
+    web::serve(listen, engine, handle).await;
+}
+
+/// Keeps this engine on the instance list.
+async fn register(engine: Arc<Engine>) {
+    let http = web::client();
+    let args = &engine.args;
+    let url = format!("{}/v1/instances/{}?expires=1", args.platform, args.name);
+    let instance = json!({
+        "kind": "engine", "pool": args.pool, "address": args.listen,
+        "failure_domain": args.domain, "state": "live", "incarnation": engine.incarnation,
+    });
+    loop {
+        drop(web::call(&http, "PUT", &url, &[], instance.to_string()).await);
+        tokio::time::sleep(Duration::from_millis(500)).await;
+    }
+}
+
+async fn handle(engine: Arc<Engine>, req: Req) -> Response<Body> {
+    match (req.method.as_str(), req.path().as_slice()) {
+        ("POST", ["v1", "chat", "completions"]) => chat(engine, &req).await,
+        ("GET", ["load"]) => web::json(StatusCode::OK, &engine.load()),
+        _ => web::json(StatusCode::NOT_FOUND, &"no such path"),
+    }
+}
+
+#[derive(Deserialize)]
+struct ChatRequest {
+    #[serde(default)]
+    stream: bool,
+    #[serde(default = "default_tokens")]
+    max_tokens: u64,
+    #[serde(default)]
+    messages: Value,
+}
+
+fn default_tokens() -> u64 {
+    8
+}
+
+/// A request under way; dropping it is its end or its cancellation.
+struct Running {
+    engine: Arc<Engine>,
+    _slot: Option<OwnedSemaphorePermit>,
+}
+
+impl Drop for Running {
+    fn drop(&mut self) {
+        self.engine.counts.lock().unwrap().in_flight -= 1;
+    }
+}
+
+async fn chat(engine: Arc<Engine>, req: &Req) -> Response<Body> {
+    let chat: ChatRequest = match req.json() {
+        Ok(chat) => chat,
+        Err(refusal) => return *refusal,
+    };
+    let prompt = chat.messages.to_string();
+    if prompt.contains("CRASH") {
+        std::process::exit(101);
+    }
+    let mut running = engine.start();
+    if prompt.contains("SILENT") {
+        std::future::pending::<()>().await;
+    }
+    running._slot = engine.slots.clone().acquire_owned().await.ok();
+    let warm = engine.touch(&req.header("x-chat"));
+    let first = if warm {
+        engine.args.warm_ms
+    } else {
+        engine.args.cold_ms
+    };
+    tokio::time::sleep(Duration::from_millis(first)).await;
+    let id = req.header("x-request-id");
+    if chat.stream {
+        stream_tokens(running, id, warm, chat.max_tokens)
+    } else {
+        let pause = Duration::from_millis(engine.args.token_ms * chat.max_tokens);
+        tokio::time::sleep(pause).await;
+        let content: String = (0..chat.max_tokens).map(|n| token(&id, n)).collect();
+        let message = json!({ "role": "assistant", "content": content });
+        let answer = json!({
+            "id": format!("chatcmpl-{id}"), "object": "chat.completion",
+            "choices": [{ "index": 0, "message": message, "finish_reason": "stop" }],
+            "usage": usage(warm),
+        });
+        web::json(StatusCode::OK, &answer)
+    }
+}
+
+/// A token that shows whose answer it belongs to.
+fn token(id: &str, number: u64) -> String {
+    format!("{id}/{number} ")
+}
+
+fn usage(warm: bool) -> Value {
+    json!({ "prompt_tokens_details": { "cached_tokens": if warm { 100 } else { 0 } } })
+}
+
+fn stream_tokens(running: Running, id: String, warm: bool, tokens: u64) -> Response<Body> {
+    let pause = Duration::from_millis(running.engine.args.token_ms);
+    let events = stream::unfold((running, 0), move |(running, number)| {
+        let id = id.clone();
+        async move {
+            if number > tokens {
+                return None;
+            }
+            tokio::time::sleep(if number > 0 { pause } else { Duration::ZERO }).await;
+            let event = if number == tokens {
+                "data: [DONE]\n\n".to_string()
+            } else {
+                let chunk = json!({
+                    "id": format!("chatcmpl-{id}"), "object": "chat.completion.chunk",
+                    "choices": [{ "index": 0, "delta": { "content": token(&id, number) } }],
+                    "usage": usage(warm),
+                });
+                format!("id: {number}\ndata: {chunk}\n\n")
+            };
+            let frame = Frame::data(Bytes::from(event));
+            Some((Ok(frame), (running, number + 1)))
+        }
+    });
+    Response::builder()
+        .header("content-type", "text/event-stream")
+        .body(StreamBody::new(events).boxed_unsync())
+        .expect("a valid answer")
+}
+
+impl Engine {
+    fn start(self: &Arc<Self>) -> Running {
+        let mut counts = self.counts.lock().unwrap();
+        counts.in_flight += 1;
+        counts.peak = counts.peak.max(counts.in_flight);
+        Running {
+            engine: self.clone(),
+            _slot: None,
+        }
+    }
+
+    /// Makes `chat` the newest of the cache; returns whether it was there.
+    fn touch(&self, chat: &str) -> bool {
+        let mut counts = self.counts.lock().unwrap();
+        let at = counts.cache.iter().position(|cached| cached == chat);
+        let warm = at.is_some();
+        at.map(|at| counts.cache.remove(at));
+        counts.cache.push_back(chat.to_string());
+        if counts.cache.len() > self.args.cached_chats {
+            counts.cache.pop_front();
+        }
+        if warm {
+            counts.warm += 1;
+        } else {
+            counts.cold += 1;
+        }
+        warm
+    }
+
+    fn load(&self) -> Value {
+        let counts = self.counts.lock().unwrap();
+        json!({
+            "name": self.args.name, "incarnation": self.incarnation,
+            "in_flight": counts.in_flight, "peak": counts.peak,
+            "warm": counts.warm, "cold": counts.cold,
+        })
+    }
+}
--- /dev/null
+++ b/stand-in/src/main.rs
@@ -0,0 +1,76 @@
+//! Small stand-ins for what surrounds the routers: platform, engine, service, caller.
+
+mod caller;
+mod engine;
+mod platform;
+mod service;
+mod web;
+
+use clap::{Parser, Subcommand};
+
+/// Stands in for the systems around the routers, for tests and demonstrations.
+#[derive(Parser)]
+struct Args {
+    #[command(subcommand)]
+    command: Command,
+}
+
+#[derive(Subcommand)]
+enum Command {
+    /// The log service and the instance list.
+    Platform(platform::Args),
+    /// A model engine.
+    Engine(engine::Args),
+    /// A plain service with bookings.
+    Service(service::Args),
+    /// Callers with returning chats and bookings; prints one JSON line at the end.
+    Caller(caller::Args),
+    /// Sends one JSON request and prints the answer.
+    Request {
+        /// HTTP method.
+        method: String,
+        /// Address.
+        url: String,
+        /// Body.
+        #[arg(default_value = "")]
+        body: String,
+        /// Token of an operator.
+        #[arg(long, default_value = "")]
+        token: String,
+    },
+}
+
+#[tokio::main]
+async fn main() {
+    env_logger::Builder::from_env(env_logger::Env::default().default_filter_or("warn")).init();
+    match Args::parse().command {
+        Command::Platform(args) => platform::run(args).await,
+        Command::Engine(args) => engine::run(args).await,
+        Command::Service(args) => service::run(args).await,
+        Command::Caller(args) => caller::run(args).await,
+        Command::Request {
+            method,
+            url,
+            body,
+            token,
+        } => request(&method, &url, body, &token).await,
+    }
+}
+
+async fn request(method: &str, url: &str, body: String, token: &str) {
+    let bearer = format!("Bearer {token}");
+    let headers = [
+        ("content-type", "application/json"),
+        ("authorization", bearer.as_str()),
+    ];
+    match web::call(&web::client(), method, url, &headers, body).await {
+        Ok((status, answer)) if status.is_success() => println!("{answer}"),
+        Ok((status, answer)) => fail(&format!("{status}: {answer}")),
+        Err(err) => fail(&err),
+    }
+}
+
+fn fail(message: &str) {
+    eprintln!("stand-in: {message}");
+    std::process::exit(1);
+}
--- /dev/null
+++ b/stand-in/src/platform.rs
@@ -0,0 +1,275 @@
+//! The platform: the log service and the instance list, with faults on request.
+
+use std::{
+    collections::{BTreeMap, HashMap},
+    net::SocketAddr,
+    sync::{Arc, Mutex},
+    time::{Duration, Instant},
+};
+
+use gotham::helpers::http::Body;
+use http::{Response, StatusCode};
+use serde::Deserialize;
+use serde_json::{json, Value};
+use tokio::sync::{watch, Mutex as AsyncMutex};
+
+use crate::web::{self, Refusal, Req};
+
+#[derive(clap::Args)]
+pub struct Args {
+    /// Address to listen on.
+    #[arg(long)]
+    listen: SocketAddr,
+    /// Appends that the log takes a second.
+    #[arg(long, default_value_t = 300)]
+    appends_per_second: u32,
+    /// Records that the log keeps in each stream.
+    #[arg(long, default_value_t = 1_000_000)]
+    keep_records: usize,
+    /// Lag of the instance list.
+    #[arg(long, default_value_t = 0)]
+    lag_ms: u64,
+}
+
+/// Faults, replaced whole by `POST /faults`.
+#[derive(Default, Clone, Deserialize)]
+#[serde(default, deny_unknown_fields)]
+struct Faults {
+    /// The log answers nothing but 503.
+    log_outage: bool,
+    /// Delay of each answer of the log.
+    log_delay_ms: u64,
+    /// Appends that take effect and are answered by nothing.
+    drop_append_answers: u32,
+}
+
+#[derive(Default)]
+struct Stream {
+    first: u64,
+    records: Vec<Value>,
+}
+
+impl Stream {
+    fn head(&self) -> u64 {
+        self.first + self.records.len() as u64
+    }
+}
+
+#[derive(Default)]
+struct Instances {
+    version: u64,
+    changed_at: BTreeMap<String, u64>,
+    live: BTreeMap<String, Value>,
+    seen: HashMap<String, Instant>,
+}
+
+struct Platform {
+    args: Args,
+    faults: Mutex<Faults>,
+    streams: Mutex<HashMap<String, Stream>>,
+    instances: Mutex<Instances>,
+    append_turn: AsyncMutex<()>,
+    changed: watch::Sender<u64>,
+}
+
+pub async fn run(args: Args) {
+    let listen = args.listen;
+    let platform = Arc::new(Platform {
+        args,
+        faults: Mutex::default(),
+        streams: Mutex::default(),
+        instances: Mutex::default(),
+        append_turn: AsyncMutex::new(()),
+        changed: watch::Sender::new(0),
+    });
+    tokio::spawn(expire(platform.clone()));
+    web::serve(listen, platform, handle).await;
+}
+
+async fn handle(platform: Arc<Platform>, req: Req) -> Response<Body> {
+    let answer = match (req.method.as_str(), req.path().as_slice()) {
+        ("POST", ["v1", "log", stream]) => append(&platform, &req, stream).await,
+        ("GET", ["v1", "log", stream]) => read(&platform, &req, stream).await,
+        ("GET", ["v1", "instances"]) => list(&platform, &req).await,
+        ("PUT", ["v1", "instances", name]) => put(&platform, &req, name).await,
+        ("DELETE", ["v1", "instances", name]) => {
+            platform.change(name, None);
+            Ok(json!({}))
+        }
+        ("POST", ["faults"]) => req.json().map(|faults| {
+            *platform.faults.lock().unwrap() = faults;
+            json!({})
+        }),
+        _ => Err(refuse(StatusCode::NOT_FOUND, &json!("no such path"))),
+    };
+    match answer {
+        Ok(value) => web::json(StatusCode::OK, &value),
+        Err(refusal) => *refusal,
+    }
+}
+
+type Answer = Result<Value, Refusal>;
+
+fn refuse(status: StatusCode, value: &Value) -> Refusal {
+    Box::new(web::json(status, value))
+}
+
+#[derive(Deserialize)]
+struct Append {
+    entries: Vec<Value>,
+}
+
+async fn append(platform: &Platform, req: &Req, stream: &str) -> Answer {
+    platform.log_faults().await?;
+    let append: Append = req.json()?;
+    let turn = platform.append_turn.lock().await;
+    let pause = Duration::from_secs(1) / platform.args.appends_per_second;
+    tokio::time::sleep(pause).await;
+    let offsets = platform.push(stream, append.entries);
+    drop(turn);
+    platform.notify();
+    if platform.drops_answer() {
+        std::future::pending::<()>().await;
+    }
+    Ok(json!({ "offsets": offsets }))
+}
+
+async fn read(platform: &Platform, req: &Req, stream: &str) -> Answer {
+    platform.log_faults().await?;
+    let from = req.number("from", 0);
+    let wait = Duration::from_millis(req.number("wait_ms", 0));
+    let mut changed = platform.changed.subscribe();
+    let arrived = changed.wait_for(|_| {
+        let streams = platform.streams.lock().unwrap();
+        streams
+            .get(stream)
+            .is_some_and(|stream| stream.head() > from)
+    });
+    drop(tokio::time::timeout(wait, arrived).await);
+    platform.log_faults().await?;
+    let streams = platform.streams.lock().unwrap();
+    let empty = Stream::default();
+    let stream = streams.get(stream).unwrap_or(&empty);
+    if from < stream.first {
+        let first = json!({ "first": stream.first });
+        return Err(refuse(StatusCode::GONE, &first));
+    }
+    let skip = (from - stream.first) as usize;
+    let records = stream.records.iter().enumerate().skip(skip).take(1_000);
+    let entry =
+        |(at, data): (usize, &Value)| json!({ "offset": stream.first + at as u64, "data": data });
+    let records: Vec<_> = records.map(entry).collect();
+    Ok(json!({ "first": stream.first, "head": stream.head(), "records": records }))
+}
+
+async fn list(platform: &Platform, req: &Req) -> Answer {
+    let since = req.number("since", 0);
+    let wait = Duration::from_millis(req.number("wait_ms", 0));
+    let mut changed = platform.changed.subscribe();
+    let newer = changed.wait_for(|_| platform.instances.lock().unwrap().version > since);
+    drop(tokio::time::timeout(wait, newer).await);
+    let instances = platform.instances.lock().unwrap();
+    let full = since == 0 || since > instances.version;
+    let recent = instances
+        .changed_at
+        .iter()
+        .filter(|(_, at)| full || **at > since);
+    let names: Vec<_> = recent.map(|(name, _)| name).collect();
+    let live: Vec<_> = names
+        .iter()
+        .filter_map(|name| instances.live.get(*name))
+        .collect();
+    let gone: Vec<_> = names
+        .iter()
+        .filter(|name| !instances.live.contains_key(**name))
+        .collect();
+    Ok(json!({
+        "version": instances.version, "full": full, "instances": live, "gone": gone,
+    }))
+}
+
+/// Registers an instance; one with `?expires=1` must be registered again every second.
+async fn put(platform: &Arc<Platform>, req: &Req, name: &str) -> Answer {
+    let mut instance: Value = req.json()?;
+    instance["name"] = json!(name);
+    if req.number("expires", 0) == 1 {
+        let mut instances = platform.instances.lock().unwrap();
+        instances.seen.insert(name.to_string(), Instant::now());
+    }
+    let lag = Duration::from_millis(platform.args.lag_ms);
+    let (platform, name) = (platform.clone(), name.to_string());
+    tokio::spawn(async move {
+        tokio::time::sleep(lag).await;
+        platform.change(&name, Some(instance));
+    });
+    Ok(json!({}))
+}
+
+/// Takes instances off the list that have not been heard of.
+async fn expire(platform: Arc<Platform>) {
+    loop {
+        tokio::time::sleep(Duration::from_millis(250)).await;
+        let silent: Vec<String> = {
+            let mut instances = platform.instances.lock().unwrap();
+            let is_silent = |at: &Instant| at.elapsed() > Duration::from_millis(2_000);
+            let silent = instances.seen.iter().filter(|(_, at)| is_silent(at));
+            let silent: Vec<_> = silent.map(|(name, _)| name.clone()).collect();
+            instances.seen.retain(|name, _| !silent.contains(name));
+            silent
+        };
+        for name in silent {
+            platform.change(&name, None);
+        }
+    }
+}
+
+impl Platform {
+    async fn log_faults(&self) -> Result<(), Refusal> {
+        let faults = self.faults.lock().unwrap().clone();
+        tokio::time::sleep(Duration::from_millis(faults.log_delay_ms)).await;
+        if faults.log_outage {
+            return Err(refuse(StatusCode::SERVICE_UNAVAILABLE, &json!("outage")));
+        }
+        Ok(())
+    }
+
+    fn drops_answer(&self) -> bool {
+        let mut faults = self.faults.lock().unwrap();
+        let drops = faults.drop_append_answers > 0;
+        faults.drop_append_answers = faults.drop_append_answers.saturating_sub(1);
+        drops
+    }
+
+    fn push(&self, stream: &str, entries: Vec<Value>) -> Vec<u64> {
+        let mut streams = self.streams.lock().unwrap();
+        let stream = streams.entry(stream.to_string()).or_default();
+        let from = stream.head();
+        stream.records.extend(entries);
+        let offsets = (from..stream.head()).collect();
+        let excess = stream.records.len().saturating_sub(self.args.keep_records);
+        stream.records.drain(..excess);
+        stream.first += excess as u64;
+        offsets
+    }
+
+    fn change(&self, name: &str, instance: Option<Value>) {
+        {
+            let mut instances = self.instances.lock().unwrap();
+            if instances.live.get(name) == instance.as_ref() {
+                return;
+            }
+            match instance {
+                Some(instance) => drop(instances.live.insert(name.to_string(), instance)),
+                None => drop(instances.live.remove(name)),
+            }
+            instances.version += 1;
+            let version = instances.version;
+            instances.changed_at.insert(name.to_string(), version);
+        }
+        self.notify();
+    }
+
+    fn notify(&self) {
+        self.changed.send_modify(|count| *count += 1);
+    }
+}
--- /dev/null
+++ b/stand-in/src/service.rs
@@ -0,0 +1,82 @@
+//! A plain service: slots can be read, and bookings are counted each time they run.
+
+use std::{
+    collections::BTreeMap,
+    net::SocketAddr,
+    sync::{Arc, Mutex},
+    time::Duration,
+};
+
+use gotham::helpers::http::Body;
+use http::{Response, StatusCode};
+use serde_json::json;
+
+use crate::web::{self, Req};
+
+#[derive(clap::Args)]
+pub struct Args {
+    /// Address to listen on.
+    #[arg(long)]
+    listen: SocketAddr,
+    /// Name in the instance list.
+    #[arg(long)]
+    name: String,
+    /// Pool.
+    #[arg(long)]
+    pool: String,
+    /// Failure domain.
+    #[arg(long)]
+    domain: String,
+    /// Address of the platform.
+    #[arg(long)]
+    platform: String,
+}
+
+struct Service {
+    runs: Mutex<BTreeMap<String, u32>>,
+}
+
+pub async fn run(args: Args) {
+    let service = Arc::new(Service {
+        runs: Mutex::default(),
+    });
+    let listen = args.listen;
+    tokio::spawn(register(args));
+    web::serve(listen, service, handle).await;
+}
+
+/// Keeps this server on the instance list.
+async fn register(args: Args) {
+    let http = web::client();
+    let url = format!("{}/v1/instances/{}?expires=1", args.platform, args.name);
+    let instance = json!({
+        "kind": "server", "pool": args.pool, "address": args.listen,
+        "failure_domain": args.domain, "state": "live",
+    });
+    loop {
+        drop(web::call(&http, "PUT", &url, &[], instance.to_string()).await);
+        tokio::time::sleep(Duration::from_millis(500)).await;
+    }
+}
+
+async fn handle(service: Arc<Service>, req: Req) -> Response<Body> {
+    let delay = Duration::from_millis(req.number("delay_ms", 0));
+    match (req.method.as_str(), req.path().as_slice()) {
+        ("GET", ["slots", slot]) => {
+            web::json(StatusCode::OK, &json!({ "slot": slot, "free": true }))
+        }
+        ("POST", ["bookings"]) => {
+            let key = req.header("idempotency-key");
+            let run = {
+                let mut runs = service.runs.lock().unwrap();
+                let run = runs.entry(key.clone()).or_default();
+                *run += 1;
+                *run
+            };
+            tokio::time::sleep(delay).await;
+            web::json(StatusCode::OK, &json!({ "booked": key, "run": run }))
+        }
+        ("GET", ["runs"]) => web::json(StatusCode::OK, &*service.runs.lock().unwrap()),
+        _ => web::json(StatusCode::NOT_FOUND, &"no such path"),
+    }
+}
--- /dev/null
+++ b/stand-in/src/web.rs
@@ -0,0 +1,183 @@
+//! HTTP shared by the stand-ins: serving handlers and sending JSON.
+
+use std::{
+    collections::HashMap, future::Future, net::SocketAddr, panic::RefUnwindSafe, pin::Pin,
+    sync::Arc, time::Duration,
+};
+
+use bytes::Bytes;
+use gotham::{
+    handler::{Handler, HandlerFuture, NewHandler},
+    helpers::http::Body,
+    state::{FromState, State},
+};
+use http::{HeaderMap, Method, Request, Response, StatusCode, Uri};
+use http_body_util::{BodyExt, Full};
+use hyper::body::Incoming;
+use hyper_util::{
+    client::legacy::{connect::HttpConnector, Client},
+    rt::TokioExecutor,
+};
+use serde::{de::DeserializeOwned, Serialize};
+use serde_json::Value;
+
+/// An answer that refuses a request.
+pub type Refusal = Box<Response<Body>>;
+
+/// A request with its whole body.
+pub struct Req {
+    pub method: Method,
+    pub uri: Uri,
+    pub headers: HeaderMap,
+    pub body: Bytes,
+}
+
+impl Req {
+    /// Returns the parts of the path.
+    pub fn path(&self) -> Vec<&str> {
+        self.uri
+            .path()
+            .split('/')
+            .filter(|part| !part.is_empty())
+            .collect()
+    }
+
+    /// Returns a number from the query, or `default`.
+    pub fn number(&self, key: &str, default: u64) -> u64 {
+        let pairs = self.uri.query().unwrap_or_default().split('&');
+        let query: HashMap<_, _> = pairs.filter_map(|pair| pair.split_once('=')).collect();
+        query
+            .get(key)
+            .and_then(|text| text.parse().ok())
+            .unwrap_or(default)
+    }
+
+    /// Returns a header as text.
+    pub fn header(&self, key: &str) -> String {
+        let value = self.headers.get(key).and_then(|value| value.to_str().ok());
+        value.unwrap_or_default().to_string()
+    }
+
+    /// Parses the body.
+    pub fn json<T: DeserializeOwned>(&self) -> Result<T, Refusal> {
+        serde_json::from_slice(&self.body)
+            .map_err(|err| Box::new(json(StatusCode::BAD_REQUEST, &err.to_string())))
+    }
+}
+
+struct App<S, H> {
+    state: Arc<S>,
+    handler: H,
+}
+
+impl<S, H> RefUnwindSafe for App<S, H> {}
+
+impl<S, H, F> NewHandler for App<S, H>
+where
+    S: Send + Sync + 'static,
+    H: Fn(Arc<S>, Req) -> F + Copy + Send + Sync + 'static,
+    F: Future<Output = Response<Body>> + Send + 'static,
+{
+    type Instance = Self;
+
+    fn new_handler(&self) -> gotham::anyhow::Result<Self> {
+        let state = self.state.clone();
+        let handler = self.handler;
+        Ok(App { state, handler })
+    }
+}
+
+impl<S, H, F> Handler for App<S, H>
+where
+    S: Send + Sync + 'static,
+    H: Fn(Arc<S>, Req) -> F + Copy + Send + Sync + 'static,
+    F: Future<Output = Response<Body>> + Send + 'static,
+{
+    fn handle(self, mut state: State) -> Pin<Box<HandlerFuture>> {
+        Box::pin(async move {
+            let body = Body::take_from(&mut state).collect().await;
+            let req = Req {
+                method: Method::take_from(&mut state),
+                uri: Uri::take_from(&mut state),
+                headers: HeaderMap::take_from(&mut state),
+                body: body.map(|body| body.to_bytes()).unwrap_or_default(),
+            };
+            let answer = (self.handler)(self.state.clone(), req).await;
+            Ok((state, answer))
+        })
+    }
+}
+
+/// Serves `handler` on `address` for good.
+pub async fn serve<S, H, F>(address: SocketAddr, state: Arc<S>, handler: H)
+where
+    S: Send + Sync + 'static,
+    H: Fn(Arc<S>, Req) -> F + Copy + Send + Sync + 'static,
+    F: Future<Output = Response<Body>> + Send + 'static,
+{
+    if let Err(err) = gotham::init_server(address, App { state, handler }).await {
+        eprintln!("stand-in: cannot serve {address}: {err}");
+        std::process::exit(1);
+    }
+}
+
+/// Builds a JSON answer.
+pub fn json(status: StatusCode, value: &impl Serialize) -> Response<Body> {
+    let body = serde_json::to_vec(value).expect("JSON");
+    let body = Full::new(Bytes::from(body))
+        .map_err(|never| match never {})
+        .boxed_unsync();
+    Response::builder()
+        .status(status)
+        .header("content-type", "application/json")
+        .body(body)
+        .expect("a valid answer")
+}
+
+/// The client of the stand-ins.
+pub type Http = Client<HttpConnector, Full<Bytes>>;
+
+/// Creates a client.
+pub fn client() -> Http {
+    let mut connector = HttpConnector::new();
+    connector.set_nodelay(true);
+    connector.set_connect_timeout(Some(Duration::from_secs(1)));
+    Client::builder(TokioExecutor::new()).build(connector)
+}
+
+/// Sends a request and returns the head of the answer.
+pub async fn send(
+    http: &Http,
+    method: &str,
+    url: &str,
+    headers: &[(&str, &str)],
+    body: String,
+) -> Result<Response<Incoming>, String> {
+    let mut req = Request::builder().method(method).uri(url);
+    for (key, value) in headers {
+        req = req.header(*key, *value);
+    }
+    let req = req
+        .body(Full::new(body.into()))
+        .map_err(|err| err.to_string())?;
+    http.request(req).await.map_err(|err| err.to_string())
+}
+
+/// Sends a request and returns the status and the JSON of the answer.
+pub async fn call(
+    http: &Http,
+    method: &str,
+    url: &str,
+    headers: &[(&str, &str)],
+    body: String,
+) -> Result<(StatusCode, Value), String> {
+    let answer = send(http, method, url, headers, body).await?;
+    let status = answer.status();
+    let body = answer
+        .into_body()
+        .collect()
+        .await
+        .map_err(|err| err.to_string())?;
+    let value = serde_json::from_slice(&body.to_bytes()).unwrap_or(Value::Null);
+    Ok((status, value))
+}
