--- /dev/null
+++ b/tests/config/main.rs
@@ -0,0 +1,3 @@
+//! Settings and the fold of the configuration stream.
+
+mod settings;
--- /dev/null
+++ b/tests/support/mod.rs
@@ -0,0 +1,357 @@
+//! A small fleet of real processes on loopback, stopped by pid when dropped.
+
+#![allow(dead_code)]
+
+use std::{
+    fs::File,
+    net::{SocketAddr, TcpListener, UdpSocket},
+    path::{Path, PathBuf},
+    process::{Child, Command, Output, Stdio},
+    sync::atomic::{AtomicU32, Ordering},
+    time::{Duration, Instant},
+};
+
+use rustix::process::{kill_process, Pid, Signal};
+use serde_json::{json, Value};
+
+/// Longest time for a condition to come true.
+pub const DEADLINE: Duration = Duration::from_secs(60);
+
+/// Token of the operator of every fleet.
+pub const TOKEN: &str = "token-of-the-test-operator";
+
+/// Waits until `condition` holds.
+#[track_caller]
+pub fn wait_until(what: &str, mut condition: impl FnMut() -> bool) {
+    let deadline = Instant::now() + DEADLINE;
+    while !condition() {
+        assert!(Instant::now() < deadline, "gave up waiting until {what}");
+        std::thread::sleep(Duration::from_millis(50));
+    }
+}
+
+/// First port given out, below the range from which the system picks ports by itself.
+const FIRST_PORT: u16 = 10_000;
+
+/// Number of ports given out.
+const PORTS: u32 = 20_000;
+
+/// Returns a free address on loopback that no other test of this process gets.
+pub fn free_address() -> SocketAddr {
+    static NEXT: AtomicU32 = AtomicU32::new(0);
+    loop {
+        let number = NEXT.fetch_add(1, Ordering::Relaxed) + std::process::id() * 100;
+        let port = FIRST_PORT + (number % PORTS) as u16;
+        let address = SocketAddr::from(([127, 0, 0, 1], port));
+        if TcpListener::bind(address).is_ok() && UdpSocket::bind(address).is_ok() {
+            return address;
+        }
+    }
+}
+
+/// Returns a built program of this workspace.
+pub fn program(name: &str) -> PathBuf {
+    let daemon = Path::new(env!("CARGO_BIN_EXE_ebonyspurd"));
+    let path = daemon.with_file_name(name);
+    assert!(
+        path.exists(),
+        "{name} is not built: run cargo test --workspace"
+    );
+    path
+}
+
+/// A started process, killed when dropped.
+pub struct Process {
+    child: Child,
+}
+
+impl Process {
+    /// Starts `name` with its output in `log`.
+    pub fn start(name: &str, args: &[&str], log: &Path) -> Self {
+        let log = File::create(log).expect("a log file");
+        let child = Command::new(program(name))
+            .args(args)
+            .stdin(Stdio::null())
+            .stdout(log.try_clone().expect("a second handle"))
+            .stderr(log)
+            .spawn()
+            .expect("a started process");
+        Process { child }
+    }
+
+    /// Sends a signal.
+    pub fn signal(&self, signal: Signal) {
+        let pid = Pid::from_child(&self.child);
+        kill_process(pid, signal).expect("a running process");
+    }
+
+    /// Returns whether the process has ended.
+    pub fn has_ended(&mut self) -> bool {
+        self.child.try_wait().expect("a child").is_some()
+    }
+}
+
+impl Drop for Process {
+    fn drop(&mut self) {
+        drop(self.child.kill());
+        drop(self.child.wait());
+    }
+}
+
+/// A router process and its addresses.
+pub struct RouterProcess {
+    pub process: Process,
+    pub name: String,
+    pub callers: SocketAddr,
+    pub peers: SocketAddr,
+    pub operators: SocketAddr,
+}
+
+/// An engine or server process.
+pub struct Backend {
+    pub process: Process,
+    pub name: String,
+    pub address: SocketAddr,
+}
+
+/// A platform with engines, a service and routers.
+pub struct Fleet {
+    pub platform: SocketAddr,
+    pub engines: Vec<Backend>,
+    pub servers: Vec<Backend>,
+    pub routers: Vec<RouterProcess>,
+    pub dir: tempfile::TempDir,
+    platform_process: Process,
+}
+
+/// Lines of each log shown when a test fails.
+const SHOWN_LINES: usize = 12;
+
+impl Drop for Fleet {
+    fn drop(&mut self) {
+        if !std::thread::panicking() {
+            return;
+        }
+        for entry in std::fs::read_dir(self.dir.path())
+            .into_iter()
+            .flatten()
+            .flatten()
+        {
+            let text = std::fs::read_to_string(entry.path()).unwrap_or_default();
+            let lines: Vec<_> = text.lines().collect();
+            let shown = &lines[lines.len().saturating_sub(SHOWN_LINES)..];
+            eprintln!("-- {}\n{}", entry.path().display(), shown.join("\n"));
+        }
+    }
+}
+
+impl Fleet {
+    /// Starts a fleet with one team `kerb`, a chat service `planner` and a plain one `trade`.
+    pub fn start(engines: usize, routers: usize) -> Self {
+        let mut fleet = Fleet::platform_only(&[]);
+        fleet.publish("first", &base_ops());
+        for _ in 0..engines {
+            fleet.add_engine(&[]);
+        }
+        fleet.add_server();
+        for _ in 0..routers {
+            fleet.add_router("");
+        }
+        fleet.await_ready();
+        fleet
+    }
+
+    /// Starts only the platform, with extra arguments.
+    pub fn platform_only(args: &[&str]) -> Self {
+        let dir = tempfile::tempdir().expect("a directory");
+        let platform = free_address();
+        let listen = platform.to_string();
+        let mut all = vec!["platform", "--listen", &listen];
+        all.extend(args);
+        let process = Process::start("stand-in", &all, &dir.path().join("platform.log"));
+        let fleet = Fleet {
+            platform,
+            engines: Vec::new(),
+            servers: Vec::new(),
+            routers: Vec::new(),
+            dir,
+            platform_process: process,
+        };
+        let url = fleet.platform_url("/v1/instances");
+        wait_until("the platform answers", || get(&url).is_some());
+        fleet
+    }
+
+    /// Returns the URL of a path on the platform.
+    pub fn platform_url(&self, path: &str) -> String {
+        format!("http://{}{path}", self.platform)
+    }
+
+    /// Appends a change to the configuration stream.
+    pub fn publish(&self, id: &str, ops: &Value) {
+        let base =
+            get(&self.platform_url("/v1/log/config?from=0")).expect("a page")["head"].clone();
+        let change = json!({
+            "record": "change", "id": id, "operator": "test", "at": 0, "base": base, "ops": ops,
+        });
+        let url = self.platform_url("/v1/log/config");
+        call("POST", &url, &json!({ "entries": [change] })).expect("an append");
+    }
+
+    /// Sets the faults of the platform.
+    pub fn faults(&self, faults: &Value) {
+        call("POST", &self.platform_url("/faults"), faults).expect("faults");
+    }
+
+    /// Starts an engine of the pool `planners`.
+    pub fn add_engine(&mut self, args: &[&str]) {
+        let number = self.engines.len() + 1;
+        let backend = self.start_backend("engine", number, "planners", args);
+        self.engines.push(backend);
+    }
+
+    /// Starts a server of the pool `trades`.
+    pub fn add_server(&mut self) {
+        let number = self.servers.len() + 1;
+        let backend = self.start_backend("service", number, "trades", &[]);
+        self.servers.push(backend);
+    }
+
+    fn start_backend(&self, kind: &str, number: usize, pool: &str, args: &[&str]) -> Backend {
+        let name = format!("{kind}-{number}");
+        let address = free_address();
+        let (listen, platform) = (address.to_string(), self.platform_url(""));
+        let domain = format!("d{}", number % 3 + 1);
+        let mut all = vec![kind, "--listen", &listen, "--name", &name, "--pool", pool];
+        all.extend(["--domain", &domain, "--platform", &platform]);
+        all.extend(args);
+        let log = self.dir.path().join(format!("{name}.log"));
+        Backend {
+            process: Process::start("stand-in", &all, &log),
+            name,
+            address,
+        }
+    }
+
+    /// Starts a router with extra settings and puts it on the instance list.
+    pub fn add_router(&mut self, extra: &str) {
+        let number = self.routers.len() + 1;
+        let name = format!("router-{number}");
+        let (callers, peers, operators) = (free_address(), free_address(), free_address());
+        let domain = format!("d{}", number % 3 + 1);
+        let settings = format!(
+            "router: {{name: {name}, failure_domain: {domain}}}\n\
+             listen: {{callers: '{callers}', peers: '{peers}', operators: '{operators}'}}\n\
+             platform: {{url: '{}'}}\n\
+             peers: {{keys: [key-of-the-test-fleet]}}\n\
+             operators: [{{name: test, token: {TOKEN}}}]\n{extra}",
+            self.platform_url("")
+        );
+        let file = self.dir.path().join(format!("{name}.yaml"));
+        std::fs::write(&file, settings).expect("a settings file");
+        let instance = json!({
+            "kind": "router", "address": callers, "peer_address": peers,
+            "failure_domain": domain, "state": "live",
+        });
+        let url = self.platform_url(&format!("/v1/instances/{name}"));
+        call("PUT", &url, &instance).expect("an instance");
+        let file = file.to_str().expect("a path of text").to_string();
+        let log = self.dir.path().join(format!("{name}.log"));
+        let process = Process::start("ebonyspurd", &["--settings", &file], &log);
+        self.routers.push(RouterProcess {
+            process,
+            name,
+            callers,
+            peers,
+            operators,
+        });
+    }
+
+    /// Takes a router off the instance list, as the platform does when it is gone.
+    pub fn unlist_router(&self, name: &str) {
+        let url = self.platform_url(&format!("/v1/instances/{name}"));
+        call("DELETE", &url, &Value::Null).expect("a change");
+    }
+
+    /// Waits until each router serves and knows all routers, engines and servers.
+    pub fn await_ready(&self) {
+        let backends = self.engines.len() + self.servers.len();
+        for router in &self.routers {
+            wait_until("the router is ready", || {
+                let Some(state) = dump(router) else {
+                    return false;
+                };
+                let count = |key: &str| state[key].as_array().map_or(0, Vec::len);
+                let peers = state["routers"].as_object().map_or(0, |peers| peers.len());
+                state["phase"] == "serving"
+                    && count("engines") == backends
+                    && peers + 1 == self.routers.len()
+            });
+        }
+    }
+
+    /// Runs the bounded load of the callers and returns its report.
+    pub fn load(&self, args: &[&str]) -> Value {
+        let output = self.load_command(args).output().expect("a caller");
+        parse_report(&output)
+    }
+
+    /// Starts the load without waiting for its end.
+    pub fn start_load(&self, args: &[&str]) -> Child {
+        let mut command = self.load_command(args);
+        command.stdout(Stdio::piped()).spawn().expect("a caller")
+    }
+
+    fn load_command(&self, args: &[&str]) -> Command {
+        let list = |addresses: Vec<String>| addresses.join(",");
+        let routers = list(self.routers.iter().map(|r| r.callers.to_string()).collect());
+        let servers = list(self.servers.iter().map(|s| s.address.to_string()).collect());
+        let mut command = Command::new(program("stand-in"));
+        command.args(["caller", "--routers", &routers, "--servers", &servers]);
+        command.args(args);
+        command
+    }
+}
+
+/// Reads the report of a finished load.
+pub fn parse_report(output: &Output) -> Value {
+    serde_json::from_slice(&output.stdout).expect("a JSON report")
+}
+
+/// Returns the state dump of a router.
+pub fn dump(router: &RouterProcess) -> Option<Value> {
+    get(&format!("http://{}/state", router.operators))
+}
+
+/// Reads JSON from `url`.
+pub fn get(url: &str) -> Option<Value> {
+    call("GET", url, &Value::Null)
+}
+
+/// Sends JSON to `url` as the operator, and returns the answer of a success.
+pub fn call(method: &str, url: &str, body: &Value) -> Option<Value> {
+    let body = if body.is_null() {
+        String::new()
+    } else {
+        body.to_string()
+    };
+    let output = Command::new(program("stand-in"))
+        .args(["request", "--token", TOKEN, method, url, &body])
+        .output()
+        .expect("a request");
+    output
+        .status
+        .success()
+        .then(|| serde_json::from_slice(&output.stdout).unwrap_or(Value::Null))
+}
+
+/// The operations that every test fleet starts with.
+pub fn base_ops() -> Value {
+    json!([
+        { "op": "put_team", "name": "kerb" },
+        { "op": "put_pool", "name": "planners" },
+        { "op": "put_pool", "name": "trades" },
+        { "op": "put_service", "name": "planner", "kind": "chat", "pool": "planners" },
+        { "op": "put_service", "name": "trade", "kind": "plain", "pool": "trades" },
+    ])
+}
