Let requests wait for an engine in a fair, bounded queue

Cause: a request that found each engine at its bound was refused at once, and nothing bounded what a surge of retries could do.

Change: a queue for each pool at the router that holds the request, with stride scheduling over team shares, one turn in five for drafts, limits in length for all and for a team, and deadlines. Only the request that is due asks stewards for slots: when a slot is given back here, else after a pause that doubles up to 320 ms, and then only a few engines a round. Refusals carry a jittered delay. A spent retry budget refuses before the body is read. Memory of teams is bounded.

Two teams of four at ten times their share leave the others 8.9 of their 9 requests a second.

Ruled out: tags given at arrival, as in start-time fair queueing: a team whose requests expire would be charged for turns it never had.

--- a/src/admission/budget.rs
+++ b/src/admission/budget.rs
@@ -1,4 +1,8 @@
-//! Retry budgets.
+//! Retry budgets, and the delays proposed to those who retry.
+
+use std::time::Duration;
+
+use rand::{Rng, RngExt};
 
 /// Retries earned by one fresh request.
 const EARNED_PER_REQUEST: f64 = 0.1;
@@ -28,13 +32,18 @@
 
     /// Spends one retry; returns whether there was one left.
     pub fn spend(&mut self) -> bool {
-        if self.saved < 1.0 {
+        if self.is_spent() {
             return false;
         }
         self.saved -= 1.0;
         true
     }
 
+    /// Returns whether no retry is left.
+    pub fn is_spent(&self) -> bool {
+        self.saved < 1.0
+    }
+
     /// Returns the retries that are left.
     pub fn saved(&self) -> f64 {
         self.saved
@@ -46,3 +55,10 @@
         RetryBudget::new()
     }
 }
+
+/// Returns a delay between half and one and a half times `mean`.
+///
+/// Callers that were refused together come back spread out.
+pub fn retry_delay(mean: Duration, rng: &mut impl Rng) -> Duration {
+    mean.mul_f64(rng.random_range(0.5..1.5))
+}
--- a/src/admission/mod.rs
+++ b/src/admission/mod.rs
@@ -1,9 +1,18 @@
-//! Decides which requests get in: retry budgets and the load that a team has here.
+//! Decides which requests get in, and which of those that wait goes next.
+//!
+//! A request that finds no engine below its bound waits in the [`Queue`] of its pool at
+//! the router that holds it. The queue is bounded in length and time, and fair between
+//! teams. Only the request that is due asks the stewards for slots, so that a full pool
+//! costs the same few calls a second however many requests wait.
 
 mod budget;
+mod line;
+mod queue;
 mod state;
 
 pub use self::{
-    budget::RetryBudget,
-    state::{Admission, Class, Permit},
+    budget::{retry_delay, RetryBudget},
+    line::{Lines, Waiter},
+    queue::{Applicant, Enqueued, Queue, QueueFull, WaitId, MAX_WAITING, MAX_WAITING_PER_TEAM},
+    state::{Admission, Class, Permit, MAX_TEAMS},
 };
--- a/src/admission/state.rs
+++ b/src/admission/state.rs
@@ -7,10 +7,13 @@
     time::Duration,
 };
 
-use super::RetryBudget;
+use super::{retry_delay, Lines, RetryBudget};
 use crate::{sync::lock, Category, Error, Result, TeamName};
 
-/// Delay proposed to a caller whose retry budget is spent.
+/// Most teams whose use is remembered; idle ones are forgotten first.
+pub const MAX_TEAMS: usize = 16_384;
+
+/// Delay proposed to a caller whose retry budget is spent, before jitter.
 const RETRY_DELAY: Duration = Duration::from_secs(2);
 
 /// How soon a caller needs the answer.
@@ -48,9 +51,25 @@
 #[derive(Debug, Default)]
 pub struct Admission {
     teams: Mutex<BTreeMap<TeamName, TeamUse>>,
+    /// Requests that wait for an engine.
+    pub lines: Arc<Lines>,
 }
 
 impl Admission {
+    /// Checks, before the body of a request is read, that its team may make the attempt.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`Category::RetryBudget`] when the team has spent its retries.
+    pub fn check(&self, team: &TeamName, attempt: u32) -> Result<()> {
+        let teams = lock(&self.teams);
+        let spent = teams.get(team).is_some_and(|usage| usage.budget.is_spent());
+        if attempt > 1 && spent {
+            return Err(budget_spent(team));
+        }
+        Ok(())
+    }
+
     /// Admits a request of `team`, which is attempt number `attempt` from 1.
     ///
     /// # Errors
@@ -58,12 +77,14 @@
     /// Returns [`Category::RetryBudget`] when the team has spent its retries.
     pub fn admit(self: &Arc<Self>, team: &TeamName, attempt: u32) -> Result<Permit> {
         let mut teams = lock(&self.teams);
+        if !teams.contains_key(team) {
+            make_room(&mut teams);
+        }
         let usage = teams.entry(team.clone()).or_default();
         if attempt <= 1 {
             usage.budget.earn();
         } else if !usage.budget.spend() {
-            let err = Error::not_run(Category::RetryBudget, format!("team {team}"));
-            return Err(err.with_retry_after(RETRY_DELAY));
+            return Err(budget_spent(team));
         }
         usage.in_flight += 1;
         Ok(Permit {
@@ -80,6 +101,11 @@
             .is_some_and(|usage| usage.budget.spend())
     }
 
+    /// Returns the number of teams whose use is remembered.
+    pub fn teams(&self) -> usize {
+        lock(&self.teams).len()
+    }
+
     /// Returns the requests in flight by team.
     pub fn in_flight(&self) -> BTreeMap<TeamName, u32> {
         let teams = lock(&self.teams);
@@ -88,6 +114,19 @@
     }
 }
 
+fn budget_spent(team: &TeamName) -> Error {
+    let delay = retry_delay(RETRY_DELAY, &mut rand::rng());
+    let message = format!("team {team} has spent its retries");
+    Error::not_run(Category::RetryBudget, message).with_retry_after(delay)
+}
+
+/// Forgets teams that have nothing in flight when the limit is reached.
+fn make_room(teams: &mut BTreeMap<TeamName, TeamUse>) {
+    if teams.len() >= MAX_TEAMS {
+        teams.retain(|_, usage| usage.in_flight > 0);
+    }
+}
+
 /// A request that is in; dropping it lets the next one in.
 #[derive(Debug)]
 pub struct Permit {
@@ -98,7 +137,7 @@
 impl Drop for Permit {
     fn drop(&mut self) {
         if let Some(usage) = lock(&self.admission.teams).get_mut(&self.team) {
-            usage.in_flight -= 1;
+            usage.in_flight = usage.in_flight.saturating_sub(1);
         }
     }
 }
--- a/src/http/caller.rs
+++ b/src/http/caller.rs
@@ -125,6 +125,7 @@
 
 async fn answer_chat(cx: &Arc<Router>, sender: Sender, req: Incoming) -> Result<Response<Body>> {
     cx.check_serving()?;
+    cx.admission.check(&sender.team, sender.attempt)?;
     let limits = &cx.settings.limits;
     let body = head::read_body(req.body, limits.body_bytes, limits.receive).await?;
     let chat_body: ChatBody = serde_json::from_slice(&body)
@@ -218,6 +219,7 @@
     cx.check_serving()?;
     let (name, path) = split_service_path(&req.uri)?;
     let service = find_service(cx, &sender, &name, ServiceKind::Plain)?;
+    cx.admission.check(&sender.team, sender.attempt)?;
     let limits = &cx.settings.limits;
     let body = head::read_body(req.body, limits.body_bytes, limits.receive).await?;
     let key = head::header(&req.headers, "idempotency-key")?.map(|call| Key {
--- a/src/relay/request.rs
+++ b/src/relay/request.rs
@@ -9,7 +9,7 @@
 
 use super::backend::url;
 use crate::{
-    admission::{Class, Permit},
+    admission::{Applicant, Class, Permit, Waiter},
     membership::Engine,
     placement::{self, Hint},
     steward::Slot,
@@ -22,6 +22,12 @@
 /// Header that carries the priority class to an engine.
 const PRIORITY: &str = "x-priority";
 
+/// How many times longer a draft waits for an engine than an interactive request.
+const DRAFT_PATIENCE: u32 = 4;
+
+/// Engines without a freed slot that a waiting request asks in one round.
+const ENGINES_PER_ROUND: usize = 4;
+
 /// What is known of a request from its headers.
 #[derive(Debug, Clone)]
 pub struct Head {
@@ -110,24 +116,58 @@
 }
 
 impl Request<Admitted> {
-    /// Finds an engine below its bound and takes a slot on it.
+    /// Takes a slot on an engine below its bound, and waits for one if there is none.
     ///
     /// # Errors
     ///
-    /// Returns [`Category::Overloaded`] when each engine is at its bound and
-    /// [`Category::Unavailable`] when there is none.
+    /// Returns [`Category::Overloaded`] when no slot is free in time and
+    /// [`Category::Unavailable`] when no engine is live.
     pub async fn place(self, cx: &Arc<Router>) -> Result<Request<Placed>> {
-        let mut refusal = Error::not_run(Category::Unavailable, "no engine is live");
-        for engine in self.candidates(cx) {
-            match Slot::acquire(cx, &engine).await {
+        if !cx.admission.lines.is_waiting(&self.head.pool) {
+            match try_engines(cx, &self.candidates(cx)?).await {
                 Ok(slot) => return Ok(self.at_slot(slot)),
-                Err(err) => refusal = err,
+                Err(err) => log::debug!("request={} waits error=\"{err}\"", self.head.id),
             }
         }
-        Err(refusal)
+        self.wait_for_slot(cx).await
     }
 
-    fn candidates(&self, cx: &Router) -> Vec<Arc<Engine>> {
+    async fn wait_for_slot(self, cx: &Arc<Router>) -> Result<Request<Placed>> {
+        let waiter = self.enqueue(cx)?;
+        let mut round = 0;
+        loop {
+            let freed = waiter.turn().await?;
+            let engines = some_of(&self.candidates(cx)?, &freed, round);
+            round += 1;
+            match try_engines(cx, &engines).await {
+                Ok(slot) => {
+                    waiter.placed();
+                    return Ok(self.at_slot(slot));
+                }
+                Err(_) => waiter.pause().await,
+            }
+        }
+    }
+
+    fn enqueue(&self, cx: &Router) -> Result<Waiter> {
+        let team = &self.head.team;
+        let share = cx.config.current().teams.get(team).map(|team| team.share);
+        let patience = match self.head.class {
+            Class::Interactive => cx.settings.limits.queue,
+            Class::Draft => cx.settings.limits.queue * DRAFT_PATIENCE,
+        };
+        let applicant = Applicant {
+            team,
+            share: share.unwrap_or(1),
+            class: self.head.class,
+            deadline: cx.clock.now() + patience,
+        };
+        let lines = &cx.admission.lines;
+        lines.enqueue(&self.head.pool, applicant, cx.clock)
+    }
+
+    /// Returns the engines that the request may use, the best first.
+    fn candidates(&self, cx: &Router) -> Result<Vec<Arc<Engine>>> {
         let state = cx.config.current();
         let view = cx.membership.view();
         let open = |engine: &&Arc<Engine>| {
@@ -139,7 +179,11 @@
             .filter(open)
             .cloned()
             .collect();
-        placement::candidates(self.head.chat.as_str(), &self.head.hint, &engines)
+        if engines.is_empty() {
+            return Err(Error::not_run(Category::Unavailable, "no engine is live"));
+        }
+        let ranked = placement::candidates(self.head.chat.as_str(), &self.head.hint, &engines);
+        Ok(ranked)
     }
 
     fn at_slot(self, slot: Slot) -> Request<Placed> {
@@ -154,6 +198,29 @@
     }
 }
 
+/// Takes a slot on the first of `engines` that has one.
+async fn try_engines(cx: &Arc<Router>, engines: &[Arc<Engine>]) -> Result<Slot> {
+    let mut refusal = Error::not_run(Category::Overloaded, "each engine is at its bound");
+    for engine in engines {
+        match Slot::acquire(cx, engine).await {
+            Ok(slot) => return Ok(slot),
+            Err(err) => refusal = err,
+        }
+    }
+    Err(refusal)
+}
+
+/// Returns the engines that a waiting request asks: those with freed slots and a few
+/// others, which change from round to round.
+fn some_of(ranked: &[Arc<Engine>], freed: &[EngineName], round: usize) -> Vec<Arc<Engine>> {
+    let is_freed = |engine: &&Arc<Engine>| freed.contains(&engine.name);
+    let others = ranked.iter().filter(|engine| !is_freed(engine));
+    let others = others.cycle().skip(round * ENGINES_PER_ROUND);
+    let count = ENGINES_PER_ROUND.min(ranked.len());
+    let first = ranked.iter().filter(is_freed);
+    first.chain(others.take(count)).cloned().collect()
+}
+
 impl Request<Placed> {
     /// Sends the request to its engine and waits for the answer to begin.
     ///
--- a/src/steward/slot.rs
+++ b/src/steward/slot.rs
@@ -14,6 +14,7 @@
     engine: Arc<Engine>,
     grant: GrantId,
     steward: Option<Arc<Peer>>,
+    granted: bool,
 }
 
 impl Slot {
@@ -30,11 +31,15 @@
             engine: engine.clone(),
             grant: cx.next_grant(),
             steward: cx.steward_of(&engine.name),
+            granted: false,
         };
         let reply = slot.ask().await;
         let refused = |category| Err(Error::not_run(category, engine.name.to_string()));
         match reply {
-            Ok(GrantReply::Granted) => return Ok(slot),
+            Ok(GrantReply::Granted) => {
+                slot.granted = true;
+                return Ok(slot);
+            }
             // The unknown grant is given back when the slot drops.
             Err(_) => return refused(Category::Unavailable),
             Ok(_) => {}
@@ -73,21 +78,33 @@
             let me = &cx.settings.name;
             cx.steward
                 .release(&self.engine.name, me, cx.incarnation, self.grant);
+            if self.granted {
+                cx.slot_freed(&self.engine);
+            }
             return;
         };
         let req = ReleaseRequest {
             engine: self.engine.name.clone(),
             grant: self.grant,
         };
+        let freed = self.granted.then(|| self.engine.clone());
         tokio::spawn(async move {
             if let Err(err) = cx.peers.call(&peer.name, peer.peer_address, req).await {
                 log::debug!("slot not given back error=\"{err}\"");
             }
+            if let Some(engine) = freed {
+                cx.slot_freed(&engine);
+            }
         });
     }
 }
 
 impl Router {
+    fn slot_freed(&self, engine: &Engine) {
+        let lines = &self.admission.lines;
+        lines.slot_freed(&engine.pool, &engine.name);
+    }
+
     /// Decides a grant on an engine of which this router is the steward.
     pub fn answer_grant(
         &self,
--- /dev/null
+++ b/tests/admission/fairness.rs
@@ -0,0 +1,166 @@
+//! Shares of the teams and of the classes while some of them surge.
+
+use ebonyspur::{
+    admission::{Applicant, Class, Queue, MAX_WAITING, MAX_WAITING_PER_TEAM},
+    Instant,
+};
+use expect_test::expect;
+
+use crate::model::{arrivals, team, Model, Policy};
+
+const LATE: Instant = Instant::from_millis(1_000);
+
+#[test]
+fn two_surging_teams_leave_the_others_their_share() {
+    let names = ["a", "b", "c", "d"];
+    let shares: Vec<_> = names.iter().map(|name| (*name, 1)).collect();
+    let mut model = Model::new(Policy::Fair(Queue::new()), &shares);
+    while model.now.as_micros() < 30_000_000 {
+        let surge = (10..20).contains(&(model.now.as_micros() / 1_000_000));
+        let rate = |name: &str| if surge && name < "c" { 90 } else { 9 };
+        let now = model.now;
+        let fresh = names.iter().flat_map(|name| {
+            let count = arrivals(rate(name), now);
+            (0..count).map(|_| (team(name), Class::Interactive))
+        });
+        let fresh: Vec<_> = fresh.collect();
+        model.step(fresh.into_iter());
+    }
+    let rates = names.map(|name| {
+        let of = |seconds| model.rate(seconds, |team, _| team.as_str() == name);
+        format!(
+            "{name}: {:.1}/s in the surge, {:.1}/s after",
+            of(12..20),
+            of(22..30)
+        )
+    });
+    expect![[r#"
+        a: 10.9/s in the surge, 11.1/s after
+        b: 10.9/s in the surge, 11.1/s after
+        c: 8.9/s in the surge, 9.0/s after
+        d: 8.9/s in the surge, 8.9/s after"#]]
+    .assert_eq(&rates.join("\n"));
+}
+
+#[test]
+fn shares_weigh_the_turns() {
+    let mut queue = Queue::new();
+    let mut owners = std::collections::HashMap::new();
+    for _ in 0..40 {
+        for (name, share) in [("small", 1), ("large", 3)] {
+            let team = team(name);
+            let class = Class::Interactive;
+            let applicant = Applicant {
+                team: &team,
+                share,
+                class,
+                deadline: LATE,
+            };
+            owners.insert(queue.enqueue(applicant).expect("room").id, name);
+        }
+    }
+    let turns = (0..40).map(|_| {
+        let id = queue.next(Instant::default()).expect("a turn");
+        queue.placed(id);
+        owners[&id]
+    });
+    assert_eq!(turns.filter(|name| *name == "large").count(), 30);
+}
+
+#[test]
+fn an_idle_team_saves_up_no_turns_and_owes_none() {
+    let mut queue = Queue::new();
+    let (busy, idle) = (team("busy"), team("idle"));
+    let applicant = |team| Applicant {
+        team,
+        share: 1,
+        class: Class::Interactive,
+        deadline: LATE,
+    };
+    let mut order = String::new();
+    let mut owners = std::collections::HashMap::new();
+    for _ in 0..20 {
+        owners.insert(queue.enqueue(applicant(&busy)).expect("room").id, 'b');
+    }
+    for turn in 0..14 {
+        if turn == 6 {
+            for _ in 0..6 {
+                owners.insert(queue.enqueue(applicant(&idle)).expect("room").id, 'i');
+            }
+        }
+        let id = queue.next(Instant::default()).expect("a turn");
+        order.push(owners[&id]);
+        queue.placed(id);
+    }
+    expect!["bbbbbbibibibib"].assert_eq(&order);
+}
+
+#[test]
+fn drafts_get_one_turn_in_five() {
+    let mut queue = Queue::new();
+    let team = team("kerb");
+    let mut classes = std::collections::HashMap::new();
+    for (class, mark) in [(Class::Draft, 'd'), (Class::Interactive, 'i')] {
+        for _ in 0..12 {
+            let applicant = Applicant {
+                team: &team,
+                share: 1,
+                class,
+                deadline: LATE,
+            };
+            classes.insert(queue.enqueue(applicant).expect("room").id, mark);
+        }
+    }
+    let mut order = String::new();
+    while let Some(id) = queue.next(Instant::default()) {
+        order.push(classes[&id]);
+        queue.placed(id);
+    }
+    expect!["iiiidiiiidiiiidddddddddd"].assert_eq(&order);
+}
+
+#[test]
+fn a_full_queue_makes_room_for_teams_with_short_lines() {
+    let mut queue = Queue::new();
+    let names = [team("a"), team("b"), team("c")];
+    let applicant = |team| Applicant {
+        team,
+        share: 1,
+        class: Class::Draft,
+        deadline: LATE,
+    };
+    let refused = |queue: &mut Queue, team| queue.enqueue(applicant(team)).is_err();
+    let mut fill = |team| {
+        (0..MAX_WAITING)
+            .filter(|_| refused(&mut queue, team))
+            .count()
+    };
+    assert_eq!(
+        [fill(&names[0]), fill(&names[1])],
+        [MAX_WAITING - MAX_WAITING_PER_TEAM; 2]
+    );
+    assert_eq!(queue.len(), MAX_WAITING);
+    let entered = queue.enqueue(applicant(&names[2])).expect("room is made");
+    assert!(entered.evicted.is_some());
+    assert_eq!(queue.len(), MAX_WAITING);
+}
+
+#[test]
+fn a_late_request_never_gets_the_turn() {
+    let mut queue = Queue::new();
+    let team = team("kerb");
+    let applicant = |millis| Applicant {
+        team: &team,
+        share: 1,
+        class: Class::Interactive,
+        deadline: Instant::from_millis(millis),
+    };
+    let early = queue.enqueue(applicant(10)).expect("room").id;
+    let late = queue.enqueue(applicant(30)).expect("room").id;
+    assert_eq!(queue.next(Instant::from_millis(20)), Some(late));
+    assert!(!queue.contains(early));
+    assert_eq!(queue.next(Instant::from_millis(20)), None);
+    queue.pass(late);
+    assert_eq!(queue.next(Instant::from_millis(40)), None);
+    assert!(queue.is_empty());
+}
--- /dev/null
+++ b/tests/admission/main.rs
@@ -0,0 +1,7 @@
+//! Admission: budgets, fair queues and what they do to a surge.
+
+mod budget;
+mod fairness;
+mod line;
+mod model;
+mod storm;
