Log each refusal with its request and team

Cause: a line about a request could not be tied to it: the warning of a broken answer and the refusals carried no request id.

Change: the front end keeps id, team and verdict floor of a request while it is on its way, and logs a refusal once with the verdict that the caller sees.

Ruled out: logging in each slice, which would say the same thing several times.

Conclusion: each line about a request names it.

--- a/src/http/caller.rs
+++ b/src/http/caller.rs
@@ -25,7 +25,7 @@
     once::Key,
     placement::Hint,
     relay::{self, AnswerStream, ChatAnswer, Head, ServiceCall},
-    Category, ChatId, Error, Result, Router, ServiceName,
+    Category, ChatId, Error, RequestId, Result, Router, ServiceName, TeamName, Verdict,
 };
 
 /// Header that carries the hint, in both directions.
@@ -118,9 +118,34 @@
 
 async fn post_chat(cx: Arc<Router>, req: Incoming) -> Result<Response<Body>> {
     let sender = Sender::from_headers(&req.headers)?;
-    let floor = sender.verdict_floor();
+    let subject = Subject::new(&sender);
     let answer = answer_chat(&cx, sender, req).await;
-    answer.map_err(|err| err.with_verdict_at_least(floor))
+    answer.map_err(|err| subject.refusal(err))
+}
+
+/// What a refusal is about, kept while the request is on its way.
+struct Subject {
+    id: RequestId,
+    team: TeamName,
+    floor: Verdict,
+}
+
+impl Subject {
+    fn new(sender: &Sender) -> Self {
+        Subject {
+            id: sender.id.clone(),
+            team: sender.team.clone(),
+            floor: sender.verdict_floor(),
+        }
+    }
+
+    /// Gives `err` the verdict that this router may give, and logs it.
+    fn refusal(&self, err: Error) -> Error {
+        let err = err.with_verdict_at_least(self.floor);
+        let (id, team, verdict) = (&self.id, &self.team, err.verdict());
+        log::info!("request refused request={id} team={team} verdict={verdict} error=\"{err}\"");
+        err
+    }
 }
 
 async fn answer_chat(cx: &Arc<Router>, sender: Sender, req: Incoming) -> Result<Response<Body>> {
@@ -144,7 +169,7 @@
     let id = head.id.clone();
     let answer = relay::chat(cx, head, body).await?;
     let mut answer = match answer {
-        ChatAnswer::Stream { stream, hint } => with_hint(stream_answer(stream), &hint),
+        ChatAnswer::Stream { stream, hint } => with_hint(stream_answer(id.clone(), stream), &hint),
         ChatAnswer::Whole { body, hint } => {
             let mut answer = Response::new(whole(body));
             set(
@@ -176,14 +201,14 @@
 }
 
 /// Streams the parts; an error breaks the body off, so that it never looks whole.
-fn stream_answer(stream: Box<AnswerStream>) -> Response<Body> {
-    let parts = stream::unfold(Some(stream), |stream| async move {
-        let mut stream = stream?;
+fn stream_answer(id: RequestId, stream: Box<AnswerStream>) -> Response<Body> {
+    let parts = stream::unfold(Some((id, stream)), |state| async move {
+        let (id, mut stream) = state?;
         let part = stream.next_part().await?;
         let part = part.map(Frame::data).inspect_err(|err| {
-            log::warn!("answer broken off error=\"{err}\"");
+            log::warn!("answer broken off request={id} error=\"{err}\"");
         });
-        let rest = part.is_ok().then_some(stream);
+        let rest = part.is_ok().then_some((id, stream));
         Some((part.map_err(io::Error::other), rest))
     });
     let mut answer = Response::new(StreamBody::new(parts).boxed_unsync());
@@ -209,9 +234,9 @@
 
 async fn call_service(cx: Arc<Router>, req: Incoming) -> Result<Response<Body>> {
     let sender = Sender::from_headers(&req.headers)?;
-    let floor = sender.verdict_floor();
+    let subject = Subject::new(&sender);
     let answer = answer_service(&cx, sender, req).await;
-    answer.map_err(|err| err.with_verdict_at_least(floor))
+    answer.map_err(|err| subject.refusal(err))
 }
 
 async fn answer_service(cx: &Arc<Router>, sender: Sender, req: Incoming) -> Result<Response<Body>> {
