Measure placement on a seeded trace through the decision functions

Cause: reuse, skew and the bound could not be measured, so no choice of policy had a figure behind it.

Change: the example `policy` drives placement and the steward's grants over virtual time: returning chats, one request in four ten times longer, two teams surging tenfold, an engine leaving, joining or flapping each period, views that differ for up to 5 s, loads of other engines known 1 s late. `preferred` ranks in one pass and keeps the first eight, instead of sorting the pool.

Ruled out: timing the choice here (that is for the benchmark); a network.

--- /dev/null
+++ b/examples/policy/main.rs
@@ -0,0 +1,106 @@
+//! Measures the placement policy against baselines on a seeded trace.
+//!
+//! A table goes to standard output, and last one line of JSON. The same seed gives the
+//! same figures.
+
+mod engines;
+mod policy;
+mod report;
+mod trace;
+mod world;
+
+use std::collections::BTreeMap;
+
+use clap::Parser;
+
+use self::{
+    policy::{Memory, Policy, BASELINES, ROUNDS},
+    report::Report,
+    trace::SECOND,
+    world::World,
+};
+
+#[derive(Parser)]
+struct Args {
+    /// Seed of the trace.
+    #[arg(long, default_value_t = 1)]
+    seed: u64,
+    /// Seconds between two changes of the engines; 20 and 120 when absent.
+    #[arg(long)]
+    churn_s: Option<u64>,
+    /// Length of the trace in seconds.
+    #[arg(long, default_value_t = 1_800)]
+    seconds: u64,
+    /// Callers return no hints.
+    #[arg(long)]
+    no_return_hints: bool,
+    /// Also run each change of one part of the policy.
+    #[arg(long)]
+    rounds: bool,
+}
+
+fn main() {
+    let args = Args::parse();
+    let periods = args.churn_s.map_or(vec![20, 120], |period| vec![period]);
+    let mut all = BTreeMap::new();
+    for period in periods {
+        println!("churn every {period} s");
+        let reports = compare(&args, period);
+        print_table(&reports);
+        let named: BTreeMap<_, _> = reports.into_iter().map(|r| (r.name, r)).collect();
+        all.insert(format!("churn_{period}_s"), named);
+    }
+    println!("{}", serde_json::to_string(&all).expect("a report"));
+}
+
+fn compare(args: &Args, period: u64) -> Vec<Report> {
+    let turns = trace::turns(args.seed, args.seconds);
+    let churn = trace::churn(args.seed, args.seconds, period);
+    let mut policies = BASELINES.to_vec();
+    if args.rounds {
+        policies.extend(ROUNDS);
+    }
+    let run = |policy: Policy| {
+        let policy = if args.no_return_hints {
+            without_hints(policy)
+        } else {
+            policy
+        };
+        World::new(policy, args.seed, &turns, &churn).run(args.seconds * SECOND)
+    };
+    policies.into_iter().map(run).collect()
+}
+
+fn without_hints(policy: Policy) -> Policy {
+    Policy {
+        memory: Memory::None,
+        ..policy
+    }
+}
+
+fn print_table(reports: &[Report]) {
+    let oracle = reports.iter().find(|r| r.name == "oracle");
+    let best = oracle.map_or(1.0, |r| r.reuse);
+    println!(
+        "{:<22} {:>6} {:>9} {:>8} {:>8} {:>10} {:>11} {:>7} {:>6} {:>8} {:>9} {:>7}",
+        "policy",
+        "reuse",
+        "of oracle",
+        "skew_max",
+        "skew_p99",
+        "over_bound",
+        "above_bound",
+        "refused",
+        "moved",
+        "wait_p99",
+        "control_B",
+        "goodput"
+    );
+    for r in reports {
+        println!(
+            "{:<22} {:>6.3} {:>9.3} {:>8.2} {:>8.2} {:>10} {:>11.4} {:>7} {:>6.3} {:>8} {:>9} {:>7.2}",
+            r.name, r.reuse, r.reuse / best, r.skew_max, r.skew_p99, r.over_bound, r.above_bound,
+            r.refused, r.moved, r.wait_p99_ms, r.control_bytes_per_s, r.goodput
+        );
+    }
+}
--- /dev/null
+++ b/examples/policy/trace.rs
@@ -0,0 +1,101 @@
+//! The seeded trace of requests and churn.
+
+use rand::{RngExt, SeedableRng};
+use rand_pcg::Pcg64Mcg;
+
+/// One microsecond-resolution second.
+pub const SECOND: u64 = 1_000_000;
+
+/// Teams, of which the first two surge.
+const TEAMS: u64 = 10;
+
+/// New chats a second without surge.
+const CHATS_PER_SECOND: f64 = 1.8;
+
+/// Factor on the new chats of a surging team.
+const SURGE_FACTOR: f64 = 10.0;
+
+/// Chance that a chat goes on after an answer.
+const CONTINUES: f64 = 0.84;
+
+/// One request of a chat.
+#[derive(Debug, Clone, Copy)]
+pub struct Turn {
+    /// When it is sent, in microseconds.
+    pub at: u64,
+    /// Chat it belongs to.
+    pub chat: u32,
+    /// Time on a warm engine, in microseconds.
+    pub work: u64,
+}
+
+/// A change of the set of engines.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Churn {
+    /// A new engine joins.
+    Join,
+    /// An engine leaves for good; the number chooses which.
+    Leave(u32),
+    /// One engine, always the same, goes and comes back cold.
+    Flap,
+}
+
+/// Returns the requests of a run, by time.
+pub fn turns(seed: u64, seconds: u64) -> Vec<Turn> {
+    let mut rng = Pcg64Mcg::seed_from_u64(seed);
+    let mut turns = Vec::new();
+    let mut chat = 0;
+    for team in 0..TEAMS {
+        let mut at = 0.0;
+        while at < seconds as f64 {
+            let surging = team < 2 && (0.4..0.45).contains(&(at / seconds as f64));
+            let factor = if surging { SURGE_FACTOR } else { 1.0 };
+            at += exponential(&mut rng, TEAMS as f64 / (CHATS_PER_SECOND * factor));
+            chat_turns(&mut rng, &mut turns, chat, at, seconds);
+            chat += 1;
+        }
+    }
+    turns.sort_by_key(|turn| (turn.at, turn.chat));
+    turns
+}
+
+fn chat_turns(rng: &mut Pcg64Mcg, turns: &mut Vec<Turn>, chat: u32, start: f64, seconds: u64) {
+    let mut at = start;
+    while at < seconds as f64 {
+        let long = rng.random_bool(0.25);
+        let work = exponential(rng, if long { 20.0 } else { 2.0 });
+        turns.push(Turn {
+            at: micros(at),
+            chat,
+            work: micros(work),
+        });
+        if !rng.random_bool(CONTINUES) {
+            return;
+        }
+        let pause = if rng.random_bool(0.8) { 40.0 } else { 300.0 };
+        at += work + 3.0 + exponential(rng, pause);
+    }
+}
+
+fn exponential(rng: &mut Pcg64Mcg, mean: f64) -> f64 {
+    let uniform: f64 = rng.random();
+    -mean * (1.0 - uniform).ln()
+}
+
+fn micros(seconds: f64) -> u64 {
+    (seconds * SECOND as f64) as u64
+}
+
+/// Returns the changes of the set of engines, one each `period` seconds.
+pub fn churn(seed: u64, seconds: u64, period: u64) -> Vec<(u64, Churn)> {
+    let mut rng = Pcg64Mcg::seed_from_u64(!seed);
+    let change = |number: u64| {
+        let change = match number % 4 {
+            1 => Churn::Leave(rng.random()),
+            2 => Churn::Join,
+            _ => Churn::Flap,
+        };
+        (number * period * SECOND, change)
+    };
+    (1..seconds / period).map(change).collect()
+}
--- a/src/placement/hint.rs
+++ b/src/placement/hint.rs
@@ -54,6 +54,13 @@
         self.entries.iter().position(same)
     }
 
+    /// Returns the hint with at most the `count` newest entries.
+    #[must_use]
+    pub fn with_entries(mut self, count: usize) -> Hint {
+        self.entries.truncate(count);
+        self
+    }
+
     /// Returns the hint after `engine` has served the chat.
     #[must_use]
     pub fn with_served_by(&self, engine: &Engine) -> Hint {
--- a/src/placement/mod.rs
+++ b/src/placement/mod.rs
@@ -1,10 +1,15 @@
-//! Chooses the engine for a chat: hints first, then weighted rendezvous order.
+//! Chooses the engine for a chat: hints first, then the first ranks by load.
 
 mod hint;
+mod load;
+mod preferred;
 mod rank;
+mod score;
 
 pub use self::{
     hint::{Hint, HintEntry, MAX_HINT_ENTRIES},
+    load::{KnownLoads, LOAD_VALIDITY},
+    preferred::{preferred, Preference, Spill, MAX_RANKS},
     rank::{first, order, score},
 };
 
@@ -12,10 +17,10 @@
 
 use crate::membership::Engine;
 
-/// Returns the engines to try for the chat `key`, the best first.
+/// Returns all engines for the key, the best first, whatever their load.
 ///
-/// Engines named by the hint come first while the same life of them still takes work;
-/// the others follow in rendezvous order.
+/// Engines named by the hint come first while the same life of them takes work; the
+/// others follow in rendezvous order.
 pub fn candidates(key: &str, hint: &Hint, engines: &[Arc<Engine>]) -> Vec<Arc<Engine>> {
     let mut ranked = order(key, engines, |engine| engine.name.as_str());
     let warmth = |engine: &Arc<Engine>| hint.position(engine).unwrap_or(usize::MAX);
--- /dev/null
+++ b/src/placement/score.rs
@@ -0,0 +1,13 @@
+//! Scores of rendezvous hashing.
+
+use xxhash_rust::xxh3::{xxh3_64, xxh3_64_with_seed};
+
+/// Returns the hash of a key, to be used for each node.
+pub(super) fn key(key: &str) -> u64 {
+    xxh3_64(key.as_bytes())
+}
+
+/// Returns the score of `node` for the key with hash `key`.
+pub(super) fn node(key: u64, node: &str) -> u64 {
+    xxh3_64_with_seed(node.as_bytes(), key)
+}
--- a/src/relay/request.rs
+++ b/src/relay/request.rs
@@ -11,7 +11,7 @@
 use crate::{
     admission::{Class, Permit},
     membership::Engine,
-    placement::{self, Hint},
+    placement::Hint,
     steward::Slot,
     Category, ChatId, EngineName, Error, PoolName, RequestId, Result, Router, TeamName,
 };
@@ -134,12 +134,8 @@
             let shut = engine.leaving || state.drained.contains(&engine.name);
             !shut && !self.stage.failed.contains(&engine.name)
         };
-        let engines: Vec<_> = view
-            .engines(&self.head.pool)
-            .filter(open)
-            .cloned()
-            .collect();
-        placement::candidates(self.head.chat.as_str(), &self.head.hint, &engines)
+        let engines = view.engines(&self.head.pool).filter(open);
+        cx.candidates(&self.head.chat, &self.head.hint, engines)
     }
 
     fn at_slot(self, slot: Slot) -> Request<Placed> {
--- a/src/router.rs
+++ b/src/router.rs
@@ -21,14 +21,14 @@
     http,
     inspect::Metrics,
     lookup::{Address, Ticket},
-    membership::{self, Membership, Peer, PoolLoad},
+    membership::{self, Engine, Membership, Peer, PoolLoad},
     once::{self, Once},
     peer::{self, Peers, Purpose, Sealer},
-    placement,
+    placement::{self, Hint, KnownLoads, Preference, Spill, MAX_RANKS},
     platform::Platform,
     relay::Backends,
     steward::{self, GrantId, Steward},
-    Category, Clock, EngineName, Error, Incarnation, PoolName, RequestId, Result,
+    Category, ChatId, Clock, EngineName, Error, Incarnation, PoolName, RequestId, Result,
 };
 
 /// Delay proposed to a caller of a router that does not serve.
@@ -49,6 +49,8 @@
     pub config: Config,
     /// Routers and engines known.
     pub membership: Membership,
+    /// Loads of engines that other routers count.
+    pub loads: KnownLoads,
     /// Grants on the engines that this router counts.
     pub steward: Steward,
     /// Load of the teams.
@@ -79,6 +81,7 @@
             clock,
             config: Config::default(),
             membership: Membership::new(settings.name.clone()),
+            loads: KnownLoads::default(),
             steward: Steward::default(),
             admission: Arc::default(),
             once: Once::new(),
@@ -157,6 +160,24 @@
             .cloned()
     }
 
+    /// Returns the engines to try for `chat`, the best first.
+    pub fn candidates<'a>(
+        &self,
+        chat: &ChatId,
+        hint: &Hint,
+        engines: impl IntoIterator<Item = &'a Arc<Engine>>,
+    ) -> Vec<Arc<Engine>> {
+        let now = self.clock.now();
+        let loads = self.loads.lock();
+        let load = |engine: &Engine| loads.get(engine, now);
+        let pref = Preference {
+            ranks: MAX_RANKS,
+            spill: Spill::RankThenLoad,
+            load: &load,
+        };
+        placement::preferred(chat.as_str(), hint, engines, &pref)
+    }
+
     /// Returns the load bound of the engines of `pool`.
     pub fn bound(&self, pool: &PoolName) -> u32 {
         let state = self.config.current();
