--- a/src/relay/request.rs
+++ b/src/relay/request.rs
@@ -11,7 +11,7 @@
 use crate::{
     admission::{Applicant, Class, Permit, Waiter},
     membership::Engine,
-    placement::{self, Hint},
+    placement::Hint,
     steward::Slot,
     Category, ChatId, EngineName, Error, PoolName, RequestId, Result, Router, TeamName,
 };
@@ -174,15 +174,11 @@
             let shut = engine.leaving || state.drained.contains(&engine.name);
             !shut && !self.stage.failed.contains(&engine.name)
         };
-        let engines: Vec<_> = view
-            .engines(&self.head.pool)
-            .filter(open)
-            .cloned()
-            .collect();
-        if engines.is_empty() {
+        let engines = view.engines(&self.head.pool).filter(open);
+        let ranked = cx.candidates(&self.head.chat, &self.head.hint, engines);
+        if ranked.is_empty() {
             return Err(Error::not_run(Category::Unavailable, "no engine is live"));
         }
-        let ranked = placement::candidates(self.head.chat.as_str(), &self.head.hint, &engines);
         Ok(ranked)
     }
 
