--- a/src/error.rs
+++ b/src/error.rs
@@ -123,6 +123,8 @@
     KeyExpired,
     /// The backend server failed or broke its protocol.
     Backend,
+    /// The connection to the backend server ended before the answer did.
+    Cut,
     /// A deadline passed.
     Timeout,
     /// The settings are wrong.
@@ -150,6 +152,7 @@
             Category::LogUnavailable => "log_unavailable",
             Category::KeyExpired => "key_expired",
             Category::Backend => "backend",
+            Category::Cut => "cut",
             Category::Timeout => "timeout",
             Category::Settings => "settings",
             Category::Protocol => "protocol",
--- a/src/http/caller.rs
+++ b/src/http/caller.rs
@@ -24,8 +24,8 @@
     lookup::{self, VALIDITY},
     once::Key,
     placement::Hint,
-    relay::{self, AnswerStream, ChatAnswer, Head, ServiceCall},
-    Category, ChatId, Error, Result, Router, ServiceName,
+    relay::{self, AnswerStream, ChatAnswer, Head, ServiceAnswer, ServiceCall},
+    Category, ChatId, Error, Result, Router, ServiceName, Verdict,
 };
 
 /// Header that carries the hint, in both directions.
@@ -117,13 +117,13 @@
 }
 
 async fn post_chat(cx: Arc<Router>, req: Incoming) -> Result<Response<Body>> {
-    let sender = Sender::from_headers(&req.headers)?;
-    let floor = sender.verdict_floor();
-    let answer = answer_chat(&cx, sender, req).await;
+    let floor = head::verdict_floor(&req.headers);
+    let answer = answer_chat(&cx, req).await;
     answer.map_err(|err| err.with_verdict_at_least(floor))
 }
 
-async fn answer_chat(cx: &Arc<Router>, sender: Sender, req: Incoming) -> Result<Response<Body>> {
+async fn answer_chat(cx: &Arc<Router>, req: Incoming) -> Result<Response<Body>> {
+    let sender = Sender::from_headers(&req.headers)?;
     cx.check_serving()?;
     let limits = &cx.settings.limits;
     let body = head::read_body(req.body, limits.body_bytes, limits.receive).await?;
@@ -208,13 +208,15 @@
 }
 
 async fn call_service(cx: Arc<Router>, req: Incoming) -> Result<Response<Body>> {
-    let sender = Sender::from_headers(&req.headers)?;
-    let floor = sender.verdict_floor();
-    let answer = answer_service(&cx, sender, req).await;
-    answer.map_err(|err| err.with_verdict_at_least(floor))
+    let floor = head::verdict_floor(&req.headers);
+    let call = read_call(&cx, floor, req).await;
+    let call = call.map_err(|err| err.with_verdict_at_least(floor))?;
+    let answer = relay::call_service(&cx, call).await?;
+    Ok(encode_answer(answer))
 }
 
-async fn answer_service(cx: &Arc<Router>, sender: Sender, req: Incoming) -> Result<Response<Body>> {
+async fn read_call(cx: &Router, floor: Verdict, req: Incoming) -> Result<ServiceCall> {
+    let sender = Sender::from_headers(&req.headers)?;
     cx.check_serving()?;
     let (name, path) = split_service_path(&req.uri)?;
     let service = find_service(cx, &sender, &name, ServiceKind::Plain)?;
@@ -226,7 +228,7 @@
         call,
     });
     let content_type = req.headers.get(header::CONTENT_TYPE);
-    let call = ServiceCall {
+    Ok(ServiceCall {
         id: sender.id,
         team: sender.team,
         pool: service.pool,
@@ -237,9 +239,13 @@
             .map(str::to_string),
         body,
         attempt: sender.attempt,
+        floor,
         key,
-    };
-    let answer = relay::call_service(cx, call).await?;
+    })
+}
+
+fn encode_answer(answer: ServiceAnswer) -> Response<Body> {
+    let verdict = answer.verdict();
     let mut encoded = Response::new(whole(answer.body));
     *encoded.status_mut() = StatusCode::from_u16(answer.status).unwrap_or(StatusCode::BAD_GATEWAY);
     set(
@@ -247,11 +253,11 @@
         header::CONTENT_TYPE.as_str(),
         &answer.content_type,
     );
-    set(&mut encoded, super::refusal::VERDICT, "ran");
+    set(&mut encoded, super::refusal::VERDICT, verdict.as_str());
     if answer.replayed {
         set(&mut encoded, "ebonyspur-replayed", "true");
     }
-    Ok(encoded)
+    encoded
 }
 
 /// Splits `/v1/services/<service>/<path>` into the service and the server's path and query.
--- a/src/http/head.rs
+++ b/src/http/head.rs
@@ -44,7 +44,6 @@
     pub(super) id: RequestId,
     pub(super) team: TeamName,
     pub(super) attempt: u32,
-    first: bool,
 }
 
 impl Sender {
@@ -54,26 +53,28 @@
         let team = header(headers, "ebonyspur-team")?.ok_or_else(missing)?;
         let attempt = header::<Attempt>(headers, "ebonyspur-attempt")?;
         let id = header::<RequestId>(headers, "x-request-id")?;
-        let named = id.is_some() || headers.contains_key("idempotency-key");
-        let first = attempt.as_ref().map_or(!named, |attempt| attempt.0 == 1);
         Ok(Sender {
             id: id.unwrap_or_else(fresh_id),
             team,
             attempt: attempt.map_or(1, |attempt| attempt.0),
-            first,
         })
     }
+}
 
-    /// Returns the strongest verdict that this router may give.
-    ///
-    /// Only of a request whose first attempt this provably is can a router say that
-    /// nothing has run; an earlier attempt may be under way elsewhere.
-    pub(super) fn verdict_floor(&self) -> Verdict {
-        if self.first {
-            Verdict::NotRun
-        } else {
-            Verdict::MayHaveRun
-        }
+/// Returns the verdict that errors have at least, whatever else the headers say.
+///
+/// Only of a request whose first attempt this provably is can a router say that
+/// nothing has run; an earlier attempt may be under way elsewhere.
+pub(super) fn verdict_floor(headers: &HeaderMap) -> Verdict {
+    let named = headers.contains_key("x-request-id") || headers.contains_key("idempotency-key");
+    let first = match headers.get("ebonyspur-attempt") {
+        Some(attempt) => attempt == "1",
+        None => !named,
+    };
+    if first {
+        Verdict::NotRun
+    } else {
+        Verdict::MayHaveRun
     }
 }
 
--- a/src/http/refusal.rs
+++ b/src/http/refusal.rs
@@ -87,7 +87,7 @@
         Category::Unavailable | Category::NotServing | Category::LogUnavailable => {
             StatusCode::SERVICE_UNAVAILABLE
         }
-        Category::Backend => StatusCode::BAD_GATEWAY,
+        Category::Backend | Category::Cut => StatusCode::BAD_GATEWAY,
         Category::Timeout => StatusCode::GATEWAY_TIMEOUT,
         Category::Settings | Category::Protocol | Category::Io => StatusCode::INTERNAL_SERVER_ERROR,
     }
--- a/src/once/claim.rs
+++ b/src/once/claim.rs
@@ -1,6 +1,6 @@
 //! Life cycle of a claim.
 
-use super::{ClaimRecord, Ledger, Recorded, Standing};
+use super::{ClaimRecord, Ledger, Outcome, ResultRecord, Standing};
 
 /// The claim may be in the log.
 #[derive(Debug)]
@@ -11,10 +11,9 @@
 /// Another claim of the key came first.
 #[derive(Debug)]
 pub struct Lost {
-    /// The answer, when the other claim's call has run.
-    pub answer: Option<Recorded>,
+    outcome: Option<Outcome>,
 }
-/// The log does not show the claim; it may still arrive there.
+/// The log does not prove which claim came first; this one is never dispatched.
 #[derive(Debug)]
 pub struct Unknown;
 
@@ -47,13 +46,14 @@
 
     /// Decides the claim by what the log shows.
     pub fn settle(self, ledger: &Ledger) -> Settled {
-        match ledger.standing(&self.record.key) {
-            Standing::Free => Settled::Unknown(self.at(Unknown)),
-            Standing::Claimed(first) if first == self.record => Settled::Won(self.at(Won)),
-            Standing::Claimed(_) => Settled::Lost(self.at(Lost { answer: None })),
-            Standing::Done(answer) => Settled::Lost(self.at(Lost {
-                answer: Some(answer),
-            })),
+        match ledger.standing(&self.record.key, self.record.issued) {
+            Standing::Free | Standing::Forgotten => Settled::Unknown(self.at(Unknown)),
+            Standing::Claimed(first) if *first == self.record => Settled::Won(self.at(Won)),
+            Standing::Claimed(_) => Settled::Lost(self.at(Lost { outcome: None })),
+            Standing::Done(outcome) => {
+                let outcome = Some(outcome.clone());
+                Settled::Lost(self.at(Lost { outcome }))
+            }
         }
     }
 }
@@ -70,11 +70,32 @@
     pub fn record(&self) -> &ClaimRecord {
         &self.record
     }
+
+    fn into_result(self, outcome: Outcome) -> ResultRecord {
+        ResultRecord {
+            claim: self.record,
+            outcome,
+        }
+    }
+}
+
+impl Claim<Won> {
+    /// Spends the claim on what came of the call.
+    pub fn finish(self, outcome: Outcome) -> ResultRecord {
+        self.into_result(outcome)
+    }
 }
 
 impl Claim<Lost> {
-    /// Returns the recorded answer, if there is one.
-    pub fn into_answer(self) -> Option<Recorded> {
-        self.stage.answer
+    /// Returns what came of the first claim, if that is recorded.
+    pub fn into_outcome(self) -> Option<Outcome> {
+        self.stage.outcome
+    }
+}
+
+impl Claim<Unknown> {
+    /// Gives the claim up, so that later attempts learn that it was never dispatched.
+    pub fn give_up(self) -> ResultRecord {
+        self.into_result(Outcome::NotRun)
     }
 }
--- a/src/once/key.rs
+++ b/src/once/key.rs
@@ -15,8 +15,8 @@
 /// Age beyond which a key is never run; below the retention of the log.
 pub const WINDOW: Duration = Duration::from_secs(24 * 3600);
 
-/// How far the clock of whoever issued a key may be ahead.
-const CLOCK_ERROR: Duration = Duration::from_secs(60);
+/// Largest difference between two clocks.
+pub const CLOCK_ERROR: Duration = Duration::from_secs(60);
 
 /// Key of a call within its team and service.
 #[derive(Debug, Clone, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize, Deserialize)]
@@ -35,14 +35,14 @@
         (xxh3_64(self.to_string().as_bytes()) % PARTITIONS as u64) as usize
     }
 
-    /// Checks that the key was issued within the window.
+    /// Checks that the key was issued within the window and returns when.
     ///
     /// # Errors
     ///
     /// Returns [`Category::BadInput`] when the key is neither a UUIDv7 nor a ticket, and
     /// [`Category::KeyExpired`] when it is too old or from the future. An old key may
     /// have run within its window.
-    pub fn check_age(&self, sealer: &Sealer, now: UnixMillis) -> Result<()> {
+    pub fn check_age(&self, sealer: &Sealer, now: UnixMillis) -> Result<UnixMillis> {
         let issued = self.issued(sealer)?;
         if now.since(issued) > WINDOW {
             let message = "the key is older than the window";
@@ -52,7 +52,7 @@
             let message = "the key is from the future";
             return Err(Error::not_run(Category::KeyExpired, message));
         }
-        Ok(())
+        Ok(issued)
     }
 
     fn issued(&self, sealer: &Sealer) -> Result<UnixMillis> {
--- a/src/once/ledger.rs
+++ b/src/once/ledger.rs
@@ -1,32 +1,76 @@
 //! The fold of the claims streams.
 
-use std::collections::HashMap;
+use std::{
+    collections::{BTreeSet, HashMap},
+    time::Duration,
+};
 
-use super::{ClaimRecord, Key, Record, Recorded, PARTITIONS};
-use crate::Offset;
+use super::{ClaimRecord, Key, Outcome, Record, ResultRecord, CLOCK_ERROR, PARTITIONS, WINDOW};
+use crate::{Offset, UnixMillis};
+
+/// Most keys held; the oldest ones are forgotten first.
+pub const MAX_KEYS: usize = 100_000;
+
+/// Most bytes of recorded answers held; the oldest keys are forgotten first.
+pub const MAX_ANSWER_BYTES: usize = 32 * 1024 * 1024;
 
 /// What the log says about a key.
-#[derive(Debug, Clone, PartialEq, Eq)]
-pub enum Standing {
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Standing<'a> {
     /// No claim is in the log so far.
     Free,
+    /// An earlier claim may have been missed or forgotten.
+    Forgotten,
     /// The claim holds the key; there is no result yet.
-    Claimed(ClaimRecord),
-    /// The call has run with this answer.
-    Done(Recorded),
+    Claimed(&'a ClaimRecord),
+    /// The claim that holds the key came to this.
+    Done(&'a Outcome),
 }
 
 #[derive(Debug)]
 struct Entry {
     claim: ClaimRecord,
-    answer: Option<Recorded>,
+    outcome: Option<Outcome>,
+}
+
+/// How far one stream is known.
+#[derive(Debug, Default)]
+struct Coverage {
+    /// Offset of the next record to apply.
+    applied: Offset,
+    /// Offset before which records were lost to retention.
+    first: Offset,
+    /// Keys issued at or before this time may have a claim among the lost records.
+    floor: UnixMillis,
+}
+
+impl Coverage {
+    /// Narrows the time of the lost records: `claim` was made after they had been read.
+    fn learn(&mut self, claim: &ClaimRecord) {
+        if claim.read >= self.first {
+            self.floor = self.floor.min(later(claim.made, 2 * CLOCK_ERROR));
+        }
+    }
+
+    fn skip_to(&mut self, first: Offset, now: UnixMillis) {
+        if first <= self.applied {
+            return;
+        }
+        self.applied = first;
+        self.first = first;
+        self.floor = later(now, 2 * CLOCK_ERROR);
+    }
 }
 
-/// Claims and results in log order.
+/// Claims and results in log order, bounded in time and memory.
 #[derive(Debug, Default)]
 pub struct Ledger {
-    applied: [Offset; PARTITIONS],
+    coverage: [Coverage; PARTITIONS],
     entries: HashMap<Key, Entry>,
+    by_age: BTreeSet<(UnixMillis, Key)>,
+    answer_bytes: usize,
+    /// Keys issued at or before this time are no longer held.
+    forgotten: UnixMillis,
 }
 
 impl Ledger {
@@ -37,54 +81,85 @@
 
     /// Applies the record at `offset` of `partition`; records already applied change nothing.
     pub fn apply(&mut self, partition: usize, offset: Offset, record: Option<Record>) {
-        if offset < self.applied[partition] {
+        if offset < self.coverage[partition].applied {
             return;
         }
-        self.applied[partition] = offset.next();
+        self.coverage[partition].applied = offset.next();
         match record {
-            Some(Record::Claim(claim)) => self.apply_claim(claim),
-            Some(Record::Result(result)) => self.apply_result(&result.claim, result.answer),
+            Some(Record::Claim(claim)) => self.apply_claim(partition, claim),
+            Some(Record::Result(result)) => self.apply_result(result),
             None => {}
         }
     }
 
-    fn apply_claim(&mut self, claim: ClaimRecord) {
-        let first = |claim| Entry {
-            claim,
-            answer: None,
-        };
+    fn apply_claim(&mut self, partition: usize, claim: ClaimRecord) {
+        self.coverage[partition].learn(&claim);
+        if claim.issued <= self.forgotten || self.entries.contains_key(&claim.key) {
+            return;
+        }
+        self.by_age.insert((claim.issued, claim.key.clone()));
+        let outcome = None;
         self.entries
-            .entry(claim.key.clone())
-            .or_insert_with(|| first(claim));
+            .insert(claim.key.clone(), Entry { claim, outcome });
     }
 
-    fn apply_result(&mut self, claim: &ClaimRecord, answer: Recorded) {
-        if let Some(entry) = self.entries.get_mut(&claim.key) {
-            if entry.claim == *claim {
-                entry.answer.get_or_insert(answer);
-            }
+    fn apply_result(&mut self, result: ResultRecord) {
+        let Some(entry) = self.entries.get_mut(&result.claim.key) else {
+            return;
+        };
+        if entry.claim == result.claim && entry.outcome.is_none() {
+            self.answer_bytes += body_len(&result.outcome);
+            entry.outcome = Some(result.outcome);
         }
     }
 
     /// Moves `partition` past records that the log no longer keeps.
-    pub fn skip_to(&mut self, partition: usize, first: Offset) {
-        let applied = &mut self.applied[partition];
-        *applied = first.max(*applied);
+    pub fn skip_to(&mut self, partition: usize, first: Offset, now: UnixMillis) {
+        self.coverage[partition].skip_to(first, now);
+    }
+
+    /// Forgets keys that are older than the window or exceed the bounds on memory.
+    pub fn evict(&mut self, now: UnixMillis) {
+        let cutoff = earlier(now, WINDOW + CLOCK_ERROR);
+        self.forgotten = self.forgotten.max(cutoff);
+        while self.exceeds_bounds() {
+            let Some((issued, key)) = self.by_age.pop_first() else {
+                return;
+            };
+            self.forgotten = self.forgotten.max(issued);
+            let entry = self.entries.remove(&key);
+            let outcome = entry.and_then(|entry| entry.outcome);
+            self.answer_bytes -= outcome.as_ref().map_or(0, body_len);
+        }
+    }
+
+    fn exceeds_bounds(&self) -> bool {
+        let oldest = self.by_age.first();
+        oldest.is_some_and(|(issued, _)| *issued <= self.forgotten)
+            || self.entries.len() > MAX_KEYS
+            || self.answer_bytes > MAX_ANSWER_BYTES
     }
 
     /// Returns the offset of the next record to apply in `partition`.
     pub fn applied(&self, partition: usize) -> Offset {
-        self.applied[partition]
+        self.coverage[partition].applied
     }
 
-    /// Returns what the log says about `key`.
-    pub fn standing(&self, key: &Key) -> Standing {
-        match self.entries.get(key) {
-            None => Standing::Free,
-            Some(entry) => match &entry.answer {
-                Some(answer) => Standing::Done(answer.clone()),
-                None => Standing::Claimed(entry.claim.clone()),
-            },
+    /// Returns what the log says about `key`, which was issued at `issued`.
+    pub fn standing(&self, key: &Key, issued: UnixMillis) -> Standing<'_> {
+        let entry = self.entries.get(key);
+        let outcome = entry.and_then(|entry| entry.outcome.as_ref());
+        if let Some(outcome @ Outcome::Answered(_)) = outcome {
+            return Standing::Done(outcome);
+        }
+        let floor = self.coverage[key.partition()].floor.max(self.forgotten);
+        if issued <= floor {
+            return Standing::Forgotten;
+        }
+        match (entry, outcome) {
+            (None, _) => Standing::Free,
+            (Some(_), Some(outcome)) => Standing::Done(outcome),
+            (Some(entry), None) => Standing::Claimed(&entry.claim),
         }
     }
 
@@ -98,3 +173,18 @@
         self.entries.is_empty()
     }
 }
+
+fn body_len(outcome: &Outcome) -> usize {
+    match outcome {
+        Outcome::Answered(answer) => answer.body.as_ref().map_or(0, String::len),
+        Outcome::NotRun => 0,
+    }
+}
+
+fn later(time: UnixMillis, by: Duration) -> UnixMillis {
+    UnixMillis(time.0.saturating_add(by.as_millis() as u64))
+}
+
+fn earlier(time: UnixMillis, by: Duration) -> UnixMillis {
+    UnixMillis(time.0.saturating_sub(by.as_millis() as u64))
+}
--- a/src/once/message.rs
+++ b/src/once/message.rs
@@ -3,7 +3,7 @@
 use serde::{Deserialize, Serialize};
 
 use super::Key;
-use crate::{Incarnation, RouterName};
+use crate::{Incarnation, Offset, RouterName, UnixMillis};
 
 /// A record of a claims stream.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
@@ -20,12 +20,18 @@
 pub struct ClaimRecord {
     /// Key that is claimed.
     pub key: Key,
+    /// When the key was issued.
+    pub issued: UnixMillis,
     /// Router that claims.
     pub router: RouterName,
     /// Life of that router.
     pub incarnation: Incarnation,
-    /// Number that tells this claim from others of the same life.
+    /// Random number that tells this claim from all others.
     pub nonce: u64,
+    /// When the claim was made, by the clock of the router.
+    pub made: UnixMillis,
+    /// Offset up to which the router had read the stream at that time.
+    pub read: Offset,
 }
 
 /// The result of a claimed call.
@@ -33,8 +39,18 @@
 pub struct ResultRecord {
     /// Claim under which the call ran.
     pub claim: ClaimRecord,
-    /// Answer of the server.
-    pub answer: Recorded,
+    /// What came of it.
+    pub outcome: Outcome,
+}
+
+/// What came of a claim.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum Outcome {
+    /// The server answered.
+    Answered(Recorded),
+    /// The owner of the claim has not dispatched the call and never will.
+    NotRun,
 }
 
 /// A whole answer, as recorded and replayed.
--- a/src/once/mod.rs
+++ b/src/once/mod.rs
@@ -2,7 +2,8 @@
 //!
 //! The first claim of a key in the order of the log wins, and only the router that
 //! made it dispatches the call, once. A claim is never taken over. The recorded
-//! result answers every later attempt at any router.
+//! result answers every later attempt at any router. A key whose first claim the ledger
+//! may have missed or forgotten is never run.
 
 mod claim;
 mod key;
@@ -12,10 +13,10 @@
 
 pub use self::{
     claim::{Claim, Lost, Pending, Settled, Unknown, Won},
-    key::{Key, WINDOW},
-    ledger::{Ledger, Standing},
-    message::{ClaimRecord, Record, Recorded, ResultRecord},
-    task::{append_batches, await_result, claim, record_result, tail, Once},
+    key::{Key, CLOCK_ERROR, WINDOW},
+    ledger::{Ledger, Standing, MAX_ANSWER_BYTES, MAX_KEYS},
+    message::{ClaimRecord, Outcome, Record, Recorded, ResultRecord},
+    task::{append_batches, await_outcome, claim, record_result, tail, Once, OpenCall},
 };
 
 /// Number of streams that claims are spread over.
--- a/src/once/task.rs
+++ b/src/once/task.rs
@@ -4,11 +4,14 @@
 
 use serde_json::Value;
 use tokio::sync::{mpsc, oneshot, watch};
+use uuid::Uuid;
 
 use super::{
-    Claim, ClaimRecord, Key, Ledger, Record, Recorded, ResultRecord, Settled, Standing, PARTITIONS,
+    Claim, ClaimRecord, Key, Ledger, Outcome, Record, ResultRecord, Settled, Standing, PARTITIONS,
+};
+use crate::{
+    platform::Entry, sync::lock, Category, Error, Offset, Result, Router, UnixMillis, Verdict,
 };
-use crate::{platform::Entry, sync::lock, Category, Error, Offset, Result, Router};
 
 /// Longest time the log may hold back an empty answer.
 const POLL_WAIT: Duration = Duration::from_secs(10);
@@ -55,9 +58,17 @@
     }
 }
 
+/// What the ledger knows of a key before it is claimed here.
+enum Known {
+    Free,
+    Forgotten,
+    Taken,
+}
+
 /// The ledger and the queues of this router.
 pub struct Once {
     ledger: Mutex<Ledger>,
+    open_calls: watch::Sender<u32>,
     partitions: [Partition; PARTITIONS],
 }
 
@@ -66,13 +77,37 @@
     pub fn new() -> Self {
         Once {
             ledger: Mutex::new(Ledger::new()),
+            open_calls: watch::Sender::new(0),
             partitions: std::array::from_fn(|_| Partition::new()),
         }
     }
 
-    /// Returns what the log says about `key`.
-    pub fn standing(&self, key: &Key) -> Standing {
-        lock(&self.ledger).standing(key)
+    fn standing_name(&self, key: &Key, issued: UnixMillis) -> Known {
+        match lock(&self.ledger).standing(key, issued) {
+            Standing::Free => Known::Free,
+            Standing::Forgotten => Known::Forgotten,
+            Standing::Claimed(_) | Standing::Done(_) => Known::Taken,
+        }
+    }
+
+    fn outcome(&self, key: &Key, issued: UnixMillis) -> Option<Outcome> {
+        match lock(&self.ledger).standing(key, issued) {
+            Standing::Done(outcome) => Some(outcome.clone()),
+            _ => None,
+        }
+    }
+
+    /// Counts a call as open until the guard is dropped.
+    pub fn open_call(self: &Arc<Self>) -> OpenCall {
+        self.open_calls.send_modify(|count| *count += 1);
+        OpenCall { once: self.clone() }
+    }
+
+    /// Waits until no call is open.
+    pub async fn idle(&self) {
+        let mut open = self.open_calls.subscribe();
+        // The sender lives as long as self, so waiting cannot fail.
+        let _ = open.wait_for(|open| *open == 0).await;
     }
 
     /// Returns the number of keys held.
@@ -112,6 +147,17 @@
     }
 }
 
+/// A call that is under way; its result is not recorded yet.
+pub struct OpenCall {
+    once: Arc<Once>,
+}
+
+impl Drop for OpenCall {
+    fn drop(&mut self) {
+        self.once.open_calls.send_modify(|count| *count -= 1);
+    }
+}
+
 fn stream(partition: usize) -> String {
     format!("claims-{partition}")
 }
@@ -174,7 +220,7 @@
     Ok(())
 }
 
-/// Jumps over records that the log no longer keeps; their keys are older than the window.
+/// Jumps over records that the log no longer keeps.
 async fn skip_to_first(cx: &Router, partition: usize) -> Result<()> {
     let head = Offset(u64::MAX);
     let page = cx
@@ -182,7 +228,8 @@
         .log
         .read(&stream(partition), head, Duration::ZERO)
         .await?;
-    lock(&cx.once.ledger).skip_to(partition, page.first);
+    let now = cx.clock.wall();
+    lock(&cx.once.ledger).skip_to(partition, page.first, now);
     Ok(())
 }
 
@@ -192,6 +239,7 @@
         let record = serde_json::from_value(entry.data).ok();
         ledger.apply(partition, entry.offset, record);
     }
+    ledger.evict(cx.clock.wall());
     let applied = ledger.applied(partition);
     cx.once.partitions[partition].applied.send_replace(applied);
 }
@@ -200,29 +248,41 @@
 ///
 /// # Errors
 ///
-/// Returns [`Category::LogUnavailable`] when the log does not show the claim in time;
-/// the verdict is "not run" only when nothing was appended.
-pub async fn claim(cx: &Arc<Router>, key: &Key) -> Result<Settled> {
-    let record = ClaimRecord {
-        key: key.clone(),
-        router: cx.settings.name.clone(),
-        incarnation: cx.incarnation,
-        nonce: cx.next_grant().0,
-    };
-    let claim = Claim::new(record);
-    if cx.once.standing(key) != Standing::Free {
-        return Ok(claim.settle(&lock(&cx.once.ledger)));
+/// Fails with the verdict "not run" when nothing was appended.
+pub async fn claim(cx: &Router, key: &Key, issued: UnixMillis) -> Result<Settled> {
+    let claim = Claim::new(claim_record(cx, key, issued));
+    match cx.once.standing_name(key, issued) {
+        Known::Free => {}
+        Known::Forgotten => return Err(forgotten()),
+        Known::Taken => return Ok(claim.settle(&lock(&cx.once.ledger))),
     }
-    let partition = key.partition();
-    let attempt = append_and_read_back(cx, partition, claim.record());
+    let attempt = append_and_read_back(cx, key.partition(), claim.record());
     match tokio::time::timeout(CLAIM_TIMEOUT, attempt).await {
-        Ok(Err(err)) if err.verdict() == crate::Verdict::NotRun => return Err(err),
+        Ok(Err(err)) if err.verdict() == Verdict::NotRun => return Err(err),
         // A lost answer or a slow log: the log itself decides below.
         Ok(_) | Err(_) => {}
     }
     Ok(claim.settle(&lock(&cx.once.ledger)))
 }
 
+fn claim_record(cx: &Router, key: &Key, issued: UnixMillis) -> ClaimRecord {
+    let read = lock(&cx.once.ledger).applied(key.partition());
+    ClaimRecord {
+        key: key.clone(),
+        issued,
+        router: cx.settings.name.clone(),
+        incarnation: cx.incarnation,
+        nonce: Uuid::new_v4().as_u64_pair().1,
+        made: cx.clock.wall(),
+        read,
+    }
+}
+
+fn forgotten() -> Error {
+    let message = "an earlier attempt may be older than the records held";
+    Error::may_have_run(Category::KeyExpired, message)
+}
+
 async fn append_and_read_back(cx: &Router, partition: usize, claim: &ClaimRecord) -> Result<()> {
     let record = Record::Claim(claim.clone());
     let offset = cx.once.append(partition, &record).await?;
@@ -230,22 +290,19 @@
     Ok(())
 }
 
-/// Waits for the result of a call that another claim owns.
-pub async fn await_result(cx: &Router, key: &Key) -> Option<Recorded> {
+/// Waits for what comes of a call that another claim owns.
+pub async fn await_outcome(cx: &Router, key: &Key, issued: UnixMillis) -> Option<Outcome> {
     let mut applied = cx.once.partitions[key.partition()].applied.subscribe();
-    let done = |_: &Offset| matches!(cx.once.standing(key), Standing::Done(_));
+    let done = |_: &Offset| cx.once.outcome(key, issued).is_some();
     let waited = tokio::time::timeout(RESULT_TIMEOUT, applied.wait_for(done)).await;
     drop(waited);
-    match cx.once.standing(key) {
-        Standing::Done(answer) => Some(answer),
-        _ => None,
-    }
+    cx.once.outcome(key, issued)
 }
 
 /// Records the result of a call until the log has taken it.
 ///
 /// Repeated records of one result are harmless: the first one counts.
-pub async fn record_result(cx: Arc<Router>, result: ResultRecord) {
+pub async fn record_result(cx: &Router, result: ResultRecord) {
     let partition = result.claim.key.partition();
     let record = Record::Result(result);
     for _ in 0..RESULT_ATTEMPTS {
--- a/src/relay/backend.rs
+++ b/src/relay/backend.rs
@@ -11,6 +11,7 @@
     rt::{TokioExecutor, TokioTimer},
 };
 
+use super::answer::cut;
 use crate::{config::Limits, Category, Error, Result};
 
 /// Longest time an idle connection is used again.
@@ -90,7 +91,7 @@
     if err.is_connect() {
         Error::not_run(Category::Unavailable, "the server accepts no connection")
     } else {
-        Error::may_have_run(Category::Backend, err.to_string())
+        cut(&err.to_string())
     }
 }
 
--- a/src/relay/request.rs
+++ b/src/relay/request.rs
@@ -3,11 +3,8 @@
 use std::{collections::BTreeSet, sync::Arc};
 
 use bytes::Bytes;
-use http::{header::CONTENT_TYPE, Response};
-use http_body_util::Full;
-use hyper::body::Incoming;
 
-use super::backend::url;
+use super::{AnswerStream, ChatAnswer, Opening, Sent};
 use crate::{
     admission::{Class, Permit},
     membership::Engine,
@@ -19,9 +16,6 @@
 /// Header that carries the request id to and from a backend server.
 pub(super) const REQUEST_ID: &str = "x-request-id";
 
-/// Header that carries the priority class to an engine.
-const PRIORITY: &str = "x-priority";
-
 /// What is known of a request from its headers.
 #[derive(Debug, Clone)]
 pub struct Head {
@@ -60,7 +54,8 @@
 /// The request has been sent and its answer has begun.
 pub struct Dispatched {
     placed: Placed,
-    answer: Response<Incoming>,
+    sent: Sent,
+    opening: Opening,
 }
 
 /// A request at stage `S`.
@@ -160,35 +155,28 @@
     /// # Errors
     ///
     /// Gives the request back together with the error, so that the caller of this
-    /// function can decide by the verdict whether to place it again.
+    /// function can decide whether to place it again.
     pub async fn dispatch(
         self,
         cx: &Router,
         body: Bytes,
     ) -> std::result::Result<Request<Dispatched>, Box<Failed>> {
-        let req = match self.message(body) {
-            Ok(req) => req,
-            Err(err) => return Err(self.fail(err)),
-        };
-        match cx.backends.send(req).await.and_then(check_status) {
-            Ok(answer) => Ok(self.at_answer(answer)),
-            Err(err) => Err(self.fail(err)),
+        let engine = self.stage.slot.engine().clone();
+        let sent = Sent::new(self.head.clone(), body, engine);
+        // After a failure, a connection that was idle is not trusted.
+        let fresh = !self.stage.admitted.failed.is_empty();
+        match self.open(cx, &sent, fresh).await {
+            Ok(opening) => Ok(self.at_opening(sent, opening)),
+            Err(err) => {
+                sent.note_failure(cx, &err);
+                Err(self.fail(err))
+            }
         }
     }
 
-    fn message(&self, body: Bytes) -> Result<http::Request<Full<Bytes>>> {
-        let engine = self.stage.slot.engine();
-        let priority = match self.head.class {
-            Class::Interactive => "1",
-            Class::Draft => "0",
-        };
-        http::Request::post(url(engine.address, "/v1/chat/completions"))
-            .header(CONTENT_TYPE, "application/json")
-            .header(REQUEST_ID, self.head.id.as_str())
-            .header(PRIORITY, priority)
-            .header("x-chat", self.head.chat.as_str())
-            .body(Full::new(body))
-            .map_err(|err| Error::not_run(Category::BadInput, err.to_string()))
+    async fn open(&self, cx: &Router, sent: &Sent, fresh: bool) -> Result<Opening> {
+        let answer = sent.send(cx, fresh).await?;
+        Opening::read(answer, &self.head.id, cx.backends.progress()).await
     }
 
     fn fail(self, err: Error) -> Box<Failed> {
@@ -201,10 +189,11 @@
         Box::new(Failed { req, err })
     }
 
-    fn at_answer(self, answer: Response<Incoming>) -> Request<Dispatched> {
+    fn at_opening(self, sent: Sent, opening: Opening) -> Request<Dispatched> {
         let stage = Dispatched {
             placed: self.stage,
-            answer,
+            sent,
+            opening,
         };
         Request {
             head: self.head,
@@ -213,21 +202,6 @@
     }
 }
 
-/// Accepts only an answer that the engine has begun; a refusal means nothing ran.
-fn check_status(answer: Response<Incoming>) -> Result<Response<Incoming>> {
-    let status = answer.status();
-    if status.is_success() {
-        return Ok(answer);
-    }
-    let message = format!("the engine answered {status}");
-    Err(match status.as_u16() {
-        429 => Error::not_run(Category::Overloaded, message),
-        503 => Error::not_run(Category::Unavailable, message),
-        400..=499 => Error::not_run(Category::BadInput, message),
-        _ => Error::may_have_run(Category::Backend, message),
-    })
-}
-
 impl Request<Dispatched> {
     /// Returns the engine that answers.
     pub fn engine(&self) -> &Arc<Engine> {
@@ -239,13 +213,21 @@
         self.head.hint.with_served_by(self.engine())
     }
 
-    /// Splits off the answer; what remains holds the slot and the permit.
-    pub(super) fn into_answer(self) -> (Holding, Response<Incoming>) {
+    /// Turns the request into its answer, which holds the slot and the permit.
+    pub fn into_answer(self, cx: &Arc<Router>) -> ChatAnswer {
+        let hint = self.next_hint();
         let holding = Holding {
             _permit: self.stage.placed.admitted.permit,
             _slot: self.stage.placed.slot,
         };
-        (holding, self.stage.answer)
+        match self.stage.opening {
+            Opening::Whole(body) => ChatAnswer::Whole { body, hint },
+            Opening::Stream(begun) => {
+                let stream = AnswerStream::new(cx, self.stage.sent, *begun, holding);
+                let stream = Box::new(stream);
+                ChatAnswer::Stream { stream, hint }
+            }
+        }
     }
 }
 
--- a/src/relay/sequence.rs
+++ b/src/relay/sequence.rs
@@ -31,6 +31,8 @@
     expected_id: String,
     next: u64,
     ended: bool,
+    resumed: bool,
+    broken: bool,
 }
 
 impl Sequence {
@@ -40,6 +42,8 @@
             expected_id: answer_id(request),
             next: 0,
             ended: false,
+            resumed: false,
+            broken: false,
         }
     }
 
@@ -48,22 +52,35 @@
     /// # Errors
     ///
     /// Returns [`Category::Backend`] when the event belongs to another request, a part is
-    /// missing before it, or the answer has already ended.
+    /// missing before it, the answer has already ended, or an earlier event was refused.
     pub fn accept(&mut self, event: &Event) -> Result<Step> {
+        if self.broken {
+            return Err(broken("an earlier event was refused"));
+        }
+        let step = self.check(event);
+        self.broken = step.is_err();
+        step
+    }
+
+    fn check(&mut self, event: &Event) -> Result<Step> {
         if self.ended {
             return Err(broken("an event follows the end"));
         }
+        let number = event.id.as_deref().and_then(|id| id.parse::<u64>().ok());
         if event.data == END {
-            self.ended = true;
-            return Ok(Step::End);
+            return self.accept_end(number);
         }
         let chunk: Chunk<'_> =
             serde_json::from_str(&event.data).map_err(|_| broken("an event is not a chunk"))?;
         if chunk.id != self.expected_id {
             return Err(broken("an event belongs to another request"));
         }
-        let number = event.id.as_deref().and_then(|id| id.parse::<u64>().ok());
         let number = number.ok_or_else(|| broken("an event has no number"))?;
+        if number < self.next && self.resumed {
+            return Err(broken(
+                "the engine began another answer instead of resuming",
+            ));
+        }
         if number < self.next {
             return Ok(Step::Repeated);
         }
@@ -71,9 +88,27 @@
             return Err(broken("an event is missing"));
         }
         self.next += 1;
+        self.resumed = false;
         Ok(Step::Part)
     }
 
+    /// Ends the answer; an end that is numbered shows whether parts are missing before it.
+    fn accept_end(&mut self, number: Option<u64>) -> Result<Step> {
+        if number.is_some_and(|number| number != self.next) {
+            return Err(broken("an event is missing before the end"));
+        }
+        self.ended = true;
+        Ok(Step::End)
+    }
+
+    /// The engine was asked to go on with the next part.
+    ///
+    /// Until that part arrives, an earlier one shows that the engine began anew, with
+    /// words that need not go with those the caller has.
+    pub fn resume(&mut self) {
+        self.resumed = true;
+    }
+
     /// Returns the number of the next part.
     pub fn next(&self) -> u64 {
         self.next
--- a/src/relay/service.rs
+++ b/src/relay/service.rs
@@ -7,10 +7,10 @@
 use http_body_util::{BodyExt, Full, Limited};
 use hyper::body::Incoming;
 
-use super::{backend::url, request::REQUEST_ID};
+use super::{backend::url, keyed::call_keyed, request::REQUEST_ID};
 use crate::{
     membership::Engine,
-    once::{self, Claim, Key, Recorded, ResultRecord, Settled, Won},
+    once::Key,
     placement::{self, Hint},
     Category, Error, PoolName, RequestId, Result, Router, TeamName, Verdict,
 };
@@ -18,9 +18,6 @@
 /// Largest answer, in bytes.
 const MAX_ANSWER: usize = 8 * 1024 * 1024;
 
-/// Largest answer that is recorded whole, in bytes.
-const MAX_RECORDED: usize = 16 * 1024;
-
 /// Header by which a server can recognise a repeated call.
 const IDEMPOTENCY_KEY: HeaderName = HeaderName::from_static("idempotency-key");
 
@@ -43,6 +40,8 @@
     pub body: Bytes,
     /// Number of the attempt, from 1.
     pub attempt: u32,
+    /// Verdict that errors have at least, for what earlier attempts may have done.
+    pub floor: Verdict,
     /// Key, when the call must not be repeated.
     pub key: Option<Key>,
 }
@@ -60,25 +59,31 @@
     pub replayed: bool,
 }
 
+impl ServiceAnswer {
+    /// Returns whether the call has run, as far as the status of the server tells.
+    pub fn verdict(&self) -> Verdict {
+        if (200..300).contains(&self.status) {
+            Verdict::Ran
+        } else {
+            Verdict::MayHaveRun
+        }
+    }
+}
+
 /// Calls a plain service, at most once where the call has a key.
 ///
 /// # Errors
 ///
 /// Fails with the verdict of all attempts that are known here.
 pub async fn call_service(cx: &Arc<Router>, call: ServiceCall) -> Result<ServiceAnswer> {
-    let _permit = cx.admission.admit(&call.team, call.attempt)?;
-    let Some(key) = &call.key else {
-        return call_unkeyed(cx, &call).await;
-    };
-    key.check_age(&cx.tickets, cx.clock.wall())?;
-    match once::claim(cx, key).await? {
-        Settled::Won(claim) => call_once(cx, &call, claim).await,
-        Settled::Lost(claim) => replay(cx, key, claim.into_answer()).await,
-        Settled::Unknown(_) => {
-            let message = "the log does not show the claim";
-            Err(Error::may_have_run(Category::LogUnavailable, message))
-        }
+    let floor = call.floor;
+    let permit = cx.admission.admit(&call.team, call.attempt);
+    let permit = permit.map_err(|err| err.with_verdict_at_least(floor))?;
+    if call.key.is_some() {
+        return call_keyed(cx, call, permit).await;
     }
+    let answer = call_unkeyed(cx, &call).await;
+    answer.map_err(|err| err.with_verdict_at_least(floor))
 }
 
 /// Sends a call without a key to one server after the other while it may be repeated.
@@ -100,54 +105,17 @@
 }
 
 async fn exchange(cx: &Router, call: &ServiceCall, server: &Engine) -> Result<ServiceAnswer> {
-    let answer = cx.backends.send(message(call, server)?).await?;
-    collect(cx, answer).await
-}
-
-/// Sends a claimed call to one server; the claim is spent whatever comes of it.
-async fn call_once(
-    cx: &Arc<Router>,
-    call: &ServiceCall,
-    claim: Claim<Won>,
-) -> Result<ServiceAnswer> {
-    let servers = servers(cx, call);
-    let no_server = || Error::may_have_run(Category::Unavailable, "no server is live");
-    let server = servers.first().ok_or_else(no_server)?;
-    let answer = cx.backends.send_fresh(message(call, server)?).await;
-    let answer = answer.map_err(|err| Error::may_have_run(err.classify(), err.message()))?;
-    let answer = collect(cx, answer).await?;
-    let result = ResultRecord {
-        claim: claim.record().clone(),
-        answer: recorded(&answer),
+    let req = message(call, server)?;
+    // An idle connection may be gone, which only an idempotent call survives.
+    let answer = match call.method.is_idempotent() {
+        true => cx.backends.send(req).await?,
+        false => cx.backends.send_fresh(req).await?,
     };
-    tokio::spawn(once::record_result(cx.clone(), result));
-    Ok(answer)
-}
-
-/// Answers a later attempt with the recorded result of the first one.
-async fn replay(cx: &Router, key: &Key, answer: Option<Recorded>) -> Result<ServiceAnswer> {
-    let answer = match answer {
-        Some(answer) => Some(answer),
-        None => once::await_result(cx, key).await,
-    };
-    let unknown = || {
-        let message = "another attempt has claimed the call and recorded no result yet";
-        Error::may_have_run(Category::Conflict, message)
-    };
-    let answer = answer.ok_or_else(unknown)?;
-    let lost = || {
-        let message = "the call has run, but its answer was too large to record";
-        Error::new(Category::Conflict, Verdict::Ran, message)
-    };
-    Ok(ServiceAnswer {
-        status: answer.status,
-        content_type: answer.content_type,
-        body: answer.body.ok_or_else(lost)?.into(),
-        replayed: true,
-    })
+    collect(cx, answer).await
 }
 
-fn servers(cx: &Router, call: &ServiceCall) -> Vec<Arc<Engine>> {
+/// Returns the servers that may take the call, the preferred one first.
+pub(super) fn servers(cx: &Router, call: &ServiceCall) -> Vec<Arc<Engine>> {
     let state = cx.config.current();
     let view = cx.membership.view();
     let open = |server: &&Arc<Engine>| !server.leaving && !state.drained.contains(&server.name);
@@ -155,7 +123,7 @@
     placement::candidates(call.id.as_str(), &Hint::default(), &servers)
 }
 
-fn message(call: &ServiceCall, server: &Engine) -> Result<http::Request<Full<Bytes>>> {
+pub(super) fn message(call: &ServiceCall, server: &Engine) -> Result<http::Request<Full<Bytes>>> {
     let mut req = http::Request::builder()
         .method(call.method.clone())
         .uri(url(server.address, &call.path))
@@ -170,7 +138,7 @@
         .map_err(|err| Error::not_run(Category::BadInput, err.to_string()))
 }
 
-async fn collect(cx: &Router, answer: Response<Incoming>) -> Result<ServiceAnswer> {
+pub(super) async fn collect(cx: &Router, answer: Response<Incoming>) -> Result<ServiceAnswer> {
     let status = answer.status().as_u16();
     let content_type = answer.headers().get(CONTENT_TYPE);
     let content_type = content_type.and_then(|value| value.to_str().ok());
@@ -188,13 +156,3 @@
         replayed: false,
     })
 }
-
-fn recorded(answer: &ServiceAnswer) -> Recorded {
-    let small = answer.body.len() <= MAX_RECORDED;
-    let text = || String::from_utf8(answer.body.to_vec()).ok();
-    Recorded {
-        status: answer.status,
-        content_type: answer.content_type.clone(),
-        body: small.then(text).flatten(),
-    }
-}
--- a/src/relay/stream.rs
+++ b/src/relay/stream.rs
@@ -1,94 +1,92 @@
 //! A streamed answer on its way to the caller.
 
-use std::time::Duration;
+use std::sync::Arc;
 
 use bytes::Bytes;
-use http_body_util::BodyExt;
-use hyper::body::Incoming;
 
-use super::{request::Holding, Event, EventReader, Sequence, Step};
-use crate::{Category, Error, Result};
+use super::{
+    answer::{next_part, Begun, EventSource},
+    request::Holding,
+    Sent, Sequence,
+};
+use crate::{Category, Error, Result, Router};
+
+/// Most times that one answer is resumed.
+const MAX_RESUMES: u32 = 3;
 
 /// The parts of an answer, each checked before it is passed on.
 ///
 /// The stream ends cleanly only after the explicit end of the answer; anything else
 /// ends in an error, which the caller sees as a broken body.
 pub struct AnswerStream {
-    body: Incoming,
-    events: EventReader,
+    cx: Arc<Router>,
+    sent: Sent,
+    first: Option<Bytes>,
+    source: EventSource,
     sequence: Sequence,
-    progress: Duration,
+    resumes: u32,
     _holding: Holding,
 }
 
 impl AnswerStream {
-    pub(super) fn new(
-        body: Incoming,
-        sequence: Sequence,
-        progress: Duration,
-        holding: Holding,
-    ) -> Self {
+    pub(super) fn new(cx: &Arc<Router>, sent: Sent, begun: Begun, holding: Holding) -> Self {
         AnswerStream {
-            body,
-            events: EventReader::new(),
-            sequence,
-            progress,
+            cx: cx.clone(),
+            sent,
+            first: Some(begun.first),
+            source: begun.source,
+            sequence: begun.sequence,
+            resumes: 0,
             _holding: holding,
         }
     }
 
     /// Returns the next part, or `None` after the end of a whole answer.
     ///
+    /// An answer that is cut or falls silent is resumed after the last part, at the
+    /// engine that gave it.
+    ///
     /// # Errors
     ///
-    /// Fails when the engine breaks off, falls silent or sends what does not belong to
-    /// the answer. The request may have run.
+    /// Fails when the engine cannot go on or sends what does not belong to the answer.
+    /// The request may have run.
     pub async fn next_part(&mut self) -> Option<Result<Bytes>> {
+        if let Some(first) = self.first.take() {
+            return Some(Ok(first));
+        }
         if self.sequence.is_ended() {
             return None;
         }
         loop {
-            let event = match self.next_event().await {
-                Ok(event) => event,
-                Err(err) => return Some(Err(err)),
+            let err = match next_part(&mut self.source, &mut self.sequence).await {
+                Ok(part) => return Some(Ok(part)),
+                Err(err) => err,
             };
-            match self.sequence.accept(&event) {
-                Ok(Step::Part | Step::End) => return Some(Ok(event.raw)),
-                Ok(Step::Repeated) => {}
-                Err(err) => return Some(Err(err)),
+            if let Err(err) = self.resume(err).await {
+                return Some(Err(err));
             }
         }
     }
 
-    async fn next_event(&mut self) -> Result<Event> {
-        loop {
-            let event = self.events.next_event();
-            let event = event.map_err(|_| broken("an event is too large"))?;
-            if let Some(event) = event {
-                return Ok(event);
-            }
-            let bytes = self.next_bytes().await?;
-            self.events.push(&bytes);
+    /// Asks the engine for the rest of the answer, or returns why that is no use.
+    async fn resume(&mut self, err: Error) -> Result<()> {
+        let resumable = matches!(err.classify(), Category::Cut | Category::Timeout);
+        if !resumable {
+            return Err(err);
         }
-    }
-
-    async fn next_bytes(&mut self) -> Result<Bytes> {
-        loop {
-            let frame = tokio::time::timeout(self.progress, self.body.frame()).await;
-            let frame = frame.map_err(|_| silent())?;
-            let frame = frame.ok_or_else(|| broken("the answer has no end"))?;
-            let frame = frame.map_err(|err| broken(&err.to_string()))?;
-            if let Ok(bytes) = frame.into_data() {
-                return Ok(bytes);
-            }
+        self.sent.note_failure(&self.cx, &err);
+        let team = &self.sent.head().team;
+        if self.resumes >= MAX_RESUMES || !self.cx.admission.may_retry(team) {
+            return Err(err);
         }
+        self.resumes += 1;
+        log::info!(
+            "answer resumed request={} error=\"{err}\"",
+            self.sent.head().id
+        );
+        let answer = self.sent.resume(&self.cx, self.sequence.next()).await?;
+        self.source = EventSource::new(answer.into_body(), self.cx.backends.progress());
+        self.sequence.resume();
+        Ok(())
     }
 }
-
-fn broken(message: &str) -> Error {
-    Error::may_have_run(Category::Backend, message)
-}
-
-fn silent() -> Error {
-    Error::may_have_run(Category::Timeout, "the engine is silent")
-}
--- a/src/router.rs
+++ b/src/router.rs
@@ -54,7 +54,7 @@
     /// Load of the teams.
     pub admission: Arc<Admission>,
     /// Claims of calls that must not be repeated.
-    pub once: Once,
+    pub once: Arc<Once>,
     /// Clients of the platform.
     pub platform: Platform,
     /// Clients of the backend servers.
@@ -81,7 +81,7 @@
             membership: Membership::new(settings.name.clone()),
             steward: Steward::default(),
             admission: Arc::default(),
-            once: Once::new(),
+            once: Arc::default(),
             platform: Platform::new(&settings.platform),
             backends: Backends::new(&settings.limits),
             peers: Peers::new(settings.name.clone(), incarnation, frames),
@@ -126,7 +126,12 @@
         // An error means that the sender is gone, which is a request to stop as well.
         let _ = stop.wait_for(|stop| *stop).await;
         self.membership.leave();
-        let drained = tokio::time::timeout(self.settings.limits.drain, serving).await;
+        let requests = async {
+            let _ = serving.await;
+            // Their results still have to reach the log.
+            self.once.idle().await;
+        };
+        let drained = tokio::time::timeout(self.settings.limits.drain, requests).await;
         if drained.is_err() {
             log::warn!("requests still in flight at the end of the drain");
         }
--- a/stand-in/src/engine.rs
+++ b/stand-in/src/engine.rs
@@ -142,6 +142,9 @@
     if prompt.contains("CRASH") {
         std::process::exit(101);
     }
+    if prompt.contains("REFUSE") {
+        return web::json(StatusCode::SERVICE_UNAVAILABLE, &"refused");
+    }
     let mut running = engine.start();
     if prompt.contains("SILENT") {
         std::future::pending::<()>().await;
@@ -156,7 +159,25 @@
     tokio::time::sleep(Duration::from_millis(first)).await;
     let id = req.header("x-request-id");
     if chat.stream {
-        stream_tokens(running, id, warm, chat.max_tokens)
+        let last = req.header("last-event-id").parse::<u64>().ok();
+        // FORGET starts anew instead of resuming.
+        let next = match last {
+            Some(last) if !prompt.contains("FORGET") => last + 1,
+            _ => 0,
+        };
+        let fault = match last {
+            None => Fault::of(&prompt),
+            Some(_) => Fault::None,
+        };
+        let end = chat.max_tokens;
+        stream_tokens(Tokens {
+            running,
+            id,
+            warm,
+            next,
+            end,
+            fault,
+        })
     } else {
         let pause = Duration::from_millis(engine.args.token_ms * chat.max_tokens);
         tokio::time::sleep(pause).await;
@@ -180,29 +201,86 @@
     json!({ "prompt_tokens_details": { "cached_tokens": if warm { 100 } else { 0 } } })
 }
 
-fn stream_tokens(running: Running, id: String, warm: bool, tokens: u64) -> Response<Body> {
-    let pause = Duration::from_millis(running.engine.args.token_ms);
-    let events = stream::unfold((running, 0), move |(running, number)| {
-        let id = id.clone();
-        async move {
-            if number > tokens {
-                return None;
+/// Number of the token before which a streamed answer goes wrong.
+const FAULTY_TOKEN: u64 = 3;
+
+/// How a streamed answer goes wrong, as the prompt asks.
+#[derive(Clone, Copy, PartialEq)]
+enum Fault {
+    None,
+    /// The connection breaks off.
+    Cut,
+    /// Nothing more is sent.
+    Stall,
+    /// A token of another answer is sent.
+    Foreign,
+    /// A token is left out.
+    Gap,
+}
+
+impl Fault {
+    fn of(prompt: &str) -> Self {
+        let faults = [
+            ("CUT", Fault::Cut),
+            ("STALL", Fault::Stall),
+            ("FOREIGN", Fault::Foreign),
+            ("GAP", Fault::Gap),
+        ];
+        let asked = faults.iter().find(|(word, _)| prompt.contains(word));
+        asked.map_or(Fault::None, |(_, fault)| *fault)
+    }
+}
+
+/// A streamed answer under way.
+struct Tokens {
+    running: Running,
+    id: String,
+    warm: bool,
+    next: u64,
+    end: u64,
+    fault: Fault,
+}
+
+impl Tokens {
+    async fn next(mut self) -> Option<(Result<Frame<Bytes>, std::io::Error>, Self)> {
+        if self.next > self.end {
+            return None;
+        }
+        let pause = self.running.engine.args.token_ms;
+        tokio::time::sleep(Duration::from_millis(pause)).await;
+        let faulty = self.next == FAULTY_TOKEN;
+        let mut id = self.id.clone();
+        match self.fault {
+            Fault::Cut if faulty => {
+                self.next = self.end + 1;
+                return Some((Err(std::io::Error::other("broken off")), self));
             }
-            tokio::time::sleep(if number > 0 { pause } else { Duration::ZERO }).await;
-            let event = if number == tokens {
-                "data: [DONE]\n\n".to_string()
-            } else {
-                let chunk = json!({
-                    "id": format!("chatcmpl-{id}"), "object": "chat.completion.chunk",
-                    "choices": [{ "index": 0, "delta": { "content": token(&id, number) } }],
-                    "usage": usage(warm),
-                });
-                format!("id: {number}\ndata: {chunk}\n\n")
-            };
-            let frame = Frame::data(Bytes::from(event));
-            Some((Ok(frame), (running, number + 1)))
+            Fault::Stall if faulty => std::future::pending().await,
+            Fault::Foreign if faulty => id = "another".into(),
+            Fault::Gap if faulty => self.next += 1,
+            _ => {}
         }
-    });
+        let event = self.event(&id);
+        self.next += 1;
+        Some((Ok(Frame::data(Bytes::from(event))), self))
+    }
+
+    fn event(&self, id: &str) -> String {
+        let number = self.next;
+        if number == self.end {
+            return format!("id: {number}\ndata: [DONE]\n\n");
+        }
+        let chunk = json!({
+            "id": format!("chatcmpl-{id}"), "object": "chat.completion.chunk",
+            "choices": [{ "index": 0, "delta": { "content": token(id, number) } }],
+            "usage": usage(self.warm),
+        });
+        format!("id: {number}\ndata: {chunk}\n\n")
+    }
+}
+
+fn stream_tokens(tokens: Tokens) -> Response<Body> {
+    let events = stream::unfold(tokens, Tokens::next);
     Response::builder()
         .header("content-type", "text/event-stream")
         .body(StreamBody::new(events).boxed_unsync())
--- a/stand-in/src/service.rs
+++ b/stand-in/src/service.rs
@@ -74,6 +74,12 @@
                 *run
             };
             tokio::time::sleep(delay).await;
+            if req.number("refuse", 0) == 1 {
+                return web::json(StatusCode::SERVICE_UNAVAILABLE, &"refused after the run");
+            }
+            if req.number("silent", 0) == 1 {
+                std::future::pending::<()>().await;
+            }
             web::json(StatusCode::OK, &json!({ "booked": key, "run": run }))
         }
         ("GET", ["runs"]) => web::json(StatusCode::OK, &*service.runs.lock().unwrap()),
--- /dev/null
+++ b/tests/relay/main.rs
@@ -0,0 +1,7 @@
+//! Answers: checked part by part, resumed, and never passed off as whole when they are not.
+
+mod resume;
+mod sequence;
+mod silence;
+#[path = "../support/mod.rs"]
+mod support;
--- /dev/null
+++ b/tests/relay/resume.rs
@@ -0,0 +1,96 @@
+//! Streams that engines cut, stall or mix up, across real processes.
+
+use expect_test::expect;
+use serde_json::json;
+
+use crate::support::{
+    http::{exchange, Answer},
+    Fleet,
+};
+
+/// Time after which a silent engine is given up, for these tests.
+const LIMITS: &str = "limits: {progress_ms: 500}\n";
+
+fn fleet() -> Fleet {
+    let mut fleet = Fleet::platform_only(&[]);
+    fleet.publish("first", &crate::support::base_ops());
+    fleet.add_engine(&[]);
+    fleet.add_engine(&[]);
+    fleet.add_router(LIMITS);
+    fleet.await_ready();
+    fleet
+}
+
+fn chat(fleet: &Fleet, id: &str, prompt: &str) -> Answer {
+    let body = json!({
+        "model": "planner", "stream": true, "max_tokens": 6,
+        "messages": [{ "role": "user", "content": prompt }],
+    });
+    let headers = [
+        ("ebonyspur-team", "kerb"),
+        ("ebonyspur-chat", "chat-1"),
+        ("ebonyspur-attempt", "1"),
+        ("x-request-id", id),
+    ];
+    let path = "/v1/chat/completions";
+    exchange(
+        fleet.routers[0].callers,
+        "POST",
+        path,
+        &headers,
+        &body.to_string(),
+    )
+}
+
+/// Returns the tokens received, and whether the body ended as whole.
+fn summary(answer: &Answer) -> String {
+    let data = answer
+        .body
+        .lines()
+        .filter_map(|line| line.strip_prefix("data: "));
+    let tokens = data.filter_map(|data| {
+        let chunk: serde_json::Value = serde_json::from_str(data).ok()?;
+        chunk["choices"][0]["delta"]["content"]
+            .as_str()
+            .map(|token| token.trim().to_string())
+    });
+    let tokens: Vec<_> = tokens.collect();
+    let end = answer.body.contains("[DONE]");
+    format!(
+        "{} {} end={end} whole={}",
+        answer.status,
+        tokens.join(" "),
+        answer.whole
+    )
+}
+
+#[test]
+fn a_cut_or_stalled_answer_is_resumed_and_a_wrong_one_is_visibly_broken() {
+    let fleet = fleet();
+    let mut table = String::new();
+    for prompt in ["plain", "CUT", "STALL", "CUT FORGET", "FOREIGN", "GAP"] {
+        let id = prompt.to_lowercase().replace(' ', "-");
+        let answer = chat(&fleet, &id, prompt);
+        table += &format!("{prompt}: {}\n", summary(&answer));
+    }
+    expect![[r#"
+        plain: 200 plain/0 plain/1 plain/2 plain/3 plain/4 plain/5 end=true whole=true
+        CUT: 200 cut/0 cut/1 cut/2 cut/3 cut/4 cut/5 end=true whole=true
+        STALL: 200 stall/0 stall/1 stall/2 stall/3 stall/4 stall/5 end=true whole=true
+        CUT FORGET: 200 cut-forget/0 cut-forget/1 cut-forget/2 end=false whole=false
+        FOREIGN: 200 foreign/0 foreign/1 foreign/2 end=false whole=false
+        GAP: 200 gap/0 gap/1 gap/2 end=false whole=false
+    "#]].assert_eq(&table);
+}
+
+#[test]
+fn a_refusal_of_an_engine_is_no_proof_that_nothing_ran() {
+    let fleet = fleet();
+    let answer = chat(&fleet, "refused", "REFUSE");
+    expect!["503 unavailable may-have-run"].assert_eq(&format!(
+        "{} {} {}",
+        answer.status,
+        answer.reason(),
+        answer.verdict()
+    ));
+}
--- /dev/null
+++ b/tests/relay/sequence.rs
@@ -0,0 +1,105 @@
+//! Events that are late, foreign, out of order, cut or too large.
+
+use ebonyspur::{
+    relay::{EventReader, Sequence, MAX_EVENT},
+    RequestId,
+};
+use expect_test::expect;
+
+fn chunk(request: &str, number: u64) -> String {
+    format!("id: {number}\ndata: {{\"id\":\"chatcmpl-{request}\",\"n\":{number}}}\n\n")
+}
+
+const END: &str = "data: [DONE]\n\n";
+
+/// Feeds `bytes` in pieces of `piece` bytes and lists what each event came to.
+fn steps(bytes: &str, piece: usize, resume_at: Option<usize>) -> String {
+    let mut events = EventReader::new();
+    let mut sequence = Sequence::new(&RequestId::new("mine").unwrap());
+    let mut steps = Vec::new();
+    for piece in bytes.as_bytes().chunks(piece) {
+        events.push(piece);
+        loop {
+            match events.next_event() {
+                Ok(Some(event)) => {
+                    if resume_at == Some(steps.len()) {
+                        sequence.resume();
+                    }
+                    let step = sequence.accept(&event).map(|step| format!("{step:?}"));
+                    steps.push(step.unwrap_or_else(|err| err.message().to_string()));
+                }
+                Ok(None) => break,
+                Err(_) => return "oversized".into(),
+            }
+        }
+    }
+    let next = sequence.next();
+    steps.push(format!("next={next} whole={}", sequence.is_ended()));
+    steps.join(", ")
+}
+
+#[test]
+fn only_the_answers_own_parts_in_order_make_it_whole() {
+    let parts = |numbers: &[u64]| -> String { numbers.iter().map(|n| chunk("mine", *n)).collect() };
+    let whole = parts(&[0, 1, 2]) + END;
+    let cases = [
+        ("whole", whole.clone(), None),
+        ("cut", parts(&[0, 1]), None),
+        (
+            "cut within an event",
+            whole[..whole.len() - 1].to_string(),
+            None,
+        ),
+        ("foreign", parts(&[0]) + &chunk("other", 1) + END, None),
+        ("gap", parts(&[0, 2]), None),
+        (
+            "gap before the end",
+            parts(&[0]) + "id: 3\ndata: [DONE]\n\n",
+            None,
+        ),
+        ("out of order", parts(&[1, 0]), None),
+        ("repeated", parts(&[0, 0, 1]) + END, None),
+        ("after the end", parts(&[0]) + END + &chunk("mine", 1), None),
+        (
+            "no number",
+            "data: {\"id\":\"chatcmpl-mine\"}\n\n".into(),
+            None,
+        ),
+        ("no chunk", "id: 0\ndata: hello\n\n".into(), None),
+        ("resumed", parts(&[0, 1, 2]) + END, Some(2)),
+        ("resumed anew", parts(&[0, 1, 0]), Some(2)),
+    ];
+    let mut table = String::new();
+    for (name, bytes, resume_at) in cases {
+        let outcome = steps(&bytes, usize::MAX, resume_at);
+        assert_eq!(
+            outcome,
+            steps(&bytes, 1, resume_at),
+            "pieces change nothing"
+        );
+        table += &format!("{name}: {outcome}\n");
+    }
+    expect![[r#"
+        whole: Part, Part, Part, End, next=3 whole=true
+        cut: Part, Part, next=2 whole=false
+        cut within an event: Part, Part, Part, next=3 whole=false
+        foreign: Part, an event belongs to another request, an earlier event was refused, next=1 whole=false
+        gap: Part, an event is missing, next=1 whole=false
+        gap before the end: Part, an event is missing before the end, next=1 whole=false
+        out of order: an event is missing, an earlier event was refused, next=0 whole=false
+        repeated: Part, Repeated, Part, End, next=2 whole=true
+        after the end: Part, End, an event follows the end, next=1 whole=true
+        no number: an event has no number, next=0 whole=false
+        no chunk: an event is not a chunk, next=0 whole=false
+        resumed: Part, Part, Part, End, next=3 whole=true
+        resumed anew: Part, Part, the engine began another answer instead of resuming, next=2 whole=false
+    "#]].assert_eq(&table);
+}
+
+#[test]
+fn an_event_without_end_is_refused_at_the_limit() {
+    let just_fits = format!("data: {}", "x".repeat(MAX_EVENT - 6));
+    let too_large = format!("data: {}", "x".repeat(MAX_EVENT));
+    expect!["next=0 whole=false"].assert_eq(&steps(&just_fits, usize::MAX, None));
+    expect!["oversized"].assert_eq(&steps(&too_large, usize::MAX, None));
+}
--- /dev/null
+++ b/tests/support/http.rs
@@ -0,0 +1,115 @@
+//! A caller that shows an answer as it came over the wire, also a broken one.
+
+use std::{
+    collections::BTreeMap,
+    io::{Read, Write},
+    net::{SocketAddr, TcpStream},
+    time::Duration,
+};
+
+/// Longest silence of a router that a test bears.
+const READ_TIMEOUT: Duration = Duration::from_secs(60);
+
+/// An answer of a router.
+#[derive(Debug, Default)]
+pub struct Answer {
+    /// HTTP status; 0 when no head arrived.
+    pub status: u16,
+    pub headers: BTreeMap<String, String>,
+    pub body: String,
+    /// Whether the body ended as its framing says.
+    pub whole: bool,
+}
+
+impl Answer {
+    /// Returns the verdict header.
+    pub fn verdict(&self) -> &str {
+        self.headers
+            .get("ebonyspur-verdict")
+            .map_or("none", String::as_str)
+    }
+
+    /// Returns the `reason` of a refusal.
+    pub fn reason(&self) -> String {
+        let value: serde_json::Value = serde_json::from_str(&self.body).unwrap_or_default();
+        value["reason"].as_str().unwrap_or("none").to_string()
+    }
+}
+
+/// Sends a request on a connection of its own, without waiting for the answer.
+pub fn send(
+    address: SocketAddr,
+    method: &str,
+    path: &str,
+    headers: &[(&str, &str)],
+    body: &str,
+) -> Option<TcpStream> {
+    let mut stream = TcpStream::connect(address).ok()?;
+    let mut head = format!("{method} {path} HTTP/1.1\r\nhost: router\r\nconnection: close\r\n");
+    for (key, value) in headers {
+        head += &format!("{key}: {value}\r\n");
+    }
+    head += &format!("content-length: {}\r\n\r\n{body}", body.len());
+    stream.write_all(head.as_bytes()).ok()?;
+    Some(stream)
+}
+
+/// Reads the answer until the connection ends.
+pub fn read(mut stream: TcpStream) -> Answer {
+    stream
+        .set_read_timeout(Some(READ_TIMEOUT))
+        .expect("a timeout");
+    let mut bytes = Vec::new();
+    // A reset leaves what came before it.
+    let _ = stream.read_to_end(&mut bytes);
+    parse(&String::from_utf8_lossy(&bytes))
+}
+
+/// Sends a request and reads its answer.
+pub fn exchange(
+    address: SocketAddr,
+    method: &str,
+    path: &str,
+    headers: &[(&str, &str)],
+    body: &str,
+) -> Answer {
+    send(address, method, path, headers, body).map_or_else(Answer::default, read)
+}
+
+fn parse(text: &str) -> Answer {
+    let Some((head, rest)) = text.split_once("\r\n\r\n") else {
+        return Answer::default();
+    };
+    let mut lines = head.lines();
+    let status = lines.next().and_then(|line| line.split(' ').nth(1));
+    let pairs = lines.filter_map(|line| line.split_once(": "));
+    let headers: BTreeMap<_, _> = pairs
+        .map(|(key, value)| (key.to_ascii_lowercase(), value.to_string()))
+        .collect();
+    let (body, whole) = match headers.get("content-length") {
+        Some(len) => (rest.to_string(), len.parse() == Ok(rest.len())),
+        None => dechunk(rest),
+    };
+    Answer {
+        status: status.and_then(|text| text.parse().ok()).unwrap_or(0),
+        headers,
+        body,
+        whole,
+    }
+}
+
+fn dechunk(mut rest: &str) -> (String, bool) {
+    let mut body = String::new();
+    while let Some((len, tail)) = rest.split_once("\r\n") {
+        let len = usize::from_str_radix(len, 16).unwrap_or(usize::MAX);
+        if len == 0 {
+            return (body, true);
+        }
+        let Some(chunk) = tail.get(..len) else {
+            break;
+        };
+        body += chunk;
+        rest = tail.get(len + 2..).unwrap_or_default();
+    }
+    (body, false)
+}
--- a/tests/support/mod.rs
+++ b/tests/support/mod.rs
@@ -2,6 +2,8 @@
 
 #![allow(dead_code)]
 
+pub mod http;
+
 use std::{
     fs::File,
     net::{SocketAddr, TcpListener, UdpSocket},
