Detect failed routers by probes, and spread news within a byte budget

Cause: a router that had died kept its duties until the instance list said so, news went to one random router a tick, load sums were one for each router and never aged, and nothing limited the bytes.

Change: each router probes one random router every 600 ms, twice again through three others, then suspects it and tells it so; a suspect that does not refute within 4 s is dead and loses its duties. Refutation raises a number within the life; a later epoch always overrules an earlier one. News goes to three routers a tick, a number of times that grows with the logarithm of the fleet. One router of each failure domain sums up its domain's load; sums carry their age and stop counting after 5 s. All datagrams come out of a token bucket of 3000 bytes/s. Datagrams name their receiver, and are refused when old or seen before. A router cut off from the log and all others it knows takes no new work after 15 s.

--- a/src/config/task.rs
+++ b/src/config/task.rs
@@ -29,6 +29,7 @@
         Duration::ZERO
     };
     let page = cx.platform.log.read(STREAM, from, wait).await?;
+    cx.membership.heard_log(cx.clock.now());
     let records: Vec<_> = page.records.iter().map(decode).collect();
     let state = cx.config.apply(&records);
     if state.applied >= page.head {
--- a/src/inspect/metrics.rs
+++ b/src/inspect/metrics.rs
@@ -30,6 +30,8 @@
     pub answer_seconds: Histogram,
     /// Datagrams that were malformed or not sealed by a peer.
     pub datagrams_dropped: Counter<u64, AtomicU64>,
+    /// Bytes sent in datagrams to other routers, without headers.
+    pub datagram_bytes_sent: Counter<u64, AtomicU64>,
 }
 
 impl Metrics {
@@ -51,11 +53,19 @@
             "Datagrams that were malformed or not sealed by a peer",
             datagrams_dropped.clone(),
         );
+        let datagram_bytes_sent = Counter::default();
+        registry.register_with_unit(
+            "datagram_sent",
+            "Sent in datagrams to other routers, without headers",
+            Unit::Bytes,
+            datagram_bytes_sent.clone(),
+        );
         Metrics {
             registry,
             answers,
             answer_seconds,
             datagrams_dropped,
+            datagram_bytes_sent,
         }
     }
 
--- /dev/null
+++ b/src/membership/gossip.rs
@@ -0,0 +1,418 @@
+//! Decides what a router sends to others, and what it makes of what it receives.
+
+use std::{collections::BTreeMap, net::SocketAddr, sync::Arc, time::Duration};
+
+use rand::{seq::IteratorRandom, Rng, RngExt};
+
+use super::{
+    ByteBudget, Datagram, Epoch, Health, Kind, LoadSum, Peer, PoolLoad, Prober, Rumour,
+    RumourQueue, Step, View, MAX_DATAGRAM, OVERHEAD_BYTES,
+};
+use crate::{Incarnation, Instant, Offset, PoolName, RouterName, UnixMillis};
+
+/// Time between two ticks.
+pub const TICK: Duration = Duration::from_millis(200);
+
+/// Time between two ticks that shows that this router was paused.
+const PAUSE: Duration = Duration::from_millis(1_000);
+
+/// Routers that are asked to probe one that does not answer.
+const HELPERS: usize = 3;
+
+/// Routers that get the same news at once.
+const NEWS_FAN_OUT: usize = 3;
+
+/// One tick in so many also goes to a router that is believed dead.
+const TICKS_PER_DEAD: u32 = 5;
+
+/// Shortest time between two reports of the own load.
+const REPORT_PERIOD: Duration = Duration::from_millis(400);
+
+/// Time between two reports for each router of the domain, which spares the one they go to.
+const REPORT_PERIOD_PER_MEMBER: Duration = Duration::from_millis(50);
+
+/// Bytes of rumours on a probe or its answer.
+const PIGGYBACK_BYTES: usize = 160;
+
+/// Bytes kept back from gossip for probes and their answers.
+const PROBE_RESERVE_BYTES: usize = 1_000;
+
+/// The two clocks at one moment.
+#[derive(Debug, Clone, Copy, Default)]
+pub struct Moment {
+    /// Monotonic time.
+    pub now: Instant,
+    /// Wall time.
+    pub wall: UnixMillis,
+}
+
+/// What this router tells of itself.
+#[derive(Debug, Clone, Default)]
+pub struct OwnState {
+    /// Configuration offset applied.
+    pub config_head: Offset,
+    /// Load counted here by pool.
+    pub loads: BTreeMap<PoolName, PoolLoad>,
+    /// Whether it takes no new work.
+    pub leaving: bool,
+}
+
+/// A datagram to be sent.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Sending {
+    /// Where to.
+    pub to: SocketAddr,
+    /// The datagram.
+    pub datagram: Datagram,
+}
+
+/// The gossip of one router.
+#[derive(Debug)]
+pub struct Gossip {
+    me: RouterName,
+    epoch: Epoch,
+    sequence: u64,
+    prober: Prober,
+    news: RumourQueue,
+    budget: ByteBudget,
+    ticked: Option<Instant>,
+    report_due: Instant,
+    heard: Instant,
+    said_leaving: bool,
+    out: Vec<Sending>,
+}
+
+impl Gossip {
+    /// Creates the gossip of one life of router `me`.
+    pub fn new(me: RouterName, life: Incarnation) -> Self {
+        Gossip {
+            me,
+            epoch: Epoch { life, number: 0 },
+            sequence: 0,
+            prober: Prober::default(),
+            news: RumourQueue::new(),
+            budget: ByteBudget::new(Instant::default()),
+            ticked: None,
+            report_due: Instant::default(),
+            heard: Instant::default(),
+            said_leaving: false,
+            out: Vec::new(),
+        }
+    }
+
+    /// Returns when a datagram of another router last came in.
+    pub fn heard(&self) -> Instant {
+        self.heard
+    }
+
+    /// Returns what this router says of its own standing.
+    pub fn epoch(&self) -> Epoch {
+        self.epoch
+    }
+
+    /// Spreads news that this router was the first to learn.
+    pub fn spread(&mut self, rumour: Rumour) {
+        self.news.push(rumour);
+    }
+
+    /// Returns the datagrams that are due.
+    pub fn tick(
+        &mut self,
+        view: &mut View,
+        own: &OwnState,
+        at: Moment,
+        rng: &mut impl Rng,
+    ) -> Vec<Sending> {
+        self.notice_pause(view, at.now);
+        self.say_leaving(own);
+        for (name, epoch) in view.age(at.now) {
+            log::warn!("router dead name={name}");
+            self.spread_health(&name, epoch, Health::Dead);
+        }
+        self.probe(view, at, rng);
+        self.report(view, own, at);
+        self.spread_news(view, at, rng);
+        self.gossip(view, own, at, rng);
+        std::mem::take(&mut self.out)
+    }
+
+    /// After a pause, what is late is late because of this router.
+    fn notice_pause(&mut self, view: &mut View, now: Instant) {
+        let last = self.ticked.replace(now);
+        if last.is_some_and(|last| now.since(last) >= PAUSE) {
+            self.prober.forget();
+            view.restart_suspicions(now);
+        }
+    }
+
+    fn say_leaving(&mut self, own: &OwnState) {
+        if own.leaving && !self.said_leaving {
+            self.said_leaving = true;
+            self.news.push(Rumour::RouterLeaving {
+                name: self.me.clone(),
+                incarnation: self.epoch.life,
+            });
+        }
+    }
+
+    fn spread_health(&mut self, name: &RouterName, epoch: Epoch, health: Health) {
+        self.news.push(Rumour::Health {
+            name: name.clone(),
+            epoch,
+            health,
+        });
+    }
+
+    fn probe(&mut self, view: &mut View, at: Moment, rng: &mut impl Rng) {
+        match self.prober.step(at.now) {
+            Step::Nothing => {}
+            Step::Probe => {
+                let live = view.peers().filter(|peer| !view.is_dead(&peer.name));
+                if let Some(peer) = live.choose(rng).cloned() {
+                    let number = self.prober.start(&peer.name, at.now);
+                    self.send_with_news(view, &peer, Kind::Probe(number), at);
+                }
+            }
+            Step::ProbeAgain { target, number } => {
+                self.probe_again(view, &target, number, at, rng);
+            }
+            Step::Suspect(target) => self.suspect(view, &target, at),
+        }
+    }
+
+    fn probe_again(
+        &mut self,
+        view: &View,
+        target: &RouterName,
+        number: u32,
+        at: Moment,
+        rng: &mut impl Rng,
+    ) {
+        if let Some(peer) = view.peer(target).cloned() {
+            self.send_with_news(view, &peer, Kind::Probe(number), at);
+        }
+        let helpers = view.peers().filter(|peer| peer.name != *target);
+        let helpers = helpers.filter(|peer| !view.is_dead(&peer.name));
+        let helpers: Vec<_> = helpers.cloned().sample(rng, HELPERS);
+        for helper in helpers {
+            let target = target.clone();
+            let kind = Kind::ProbeFor { number, target };
+            self.send_with_news(view, &helper, kind, at);
+        }
+    }
+
+    /// Suspects a router, and tells it first of all, so that it can refute.
+    fn suspect(&mut self, view: &mut View, target: &RouterName, at: Moment) {
+        let epoch = view.standing(target).epoch;
+        if view.apply_health(target, epoch, Health::Suspect, at.now) {
+            log::info!("router suspected name={target}");
+            self.spread_health(target, epoch, Health::Suspect);
+        }
+        if let Some(peer) = view.peer(target).cloned() {
+            self.send_with_news(view, &peer, Kind::Gossip, at);
+        }
+    }
+
+    /// Tells the router that sums up this domain what is counted here.
+    fn report(&mut self, view: &mut View, own: &OwnState, at: Moment) {
+        if at.now < self.report_due {
+            return;
+        }
+        let members = view.domain_members().len() as u32;
+        self.report_due = at.now + REPORT_PERIOD.max(REPORT_PERIOD_PER_MEMBER * members);
+        let Some(peer) = view.own_summing_router().cloned() else {
+            return view.set_reported(BTreeMap::new());
+        };
+        let sum = self.sum(own.loads.clone());
+        if self.send(&peer, Kind::Report(sum), Vec::new(), 0, at) {
+            view.set_reported(own.loads.clone());
+        }
+    }
+
+    fn sum(&self, pools: BTreeMap<PoolName, PoolLoad>) -> LoadSum {
+        LoadSum {
+            router: self.me.clone(),
+            incarnation: self.epoch.life,
+            sequence: self.sequence,
+            age_ms: 0,
+            pools,
+        }
+    }
+
+    /// Sends news to several routers at once, so that it is everywhere within seconds.
+    fn spread_news(&mut self, view: &View, at: Moment, rng: &mut impl Rng) {
+        if self.news.is_empty() {
+            return;
+        }
+        let live = view.peers().filter(|peer| !view.is_dead(&peer.name));
+        let peers: Vec<_> = live.cloned().sample(rng, NEWS_FAN_OUT);
+        for peer in peers {
+            let room = self.room(&peer, PROBE_RESERVE_BYTES);
+            let rumours = self.news.take(room, view.peers().count());
+            if !rumours.is_empty() {
+                self.send(&peer, Kind::Gossip, rumours, PROBE_RESERVE_BYTES, at);
+            }
+        }
+    }
+
+    fn gossip(&mut self, view: &View, own: &OwnState, at: Moment, rng: &mut impl Rng) {
+        let to_dead = rng.random_ratio(1, TICKS_PER_DEAD);
+        let dead = view.peers().filter(|peer| view.is_dead(&peer.name));
+        let live = view.peers().filter(|peer| !view.is_dead(&peer.name));
+        let target = to_dead.then(|| dead.choose(rng)).flatten();
+        let Some(peer) = target.or_else(|| live.choose(rng)).cloned() else {
+            return;
+        };
+        let mut rumours = vec![Rumour::ConfigHead(own.config_head)];
+        let mut left = self.room(&peer, PROBE_RESERVE_BYTES);
+        for sum in self.load_sums(view, own, at.now) {
+            let rumour = Rumour::Load(sum);
+            if rumour.max_len() <= left {
+                left -= rumour.max_len();
+                rumours.push(rumour);
+            }
+        }
+        self.send(&peer, Kind::Gossip, rumours, PROBE_RESERVE_BYTES, at);
+    }
+
+    fn load_sums(&self, view: &View, own: &OwnState, now: Instant) -> Vec<LoadSum> {
+        let mut sums = view.recent_loads(now);
+        if view.own_summing_router().is_none() {
+            sums.insert(0, self.sum(view.domain_load(own.loads.clone())));
+        }
+        sums
+    }
+
+    /// Returns the room for rumours in a datagram to `peer`, besides the first one.
+    fn room(&self, peer: &Peer, reserve: usize) -> usize {
+        let first = vec![Rumour::ConfigHead(Offset(0))];
+        let empty = self.datagram(peer, Kind::Gossip, first, Moment::default());
+        let taken = empty.max_len() + OVERHEAD_BYTES;
+        let left = self.budget.left().saturating_sub(reserve);
+        left.min(MAX_DATAGRAM).saturating_sub(taken)
+    }
+
+    fn datagram(&self, to: &Peer, kind: Kind, rumours: Vec<Rumour>, at: Moment) -> Datagram {
+        Datagram {
+            from: self.me.clone(),
+            to: to.name.clone(),
+            epoch: self.epoch,
+            sequence: self.sequence,
+            sent: at.wall,
+            kind,
+            rumours,
+        }
+    }
+
+    fn send_with_news(&mut self, view: &View, peer: &Peer, kind: Kind, at: Moment) -> bool {
+        let room = PIGGYBACK_BYTES.min(self.room(peer, 0));
+        let rumours = self.news.take(room, view.peers().count());
+        self.send(peer, kind, rumours, 0, at)
+    }
+
+    /// Queues a datagram when the budget allows it; returns whether it did.
+    fn send(
+        &mut self,
+        peer: &Peer,
+        kind: Kind,
+        rumours: Vec<Rumour>,
+        reserve: usize,
+        at: Moment,
+    ) -> bool {
+        self.sequence += 1;
+        let datagram = self.datagram(peer, kind, rumours, at);
+        let len = datagram.max_len() + OVERHEAD_BYTES;
+        let allowed = self.budget.take(len, reserve, at.now);
+        if allowed {
+            let to = peer.peer_address;
+            self.out.push(Sending { to, datagram });
+        }
+        allowed
+    }
+
+    /// Merges a datagram and returns the answers to it.
+    pub fn receive(&mut self, view: &mut View, datagram: &Datagram, at: Moment) -> Vec<Sending> {
+        self.heard = at.now;
+        for rumour in &datagram.rumours {
+            self.merge(view, rumour, at.now);
+        }
+        let Some(sender) = view.peer(&datagram.from).cloned() else {
+            return Vec::new();
+        };
+        self.merge_sender(view, &sender, datagram.epoch, at);
+        self.answer(view, &sender, &datagram.kind, at);
+        std::mem::take(&mut self.out)
+    }
+
+    fn merge(&mut self, view: &mut View, rumour: &Rumour, now: Instant) {
+        match rumour {
+            Rumour::Health {
+                name,
+                epoch,
+                health,
+            } if *name == self.me => {
+                self.refute(*epoch, *health);
+            }
+            Rumour::Load(_) | Rumour::ConfigHead(_) => drop(view.apply_rumour(rumour, now)),
+            _ if view.apply_rumour(rumour, now) => self.news.push(rumour.clone()),
+            _ => {}
+        }
+    }
+
+    /// Raises the own number above one that is said to have failed.
+    fn refute(&mut self, epoch: Epoch, health: Health) {
+        if health == Health::Alive || epoch < self.epoch {
+            return;
+        }
+        self.epoch = Epoch {
+            life: epoch.life,
+            number: epoch.number + 1,
+        };
+        let me = self.me.clone();
+        self.spread_health(&me, self.epoch, Health::Alive);
+    }
+
+    /// A sender is alive; one that is said not to be is told so, and can refute.
+    fn merge_sender(&mut self, view: &mut View, sender: &Arc<Peer>, epoch: Epoch, at: Moment) {
+        let before = view.standing(&sender.name).health;
+        let news = view.apply_health(&sender.name, epoch, Health::Alive, at.now);
+        if news && before != Health::Alive {
+            self.spread_health(&sender.name, epoch, Health::Alive);
+        }
+        let standing = view.standing(&sender.name);
+        if standing.health != Health::Alive {
+            let rumour = Rumour::Health {
+                name: sender.name.clone(),
+                epoch: standing.epoch,
+                health: standing.health,
+            };
+            self.send(sender, Kind::Gossip, vec![rumour], 0, at);
+        }
+    }
+
+    fn answer(&mut self, view: &mut View, sender: &Arc<Peer>, kind: &Kind, at: Moment) {
+        match kind {
+            Kind::Gossip => {}
+            Kind::Report(sum) => drop(view.apply_report(sum, at.now)),
+            Kind::Probe(number) => {
+                self.send_with_news(view, sender, Kind::Ack(*number), at);
+            }
+            Kind::ProbeFor { number, target } => {
+                if let Some(target) = view.peer(target).cloned() {
+                    let number = self.prober.relay(&sender.name, *number);
+                    self.send_with_news(view, &target, Kind::Probe(number), at);
+                }
+            }
+            Kind::Ack(number) => {
+                let passed_on = self.prober.acknowledge(*number);
+                let asked_by = passed_on.and_then(|(name, number)| {
+                    let peer = view.peer(&name).cloned()?;
+                    Some((peer, number))
+                });
+                if let Some((peer, number)) = asked_by {
+                    self.send_with_news(view, &peer, Kind::Ack(number), at);
+                }
+            }
+        }
+    }
+}
--- /dev/null
+++ b/src/membership/state.rs
@@ -0,0 +1,102 @@
+//! What the tasks of a router share: the view, the gossip and the life cycle.
+
+use std::{
+    sync::{Mutex, MutexGuard},
+    time::Duration,
+};
+
+use super::{Gossip, Life, Phase, View};
+use crate::{platform::InstanceChanges, sync::lock, Incarnation, Instant, RouterName};
+
+/// Time without word from any other router and from the log, after which a router that
+/// has heard of others takes no new work.
+pub const ISOLATION_TIMEOUT: Duration = Duration::from_secs(15);
+
+/// The view and the life cycle of a router, shared by its tasks.
+#[derive(Debug)]
+pub struct Membership {
+    view: Mutex<View>,
+    gossip: Mutex<Gossip>,
+    phase: Mutex<Option<Phase>>,
+    log_heard: Mutex<Instant>,
+}
+
+impl Membership {
+    /// Creates the state of a router that has just started.
+    pub fn new(me: RouterName, life: Incarnation) -> Self {
+        Membership {
+            view: Mutex::new(View::new(me.clone())),
+            gossip: Mutex::new(Gossip::new(me, life)),
+            phase: Mutex::new(Some(Phase::Starting(Life::new()))),
+            log_heard: Mutex::default(),
+        }
+    }
+
+    /// Locks the view for a short, await-free use.
+    pub fn view(&self) -> MutexGuard<'_, View> {
+        lock(&self.view)
+    }
+
+    /// Locks the gossip for a short, await-free use; it is locked before the view.
+    pub fn gossip(&self) -> MutexGuard<'_, Gossip> {
+        lock(&self.gossip)
+    }
+
+    /// Notes an answer of the log service.
+    pub fn heard_log(&self, now: Instant) {
+        *lock(&self.log_heard) = now;
+    }
+
+    /// Returns whether the router is cut off from the log and from all routers it knows.
+    ///
+    /// A router that knows no other cannot tell, and is never isolated.
+    pub fn is_isolated(&self, now: Instant) -> bool {
+        let heard = lock(&self.gossip).heard().max(*lock(&self.log_heard));
+        now.since(heard) >= ISOLATION_TIMEOUT && self.view().peers().next().is_some()
+    }
+
+    /// The configuration is known.
+    pub fn config_caught_up(&self) {
+        self.advance(Phase::config_known);
+        if self.view().is_listed() {
+            self.advance(Phase::instances_known);
+        }
+    }
+
+    /// Merges changes of the instance list.
+    pub fn apply_instances(&self, changes: InstanceChanges) {
+        self.view().apply_instances(changes);
+        self.advance(Phase::instances_known);
+    }
+
+    /// The router was asked to stop.
+    pub fn leave(&self) {
+        self.advance(Phase::stop);
+    }
+
+    fn advance(&self, step: impl FnOnce(Phase) -> Phase) {
+        let mut phase = lock(&self.phase);
+        let before = phase.take().expect("a phase between steps");
+        let name = before.as_str();
+        let after = step(before);
+        if after.as_str() != name {
+            log::info!("router phase={}", after.as_str());
+        }
+        *phase = Some(after);
+    }
+
+    /// Returns the name of the phase.
+    pub fn phase(&self) -> &'static str {
+        lock(&self.phase).as_ref().map_or("starting", Phase::as_str)
+    }
+
+    /// Returns whether the configuration is known.
+    pub fn is_caught_up(&self) -> bool {
+        !matches!(*lock(&self.phase), Some(Phase::Starting(_)))
+    }
+
+    /// Returns whether new requests are taken.
+    pub fn is_serving(&self) -> bool {
+        matches!(*lock(&self.phase), Some(Phase::Serving(_)))
+    }
+}
--- a/src/membership/task.rs
+++ b/src/membership/task.rs
@@ -1,29 +1,24 @@
 //! The tasks of membership: follow the instance list, send and receive datagrams.
 
-use std::{collections::BTreeMap, net::SocketAddr, sync::Arc, time::Duration};
+use std::{sync::Arc, time::Duration};
 
-use rand::{seq::IteratorRandom, Rng, SeedableRng};
+use rand::SeedableRng;
 use rand_pcg::Pcg64Mcg;
 use tokio::net::UdpSocket;
 
-use super::{Datagram, LoadSum, Rumour, MAX_DATAGRAM};
+use super::{Datagram, Moment, OwnState, Rumour, Sending, MAX_DATAGRAM, TICK};
 use crate::{
-    peer::{Purpose, Sealer},
-    Result, Router,
+    peer::{Purpose, Replays, Sealer},
+    platform::{Instance, InstanceKind, InstanceState},
+    EngineName, Incarnation, Result, Router,
 };
 
 /// Longest time the instance list may hold back an empty answer.
 const POLL_WAIT: Duration = Duration::from_secs(10);
 
-/// Pause after a failed read of the instance list.
+/// Pause after a failed read of the instance list or of a socket.
 const RETRY_PAUSE: Duration = Duration::from_millis(500);
 
-/// Time between two datagrams.
-const GOSSIP_PERIOD: Duration = Duration::from_millis(200);
-
-/// Most load sums of other routers in one datagram.
-const RELAYED_LOADS: usize = 8;
-
 /// Follows the instance list until the task is dropped.
 pub async fn follow_instances(cx: Arc<Router>) {
     loop {
@@ -41,93 +36,119 @@
     };
     let wait = if listed { POLL_WAIT } else { Duration::ZERO };
     let changes = cx.platform.instances.changes(since, wait).await?;
+    let leaving = |instance: &&Instance| {
+        instance.kind != InstanceKind::Router && instance.state == InstanceState::Leaving
+    };
+    for instance in changes.instances.iter().filter(leaving) {
+        if let Ok(name) = EngineName::new(&instance.name) {
+            cx.engine_leaves(&name, instance.incarnation);
+        }
+    }
     cx.membership.apply_instances(changes);
     Ok(())
 }
 
-/// Sends one datagram a period to a random router.
+/// Sends what is due, one tick after the other.
 pub async fn gossip(cx: Arc<Router>, socket: Arc<UdpSocket>) {
     let sealer = Sealer::new(&cx.settings.peer_keys, Purpose::Datagram);
     let mut rng = Pcg64Mcg::seed_from_u64(cx.incarnation.0);
-    let mut sequence = 0;
-    let mut period = tokio::time::interval(GOSSIP_PERIOD);
+    let mut period = tokio::time::interval(TICK);
+    period.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
     loop {
         period.tick().await;
-        sequence += 1;
-        let Some(to) = random_peer(&cx, &mut rng) else {
-            continue;
-        };
-        let datagram = compose(&cx, sequence);
-        if let Err(err) = send(&socket, &sealer, to, &datagram).await {
-            log::debug!("datagram not sent to={to} error=\"{err}\"");
-        }
+        let due = cx.tick_gossip(&mut rng);
+        send_all(&cx, &socket, &sealer, due).await;
     }
 }
 
-fn random_peer(cx: &Router, rng: &mut impl Rng) -> Option<SocketAddr> {
-    let view = cx.membership.view();
-    let peer = view.peers().choose(rng)?;
-    Some(peer.peer_address)
-}
+impl Router {
+    fn tick_gossip(&self, rng: &mut Pcg64Mcg) -> Vec<Sending> {
+        let own = OwnState {
+            config_head: self.config.current().applied,
+            loads: self.steward.loads(),
+            leaving: self.membership.phase() == "leaving",
+        };
+        let at = self.moment();
+        let mut gossip = self.membership.gossip();
+        gossip.tick(&mut self.membership.view(), &own, at, rng)
+    }
 
-fn compose(cx: &Router, sequence: u64) -> Datagram {
-    let mut rumours = vec![Rumour::ConfigHead(cx.config.current().applied)];
-    if cx.membership.phase() == "leaving" {
-        rumours.push(Rumour::RouterLeaving {
-            name: cx.settings.name.clone(),
-            incarnation: cx.incarnation,
-        });
+    fn moment(&self) -> Moment {
+        Moment {
+            now: self.clock.now(),
+            wall: self.clock.wall(),
+        }
     }
-    rumours.push(Rumour::Load(own_load(cx, sequence)));
-    let relayed = cx.membership.view().recent_loads(RELAYED_LOADS);
-    rumours.extend(relayed.into_iter().map(Rumour::Load));
-    Datagram {
-        from: cx.settings.name.clone(),
-        incarnation: cx.incarnation,
-        sequence,
-        rumours,
+
+    /// Notes that a life of an engine takes no new work, and tells the other routers.
+    pub fn engine_leaves(&self, name: &EngineName, incarnation: Incarnation) {
+        let mut gossip = self.membership.gossip();
+        if self.membership.view().engine_leaves(name, incarnation) {
+            let name = name.clone();
+            gossip.spread(Rumour::EngineLeaving { name, incarnation });
+        }
     }
 }
 
-fn own_load(cx: &Router, sequence: u64) -> LoadSum {
-    let pools: BTreeMap<_, _> = cx.steward.loads();
-    LoadSum {
-        router: cx.settings.name.clone(),
-        incarnation: cx.incarnation,
-        sequence,
-        pools,
+async fn send_all(cx: &Router, socket: &UdpSocket, sealer: &Sealer, due: Vec<Sending>) {
+    for Sending { to, datagram } in due {
+        match send(socket, sealer, to, &datagram).await {
+            Ok(len) => drop(cx.metrics.datagram_bytes_sent.inc_by(len as u64)),
+            Err(err) => log::debug!("datagram not sent to={to} error=\"{err}\""),
+        }
     }
 }
 
 async fn send(
     socket: &UdpSocket,
     sealer: &Sealer,
-    to: SocketAddr,
+    to: std::net::SocketAddr,
     datagram: &Datagram,
-) -> std::io::Result<()> {
+) -> std::io::Result<usize> {
     let payload = postcard::to_stdvec(datagram).map_err(std::io::Error::other)?;
     let sealed = sealer.seal(&payload);
     if sealed.len() > MAX_DATAGRAM {
         return Err(std::io::Error::other("datagram too large"));
     }
-    socket.send_to(&sealed, to).await.map(drop)
+    socket.send_to(&sealed, to).await
 }
 
 /// Receives datagrams until the task is dropped; unreadable ones are counted and dropped.
 pub async fn receive(cx: Arc<Router>, socket: Arc<UdpSocket>) {
     let sealer = Sealer::new(&cx.settings.peer_keys, Purpose::Datagram);
+    let mut replays = Replays::default();
     let mut buf = [0; MAX_DATAGRAM];
     loop {
-        let Ok((len, from)) = socket.recv_from(&mut buf).await else {
+        let (len, from) = match socket.recv_from(&mut buf).await {
+            Ok(received) => received,
+            Err(err) => {
+                log::warn!("datagrams unreadable error=\"{err}\"");
+                tokio::time::sleep(RETRY_PAUSE).await;
+                continue;
+            }
+        };
+        let datagram = open(&sealer, &buf[..len]);
+        let datagram = datagram.filter(|datagram| cx.accepts(datagram, &mut replays));
+        let Some(datagram) = datagram else {
+            log::debug!("datagram dropped from={from}");
+            cx.metrics.datagrams_dropped.inc();
             continue;
         };
-        match open(&sealer, &buf[..len]) {
-            Some(datagram) => cx.membership.receive(&datagram, cx.clock.now()),
-            None => {
-                log::debug!("datagram dropped from={from}");
-                cx.metrics.datagrams_dropped.inc();
-            }
-        }
+        let answers = cx.merge_datagram(&datagram);
+        send_all(&cx, &socket, &sealer, answers).await;
+    }
+}
+
+impl Router {
+    fn accepts(&self, datagram: &Datagram, replays: &mut Replays) -> bool {
+        let wall = self.clock.wall();
+        datagram.to == self.settings.name && replays.accept(datagram, wall)
+    }
+
+    fn merge_datagram(&self, datagram: &Datagram) -> Vec<Sending> {
+        let at = self.moment();
+        let mut gossip = self.membership.gossip();
+        gossip.receive(&mut self.membership.view(), datagram, at)
     }
 }
 
--- a/src/membership/view.rs
+++ b/src/membership/view.rs
@@ -1,15 +1,15 @@
 //! What this router believes about the others.
 
 use std::{
-    collections::BTreeMap,
+    collections::{BTreeMap, BTreeSet},
     net::SocketAddr,
-    sync::{Arc, Mutex, MutexGuard},
+    sync::Arc,
 };
 
-use super::{Datagram, Life, LoadSum, Phase, PoolLoad, Rumour};
+use super::{Epoch, Health, LoadSum, LoadSums, PoolLoad, Rumour, Standing, Standings};
 use crate::{
+    placement,
     platform::{Instance, InstanceChanges, InstanceKind, InstanceState},
-    sync::lock,
     DomainName, EngineName, Incarnation, Instant, Offset, PoolName, RouterName,
 };
 
@@ -55,10 +55,23 @@
     listed: bool,
     engines: BTreeMap<EngineName, Arc<Engine>>,
     peers: BTreeMap<RouterName, Arc<Peer>>,
-    loads: BTreeMap<RouterName, (LoadSum, Instant)>,
+    standings: Standings,
+    /// Lives of engines that were said to leave, also of those not listed yet.
+    left_engines: BTreeMap<EngineName, Incarnation>,
+    /// Loads of failure domains, by the router that sums them up.
+    loads: LoadSums,
+    /// Loads of the routers of this domain, when this router sums them up.
+    reports: LoadSums,
+    /// Own load that the sum of this domain includes, when another router sums it up.
+    reported: BTreeMap<PoolName, PoolLoad>,
+    /// Router that sums up this domain, when it is another one.
+    summing: Option<RouterName>,
     config_head: Offset,
 }
 
+/// Most lives of engines that are remembered as leaving.
+const MAX_LEFT_ENGINES: usize = 1_024;
+
 impl View {
     /// Creates an empty view of router `me`.
     pub fn new(me: RouterName) -> Self {
@@ -68,7 +81,12 @@
             listed: false,
             engines: BTreeMap::new(),
             peers: BTreeMap::new(),
-            loads: BTreeMap::new(),
+            standings: Standings::default(),
+            left_engines: BTreeMap::new(),
+            loads: LoadSums::default(),
+            reports: LoadSums::default(),
+            reported: BTreeMap::new(),
+            summing: None,
             config_head: Offset(0),
         }
     }
@@ -92,12 +110,15 @@
         let listed = |name: &str| instances.iter().any(|instance| instance.name == name);
         self.engines.retain(|name, _| listed(name.as_str()));
         self.peers.retain(|name, _| listed(name.as_str()));
+        self.standings.retain(|name| listed(name.as_str()));
     }
 
     fn remove(&mut self, name: &str) {
         self.engines.remove(name);
         self.peers.remove(name);
         self.loads.remove(name);
+        self.reports.remove(name);
+        self.standings.retain(|known| known.as_str() != name);
     }
 
     fn put(&mut self, instance: Instance) {
@@ -114,9 +135,7 @@
         let Some(peer_address) = instance.peer_address else {
             return;
         };
-        let known = self.peers.get(&name);
-        let said_leaving =
-            known.is_some_and(|peer| peer.leaving && peer.incarnation == instance.incarnation);
+        let said_leaving = self.standings.get(&name).is_leaving();
         let peer = Peer {
             name: name.clone(),
             address: instance.address,
@@ -132,9 +151,7 @@
         let (Ok(name), Some(pool)) = (EngineName::new(&instance.name), instance.pool) else {
             return;
         };
-        let known = self.engines.get(&name);
-        let said_leaving = known
-            .is_some_and(|engine| engine.leaving && engine.incarnation == instance.incarnation);
+        let said_leaving = self.left_engines.get(&name) == Some(&instance.incarnation);
         let engine = Engine {
             name: name.clone(),
             pool,
@@ -152,6 +169,11 @@
             Rumour::Load(sum) => self.apply_load(sum, now),
             Rumour::EngineLeaving { name, incarnation } => self.engine_leaves(name, *incarnation),
             Rumour::RouterLeaving { name, incarnation } => self.router_leaves(name, *incarnation),
+            Rumour::Health {
+                name,
+                epoch,
+                health,
+            } => self.apply_health(name, *epoch, *health, now),
             Rumour::ConfigHead(head) => {
                 let news = *head > self.config_head;
                 self.config_head = self.config_head.max(*head);
@@ -161,39 +183,142 @@
     }
 
     fn apply_load(&mut self, sum: &LoadSum, now: Instant) -> bool {
-        if sum.router == self.me || !self.peers.contains_key(&sum.router) {
+        sum.router != self.me && self.sums_up(&sum.router) && self.loads.merge(sum, now)
+    }
+
+    /// Merges what is said of the health of a listed router; returns whether that was news.
+    pub fn apply_health(
+        &mut self,
+        name: &RouterName,
+        epoch: Epoch,
+        health: Health,
+        now: Instant,
+    ) -> bool {
+        if *name == self.me || !self.peers.contains_key(name) {
             return false;
         }
-        let known = self.loads.get(&sum.router);
-        let order = |sum: &LoadSum| (sum.incarnation, sum.sequence);
-        if known.is_some_and(|(known, _)| order(known) >= order(sum)) {
-            return false;
+        let news = self.standings.merge(name, epoch, health, now);
+        if news {
+            self.update_leaving(name);
+        }
+        news
+    }
+
+    /// A new life of a router takes work again, whatever its last life has said.
+    fn update_leaving(&mut self, name: &RouterName) {
+        let standing = self.standings.get(name);
+        let Some(peer) = self.peers.get_mut(name) else {
+            return;
+        };
+        let restarted = standing.left.is_some() && !standing.is_leaving();
+        let leaving = standing.is_leaving() || (peer.leaving && !restarted);
+        if peer.leaving != leaving {
+            Arc::make_mut(peer).leaving = leaving;
         }
-        self.loads.insert(sum.router.clone(), (sum.clone(), now));
-        true
     }
 
     /// Marks one life of an engine as leaving; returns whether that was news.
     pub fn engine_leaves(&mut self, name: &EngineName, incarnation: Incarnation) -> bool {
-        let Some(engine) = self.engines.get_mut(name) else {
-            return false;
-        };
-        if engine.leaving || engine.incarnation != incarnation {
+        let known = self.left_engines.get(name);
+        if known.is_some_and(|known| *known >= incarnation) {
             return false;
         }
-        Arc::make_mut(engine).leaving = true;
+        if self.left_engines.len() >= MAX_LEFT_ENGINES {
+            self.left_engines.pop_first();
+        }
+        self.left_engines.insert(name.clone(), incarnation);
+        let engine = self.engines.get_mut(name);
+        if let Some(engine) = engine.filter(|engine| engine.incarnation == incarnation) {
+            Arc::make_mut(engine).leaving = true;
+        }
         true
     }
 
-    fn router_leaves(&mut self, name: &RouterName, incarnation: Incarnation) -> bool {
-        let Some(peer) = self.peers.get_mut(name) else {
-            return false;
-        };
-        if peer.leaving || peer.incarnation > incarnation {
+    fn router_leaves(&mut self, name: &RouterName, life: Incarnation) -> bool {
+        if !self.peers.contains_key(name) {
             return false;
         }
-        Arc::make_mut(peer).leaving = true;
-        true
+        let news = self.standings.leave(name, life);
+        self.update_leaving(name);
+        news
+    }
+
+    /// Returns what is believed of a router.
+    pub fn standing(&self, name: &RouterName) -> Standing {
+        self.standings.get(name)
+    }
+
+    /// Ages what was heard: late suspects are dead, old loads no longer count.
+    ///
+    /// Returns the routers that are dead from now on.
+    pub fn age(&mut self, now: Instant) -> Vec<(RouterName, Epoch)> {
+        let dead = self.standings.bury(now);
+        let sums = std::mem::take(&mut self.loads);
+        self.loads = self.without_stale(sums, now);
+        let members = self.domain_members();
+        self.reports.expire(now, |name| members.contains(name));
+        self.summing = self.own_summing_router().map(|peer| peer.name.clone());
+        dead
+    }
+
+    fn without_stale(&self, mut sums: LoadSums, now: Instant) -> LoadSums {
+        sums.expire(now, |name| self.sums_up(name));
+        sums
+    }
+
+    /// Gives all suspects their time again, after this router has been paused.
+    pub fn restart_suspicions(&mut self, now: Instant) {
+        self.standings.restart_suspicions(now);
+    }
+
+    /// Returns whether `name` is the router that sums up the load of its failure domain.
+    fn sums_up(&self, name: &RouterName) -> bool {
+        let domain = self.peers.get(name).map(|peer| &peer.domain);
+        domain.is_some_and(|domain| self.summing_router(domain) == Some(name))
+    }
+
+    fn summing_router(&self, domain: &DomainName) -> Option<&RouterName> {
+        let within = |name: &&RouterName| {
+            let peer = self.peers.get(*name);
+            peer.is_some_and(|peer| peer.domain == *domain)
+        };
+        placement::first(domain.as_str(), self.duty_routers().filter(within))
+    }
+
+    /// Returns the routers on duty in the failure domain of this one, itself included.
+    pub fn domain_members(&self) -> BTreeSet<RouterName> {
+        let Some(me) = self.peers.get(&self.me) else {
+            return BTreeSet::new();
+        };
+        let peers = self.duty_routers().filter_map(|name| self.peers.get(name));
+        let within = peers.filter(|peer| peer.domain == me.domain);
+        within.map(|peer| peer.name.clone()).collect()
+    }
+
+    /// Returns the router that sums up this domain, `None` when this router does.
+    pub fn own_summing_router(&self) -> Option<&Arc<Peer>> {
+        let me = self.peers.get(&self.me)?;
+        let name = self.summing_router(&me.domain)?;
+        self.peers.get(name).filter(|peer| peer.name != self.me)
+    }
+
+    /// Takes the report of a router whose domain this one sums up.
+    pub fn apply_report(&mut self, sum: &LoadSum, now: Instant) -> bool {
+        sum.router != self.me && self.reports.merge(sum, now)
+    }
+
+    /// Notes which own load has been reported for the sum of the domain.
+    pub fn set_reported(&mut self, pools: BTreeMap<PoolName, PoolLoad>) {
+        self.reported = pools;
+    }
+
+    /// Returns the load of this domain: `own` and what was reported.
+    pub fn domain_load(
+        &self,
+        mut own: BTreeMap<PoolName, PoolLoad>,
+    ) -> BTreeMap<PoolName, PoolLoad> {
+        self.reports.add_to(&mut own);
+        own
     }
 
     /// Returns the version of the instance list that is merged.
@@ -235,32 +360,30 @@
 
     /// Returns the names of the routers that share the duties: live ones and this one.
     pub fn duty_routers(&self) -> impl Iterator<Item = &RouterName> {
-        let others = self
-            .peers()
-            .filter(|peer| !peer.leaving)
-            .map(|peer| &peer.name);
+        let on_duty = |peer: &&Arc<Peer>| !peer.leaving && !self.is_dead(&peer.name);
+        let others = self.peers().filter(on_duty).map(|peer| &peer.name);
         others.chain(std::iter::once(&self.me))
     }
 
-    /// Returns the load of `pool` that other routers last reported.
+    /// Returns whether a router is believed to have failed.
+    pub fn is_dead(&self, name: &RouterName) -> bool {
+        self.standings.get(name).health == Health::Dead
+    }
+
+    /// Returns the load of `pool` at the other routers, as last reported.
     pub fn reported_load(&self, pool: &PoolName) -> PoolLoad {
-        let mut total = PoolLoad::default();
-        for (sum, _) in self.loads.values() {
-            let load = sum.pools.get(pool).copied().unwrap_or_default();
-            total.in_flight += load.in_flight;
-            total.engines += load.engines;
+        let mut total = self.loads.total(pool);
+        total.add(self.reports.total(pool));
+        let summing = self.summing.as_ref();
+        if summing.is_some_and(|name| self.loads.contains(name)) {
+            total.subtract(self.reported.get(pool).copied().unwrap_or_default());
         }
         total
     }
 
-    /// Returns up to `count` load sums to pass on, the most recently heard first.
-    pub fn recent_loads(&self, count: usize) -> Vec<LoadSum> {
-        let mut sums: Vec<_> = self.loads.values().collect();
-        sums.sort_by_key(|(_, heard)| std::cmp::Reverse(*heard));
-        sums.into_iter()
-            .take(count)
-            .map(|(sum, _)| sum.clone())
-            .collect()
+    /// Returns the load sums of the failure domains as they are sent on, the youngest first.
+    pub fn recent_loads(&self, now: Instant) -> Vec<LoadSum> {
+        self.loads.recent(now)
     }
 
     /// Returns the highest configuration offset heard of.
@@ -268,78 +391,3 @@
         self.config_head
     }
 }
-
-/// The view and the life cycle of a router, shared by its tasks.
-#[derive(Debug)]
-pub struct Membership {
-    view: Mutex<View>,
-    phase: Mutex<Option<Phase>>,
-}
-
-impl Membership {
-    /// Creates the state of a router that has just started.
-    pub fn new(me: RouterName) -> Self {
-        Membership {
-            view: Mutex::new(View::new(me)),
-            phase: Mutex::new(Some(Phase::Starting(Life::new()))),
-        }
-    }
-
-    /// Locks the view for a short, await-free use.
-    pub fn view(&self) -> MutexGuard<'_, View> {
-        lock(&self.view)
-    }
-
-    /// Merges a datagram.
-    pub fn receive(&self, datagram: &Datagram, now: Instant) {
-        let mut view = self.view();
-        for rumour in &datagram.rumours {
-            view.apply_rumour(rumour, now);
-        }
-    }
-
-    /// The configuration is known.
-    pub fn config_caught_up(&self) {
-        self.advance(Phase::config_known);
-        if self.view().is_listed() {
-            self.advance(Phase::instances_known);
-        }
-    }
-
-    /// Merges changes of the instance list.
-    pub fn apply_instances(&self, changes: InstanceChanges) {
-        self.view().apply_instances(changes);
-        self.advance(Phase::instances_known);
-    }
-
-    /// The router was asked to stop.
-    pub fn leave(&self) {
-        self.advance(Phase::stop);
-    }
-
-    fn advance(&self, step: impl FnOnce(Phase) -> Phase) {
-        let mut phase = lock(&self.phase);
-        let before = phase.take().expect("a phase between steps");
-        let name = before.as_str();
-        let after = step(before);
-        if after.as_str() != name {
-            log::info!("router phase={}", after.as_str());
-        }
-        *phase = Some(after);
-    }
-
-    /// Returns the name of the phase.
-    pub fn phase(&self) -> &'static str {
-        lock(&self.phase).as_ref().map_or("starting", Phase::as_str)
-    }
-
-    /// Returns whether the configuration is known.
-    pub fn is_caught_up(&self) -> bool {
-        !matches!(*lock(&self.phase), Some(Phase::Starting(_)))
-    }
-
-    /// Returns whether new requests are taken.
-    pub fn is_serving(&self) -> bool {
-        matches!(*lock(&self.phase), Some(Phase::Serving(_)))
-    }
-}
--- a/src/peer/mod.rs
+++ b/src/peer/mod.rs
@@ -6,6 +6,7 @@
 mod client;
 mod frame;
 mod message;
+mod replay;
 mod seal;
 mod server;
 
@@ -13,6 +14,7 @@
     client::Peers,
     frame::{read_frame, write_frame, MAX_FRAME},
     message::{Call, Reply, Request},
+    replay::{Replays, FRESHNESS, MAX_SENDERS},
     seal::{Purpose, Sealer, SEAL_LEN},
     server::serve,
 };
--- a/src/router.rs
+++ b/src/router.rs
@@ -78,7 +78,7 @@
             incarnation,
             clock,
             config: Config::default(),
-            membership: Membership::new(settings.name.clone()),
+            membership: Membership::new(settings.name.clone(), incarnation),
             steward: Steward::default(),
             admission: Arc::default(),
             once: Once::new(),
@@ -138,12 +138,18 @@
     ///
     /// # Errors
     ///
-    /// Returns [`Category::NotServing`] while the router starts or leaves.
+    /// Returns [`Category::NotServing`] while the router starts, leaves or is isolated.
     pub fn check_serving(&self) -> Result<()> {
-        if self.membership.is_serving() {
+        let isolated = self.membership.is_isolated(self.clock.now());
+        if self.membership.is_serving() && !isolated {
             return Ok(());
         }
-        let message = format!("the router is {}", self.membership.phase());
+        let phase = if isolated {
+            "isolated"
+        } else {
+            self.membership.phase()
+        };
+        let message = format!("the router is {phase}");
         let err = Error::not_run(Category::NotServing, message);
         Err(err.with_retry_after(NOT_SERVING_DELAY))
     }
--- /dev/null
+++ b/tests/membership/budget.rs
@@ -0,0 +1,63 @@
+//! The byte budget and the bounded memories.
+
+use std::time::Duration;
+
+use ebonyspur::{
+    membership::{
+        ByteBudget, Rumour, RumourQueue, View, DATAGRAM_BYTES_PER_SECOND, MAX_BURST_BYTES,
+        MAX_RUMOURS,
+    },
+    Incarnation, Instant,
+};
+
+use crate::network::{engine, router};
+
+#[test]
+fn the_budget_allows_a_burst_and_then_its_rate() {
+    let mut budget = ByteBudget::new(Instant::default());
+    let mut sent = 0;
+    for tick in 0..100 {
+        let now = Instant::default() + Duration::from_millis(100) * tick;
+        while budget.take(100, 0, now) {
+            sent += 100;
+        }
+    }
+    let allowed = MAX_BURST_BYTES + DATAGRAM_BYTES_PER_SECOND * 99 / 10;
+    assert!(
+        (allowed - 100..=allowed).contains(&sent),
+        "{sent} of {allowed}"
+    );
+}
+
+fn leaving(number: usize) -> Rumour {
+    let (name, incarnation) = (engine(number), Incarnation(1));
+    Rumour::EngineLeaving { name, incarnation }
+}
+
+#[test]
+fn each_rumour_is_sent_a_number_of_times_that_grows_with_the_logarithm() {
+    let sends = [16, 64, 256].map(|fleet| {
+        let mut queue = RumourQueue::new();
+        queue.push(leaving(1));
+        let mut sends = 0;
+        while !queue.take(1_000, fleet).is_empty() {
+            sends += 1;
+        }
+        sends
+    });
+    assert_eq!(sends, [20, 28, 36]);
+}
+
+#[test]
+fn the_memory_of_rumours_is_bounded() {
+    let mut queue = RumourQueue::new();
+    let mut view = View::new(router(0));
+    for number in 0..10 * MAX_RUMOURS {
+        queue.push(leaving(number));
+        view.apply_rumour(&leaving(number), Instant::default());
+        assert!(queue.len() <= MAX_RUMOURS);
+    }
+    queue.push(leaving(1));
+    queue.push(leaving(1));
+    assert_eq!(queue.len(), MAX_RUMOURS);
+}
--- /dev/null
+++ b/tests/membership/network.rs
@@ -0,0 +1,294 @@
+//! Routers and the network between them, in virtual time.
+
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    net::SocketAddr,
+    time::Duration,
+};
+
+use ebonyspur::{
+    membership::{
+        Datagram, Gossip, Moment, OwnState, PoolLoad, Sending, View, DATAGRAM_BYTES_PER_SECOND,
+        MAX_BURST_BYTES, MAX_DATAGRAM, OVERHEAD_BYTES, TICK,
+    },
+    platform::{Instance, InstanceChanges, InstanceKind, InstanceState},
+    DomainName, EngineName, Incarnation, Instant, PoolName, RouterName, UnixMillis,
+};
+use rand::{RngExt, SeedableRng};
+use rand_pcg::Pcg64Mcg;
+
+/// Virtual time between two steps.
+pub const STEP: Duration = Duration::from_millis(20);
+
+/// Most datagrams that wait for a paused router.
+const MAX_BACKLOG: usize = 100;
+
+/// One router.
+#[derive(Debug)]
+pub struct Node {
+    pub gossip: Gossip,
+    pub view: View,
+    pub own: OwnState,
+    pub up: bool,
+    pub paused: bool,
+    pub side: u8,
+    pub bytes: u64,
+    lives: u64,
+    excess: f64,
+    rng: Pcg64Mcg,
+}
+
+/// All routers, and the datagrams under way.
+#[derive(Debug)]
+pub struct Network {
+    pub now: Instant,
+    pub nodes: Vec<Node>,
+    /// Share of the datagrams that are lost, in percent.
+    pub loss: u32,
+    /// Longest time under way, in milliseconds.
+    pub latency: u64,
+    pub domains: usize,
+    under_way: Vec<(Instant, usize, Datagram)>,
+    rng: Pcg64Mcg,
+}
+
+pub fn router(number: usize) -> RouterName {
+    RouterName::new(&format!("router-{number:03}")).expect("a valid name")
+}
+
+pub fn pool() -> PoolName {
+    PoolName::new("planners").expect("a valid name")
+}
+
+pub fn engine(number: usize) -> EngineName {
+    EngineName::new(&format!("engine-{number}")).expect("a valid name")
+}
+
+/// Returns the instance list of a fleet: its routers and four engines.
+pub fn instances(routers: usize, domains: usize) -> Vec<Instance> {
+    let instance = |name: String, kind, number, domain: usize| Instance {
+        name,
+        kind,
+        pool: (kind == InstanceKind::Engine).then(pool),
+        address: address(number),
+        peer_address: (kind == InstanceKind::Router).then(|| address(number)),
+        failure_domain: DomainName::new(&format!("d{domain}")).expect("a valid name"),
+        state: InstanceState::Live,
+        incarnation: Incarnation(5),
+    };
+    let routers = (0..routers).map(|number| {
+        let name = router(number).to_string();
+        instance(name, InstanceKind::Router, number, number % domains)
+    });
+    let engines = (0..4).map(|number| {
+        let name = engine(number).to_string();
+        instance(name, InstanceKind::Engine, 900 + number, 0)
+    });
+    routers.chain(engines).collect()
+}
+
+fn address(number: usize) -> SocketAddr {
+    SocketAddr::from(([10, 0, (number / 250) as u8, (number % 250) as u8], 7_000))
+}
+
+fn number_of(address: SocketAddr) -> usize {
+    let SocketAddr::V4(address) = address else {
+        unreachable!("addresses are of version 4");
+    };
+    let [_, _, high, low] = address.ip().octets();
+    usize::from(high) * 250 + usize::from(low)
+}
+
+impl Network {
+    /// Starts `routers` routers in `domains` failure domains, all on the instance list.
+    pub fn new(routers: usize, domains: usize) -> Self {
+        let mut network = Network {
+            now: Instant::from_millis(1_000),
+            nodes: Vec::new(),
+            loss: 0,
+            latency: 20,
+            domains,
+            under_way: Vec::new(),
+            rng: Pcg64Mcg::seed_from_u64(11),
+        };
+        let list = network.list(routers);
+        for number in 0..routers {
+            let mut view = View::new(router(number));
+            view.apply_instances(list.clone());
+            network.nodes.push(Node {
+                gossip: Gossip::new(router(number), Incarnation(1)),
+                view,
+                own: OwnState::default(),
+                up: true,
+                paused: false,
+                side: 0,
+                bytes: 0,
+                lives: 1,
+                excess: 0.0,
+                rng: Pcg64Mcg::seed_from_u64(number as u64),
+            });
+        }
+        network
+    }
+
+    fn list(&self, routers: usize) -> InstanceChanges {
+        InstanceChanges {
+            version: 1,
+            full: true,
+            instances: instances(routers, self.domains),
+            gone: Vec::new(),
+        }
+    }
+
+    /// Sets the load that a router counts on its engines.
+    pub fn set_load(&mut self, number: usize, in_flight: u32) {
+        let load = PoolLoad {
+            in_flight,
+            engines: 1,
+        };
+        self.nodes[number].own.loads = BTreeMap::from([(pool(), load)]);
+    }
+
+    /// Replaces a router by a new life of it that remembers nothing.
+    pub fn restart(&mut self, number: usize) {
+        let list = self.list(self.nodes.len());
+        let node = &mut self.nodes[number];
+        node.lives += 1;
+        node.gossip = Gossip::new(router(number), Incarnation(node.lives));
+        node.view = View::new(router(number));
+        node.view.apply_instances(list);
+        node.own = OwnState::default();
+        node.up = true;
+        node.paused = false;
+        node.excess = 0.0;
+    }
+
+    /// Runs for `time`.
+    pub fn run(&mut self, time: Duration) {
+        let end = self.now + time;
+        while self.now < end {
+            self.step();
+        }
+    }
+
+    /// Runs until `done` or the end of `limit`, and returns how long that took.
+    pub fn run_until(&mut self, limit: Duration, done: impl Fn(&Network) -> bool) -> Duration {
+        let start = self.now;
+        while !done(self) && self.now < start + limit {
+            self.step();
+        }
+        self.now.since(start)
+    }
+
+    fn step(&mut self) {
+        self.now = self.now + STEP;
+        self.refill();
+        self.deliver();
+        let ticks_each = (TICK.as_millis() / STEP.as_millis()) as u64;
+        let turn = self.now.as_micros() / STEP.as_micros() as u64;
+        for number in 0..self.nodes.len() {
+            if (turn + number as u64).is_multiple_of(ticks_each) {
+                self.tick(number);
+            }
+        }
+    }
+
+    fn moment(&self) -> Moment {
+        Moment {
+            now: self.now,
+            wall: UnixMillis(self.now.as_micros() / 1_000),
+        }
+    }
+
+    fn tick(&mut self, number: usize) {
+        let at = self.moment();
+        let node = &mut self.nodes[number];
+        if node.up && !node.paused {
+            let due = node
+                .gossip
+                .tick(&mut node.view, &node.own, at, &mut node.rng);
+            self.send(number, due);
+        }
+    }
+
+    fn deliver(&mut self) {
+        let now = self.now;
+        let (due, later) = std::mem::take(&mut self.under_way)
+            .into_iter()
+            .partition(|(at, _, _)| *at <= now);
+        self.under_way = later;
+        for (at, to, datagram) in due {
+            if self.nodes[to].up && self.nodes[to].paused {
+                self.hold_back(at, to, datagram);
+            } else if self.nodes[to].up {
+                self.receive(to, &datagram);
+            }
+        }
+    }
+
+    fn hold_back(&mut self, at: Instant, to: usize, datagram: Datagram) {
+        let held = self.under_way.iter().filter(|(_, other, _)| *other == to);
+        if held.count() < MAX_BACKLOG {
+            self.under_way.push((at + STEP, to, datagram));
+        }
+    }
+
+    fn receive(&mut self, to: usize, datagram: &Datagram) {
+        let at = self.moment();
+        let node = &mut self.nodes[to];
+        let answers = node.gossip.receive(&mut node.view, datagram, at);
+        self.send(to, answers);
+    }
+
+    fn send(&mut self, from: usize, due: Vec<Sending>) {
+        for Sending { to, datagram } in due {
+            self.count(from, &datagram);
+            let to = number_of(to);
+            let lost = self.rng.random_range(0..100) < self.loss;
+            if !lost && self.nodes[from].side == self.nodes[to].side {
+                let latency = Duration::from_millis(self.rng.random_range(0..=self.latency));
+                self.under_way.push((self.now + latency, to, datagram));
+            }
+        }
+    }
+
+    /// Holds each router to the budget by the encoded sizes.
+    fn count(&mut self, from: usize, datagram: &Datagram) {
+        let encoded = postcard::to_stdvec(datagram).expect("an encoded datagram");
+        assert!(encoded.len() <= datagram.max_len(), "{datagram:?}");
+        let len = encoded.len() + OVERHEAD_BYTES;
+        assert!(len <= MAX_DATAGRAM + OVERHEAD_BYTES);
+        let node = &mut self.nodes[from];
+        node.bytes += len as u64;
+        node.excess += len as f64;
+        assert!(
+            node.excess <= (MAX_BURST_BYTES + 1) as f64,
+            "beyond the budget"
+        );
+    }
+
+    fn refill(&mut self) {
+        let refill = STEP.as_secs_f64() * DATAGRAM_BYTES_PER_SECOND as f64;
+        for node in &mut self.nodes {
+            node.excess = (node.excess - refill).max(0.0);
+        }
+    }
+
+    /// Returns the routers that a router believes to be on duty.
+    pub fn duty(&self, number: usize) -> BTreeSet<RouterName> {
+        self.nodes[number].view.duty_routers().cloned().collect()
+    }
+
+    /// Returns the routers that are up.
+    pub fn live(&self) -> BTreeSet<RouterName> {
+        let up = self.nodes.iter().enumerate().filter(|(_, node)| node.up);
+        up.map(|(number, _)| router(number)).collect()
+    }
+
+    /// Returns whether all routers that are up agree on who is on duty: all of them.
+    pub fn agrees(&self) -> bool {
+        let live = self.live();
+        let mut up = (0..self.nodes.len()).filter(|number| self.nodes[*number].up);
+        up.all(|number| self.duty(number) == live)
+    }
+}
