Try the parts of the placement policy one at a time

Change: the bound comes from the lowest load heard within 2 s, less the error of a heard load; engines take chats that they do not cache only up to the mean in the first pass; a returning chat waits up to 1.5 s for its warm engine.

--- a/examples/policy/engines.rs
+++ b/examples/policy/engines.rs
@@ -10,13 +10,10 @@
 const CACHED_CHATS: usize = 150;
 
 /// Longest time until a router learns of a change.
-const SPLIT: u64 = 5 * SECOND;
-
-/// How old the load of other engines is when a router uses it.
-pub const GOSSIP_AGE: u64 = SECOND;
+pub const SPLIT: u64 = 5 * SECOND;
 
 /// Time between two recorded loads.
-pub const SAMPLE: u64 = SECOND / 4;
+pub const SAMPLE: u64 = SECOND / 10;
 
 /// One life of an engine.
 pub struct Sim {
@@ -58,6 +55,12 @@
         self.joined <= now && self.left.is_none_or(|left| now < left)
     }
 
+    /// Returns whether it has joined or left since `from`.
+    pub fn changed_since(&self, from: u64) -> bool {
+        let joined = self.joined > 0 && self.joined >= from;
+        joined || self.left.is_some_and(|left| left >= from)
+    }
+
     /// Returns whether `router` takes it for live at `now`; news is up to 5 s late.
     pub fn is_seen(&self, router: usize, now: u64) -> bool {
         let number = self.joined / SECOND + 31 * router as u64;
@@ -89,9 +92,9 @@
         self.history.push(self.in_flight);
     }
 
-    /// Returns the load as known by gossip at `now`.
-    pub fn gossiped(&self, now: u64) -> u32 {
-        let at = now.saturating_sub(GOSSIP_AGE) / SAMPLE;
+    /// Returns the load as it was at `then`.
+    pub fn load_at(&self, then: u64) -> u32 {
+        let at = then / SAMPLE;
         self.history.get(at as usize).copied().unwrap_or(0)
     }
 }
--- a/examples/policy/main.rs
+++ b/examples/policy/main.rs
@@ -14,10 +14,10 @@
 use clap::Parser;
 
 use self::{
-    policy::{Memory, Policy, BASELINES, ROUNDS},
+    policy::{Choice, Memory, Policy, BASELINES, ROUNDS},
     report::Report,
     trace::SECOND,
-    world::World,
+    world::{Scale, World},
 };
 
 #[derive(Parser)]
@@ -31,6 +31,12 @@
     /// Length of the trace in seconds.
     #[arg(long, default_value_t = 1_800)]
     seconds: u64,
+    /// Engines at the start.
+    #[arg(long, default_value_t = 12)]
+    engines: usize,
+    /// Age of the loads that gossip brings, in milliseconds.
+    #[arg(long, default_value_t = 1_000)]
+    gossip_ms: u64,
     /// Callers return no hints.
     #[arg(long)]
     no_return_hints: bool,
@@ -54,26 +60,33 @@
 }
 
 fn compare(args: &Args, period: u64) -> Vec<Report> {
-    let turns = trace::turns(args.seed, args.seconds);
+    let turns = trace::turns(args.seed, args.seconds, args.engines);
     let churn = trace::churn(args.seed, args.seconds, period);
     let mut policies = BASELINES.to_vec();
     if args.rounds {
         policies.extend(ROUNDS);
     }
+    let scale = Scale {
+        engines: args.engines,
+        gossip_ms: args.gossip_ms,
+    };
     let run = |policy: Policy| {
         let policy = if args.no_return_hints {
             without_hints(policy)
         } else {
             policy
         };
-        World::new(policy, args.seed, &turns, &churn).run(args.seconds * SECOND)
+        World::new(policy, scale, args.seed, &turns, &churn).run(args.seconds * SECOND)
     };
     policies.into_iter().map(run).collect()
 }
 
 fn without_hints(policy: Policy) -> Policy {
     Policy {
-        memory: Memory::None,
+        memory: match policy.choice {
+            Choice::Bounded if policy.memory != Memory::None => Memory::Directory,
+            _ => Memory::None,
+        },
         ..policy
     }
 }
@@ -82,13 +95,14 @@
     let oracle = reports.iter().find(|r| r.name == "oracle");
     let best = oracle.map_or(1.0, |r| r.reuse);
     println!(
-        "{:<22} {:>6} {:>9} {:>8} {:>8} {:>10} {:>11} {:>7} {:>6} {:>8} {:>9} {:>7}",
+        "{:<22} {:>6} {:>9} {:>8} {:>8} {:>10} {:>10} {:>11} {:>7} {:>6} {:>8} {:>9} {:>7}",
         "policy",
         "reuse",
         "of oracle",
         "skew_max",
         "skew_p99",
         "over_bound",
+        "over_split",
         "above_bound",
         "refused",
         "moved",
@@ -98,8 +112,9 @@
     );
     for r in reports {
         println!(
-            "{:<22} {:>6.3} {:>9.3} {:>8.2} {:>8.2} {:>10} {:>11.4} {:>7} {:>6.3} {:>8} {:>9} {:>7.2}",
-            r.name, r.reuse, r.reuse / best, r.skew_max, r.skew_p99, r.over_bound, r.above_bound,
+            "{:<22} {:>6.3} {:>9.3} {:>8.2} {:>8.2} {:>10} {:>10} {:>11.4} {:>7} {:>6.3} {:>8} {:>9} {:>7.2}",
+            r.name, r.reuse, r.reuse / best, r.skew_max, r.skew_p99, r.over_bound,
+            r.over_split, r.above_bound,
             r.refused, r.moved, r.wait_p99_ms, r.control_bytes_per_s, r.goodput
         );
     }
--- a/examples/policy/policy.rs
+++ b/examples/policy/policy.rs
@@ -1,6 +1,11 @@
 //! The policies that the bench compares.
 
-use ebonyspur::placement::{Spill, MAX_RANKS};
+use ebonyspur::{
+    placement::{Spill, MAX_RANKS},
+    steward::FRESH_FACTOR,
+};
+
+use super::world::FACTOR;
 
 /// Where the last engines of a chat are remembered.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -9,6 +14,8 @@
     None,
     /// The caller returns the hint, cut to this many engines.
     Hint(usize),
+    /// In the directory of the router that served the chat.
+    Directory,
 }
 
 /// Where a router takes the load of engines from.
@@ -16,12 +23,27 @@
 pub enum Source {
     /// Replies of stewards to its own requests for grants.
     Replies,
-    /// Loads in the gossip of all engines.
+    /// Sums of each steward in the gossip, over the engines it counts.
+    Sums,
+    /// Loads of all engines in the gossip.
     Gossip,
     /// The present load, which no router can know.
     Exact,
 }
 
+/// How a steward takes the mean load.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub enum Mean {
+    /// As last heard.
+    Heard,
+    /// The lowest heard within a window.
+    Floor,
+    /// As `Floor`, and the factor less the error of a heard load.
+    Cautious,
+    /// As `Cautious`, with one engine more than the steward knows.
+    CautiousAndOne,
+}
+
 /// How the engine is chosen.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Choice {
@@ -52,6 +74,14 @@
     pub source: Source,
     /// Longest wait for a remembered engine at its bound, in microseconds.
     pub wait: u64,
+    /// Multiple of the mean up to which an engine takes chats it does not cache.
+    pub fresh: f64,
+    /// How the steward takes the mean.
+    pub mean: Mean,
+    /// Requests by which an engine counts as busier for each failure of the last minutes.
+    pub penalty: u32,
+    /// Whether the least loaded of the remembered engines goes first.
+    pub warm_by_load: bool,
 }
 
 const EBONYSPUR: Policy = Policy {
@@ -61,7 +91,11 @@
     spill: Spill::RankThenLoad,
     ranks: MAX_RANKS,
     source: Source::Replies,
-    wait: 0,
+    wait: 1_500_000,
+    fresh: FRESH_FACTOR,
+    mean: Mean::Cautious,
+    penalty: 0,
+    warm_by_load: false,
 };
 
 /// The policy of the product and the baselines.
@@ -83,6 +117,8 @@
     Policy {
         name: "bounded_without_hints",
         memory: Memory::None,
+        wait: 0,
+        fresh: FACTOR,
         spill: Spill::NextRank,
         ..EBONYSPUR
     },
@@ -95,42 +131,110 @@
 ];
 
 /// The rounds: the policy with one part changed.
-pub const ROUNDS: [Policy; 7] = [
+pub const ROUNDS: &[Policy] = &[
     Policy {
-        name: "one_hint",
+        name: "hint_of_one",
         memory: Memory::Hint(1),
         ..EBONYSPUR
     },
     Policy {
-        name: "next_rank",
-        spill: Spill::NextRank,
+        name: "hint_of_two",
+        memory: Memory::Hint(2),
         ..EBONYSPUR
     },
     Policy {
-        name: "two_choices",
-        ranks: 3,
+        name: "directory",
+        memory: Memory::Directory,
         ..EBONYSPUR
     },
     Policy {
-        name: "least_by_replies",
-        spill: Spill::LeastLoaded,
+        name: "spill_next_rank",
+        spill: Spill::NextRank,
         ..EBONYSPUR
     },
     Policy {
-        name: "least_by_gossip",
+        name: "spill_least_loaded",
         spill: Spill::LeastLoaded,
+        ..EBONYSPUR
+    },
+    Policy {
+        name: "spill_two_choices",
+        ranks: 2,
+        ..EBONYSPUR
+    },
+    Policy {
+        name: "loads_by_sums",
+        source: Source::Sums,
+        ..EBONYSPUR
+    },
+    Policy {
+        name: "loads_by_gossip",
         source: Source::Gossip,
         ..EBONYSPUR
     },
     Policy {
-        name: "least_exact",
-        spill: Spill::LeastLoaded,
+        name: "loads_exact",
         source: Source::Exact,
         ..EBONYSPUR
     },
+    Policy {
+        name: "no_wait",
+        wait: 0,
+        ..EBONYSPUR
+    },
     Policy {
         name: "wait_500_ms",
         wait: 500_000,
         ..EBONYSPUR
     },
+    Policy {
+        name: "wait_1000_ms",
+        wait: 1_000_000,
+        ..EBONYSPUR
+    },
+    Policy {
+        name: "wait_2000_ms",
+        wait: 2_000_000,
+        ..EBONYSPUR
+    },
+    Policy {
+        name: "fresh_as_warm",
+        fresh: FACTOR,
+        ..EBONYSPUR
+    },
+    Policy {
+        name: "fresh_at_0.8",
+        fresh: 0.8,
+        ..EBONYSPUR
+    },
+    Policy {
+        name: "mean_heard",
+        mean: Mean::Heard,
+        ..EBONYSPUR
+    },
+    Policy {
+        name: "mean_floor",
+        mean: Mean::Floor,
+        ..EBONYSPUR
+    },
+    Policy {
+        name: "mean_one_more",
+        mean: Mean::CautiousAndOne,
+        ..EBONYSPUR
+    },
+    Policy {
+        name: "warm_by_load",
+        warm_by_load: true,
+        ..EBONYSPUR
+    },
+    Policy {
+        name: "failure_penalty_1",
+        penalty: 1,
+        ..EBONYSPUR
+    },
+    Policy {
+        name: "failure_penalty_4",
+        penalty: 4,
+        ..EBONYSPUR
+    },
 ];
--- a/examples/policy/report.rs
+++ b/examples/policy/report.rs
@@ -27,6 +27,8 @@
     pub goodput: f64,
     /// Requests placed on an engine at its bound.
     pub over_bound: u64,
+    /// Those of them placed while routers hold different lists of engines.
+    pub over_split: u64,
     /// Share of samples in which an engine stands above the bound of that moment.
     pub above_bound: f64,
     /// Requests that found no engine.
--- a/examples/policy/trace.rs
+++ b/examples/policy/trace.rs
@@ -9,8 +9,8 @@
 /// Teams, of which the first two surge.
 const TEAMS: u64 = 10;
 
-/// New chats a second without surge.
-const CHATS_PER_SECOND: f64 = 1.8;
+/// New chats a second for each engine without surge.
+const CHATS_PER_SECOND: f64 = 0.15;
 
 /// Factor on the new chats of a surging team.
 const SURGE_FACTOR: f64 = 10.0;
@@ -41,7 +41,7 @@
 }
 
 /// Returns the requests of a run, by time.
-pub fn turns(seed: u64, seconds: u64) -> Vec<Turn> {
+pub fn turns(seed: u64, seconds: u64, engines: usize) -> Vec<Turn> {
     let mut rng = Pcg64Mcg::seed_from_u64(seed);
     let mut turns = Vec::new();
     let mut chat = 0;
@@ -50,7 +50,8 @@
         while at < seconds as f64 {
             let surging = team < 2 && (0.4..0.45).contains(&(at / seconds as f64));
             let factor = if surging { SURGE_FACTOR } else { 1.0 };
-            at += exponential(&mut rng, TEAMS as f64 / (CHATS_PER_SECOND * factor));
+            let rate = CHATS_PER_SECOND * engines as f64 * factor;
+            at += exponential(&mut rng, TEAMS as f64 / rate);
             chat_turns(&mut rng, &mut turns, chat, at, seconds);
             chat += 1;
         }
--- a/examples/policy/world.rs
+++ b/examples/policy/world.rs
@@ -8,16 +8,16 @@
 
 use ebonyspur::{
     membership::{Engine, PoolLoad},
-    placement::{self, Hint, KnownLoads, Preference},
-    steward::{load_bound, GrantId, GrantReply, Holder, Steward},
-    Incarnation, Instant, RouterName,
+    placement::{self, Directory, Hint, KnownLoads, Preference, Spill},
+    steward::{cautious_factor, load_bound, GrantId, GrantReply, Holder, LoadFloor, Steward},
+    ChatId, EngineName, Incarnation, Instant, RouterName,
 };
 use rand::{RngExt, SeedableRng};
 use rand_pcg::Pcg64Mcg;
 
 use super::{
-    engines::{Sim, SAMPLE},
-    policy::{Choice, Memory, Policy, Source},
+    engines::{Sim, SAMPLE, SPLIT},
+    policy::{Choice, Mean, Memory, Policy, Source},
     report::Report,
     trace::{Churn, Turn, SECOND},
 };
@@ -25,8 +25,14 @@
 /// Routers of the fleet.
 pub const ROUTERS: usize = 19;
 
-/// Engines at the start.
-pub const ENGINES: usize = 12;
+/// Size of the fleet.
+#[derive(Debug, Clone, Copy)]
+pub struct Scale {
+    /// Engines at the start.
+    pub engines: usize,
+    /// How old the loads of other engines are when a router uses them, in milliseconds.
+    pub gossip_ms: u64,
+}
 
 /// Bound as a multiple of the mean.
 pub const FACTOR: f64 = 1.25;
@@ -37,6 +43,15 @@
 /// Time between two tries while waiting.
 const TRY_AGAIN: u64 = SECOND / 10;
 
+/// Chats that the directory of a router holds.
+const DIRECTORY_CHATS: usize = 2_048;
+
+/// How long a failure counts against an engine.
+const FAILURE_MEMORY: u64 = 180 * SECOND;
+
+/// Longest wait for any engine.
+const QUEUE: u64 = 2 * SECOND;
+
 /// How long a flapping engine is away.
 const FLAP: u64 = 4 * SECOND;
 
@@ -55,6 +70,7 @@
 /// The state of one run.
 pub struct World<'a> {
     policy: Policy,
+    scale: Scale,
     turns: &'a [Turn],
     churn: &'a [(u64, Churn)],
     now: u64,
@@ -63,30 +79,47 @@
     steward: Steward,
     known: Vec<KnownLoads>,
     memory: HashMap<u32, Hint>,
+    directories: Vec<Directory>,
+    failures: HashMap<EngineName, Vec<u64>>,
     served: HashMap<u32, usize>,
     rng: Pcg64Mcg,
     next: u64,
     names: Vec<RouterName>,
+    floors: Vec<LoadFloor>,
     report: Report,
 }
 
 impl<'a> World<'a> {
     /// Creates the world before its first event.
-    pub fn new(policy: Policy, seed: u64, turns: &'a [Turn], churn: &'a [(u64, Churn)]) -> Self {
+    pub fn new(
+        policy: Policy,
+        scale: Scale,
+        seed: u64,
+        turns: &'a [Turn],
+        churn: &'a [(u64, Churn)],
+    ) -> Self {
         let name = |number| RouterName::new(&format!("router-{number}")).expect("a name");
         let mut world = World {
             policy,
+            scale,
             turns,
             churn,
             now: 0,
             events: BinaryHeap::new(),
-            sims: (0..ENGINES).map(|number| Sim::new(number, 0, 0)).collect(),
+            sims: (0..scale.engines)
+                .map(|number| Sim::new(number, 0, 0))
+                .collect(),
             steward: Steward::default(),
             known: (0..ROUTERS).map(|_| KnownLoads::default()).collect(),
             memory: HashMap::new(),
+            directories: (0..ROUTERS)
+                .map(|_| Directory::with_chats(DIRECTORY_CHATS))
+                .collect(),
+            failures: HashMap::new(),
             served: HashMap::new(),
             rng: Pcg64Mcg::seed_from_u64(seed),
             next: 0,
+            floors: vec![LoadFloor::default(); ROUTERS],
             names: (0..ROUTERS).map(name).collect(),
             report: Report::new(policy.name),
         };
@@ -158,6 +191,14 @@
 
     fn leave(&mut self, at: usize) {
         self.sims[at].left = Some(self.now);
+        let name = self.sims[at].engine.name.clone();
+        self.failures.entry(name).or_default().push(self.now);
+    }
+
+    /// Returns whether the set of engines has changed within the last [`SPLIT`].
+    fn is_split(&self) -> bool {
+        let from = self.now.saturating_sub(SPLIT);
+        self.sims.iter().any(|sim| sim.changed_since(from))
     }
 
     fn live(&self) -> Vec<usize> {
@@ -180,24 +221,31 @@
     fn arrive(&mut self, turn: usize, since: u64) {
         let Turn { chat, work, .. } = self.turns[turn];
         let (router, ordered) = self.order(chat);
-        let warm = self.memory.get(&chat).map_or(0, |hint| {
-            let named = |at: &&usize| hint.position(&self.sims[**at].engine).is_some();
-            ordered.iter().filter(named).count()
-        });
+        let hint = self.hint(chat);
+        let named = |at: &&usize| hint.position(&self.sims[**at].engine).is_some();
+        let warm = ordered.iter().filter(named).count();
         let may_wait = warm > 0 && self.now < since + self.policy.wait;
         let tried = if may_wait {
             &ordered[..warm]
         } else {
             &ordered[..]
         };
+        let mut warm_first = tried.to_vec();
+        if self.policy.warm_by_load {
+            let loads = self.known[router].lock();
+            let now = Instant::from_micros(self.now);
+            let load = |at: &usize| loads.get(&self.sims[*at].engine, now).unwrap_or(0);
+            warm_first[..warm].sort_by_key(load);
+        }
+        let tried = &warm_first;
         let grant = self.next;
-        let granted = tried
-            .iter()
-            .find(|at| self.acquire(router, **at, grant))
-            .copied();
+        let granted = self.try_each(router, tried, warm, grant);
         match granted {
-            Some(at) => self.place(at, chat, work, grant),
-            None if may_wait => {
+            Some(at) => {
+                self.place(at, chat, work, grant);
+                self.remember(router, at, chat);
+            }
+            None if may_wait || self.now < since + QUEUE => {
                 self.schedule(self.now + TRY_AGAIN, Event::Arrive { turn, since });
                 return;
             }
@@ -206,15 +254,45 @@
         self.report.waited(self.now - since);
     }
 
+    /// Tries the engines in order, below the bound for what they cache, then below the bound.
+    fn try_each(
+        &mut self,
+        router: usize,
+        tried: &[usize],
+        warm: usize,
+        grant: u64,
+    ) -> Option<usize> {
+        for (number, at) in tried.iter().enumerate() {
+            let factor = if number < warm {
+                FACTOR
+            } else {
+                self.policy.fresh
+            };
+            if self.acquire(router, *at, grant, factor) {
+                return Some(*at);
+            }
+        }
+        if self.policy.fresh >= FACTOR {
+            return None;
+        }
+        let cold = tried.iter().skip(warm).copied();
+        let cold: Vec<_> = cold.collect();
+        cold.into_iter()
+            .find(|at| self.acquire(router, *at, grant, FACTOR))
+    }
+
     /// Returns the router that the request reaches, and the engines it tries.
     fn order(&mut self, chat: u32) -> (usize, Vec<usize>) {
         let asked = self.rng.random_range(0..ROUTERS);
-        let ordered = self.ordered_by(asked, chat);
+        let ordered = self.ordered_by(asked, chat, Spill::NextRank);
         if ordered.is_empty() || self.rng.random_bool(STALE) {
-            return (asked, ordered);
+            return (asked, self.ordered_by(asked, chat, self.policy.spill));
         }
-        let router = self.steward_of(ordered[0]);
-        (router, self.ordered_by(router, chat))
+        let router = match self.policy.memory {
+            Memory::Directory => self.home(chat),
+            _ => self.steward_of(ordered[0]),
+        };
+        (router, self.ordered_by(router, chat, self.policy.spill))
     }
 
     fn steward_of(&self, at: usize) -> usize {
@@ -226,18 +304,18 @@
             .expect("a router")
     }
 
-    fn ordered_by(&self, router: usize, chat: u32) -> Vec<usize> {
+    fn ordered_by(&self, router: usize, chat: u32, spill: Spill) -> Vec<usize> {
         let seen = |at: &usize| self.sims[*at].is_seen(router, self.now);
         let seen: Vec<usize> = (0..self.sims.len()).filter(seen).collect();
         match self.policy.choice {
-            Choice::LeastLoaded => self.by_key(seen, |at| self.sims[at].gossiped(self.now)),
+            Choice::LeastLoaded => self.by_key(seen, |at| self.sims[at].load_at(self.heard())),
             Choice::Oracle => {
                 let live = self.live();
                 self.by_key(live, |at| {
                     (!self.sims[at].caches(chat), self.sims[at].in_flight)
                 })
             }
-            Choice::Bounded | Choice::First => self.preferred(router, chat, &seen),
+            Choice::Bounded | Choice::First => self.preferred(router, chat, &seen, spill),
         }
     }
 
@@ -246,28 +324,79 @@
         engines
     }
 
-    fn preferred(&self, router: usize, chat: u32, seen: &[usize]) -> Vec<usize> {
+    fn preferred(&self, router: usize, chat: u32, seen: &[usize], spill: Spill) -> Vec<usize> {
         let known = self.known[router].lock();
         let now = Instant::from_micros(self.now);
-        let load = |engine: &Engine| match self.policy.source {
+        let heard = |engine: &Engine| match self.policy.source {
             Source::Replies => known.get(engine, now),
-            Source::Gossip => Some(self.sims[self.find(engine)].gossiped(self.now)),
+            Source::Sums => Some(self.sum_of_steward(self.find(engine), seen)),
+            Source::Gossip => Some(self.sims[self.find(engine)].load_at(self.heard())),
             Source::Exact => Some(self.sims[self.find(engine)].in_flight),
         };
+        let load = |engine: &Engine| {
+            let penalty = self.policy.penalty * self.failed_lately(&engine.name);
+            heard(engine)
+                .map(|load| load + penalty)
+                .or((penalty > 0).then_some(penalty))
+        };
         let pref = Preference {
             ranks: self.policy.ranks,
-            spill: self.policy.spill,
+            spill,
             load: &load,
         };
-        let hint = self.memory.get(&chat).cloned().unwrap_or_default();
+        let hint = self.hint(chat);
         let engines: Vec<Arc<Engine>> = seen
             .iter()
             .map(|at| self.sims[*at].engine.clone())
             .collect();
-        let ordered = placement::preferred(&format!("chat-{chat}"), &hint, &engines, &pref);
+        let ordered = placement::preferred(chat_id(chat).as_str(), &hint, &engines, &pref);
         ordered.iter().map(|engine| self.find(engine)).collect()
     }
 
+    /// Returns the router that keeps the directory entry of `chat`.
+    fn home(&self, chat: u32) -> usize {
+        let first = placement::first(chat_id(chat).as_str(), self.names.iter());
+        let first = first.expect("a router");
+        self.names
+            .iter()
+            .position(|other| other == first)
+            .expect("a router")
+    }
+
+    fn failed_lately(&self, engine: &EngineName) -> u32 {
+        let failures = self.failures.get(engine).map_or(&[][..], Vec::as_slice);
+        let recent = |at: &&u64| self.now - **at < FAILURE_MEMORY;
+        failures.iter().filter(recent).count() as u32
+    }
+
+    fn hint(&self, chat: u32) -> Hint {
+        match self.policy.memory {
+            Memory::None => Hint::default(),
+            Memory::Hint(_) => self.memory.get(&chat).cloned().unwrap_or_default(),
+            Memory::Directory => self.directories[self.home(chat)].get(&chat_id(chat)),
+        }
+    }
+
+    /// Returns the load that the steward of an engine gossips, over the engines it counts.
+    fn sum_of_steward(&self, at: usize, seen: &[usize]) -> u32 {
+        let steward = self.steward_of(at);
+        let counted: Vec<_> = seen
+            .iter()
+            .filter(|at| self.steward_of(**at) == steward)
+            .collect();
+        let sum: u32 = counted
+            .iter()
+            .map(|at| self.sims[**at].load_at(self.heard()))
+            .sum();
+        sum / counted.len().max(1) as u32
+    }
+
+    /// Returns the time of the loads that gossip has brought.
+    fn heard(&self) -> u64 {
+        self.now
+            .saturating_sub(self.scale.gossip_ms * SECOND / 1_000)
+    }
+
     fn find(&self, engine: &Engine) -> usize {
         let same = |sim: &Sim| {
             sim.engine.incarnation == engine.incarnation && sim.engine.name == engine.name
@@ -275,7 +404,7 @@
         self.sims.iter().rposition(same).expect("an engine")
     }
 
-    fn acquire(&mut self, router: usize, at: usize, grant: u64) -> bool {
+    fn acquire(&mut self, router: usize, at: usize, grant: u64, factor: f64) -> bool {
         let steward = self.steward_of(at);
         if !self.sims[at].is_live(self.now) {
             return false;
@@ -286,7 +415,7 @@
         if steward != router {
             self.report.calls += 1;
         }
-        let bound = self.bound(steward, at);
+        let bound = self.bound(steward, at, factor);
         let now = Instant::from_micros(self.now);
         let engine = self.sims[at].engine.clone();
         let reply = self.steward.grant(&engine, self.holder(grant), bound, now);
@@ -304,7 +433,7 @@
     }
 
     /// Returns the bound as the steward knows it: its own engine's load, others' by gossip.
-    fn bound(&self, steward: usize, at: usize) -> u32 {
+    fn bound(&mut self, steward: usize, at: usize, factor: f64) -> u32 {
         let mut pool = PoolLoad::default();
         for (other, sim) in self.sims.iter().enumerate() {
             if !sim.is_seen(steward, self.now) {
@@ -314,10 +443,22 @@
             pool.in_flight += if other == at {
                 sim.in_flight
             } else {
-                sim.gossiped(self.now)
+                sim.load_at(self.heard())
             };
         }
-        load_bound(pool, FACTOR)
+        let now = Instant::from_micros(self.now);
+        let lowest = self.floors[steward].observe(pool, now);
+        let cautious = cautious_factor(lowest, factor);
+        let (load, factor) = match self.policy.mean {
+            Mean::Heard => (pool, factor),
+            Mean::Floor => (lowest, factor),
+            Mean::Cautious => (lowest, cautious),
+            Mean::CautiousAndOne => {
+                let engines = lowest.engines + 1;
+                (PoolLoad { engines, ..lowest }, cautious)
+            }
+        };
+        load_bound(load, factor)
     }
 
     fn place(&mut self, at: usize, chat: u32, work: u64, grant: u64) {
@@ -327,15 +468,27 @@
         let over = f64::from(self.sims[at].in_flight) >= (FACTOR * mean).ceil().max(1.0);
         let warm = self.sims[at].start(chat);
         let before = self.served.insert(chat, at);
+        self.report.over_split += u64::from(over && self.is_split());
         self.report
             .place(before.map(|before| before == at), warm, over);
         let took = work + if warm { 0 } else { COLD };
         self.schedule(self.now + took, Event::Finish { engine: at, grant });
-        if let Memory::Hint(entries) = self.policy.memory {
-            let hint = self.memory.entry(chat).or_default();
-            *hint = hint
-                .with_served_by(&self.sims[at].engine)
-                .with_entries(entries);
+    }
+
+    fn remember(&mut self, router: usize, at: usize, chat: u32) {
+        let engine = self.sims[at].engine.clone();
+        match self.policy.memory {
+            Memory::None => {}
+            Memory::Hint(entries) => {
+                let hint = self.memory.entry(chat).or_default();
+                *hint = hint.with_served_by(&engine).with_entries(entries);
+            }
+            Memory::Directory => {
+                let home = self.home(chat);
+                // One call to read the entry and one to write it.
+                self.report.calls += if home == router { 0 } else { 2 };
+                self.directories[home].note(&chat_id(chat), &engine);
+            }
         }
     }
 
@@ -348,3 +501,7 @@
         self.report.finished += 1;
     }
 }
+
+fn chat_id(chat: u32) -> ChatId {
+    ChatId::new(&format!("chat-{chat}")).expect("a name")
+}
--- a/src/placement/hint.rs
+++ b/src/placement/hint.rs
@@ -11,7 +11,7 @@
 const MAX_HINT_LEN: usize = 512;
 
 /// One engine of a hint.
-#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Debug, Clone, PartialEq, Eq, Hash)]
 pub struct HintEntry {
     /// Name of the engine.
     pub engine: EngineName,
@@ -36,6 +36,12 @@
 }
 
 impl Hint {
+    /// Creates a hint of the newest of `entries`.
+    pub fn new(mut entries: Vec<HintEntry>) -> Hint {
+        entries.truncate(MAX_HINT_ENTRIES);
+        Hint { entries }
+    }
+
     /// Returns the entries, the newest first.
     pub fn entries(&self) -> &[HintEntry] {
         &self.entries
--- a/src/placement/mod.rs
+++ b/src/placement/mod.rs
@@ -1,5 +1,6 @@
 //! Chooses the engine for a chat: hints first, then the first ranks by load.
 
+mod directory;
 mod hint;
 mod load;
 mod preferred;
@@ -7,6 +8,7 @@
 mod score;
 
 pub use self::{
+    directory::Directory,
     hint::{Hint, HintEntry, MAX_HINT_ENTRIES},
     load::{KnownLoads, LOAD_VALIDITY},
     preferred::{preferred, Preference, Spill, MAX_RANKS},
--- a/src/steward/mod.rs
+++ b/src/steward/mod.rs
@@ -10,7 +10,7 @@
 mod state;
 
 pub use self::{
-    bound::load_bound,
+    bound::{cautious_factor, load_bound, LoadFloor, FLOOR_WINDOW, FRESH_FACTOR},
     message::{GrantReply, GrantRequest, ReleaseRequest},
     slot::Slot,
     state::{GrantId, Holder, Steward},
