Harden the fold, start from checkpoints and peers

Cause: the fold took what it was given. On the earlier version a change with a base of 99 at offset 1 was accepted over a newer one, the same change id applied twice, a service without a pool was accepted, a record after a gap was applied, and a checkpoint that claimed offset 1000 emptied the teams of a router that was in the middle of the stream. Two drains of engines of one pool did not conflict. A router that started in an outage never served, and nobody wrote checkpoints.

Change: - References between objects are checked in the fold; a change applies whole or not at all (each operation is undone by its inverse). - A change id is decided once within a window of 1024 records; a base older than the window, or ahead of the record, is rejected, so nothing forgotten matters. A change may name what else it relies on, such as a pool's capacity. - A checkpoint counts only at exactly its own offset and only when it equals the fold; a router with a state never takes one over. Only a router whose next record is gone starts from the newest one, which must carry the fleet's seal. The router ranked first writes them, also when nothing changes. - Routers pull what they miss from peers, as records or as a state in parts. A starting router takes the highest state; a router that knows nothing says so.

Ruled out: comparing digests per offset (costs a whole encoding per record), and taking over checkpoints in mid-stream (one false record would reach every router).

Not proved: a false checkpoint sealed by a faulty router is noticed by those that follow the stream, not by one that starts from it.

--- a/src/admission/state.rs
+++ b/src/admission/state.rs
@@ -14,7 +14,19 @@
 const RETRY_DELAY: Duration = Duration::from_secs(2);
 
 /// How soon a caller needs the answer.
-#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, PartialOrd, Ord)]
+#[derive(
+    Debug,
+    Clone,
+    Copy,
+    Default,
+    PartialEq,
+    Eq,
+    PartialOrd,
+    Ord,
+    serde::Serialize,
+    serde::Deserialize,
+)]
+#[serde(rename_all = "snake_case")]
 pub enum Class {
     /// Someone waits for it.
     #[default]
--- a/src/config/mod.rs
+++ b/src/config/mod.rs
@@ -3,19 +3,34 @@
 //! The [`Settings`] come from a file and hold what only this process needs. The
 //! shared configuration is a fold of the log stream [`STREAM`]: every router
 //! applies the same records in offset order and so reaches the same [`State`].
+//!
+//! A router that cannot read the log pulls what it misses from other routers. One that
+//! starts when the log has dropped the first records begins at a [`Checkpoint`].
 
+mod apply;
+mod check;
+mod checkpoint;
+mod decision;
+mod message;
 mod object;
+mod pull;
 mod record;
 mod settings;
+mod shared;
 mod state;
 mod task;
 
 pub use self::{
-    object::{Model, Pool, Service, ServiceKind, Team, DEFAULT_LOAD_FACTOR},
-    record::{Change, Op, Record},
+    checkpoint::{checkpoint_due, newest_usable},
+    decision::{Decision, Outcome, Rejection},
+    message::{decode, ConfigHead, ConfigPart, ConfigSince, EncodedRecord},
+    object::{Model, Pool, Role, Service, ServiceKind, Team, DEFAULT_LOAD_FACTOR},
+    pull::follow_peers,
+    record::{Change, Checkpoint, Op, Record},
     settings::{Limits, Listen, Operator, Secret, Settings},
-    state::{Config, Outcome, State},
-    task::follow,
+    shared::Config,
+    state::{CheckpointMark, State, WINDOW},
+    task::{follow, write_checkpoints},
 };
 
 /// Name of the log stream that holds the configuration.
--- a/src/config/record.rs
+++ b/src/config/record.rs
@@ -2,7 +2,7 @@
 
 use serde::{Deserialize, Serialize};
 
-use super::{Model, Pool, Service, State, Team};
+use super::{Model, Pool, Role, Service, State, Team};
 use crate::{EngineName, Offset, PoolName, ServiceName, TeamName, UnixMillis, VersionName};
 
 /// A record of the configuration stream.
@@ -11,16 +11,26 @@
 pub enum Record {
     /// A confirmed change.
     Change(Change),
-    /// The state up to an offset, so that earlier records may be dropped.
-    Checkpoint {
-        /// State after all records below its own `applied` offset.
-        state: Box<State>,
-    },
+    /// The state at an offset, so that earlier records may be dropped.
+    Checkpoint(Checkpoint),
     /// A record that this program cannot read; it changes nothing at any router.
     #[serde(skip)]
     Unreadable,
 }
 
+/// The state before the checkpoint's own record.
+///
+/// It is void unless its record landed exactly at the state's `applied` offset.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct Checkpoint {
+    /// State after all records before this one.
+    pub state: Box<State>,
+    /// Wall time of the router that wrote it.
+    pub at: UnixMillis,
+    /// Proof, in hexadecimal digits, that a router of the fleet wrote it.
+    pub seal: String,
+}
+
 /// A confirmed change, accepted or rejected by the fold.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct Change {
@@ -34,6 +44,17 @@
     pub base: Offset,
     /// Operations, applied together or not at all.
     pub ops: Vec<Op>,
+    /// Keys of what the plan relied on besides the objects of its operations.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub relies_on: Vec<String>,
+}
+
+impl Change {
+    /// Returns the keys of all that this change touches.
+    pub fn objects(&self) -> impl Iterator<Item = String> + '_ {
+        let objects = self.ops.iter().map(Op::object);
+        objects.chain(self.relies_on.iter().cloned())
+    }
 }
 
 /// One operation on one object.
@@ -47,6 +68,13 @@
         /// Name of the team.
         name: TeamName,
     },
+    /// Moves a team to a version.
+    MoveTeam {
+        /// Name of the team.
+        team: TeamName,
+        /// Version that serves it from now on.
+        to: VersionName,
+    },
     /// Creates or replaces a service.
     PutService(Service),
     /// Removes a service.
@@ -61,6 +89,20 @@
         /// Name of the pool.
         name: PoolName,
     },
+    /// Has the engines of a pool load a version or adapter.
+    Load {
+        /// Name of the pool.
+        pool: PoolName,
+        /// What to load.
+        version: VersionName,
+    },
+    /// Has the engines of a pool unload a version or adapter.
+    Unload {
+        /// Name of the pool.
+        pool: PoolName,
+        /// What to unload.
+        version: VersionName,
+    },
     /// Creates or replaces a model.
     PutModel(Model),
     /// Removes a model.
@@ -78,21 +120,43 @@
         /// Name of the engine.
         engine: EngineName,
     },
+    /// Gives an engine a role.
+    SetRole {
+        /// Name of the engine.
+        engine: EngineName,
+        /// Its role from now on.
+        role: Role,
+    },
 }
 
 impl Op {
     /// Returns the key of the object that this operation touches, such as `team/kerb`.
     pub fn object(&self) -> String {
         match self {
-            Op::PutTeam(team) => format!("team/{}", team.name),
-            Op::RemoveTeam { name } => format!("team/{name}"),
-            Op::PutService(service) => format!("service/{}", service.name),
-            Op::RemoveService { name } => format!("service/{name}"),
-            Op::PutPool(pool) => format!("pool/{}", pool.name),
-            Op::RemovePool { name } => format!("pool/{name}"),
-            Op::PutModel(model) => format!("model/{}", model.name),
-            Op::RemoveModel { name } => format!("model/{name}"),
-            Op::Drain { engine } | Op::Undrain { engine } => format!("engine/{engine}"),
+            Op::PutTeam(Team { name, .. })
+            | Op::RemoveTeam { name }
+            | Op::MoveTeam { team: name, .. } => format!("team/{name}"),
+            Op::PutService(Service { name, .. }) | Op::RemoveService { name } => {
+                format!("service/{name}")
+            }
+            Op::PutPool(Pool { name, .. })
+            | Op::RemovePool { name }
+            | Op::Load { pool: name, .. }
+            | Op::Unload { pool: name, .. } => format!("pool/{name}"),
+            Op::PutModel(Model { name, .. }) | Op::RemoveModel { name } => format!("model/{name}"),
+            Op::Drain { engine } | Op::Undrain { engine } | Op::SetRole { engine, .. } => {
+                format!("engine/{engine}")
+            }
+        }
+    }
+
+    /// Returns the team that this operation touches, if it touches nothing else.
+    pub fn team(&self) -> Option<&TeamName> {
+        match self {
+            Op::PutTeam(Team { name, .. })
+            | Op::RemoveTeam { name }
+            | Op::MoveTeam { team: name, .. } => Some(name),
+            _ => None,
         }
     }
 }
--- a/src/config/settings/mod.rs
+++ b/src/config/settings/mod.rs
@@ -18,6 +18,8 @@
     pub listen: Listen,
     /// Base address of the platform's services, such as `http://127.0.0.1:6000`.
     pub platform: http::Uri,
+    /// Base address of the log service, when it differs from the platform's.
+    pub log: Option<http::Uri>,
     /// Keys that peers prove: the first one signs, each is accepted.
     pub peer_keys: Vec<Secret>,
     /// Operators and their tokens.
@@ -112,6 +114,7 @@
             domain: root.section("router").required("failure_domain"),
             listen: read_listen(&mut root),
             platform: root.section("platform").url("url"),
+            log: root.section("platform").optional_url("log_url"),
             peer_keys: root.section("peers").secrets("keys"),
             operators: read_operators(&mut root),
             limits: read_limits(&mut root),
--- a/src/config/settings/reader.rs
+++ b/src/config/settings/reader.rs
@@ -132,6 +132,12 @@
         url
     }
 
+    /// Reads an optional `http://` URL.
+    pub(super) fn optional_url(&mut self, key: &str) -> Option<http::Uri> {
+        let is_set = self.node.borrow().values.contains_key(key);
+        is_set.then(|| self.url(key))
+    }
+
     /// Reads a required secret.
     pub(super) fn secret(&mut self, key: &str) -> Secret {
         let Some(text) = self.parsed::<String>(key) else {
--- a/src/config/state.rs
+++ b/src/config/state.rs
@@ -1,18 +1,29 @@
 //! The fold of the configuration stream.
 
-use std::{
-    collections::{BTreeMap, BTreeSet},
-    sync::{Arc, Mutex},
-};
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
 
 use serde::{Deserialize, Serialize};
 
-use super::{Change, Model, Op, Pool, Record, Service, Team};
+use super::{
+    apply, check, Change, Checkpoint, Decision, Model, Op, Outcome, Pool, Record, Rejection, Role,
+    Service, Team,
+};
 use crate::{
-    sync::lock, Category, EngineName, Error, Offset, PoolName, Result, ServiceName, TeamName,
-    VersionName,
+    id::check_name, Category, EngineName, Error, Offset, PoolName, Result, ServiceName, TeamName,
+    UnixMillis, VersionName, MAX_NAME_LEN,
 };
 
+/// Records over which decisions and touched objects are remembered.
+///
+/// A change whose base is older is rejected, so nothing that was forgotten can matter.
+pub const WINDOW: u64 = 1_024;
+
+/// Longest key of an object, in bytes: a kind, a slash and a name.
+const MAX_KEY_LEN: usize = 32 + MAX_NAME_LEN;
+
+/// Records between two removals of what is older than [`WINDOW`].
+const PRUNE_PERIOD: u64 = 64;
+
 /// The configuration after a prefix of the stream.
 ///
 /// It is a function of the records below [`State::applied`] alone, so two routers
@@ -31,79 +42,138 @@
     pub models: BTreeMap<VersionName, Model>,
     /// Engines that get no new work.
     pub drained: BTreeSet<EngineName>,
-    /// Offset of the last accepted change of each object.
+    /// Roles of the engines whose role is not the default one.
+    pub roles: BTreeMap<EngineName, Role>,
+    /// Offset of the last accepted change of each object, within [`WINDOW`].
     pub touched: BTreeMap<String, Offset>,
+    /// Decided changes in offset order, within [`WINDOW`].
+    pub decided: VecDeque<Decision>,
+    /// The last checkpoint that agreed with the fold.
+    pub checkpoint: Option<CheckpointMark>,
 }
 
-/// What the fold made of one record.
-#[derive(Debug, Clone, PartialEq, Eq)]
-pub enum Outcome {
-    /// The change is in force.
-    Accepted,
-    /// The change lost against an earlier one of the named object.
-    Rejected {
-        /// Key of the object in conflict.
-        object: String,
-    },
-    /// The record changes nothing: a checkpoint, or one unreadable or applied before.
-    Unchanged,
+/// Where and when a checkpoint was written.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub struct CheckpointMark {
+    /// Offset of its record.
+    pub offset: Offset,
+    /// Wall time of the router that wrote it.
+    pub at: UnixMillis,
 }
 
 impl State {
     /// Applies the record at `offset`.
     ///
-    /// Records below [`State::applied`] change nothing, which makes a re-read safe.
+    /// Records below [`State::applied`] change nothing, which makes a re-read safe, and
+    /// neither does a record after a gap.
     pub fn apply(&mut self, offset: Offset, record: &Record) -> Outcome {
         if offset < self.applied {
             return Outcome::Unchanged;
         }
+        if offset > self.applied {
+            return Outcome::Gap;
+        }
         let outcome = match record {
             Record::Change(change) => self.apply_change(offset, change),
-            Record::Checkpoint { state } => self.adopt(state),
+            Record::Checkpoint(checkpoint) => self.compare(offset, checkpoint),
             Record::Unreadable => Outcome::Unchanged,
         };
-        self.applied = self.applied.max(offset.next());
+        self.applied = offset.next();
+        self.prune();
         outcome
     }
 
     fn apply_change(&mut self, offset: Offset, change: &Change) -> Outcome {
-        if let Some(object) = self.conflict(change) {
-            return Outcome::Rejected { object };
+        if let Err(rejection) = check_names(change) {
+            return Outcome::Rejected(rejection);
         }
-        for op in &change.ops {
-            self.touched.insert(op.object(), offset);
-            self.apply_op(op);
+        if let Some(first) = self.decision(&change.id) {
+            return Outcome::Repeated(first.offset);
         }
-        Outcome::Accepted
+        let rejection = self.try_change(offset, change).err();
+        self.decided.push_back(Decision {
+            offset,
+            id: change.id.clone(),
+            operator: change.operator.clone(),
+            at: change.at,
+            objects: change.objects().collect(),
+            rejection: rejection.clone(),
+        });
+        rejection.map_or(Outcome::Accepted, Outcome::Rejected)
     }
 
-    fn conflict(&self, change: &Change) -> Option<String> {
-        let objects = change.ops.iter().map(Op::object);
-        let newer = |object: &String| self.touched.get(object) >= Some(&change.base);
-        objects.into_iter().find(newer)
+    fn try_change(
+        &mut self,
+        offset: Offset,
+        change: &Change,
+    ) -> std::result::Result<(), Rejection> {
+        check_envelope(offset, change)?;
+        self.check_conflicts(change)?;
+        self.apply_ops(&change.ops)?;
+        for object in change.objects() {
+            self.touched.insert(object, offset);
+        }
+        Ok(())
     }
 
-    fn apply_op(&mut self, op: &Op) {
-        match op {
-            Op::PutTeam(team) => drop(self.teams.insert(team.name.clone(), team.clone())),
-            Op::RemoveTeam { name } => drop(self.teams.remove(name)),
-            Op::PutService(svc) => drop(self.services.insert(svc.name.clone(), svc.clone())),
-            Op::RemoveService { name } => drop(self.services.remove(name)),
-            Op::PutPool(pool) => drop(self.pools.insert(pool.name.clone(), pool.clone())),
-            Op::RemovePool { name } => drop(self.pools.remove(name)),
-            Op::PutModel(model) => drop(self.models.insert(model.name.clone(), model.clone())),
-            Op::RemoveModel { name } => drop(self.models.remove(name)),
-            Op::Drain { engine } => drop(self.drained.insert(engine.clone())),
-            Op::Undrain { engine } => drop(self.drained.remove(engine)),
+    fn check_conflicts(&self, change: &Change) -> std::result::Result<(), Rejection> {
+        for object in change.objects() {
+            match self.touched.get(&object) {
+                Some(&offset) if offset >= change.base => {
+                    return Err(Rejection::Conflict { object, offset });
+                }
+                _ => {}
+            }
         }
+        Ok(())
     }
 
-    /// Takes over a checkpoint only where it is ahead, so it can never set back the state.
-    fn adopt(&mut self, state: &State) -> Outcome {
-        if state.applied > self.applied {
-            *self = state.clone();
+    /// Applies all of `ops`, or none of them when the result would not fit together.
+    ///
+    /// # Errors
+    ///
+    /// Returns what does not fit.
+    pub fn apply_ops(&mut self, ops: &[Op]) -> std::result::Result<(), Rejection> {
+        let mut undo = Vec::with_capacity(ops.len());
+        let mut fits = Ok(());
+        for op in ops {
+            fits = check::check_exists(self, op);
+            if fits.is_err() {
+                break;
+            }
+            undo.push(apply::inverse(self, op));
+            apply::apply(self, op);
         }
-        Outcome::Unchanged
+        let fits = fits.and_then(|()| check::check(self, ops));
+        if fits.is_err() {
+            undo.iter().rev().for_each(|op| apply::apply(self, op));
+        }
+        fits
+    }
+
+    /// Compares a checkpoint with this state; it is never taken over here.
+    fn compare(&mut self, offset: Offset, checkpoint: &Checkpoint) -> Outcome {
+        if checkpoint.state.applied != offset || *checkpoint.state != *self {
+            return Outcome::VoidCheckpoint;
+        }
+        let at = checkpoint.at;
+        self.checkpoint = Some(CheckpointMark { offset, at });
+        Outcome::Checkpointed
+    }
+
+    fn prune(&mut self) {
+        if !self.applied.0.is_multiple_of(PRUNE_PERIOD) {
+            return;
+        }
+        let oldest = Offset(self.applied.0.saturating_sub(WINDOW));
+        self.touched.retain(|_, offset| *offset >= oldest);
+        let kept = self.decided.partition_point(|past| past.offset < oldest);
+        self.decided.drain(..kept);
+    }
+
+    /// Returns the decision about the change `id`, if it is remembered.
+    pub fn decision(&self, id: &str) -> Option<&Decision> {
+        self.decided.iter().rev().find(|past| past.id == id)
     }
 
     /// Looks up a team.
@@ -127,26 +197,33 @@
     }
 }
 
-/// The configuration in force, shared by the tasks of a router.
-#[derive(Debug, Default)]
-pub struct Config {
-    current: Mutex<Arc<State>>,
+/// Checks that the texts of a change are bounded; one that fails is not remembered.
+fn check_names(change: &Change) -> std::result::Result<(), Rejection> {
+    if check_name(&change.id).is_ok() && check_name(&change.operator).is_ok() {
+        return Ok(());
+    }
+    Err(malformed("id and operator must be names"))
 }
 
-impl Config {
-    /// Returns the state in force.
-    pub fn current(&self) -> Arc<State> {
-        lock(&self.current).clone()
+/// Checks the parts of a change that do not depend on the objects.
+fn check_envelope(offset: Offset, change: &Change) -> std::result::Result<(), Rejection> {
+    let base = change.base;
+    if base > offset {
+        return Err(Rejection::BaseAhead { base });
     }
-
-    /// Applies records in offset order and returns the state after them.
-    pub fn apply(&self, records: &[(Offset, Record)]) -> Arc<State> {
-        let mut current = lock(&self.current);
-        let state = Arc::make_mut(&mut current);
-        for (offset, record) in records {
-            let outcome = state.apply(*offset, record);
-            log::info!("config offset={offset} outcome={outcome:?}");
-        }
-        current.clone()
+    if base.0 + WINDOW < offset.0 {
+        return Err(Rejection::Stale { base });
+    }
+    if change.ops.is_empty() {
+        return Err(malformed("a change needs an operation"));
     }
+    if change.relies_on.iter().any(|key| key.len() > MAX_KEY_LEN) {
+        return Err(malformed("a key is too long"));
+    }
+    Ok(())
+}
+
+fn malformed(fault: &str) -> Rejection {
+    let (object, fault) = ("change".into(), fault.into());
+    Rejection::Invalid { object, fault }
 }
--- a/src/config/task.rs
+++ b/src/config/task.rs
@@ -1,9 +1,14 @@
-//! The task that follows the configuration stream.
+//! The task that follows the configuration stream, and the one that writes checkpoints.
 
 use std::{sync::Arc, time::Duration};
 
-use super::{Record, STREAM};
-use crate::{platform::Entry, Offset, Result, Router};
+use super::{
+    checkpoint_due, decode, newest_usable, pull, Checkpoint, EncodedRecord, Record, STREAM,
+};
+use crate::{
+    peer::{Purpose, Sealer},
+    placement, Category, Error, Offset, Result, Router,
+};
 
 /// Longest time the log may hold back an empty answer.
 const POLL_WAIT: Duration = Duration::from_secs(10);
@@ -11,37 +16,112 @@
 /// Pause after a failed read.
 const RETRY_PAUSE: Duration = Duration::from_millis(300);
 
+/// Time between two looks whether a checkpoint is due.
+const CHECKPOINT_PERIOD: Duration = Duration::from_secs(2);
+
+/// Key by which the router that writes checkpoints is chosen.
+const CHECKPOINT_DUTY: &str = "config-checkpoint";
+
+/// An offset behind every record, whose page shows the bounds of a stream.
+const BEHIND_ALL: Offset = Offset(i64::MAX as u64);
+
 /// Follows the stream until the task is dropped.
 pub async fn follow(cx: Arc<Router>) {
     loop {
-        if let Err(err) = read_once(&cx).await {
+        if let Err(err) = advance(&cx).await {
             log::warn!("config read failed error=\"{err}\"");
+            if !cx.config.is_known() {
+                pull::start_from_peers(&cx).await;
+            }
             tokio::time::sleep(RETRY_PAUSE).await;
         }
     }
 }
 
+async fn advance(cx: &Router) -> Result<()> {
+    match read_once(cx).await {
+        Err(err) if err.classify() == Category::KeyExpired => skip_expired(cx).await,
+        other => other,
+    }
+}
+
 async fn read_once(cx: &Router) -> Result<()> {
     let from = cx.config.current().applied;
-    let wait = if cx.membership.is_caught_up() {
+    let wait = if cx.config.is_known() {
         POLL_WAIT
     } else {
         Duration::ZERO
     };
     let page = cx.platform.log.read(STREAM, from, wait).await?;
-    let records: Vec<_> = page.records.iter().map(decode).collect();
+    cx.config.set_log_first(page.first);
+    let records: Vec<_> = page.records.iter().map(EncodedRecord::new).collect();
     let state = cx.config.apply(&records);
+    // A log that has fewer records than are known here has lost some; it leads nowhere.
     if state.applied >= page.head {
-        cx.membership.config_caught_up();
+        known(cx);
     }
     Ok(())
 }
 
-fn decode(entry: &Entry) -> (Offset, Record) {
-    let record = serde_json::from_value(entry.data.clone()).unwrap_or_else(|err| {
-        let offset = entry.offset;
-        log::error!("config record unreadable offset={offset} error=\"{err}\"");
-        Record::Unreadable
-    });
-    (entry.offset, record)
+/// Marks the configuration as known.
+pub(super) fn known(cx: &Router) {
+    cx.config.set_known();
+    cx.membership.config_caught_up();
+}
+
+/// Goes on behind records that the log no longer keeps, from a checkpoint or a peer.
+async fn skip_expired(cx: &Router) -> Result<()> {
+    let sealer = Sealer::new(&cx.settings.peer_keys, Purpose::Checkpoint);
+    let bounds = cx
+        .platform
+        .log
+        .read(STREAM, BEHIND_ALL, Duration::ZERO)
+        .await?;
+    let mut from = bounds.first;
+    let mut newest = None;
+    while from < bounds.head {
+        let page = cx.platform.log.read(STREAM, from, Duration::ZERO).await?;
+        let decoded = page.records.iter().map(EncodedRecord::new);
+        let records: Vec<(Offset, Record)> = decoded.map(|r| (r.offset, decode(&r))).collect();
+        newest = newest_usable(&records, &sealer).cloned().or(newest);
+        match records.last() {
+            Some((last, _)) => from = last.next(),
+            None => break,
+        }
+    }
+    if newest.is_some_and(|state| cx.config.adopt(state)) {
+        return Ok(());
+    }
+    let message = "the log has dropped records and keeps no checkpoint";
+    Err(Error::not_run(Category::LogUnavailable, message))
+}
+
+/// Writes a checkpoint whenever one is due and this router ranks first for it.
+pub async fn write_checkpoints(cx: Arc<Router>) {
+    let sealer = Sealer::new(&cx.settings.peer_keys, Purpose::Checkpoint);
+    loop {
+        tokio::time::sleep(CHECKPOINT_PERIOD).await;
+        if !cx.membership.is_serving() || !has_checkpoint_duty(&cx) {
+            continue;
+        }
+        if let Err(err) = write_if_due(&cx, &sealer).await {
+            log::warn!("checkpoint not written error=\"{err}\"");
+        }
+    }
+}
+
+fn has_checkpoint_duty(cx: &Router) -> bool {
+    let view = cx.membership.view();
+    placement::first(CHECKPOINT_DUTY, view.duty_routers()) == Some(&cx.settings.name)
+}
+
+async fn write_if_due(cx: &Router, sealer: &Sealer) -> Result<()> {
+    let (state, now) = (cx.config.current(), cx.clock.wall());
+    if !checkpoint_due(&state, cx.config.log_first(), now) {
+        return Ok(());
+    }
+    let record = Record::Checkpoint(Checkpoint::new(&state, now, sealer));
+    let record = serde_json::to_value(&record)
+        .map_err(|err| Error::not_run(Category::BadInput, err.to_string()))?;
+    cx.platform.log.append(STREAM, &[record]).await.map(drop)
 }
--- a/src/peer/message.rs
+++ b/src/peer/message.rs
@@ -3,8 +3,9 @@
 use serde::{Deserialize, Serialize};
 
 use crate::{
+    config::{ConfigHead, ConfigPart, ConfigSince},
     steward::{GrantReply, GrantRequest, ReleaseRequest},
-    Incarnation, RouterName,
+    Incarnation, Offset, RouterName,
 };
 
 /// First frame of a connection.
@@ -23,6 +24,10 @@
     Grant(GrantRequest),
     /// Gives a slot back.
     Release(ReleaseRequest),
+    /// Asks how far the configuration is applied.
+    ConfigHead(ConfigHead),
+    /// Asks for newer configuration.
+    ConfigSince(ConfigSince),
 }
 
 /// The answer to a [`Request`] as carried on the wire.
@@ -32,6 +37,10 @@
     Grant(GrantReply),
     /// Answer to [`Request::Release`].
     Released,
+    /// Answer to [`Request::ConfigHead`]; `None` while the configuration is unknown.
+    ConfigHead(Option<Offset>),
+    /// Answer to [`Request::ConfigSince`].
+    ConfigPart(ConfigPart),
 }
 
 /// A typed call: what it asks and what it is answered with.
--- a/src/peer/seal.rs
+++ b/src/peer/seal.rs
@@ -17,6 +17,10 @@
     Datagram = 2,
     /// A ticket given to a caller.
     Ticket = 3,
+    /// A checkpoint of the configuration.
+    Checkpoint = 4,
+    /// A plan given to an operator.
+    Plan = 5,
 }
 
 /// Seals with the first key and opens with any of them.
--- a/src/peer/server.rs
+++ b/src/peer/server.rs
@@ -64,5 +64,10 @@
                 .release(&req.engine, &from.router, from.incarnation, req.grant);
             Reply::Released
         }
+        Request::ConfigHead(_) => {
+            let known = cx.config.is_known();
+            Reply::ConfigHead(known.then(|| cx.config.current().applied))
+        }
+        Request::ConfigSince(req) => Reply::ConfigPart(cx.config.part_since(&req)),
     }
 }
--- a/src/platform/mod.rs
+++ b/src/platform/mod.rs
@@ -23,12 +23,11 @@
 }
 
 impl Platform {
-    /// Creates clients for the platform at `base`.
-    pub fn new(base: &http::Uri) -> Self {
-        let client = JsonClient::new(base);
+    /// Creates clients for the platform at `base` and its log service at `log`.
+    pub fn new(base: &http::Uri, log: &http::Uri) -> Self {
         Platform {
-            log: LogService::new(client.clone()),
-            instances: InstanceList::new(client),
+            log: LogService::new(JsonClient::new(log)),
+            instances: InstanceList::new(JsonClient::new(base)),
         }
     }
 }
--- a/src/router.rs
+++ b/src/router.rs
@@ -82,7 +82,10 @@
             steward: Steward::default(),
             admission: Arc::default(),
             once: Once::new(),
-            platform: Platform::new(&settings.platform),
+            platform: Platform::new(
+                &settings.platform,
+                settings.log.as_ref().unwrap_or(&settings.platform),
+            ),
             backends: Backends::new(&settings.limits),
             peers: Peers::new(settings.name.clone(), incarnation, frames),
             tickets: Sealer::new(&settings.peer_keys, Purpose::Ticket),
@@ -106,6 +109,8 @@
 
         let mut tasks = JoinSet::new();
         tasks.spawn(config::follow(self.clone()));
+        tasks.spawn(config::follow_peers(self.clone()));
+        tasks.spawn(config::write_checkpoints(self.clone()));
         tasks.spawn(membership::follow_instances(self.clone()));
         tasks.spawn(membership::gossip(self.clone(), datagrams.clone()));
         tasks.spawn(membership::receive(self.clone(), datagrams));
--- /dev/null
+++ b/tests/config/machine.rs
@@ -0,0 +1,326 @@
+//! Stateful fuzzing of the fold against an oracle: two operators, three routers that
+//! read late, twice or from each other, an outage, restarts and retention.
+
+use std::collections::BTreeMap;
+
+use ebonyspur::{
+    config::{
+        newest_usable, Change, Checkpoint, Config, ConfigPart, ConfigSince, EncodedRecord, Record,
+        Secret, State,
+    },
+    peer::{Purpose, Sealer},
+    Offset, UnixMillis,
+};
+use proptest::{prelude::*, test_runner::Config as ProptestConfig};
+use proptest_state_machine::{prop_state_machine, ReferenceStateMachine, StateMachineTest};
+
+use super::records::team;
+
+const ROUTERS: usize = 3;
+const TEAMS: usize = 3;
+
+#[derive(Debug, Clone)]
+enum Step {
+    /// An operator confirms a plan that has seen all but the last `lag` records.
+    Confirm { operator: u8, team: usize, lag: u64 },
+    /// The last confirmed change is appended again.
+    Retry,
+    /// A router reads up to `count` records, starting `again` records early.
+    Read {
+        router: usize,
+        count: usize,
+        again: u64,
+    },
+    /// A router pulls from another one.
+    Pull { router: usize, from: usize },
+    /// A router asks another one and is answered late.
+    Ask { router: usize, from: usize },
+    /// The late answer arrives, for the second time perhaps.
+    Deliver { router: usize },
+    /// A router starts anew and knows nothing.
+    Restart { router: usize },
+    /// A router writes its state, which may be outdated by then.
+    Checkpoint { router: usize },
+    /// Somebody writes a checkpoint with a false content.
+    Forge,
+    /// The log drops its oldest records.
+    Drop { count: usize },
+    /// The log becomes unreachable or reachable.
+    Outage(bool),
+}
+
+/// The oracle: for each team, the offset and share of the last accepted change.
+#[derive(Debug, Clone, Default)]
+struct Oracle {
+    head: u64,
+    confirmed: u32,
+    last: Option<(u32, usize, u64)>,
+    decided: BTreeMap<u32, bool>,
+    shares: BTreeMap<usize, (u64, u32)>,
+    /// Teams after each prefix of the stream.
+    history: Vec<BTreeMap<usize, u32>>,
+}
+
+impl Oracle {
+    fn append(&mut self, change: Option<(u32, usize, u64)>) {
+        if let Some((id, team, base)) = change {
+            let is_fresh = !self.decided.contains_key(&id);
+            let wins = self.shares.get(&team).is_none_or(|(at, _)| *at < base);
+            if is_fresh {
+                self.decided.insert(id, wins);
+            }
+            if is_fresh && wins {
+                self.shares.insert(team, (self.head, id));
+            }
+        }
+        self.head += 1;
+        let teams = self.shares.iter().map(|(team, (_, id))| (*team, *id));
+        self.history.push(teams.collect());
+    }
+}
+
+impl ReferenceStateMachine for Oracle {
+    type State = Oracle;
+    type Transition = Step;
+
+    fn init_state() -> BoxedStrategy<Oracle> {
+        let history = vec![BTreeMap::new()];
+        Just(Oracle {
+            history,
+            ..Oracle::default()
+        })
+        .boxed()
+    }
+
+    fn transitions(_: &Oracle) -> BoxedStrategy<Step> {
+        prop_oneof![
+            6 => (0..2u8, 0..TEAMS, 0..4u64)
+                .prop_map(|(operator, team, lag)| Step::Confirm { operator, team, lag }),
+            2 => Just(Step::Retry),
+            8 => (0..ROUTERS, 0..6usize, 0..4u64)
+                .prop_map(|(router, count, again)| Step::Read { router, count, again }),
+            4 => (0..ROUTERS, 0..ROUTERS).prop_map(|(router, from)| Step::Pull { router, from }),
+            2 => (0..ROUTERS, 0..ROUTERS).prop_map(|(router, from)| Step::Ask { router, from }),
+            2 => (0..ROUTERS).prop_map(|router| Step::Deliver { router }),
+            1 => (0..ROUTERS).prop_map(|router| Step::Restart { router }),
+            2 => (0..ROUTERS).prop_map(|router| Step::Checkpoint { router }),
+            1 => Just(Step::Forge),
+            2 => (0..6usize).prop_map(|count| Step::Drop { count }),
+            1 => any::<bool>().prop_map(Step::Outage),
+        ]
+        .boxed()
+    }
+
+    fn apply(mut oracle: Oracle, step: &Step) -> Oracle {
+        match step {
+            Step::Confirm { team, lag, .. } => {
+                oracle.confirmed += 1;
+                let change = (oracle.confirmed, *team, oracle.head.saturating_sub(*lag));
+                oracle.last = Some(change);
+                oracle.append(Some(change));
+            }
+            Step::Retry => oracle.append(oracle.last),
+            Step::Checkpoint { .. } | Step::Forge => oracle.append(None),
+            _ => {}
+        }
+        oracle
+    }
+}
+
+/// The fleet under test: real routers' configurations over a log in memory.
+struct Fleet {
+    log: Vec<EncodedRecord>,
+    first: usize,
+    is_out: bool,
+    confirmed: u32,
+    last: Option<Record>,
+    routers: Vec<Config>,
+    highest: Vec<Offset>,
+    late: Vec<Option<ConfigPart>>,
+    sealer: Sealer,
+}
+
+impl Fleet {
+    fn append(&mut self, record: &Record) {
+        let data = serde_json::to_string(record).expect("JSON");
+        let offset = Offset(self.log.len() as u64);
+        self.log.push(EncodedRecord { offset, data });
+    }
+
+    fn confirm(&mut self, operator: u8, team_number: usize, lag: u64) {
+        self.confirmed += 1;
+        let base = (self.log.len() as u64).saturating_sub(lag);
+        let record = Record::Change(Change {
+            id: format!("change-{}", self.confirmed),
+            operator: format!("operator-{operator}"),
+            at: UnixMillis(0),
+            base: Offset(base),
+            ops: vec![team(&format!("team-{team_number}"), self.confirmed)],
+            relies_on: Vec::new(),
+        });
+        self.append(&record);
+        self.last = Some(record);
+    }
+
+    fn read(&mut self, router: usize, count: usize, again: u64) {
+        if self.is_out {
+            return;
+        }
+        let config = &self.routers[router];
+        let from = config.current().applied.0.saturating_sub(again) as usize;
+        if (config.current().applied.0 as usize) < self.first {
+            let kept = &self.log[self.first..];
+            let decoded: Vec<_> = kept
+                .iter()
+                .map(|record| (record.offset, ebonyspur::config::decode(record)))
+                .collect();
+            if let Some(state) = newest_usable(&decoded, &self.sealer) {
+                config.adopt(state.clone());
+            }
+            return;
+        }
+        let from = from.max(self.first);
+        let to = (from + count).min(self.log.len());
+        config.apply(&self.log[from.min(to)..to]);
+        if config.current().applied.0 as usize == self.log.len() {
+            config.set_known();
+        }
+    }
+
+    fn ask(&self, router: usize, from: usize) -> ConfigPart {
+        let applied = self.routers[router].current().applied;
+        self.routers[from].part_since(&ConfigSince { applied, part: 0 })
+    }
+
+    fn deliver(&mut self, router: usize, answer: ConfigPart) {
+        match answer {
+            ConfigPart::Records(records) => drop(self.routers[router].apply(&records)),
+            ConfigPart::State { parts, bytes, .. } => {
+                assert_eq!(parts, 1);
+                let state: State = serde_json::from_slice(&bytes).expect("a state");
+                self.routers[router].adopt(state);
+            }
+            ConfigPart::UpToDate(_) => self.routers[router].set_known(),
+            ConfigPart::Unknown => {}
+        }
+    }
+
+    fn checkpoint(&mut self, router: usize) {
+        let state = self.routers[router].current();
+        let point = Checkpoint::new(&state, UnixMillis(0), &self.sealer);
+        self.append(&Record::Checkpoint(point));
+    }
+
+    fn forge(&mut self) {
+        let state = State {
+            applied: Offset(self.log.len() as u64),
+            ..State::default()
+        };
+        let forger = Sealer::new(&[Secret::new("another-key")], Purpose::Checkpoint);
+        let point = Checkpoint::new(&state, UnixMillis(0), &forger);
+        self.append(&Record::Checkpoint(point));
+    }
+}
+
+fn shares(state: &State) -> BTreeMap<usize, u32> {
+    let number = |name: &str| name.trim_start_matches("team-").parse().expect("a number");
+    let teams = state.teams.values();
+    teams
+        .map(|team| (number(team.name.as_str()), team.share))
+        .collect()
+}
+
+struct FoldTest;
+
+impl StateMachineTest for FoldTest {
+    type SystemUnderTest = Fleet;
+    type Reference = Oracle;
+
+    fn init_test(_: &Oracle) -> Fleet {
+        Fleet {
+            log: Vec::new(),
+            first: 0,
+            is_out: false,
+            confirmed: 0,
+            last: None,
+            routers: (0..ROUTERS).map(|_| Config::default()).collect(),
+            highest: vec![Offset(0); ROUTERS],
+            late: vec![None; ROUTERS],
+            sealer: Sealer::new(&[Secret::new("key-of-the-fleet")], Purpose::Checkpoint),
+        }
+    }
+
+    fn apply(mut fleet: Fleet, _: &Oracle, step: Step) -> Fleet {
+        for (highest, config) in fleet.highest.iter_mut().zip(&fleet.routers) {
+            *highest = config.current().applied;
+        }
+        match step {
+            Step::Confirm {
+                operator,
+                team,
+                lag,
+            } => fleet.confirm(operator, team, lag),
+            Step::Retry => match fleet.last.clone() {
+                Some(record) => fleet.append(&record),
+                None => fleet.append(&Record::Checkpoint(Checkpoint::new(
+                    &State::default(),
+                    UnixMillis(0),
+                    &fleet.sealer,
+                ))),
+            },
+            Step::Read {
+                router,
+                count,
+                again,
+            } => fleet.read(router, count, again),
+            Step::Pull { router, from } => {
+                let answer = fleet.ask(router, from);
+                fleet.deliver(router, answer);
+            }
+            Step::Ask { router, from } => fleet.late[router] = Some(fleet.ask(router, from)),
+            Step::Deliver { router } => {
+                if let Some(answer) = fleet.late[router].clone() {
+                    fleet.deliver(router, answer);
+                }
+            }
+            Step::Restart { router } => {
+                fleet.routers[router] = Config::default();
+                fleet.highest[router] = Offset(0);
+                fleet.late[router] = None;
+            }
+            Step::Checkpoint { router } => fleet.checkpoint(router),
+            Step::Forge => fleet.forge(),
+            Step::Drop { count } => fleet.first = (fleet.first + count).min(fleet.log.len()),
+            Step::Outage(is_out) => fleet.is_out = is_out,
+        }
+        fleet
+    }
+
+    fn check_invariants(fleet: &Fleet, oracle: &Oracle) {
+        assert_eq!(fleet.log.len() as u64, oracle.head);
+        let mut at: BTreeMap<Offset, std::sync::Arc<State>> = BTreeMap::new();
+        for (router, config) in fleet.routers.iter().enumerate() {
+            let state = config.current();
+            assert!(
+                state.applied >= fleet.highest[router],
+                "the state went back"
+            );
+            let expected = &oracle.history[state.applied.0 as usize];
+            assert_eq!(&shares(&state), expected, "the oracle decides otherwise");
+            let same = at.entry(state.applied).or_insert_with(|| state.clone());
+            assert_eq!(*same, state, "two states at one offset");
+        }
+    }
+}
+
+prop_state_machine! {
+    #![proptest_config(ProptestConfig {
+        cases: 300,
+        failure_persistence: None,
+        rng_seed: proptest::test_runner::RngSeed::Fixed(6),
+        ..ProptestConfig::default()
+    })]
+
+    #[test]
+    fn routers_never_go_back_and_agree_at_each_offset(sequential 1..60 => FoldTest);
+}
--- a/tests/config/main.rs
+++ b/tests/config/main.rs
@@ -1,3 +1,11 @@
-//! Settings and the fold of the configuration stream.
+//! Settings, and the fold of the configuration stream.
 
+#[path = "../support/mod.rs"]
+mod support;
+
+mod checkpoint;
+mod fleet;
+mod fold;
+mod machine;
+mod records;
 mod settings;
--- /dev/null
+++ b/tests/config/records.rs
@@ -0,0 +1,49 @@
+//! Records for tests of the fold.
+
+use ebonyspur::{
+    config::{Change, Op, Outcome, Record, State},
+    Offset, UnixMillis,
+};
+use serde_json::{json, Value};
+
+/// Returns an operation.
+pub fn op(value: Value) -> Op {
+    serde_json::from_value(value).expect("an operation")
+}
+
+/// Returns the operation that puts the team `name`.
+pub fn team(name: &str, share: u32) -> Op {
+    op(json!({ "op": "put_team", "name": name, "share": share }))
+}
+
+/// Returns a change.
+pub fn change(id: &str, base: u64, ops: &[Op]) -> Record {
+    Record::Change(Change {
+        id: id.into(),
+        operator: "alice".into(),
+        at: UnixMillis(0),
+        base: Offset(base),
+        ops: ops.to_vec(),
+        relies_on: Vec::new(),
+    })
+}
+
+/// Applies `record` at the next offset.
+pub fn append(state: &mut State, record: &Record) -> Outcome {
+    state.apply(state.applied, record)
+}
+
+/// Applies a change that has seen everything, and returns what became of it.
+pub fn put(state: &mut State, ops: &[Op]) -> String {
+    let at = state.applied.0;
+    let outcome = append(state, &change(&format!("change-{at}"), at, ops));
+    describe(&outcome)
+}
+
+/// Returns an outcome as text.
+pub fn describe(outcome: &Outcome) -> String {
+    match outcome {
+        Outcome::Rejected(rejection) => format!("rejected: {rejection}"),
+        other => format!("{other:?}"),
+    }
+}
--- a/tests/support/mod.rs
+++ b/tests/support/mod.rs
@@ -20,6 +20,9 @@
 /// Token of the operator of every fleet.
 pub const TOKEN: &str = "token-of-the-test-operator";
 
+/// Path whose answer has the first and the next offset of the configuration stream.
+pub const STREAM_BOUNDS: &str = "/v1/log/config?from=9223372036854775807";
+
 /// Waits until `condition` holds.
 #[track_caller]
 pub fn wait_until(what: &str, mut condition: impl FnMut() -> bool) {
@@ -148,7 +151,12 @@
 impl Fleet {
     /// Starts a fleet with one team `kerb`, a chat service `planner` and a plain one `trade`.
     pub fn start(engines: usize, routers: usize) -> Self {
-        let mut fleet = Fleet::platform_only(&[]);
+        Fleet::start_with(&[], engines, routers)
+    }
+
+    /// Starts the same fleet with extra arguments of the platform.
+    pub fn start_with(platform_args: &[&str], engines: usize, routers: usize) -> Self {
+        let mut fleet = Fleet::platform_only(platform_args);
         fleet.publish("first", &base_ops());
         for _ in 0..engines {
             fleet.add_engine(&[]);
@@ -189,8 +197,7 @@
 
     /// Appends a change to the configuration stream.
     pub fn publish(&self, id: &str, ops: &Value) {
-        let base =
-            get(&self.platform_url("/v1/log/config?from=0")).expect("a page")["head"].clone();
+        let base = get(&self.platform_url(STREAM_BOUNDS)).expect("a page")["head"].clone();
         let change = json!({
             "record": "change", "id": id, "operator": "test", "at": 0, "base": base, "ops": ops,
         });
@@ -247,17 +254,14 @@
              operators: [{{name: test, token: {TOKEN}}}]\n{extra}",
             self.platform_url("")
         );
-        let file = self.dir.path().join(format!("{name}.yaml"));
-        std::fs::write(&file, settings).expect("a settings file");
+        std::fs::write(self.settings_file(&name), settings).expect("a settings file");
         let instance = json!({
             "kind": "router", "address": callers, "peer_address": peers,
             "failure_domain": domain, "state": "live",
         });
         let url = self.platform_url(&format!("/v1/instances/{name}"));
         call("PUT", &url, &instance).expect("an instance");
-        let file = file.to_str().expect("a path of text").to_string();
-        let log = self.dir.path().join(format!("{name}.log"));
-        let process = Process::start("ebonyspurd", &["--settings", &file], &log);
+        let process = self.start_daemon(&name);
         self.routers.push(RouterProcess {
             process,
             name,
@@ -267,6 +271,44 @@
         });
     }
 
+    fn settings_file(&self, name: &str) -> PathBuf {
+        self.dir.path().join(format!("{name}.yaml"))
+    }
+
+    fn start_daemon(&self, name: &str) -> Process {
+        let file = self.settings_file(name);
+        let file = file.to_str().expect("a path of text");
+        let log = self.dir.path().join(format!("{name}.log"));
+        Process::start("ebonyspurd", &["--settings", file], &log)
+    }
+
+    /// Kills a router.
+    pub fn kill_router(&mut self, index: usize) {
+        let process = &mut self.routers[index].process;
+        process.signal(Signal::KILL);
+        wait_until("the router has ended", || process.has_ended());
+    }
+
+    /// Starts a router again, which is killed first if it runs.
+    pub fn restart_router(&mut self, index: usize) {
+        if !self.routers[index].process.has_ended() {
+            self.kill_router(index);
+        }
+        self.routers[index].process = self.start_daemon(&self.routers[index].name);
+    }
+
+    /// Starts a router again that reaches the log service only at `log`.
+    pub fn restart_router_with_log(&mut self, index: usize, log: SocketAddr) {
+        let file = self.settings_file(&self.routers[index].name);
+        let text = std::fs::read_to_string(&file).expect("a settings file");
+        let text = text.replace(
+            "platform: {",
+            &format!("platform: {{log_url: 'http://{log}', "),
+        );
+        std::fs::write(&file, text).expect("a settings file");
+        self.restart_router(index);
+    }
+
     /// Takes a router off the instance list, as the platform does when it is gone.
     pub fn unlist_router(&self, name: &str) {
         let url = self.platform_url(&format!("/v1/instances/{name}"));
