Plan intents, confirm them through the stream, and operate by command line

Cause: operators could only append raw records to the stream; nothing told them what a change would cost, or refused what would break the load bound.

Change: - intent: a plan is a pure function of the configuration and of the fleet as one router sees it; it lists steps, capacity and cold chats, and is refused when a pool would lose its last engine or the bound would exceed an engine's slots. - Routers keep no plans: a plan travels sealed and any router confirms it.

Ruled out: plans stored at a router (lost with it), and refusing every plan while the bound exceeds the slots (an undrain, which helps, was refused as well).

--- /dev/null
+++ b/benches/plan.rs
@@ -0,0 +1,87 @@
+//! Time to make a plan at the size of the fleet that the system is designed for.
+
+use std::hint::black_box;
+
+use criterion::{criterion_group, criterion_main, Criterion};
+use ebonyspur::{
+    config::{Op, State},
+    intent::{draft, EngineView, Fleet, Intent, Objects},
+    membership::PoolLoad,
+    UnixMillis,
+};
+
+const ENGINES: usize = 600;
+const TEAMS: usize = 6_100;
+const POOLS: usize = 3;
+
+fn state() -> State {
+    let mut yaml = "models: [{name: m, versions: [v1, v2]}]\npools:\n".to_string();
+    for pool in 0..POOLS {
+        yaml += &format!("  - {{name: pool-{pool}, slots: 16, versions: [v1]}}\n");
+    }
+    yaml += "teams:\n";
+    for team in 0..TEAMS {
+        yaml += &format!("  - {{name: team-{team}, version: v1}}\n");
+    }
+    let mut state = State::default();
+    let ops: Vec<Op> = Objects::from_yaml(&yaml).expect("objects").ops(&state);
+    state.apply_ops(&ops).expect("objects that fit together");
+    state
+}
+
+fn fleet() -> Fleet {
+    let mut fleet = Fleet {
+        routers: 380,
+        ..Fleet::default()
+    };
+    for engine in 0..ENGINES {
+        let pool = format!("pool-{}", engine % POOLS);
+        let pool = pool.parse().expect("a name");
+        let view = EngineView {
+            pool,
+            leaving: false,
+        };
+        let name = format!("engine-{engine}").parse().expect("a name");
+        fleet.engines.insert(name, view);
+    }
+    for pool in 0..POOLS {
+        let name = format!("pool-{pool}").parse().expect("a name");
+        let load = PoolLoad {
+            in_flight: 1_500,
+            engines: 200,
+        };
+        fleet.loads.insert(name, load);
+    }
+    fleet
+}
+
+fn plans(criterion: &mut Criterion) {
+    let (state, fleet) = (state(), fleet());
+    let drain = Intent::Drain {
+        engine: "engine-7".parse().expect("a name"),
+    };
+    let move_team = Intent::MoveTeam {
+        team: "team-77".parse().expect("a name"),
+        to: "v2".parse().expect("a name"),
+    };
+    let mut teams: Vec<_> = state.teams.values().cloned().collect();
+    teams.iter_mut().for_each(|team| team.share = 2);
+    let apply = Intent::Apply {
+        objects: Objects {
+            teams,
+            ..Objects::default()
+        },
+    };
+    for (name, intent) in [
+        ("drain", drain),
+        ("move-team", move_team),
+        ("apply-all-teams", apply),
+    ] {
+        criterion.bench_function(&format!("plan/{name}"), |bencher| {
+            bencher.iter(|| draft(&state, &fleet, black_box(&intent), "plan-1", UnixMillis(0)));
+        });
+    }
+}
+
+criterion_group!(benches, plans);
+criterion_main!(benches);
--- a/src/bin/ebonyspurd.rs
+++ b/src/bin/ebonyspurd.rs
@@ -3,7 +3,7 @@
 use std::{path::PathBuf, process::ExitCode};
 
 use clap::Parser;
-use ebonyspur::{Category, Error, Result, Router, Settings};
+use ebonyspur::{Category, Result, Router, Settings};
 use tokio::{
     signal::unix::{signal, SignalKind},
     sync::watch,
@@ -23,7 +23,10 @@
     match run(&Args::parse()) {
         Ok(()) => ExitCode::SUCCESS,
         Err(err) => {
-            eprintln!("ebonyspurd: {err}");
+            match err.classify() {
+                Category::Settings => eprintln!("{}", err.message()),
+                _ => eprintln!("ebonyspurd: {err}"),
+            }
             ExitCode::FAILURE
         }
     }
@@ -31,11 +34,7 @@
 
 #[tokio::main]
 async fn run(args: &Args) -> Result<()> {
-    let text = std::fs::read_to_string(&args.settings).map_err(|err| {
-        let message = format!("{}: {err}", args.settings.display());
-        Error::not_run(Category::Settings, message)
-    })?;
-    let settings = Settings::from_yaml(&text)?;
+    let settings = Settings::from_file(&args.settings)?;
     let (stop_tx, stop_rx) = watch::channel(false);
     let mut terminate = signal(SignalKind::terminate())?;
     let mut interrupt = signal(SignalKind::interrupt())?;
--- /dev/null
+++ b/src/cli/mod.rs
@@ -0,0 +1,74 @@
+//! The operators' command line: states intents, shows plans, confirms them, and looks.
+//!
+//! It keeps nothing but the plan files that it writes, and asks whichever of the given
+//! routers answers.
+
+mod args;
+mod client;
+mod exit;
+mod plan;
+mod show;
+mod table;
+mod wait;
+
+use std::process::ExitCode;
+
+use clap::{CommandFactory, Parser};
+
+use self::{
+    args::{Args, Command, SettingsCommand},
+    client::AdminClient,
+    exit::Failure,
+};
+use crate::Settings;
+
+/// Result of a command.
+type Done = Result<(), Failure>;
+
+/// Runs the command line of this process.
+pub fn main() -> ExitCode {
+    let args = Args::parse();
+    let runtime = tokio::runtime::Builder::new_current_thread()
+        .enable_all()
+        .build();
+    let done = match runtime {
+        Ok(runtime) => runtime.block_on(run(args)),
+        Err(err) => Err(Failure::from(crate::Error::from(err))),
+    };
+    match done {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(failure) => {
+            eprintln!("{}", failure.message());
+            failure.code()
+        }
+    }
+}
+
+async fn run(args: Args) -> Done {
+    let output = args.output;
+    match args.command {
+        Command::Settings {
+            command: SettingsCommand::Check { file },
+        } => {
+            Settings::from_file(&file)?;
+            println!("{}: ok", file.display());
+            Ok(())
+        }
+        Command::Completions { shell } => {
+            clap_complete::generate(
+                shell,
+                &mut Args::command(),
+                "ebonyspur",
+                &mut std::io::stdout(),
+            );
+            Ok(())
+        }
+        Command::Plan { command, out } => {
+            plan::run(&AdminClient::new(&args.connection)?, command, out, output).await
+        }
+        Command::Confirm(confirm) => {
+            plan::confirm(&AdminClient::new(&args.connection)?, &confirm, output).await
+        }
+        Command::Look(look) => show::run(&AdminClient::new(&args.connection)?, look, output).await,
+    }
+}
--- /dev/null
+++ b/src/cli/plan.rs
@@ -0,0 +1,100 @@
+//! Commands that make, show and confirm plans.
+
+use std::path::{Path, PathBuf};
+
+use serde_json::{json, Value};
+
+use super::{
+    args::{Confirm, Output, PlanCommand},
+    table, wait, AdminClient, Done, Failure,
+};
+use crate::{
+    intent::{Intent, Objects, PlanDocument, Settled},
+    Category, Error, Result,
+};
+
+/// Makes or shows a plan.
+pub(super) async fn run(
+    client: &AdminClient,
+    command: PlanCommand,
+    out: Option<PathBuf>,
+    output: Output,
+) -> Done {
+    let intent = match command {
+        PlanCommand::Drain { engine } => Intent::Drain { engine },
+        PlanCommand::Undrain { engine } => Intent::Undrain { engine },
+        PlanCommand::MoveTeam { team, to } => Intent::MoveTeam { team, to },
+        PlanCommand::Load { pool, version } => Intent::Load { pool, version },
+        PlanCommand::Unload { pool, version } => Intent::Unload { pool, version },
+        PlanCommand::SetRole { engine, role } => Intent::SetRole { engine, role },
+        PlanCommand::Apply { file } => Intent::Apply {
+            objects: Objects::from_yaml(&read(&file)?)?,
+        },
+        PlanCommand::Show { file } => return show(client, &file, output).await,
+    };
+    let answer = client.post("/v1/plans", &intent).await?;
+    let plan = document(&answer["plan"])?;
+    let file = out.unwrap_or_else(|| PathBuf::from(format!("{}.plan", plan.id)));
+    let token = answer["token"].as_str().unwrap_or_default();
+    std::fs::write(&file, format!("{token}\n")).map_err(Error::from)?;
+    match output {
+        Output::Json => println!("{}", json!({ "plan": plan, "file": file })),
+        Output::Table => {
+            print!("{}", table::plan(&plan));
+            println!(
+                "\nNothing has changed. Confirm with: ebonyspur confirm {}",
+                file.display()
+            );
+        }
+    }
+    Ok(())
+}
+
+async fn show(client: &AdminClient, file: &Path, output: Output) -> Done {
+    let body = json!({ "token": read(file)?.trim() });
+    let plan = document(&client.post("/v1/plans/show", &body).await?)?;
+    match output {
+        Output::Json => println!("{}", json!({ "plan": plan, "file": file })),
+        Output::Table => print!("{}", table::plan(&plan)),
+    }
+    Ok(())
+}
+
+/// Confirms a plan.
+pub(super) async fn confirm(client: &AdminClient, args: &Confirm, output: Output) -> Done {
+    let body = json!({ "token": read(&args.plan)?.trim() });
+    let answer = client.post("/v1/plans/confirm", &body).await?;
+    let settled: Settled = serde_json::from_value(answer.clone()).map_err(malformed)?;
+    if output == Output::Json {
+        println!("{answer}");
+    }
+    match settled {
+        Settled::Rejected { id, rejection, .. } => {
+            Err(Failure::Rejected(format!("{id} was rejected: {rejection}")))
+        }
+        Settled::Accepted { id, offset } => {
+            if output == Output::Table {
+                println!("{id} was accepted at offset {offset}");
+            }
+            match args.wait {
+                true => wait::until_in_force(client, offset, args.timeout).await,
+                false => Ok(()),
+            }
+        }
+    }
+}
+
+fn document(value: &Value) -> Result<PlanDocument> {
+    serde_json::from_value(value.clone()).map_err(malformed)
+}
+
+fn malformed(err: serde_json::Error) -> Error {
+    Error::may_have_run(Category::Protocol, err.to_string())
+}
+
+fn read(file: &Path) -> Result<String> {
+    std::fs::read_to_string(file).map_err(|err| {
+        let message = format!("{}: {err}", file.display());
+        Error::not_run(Category::BadInput, message)
+    })
+}
--- /dev/null
+++ b/src/cli/show.rs
@@ -0,0 +1,114 @@
+//! Commands that only look.
+
+use serde_json::{json, Value};
+
+use super::{
+    args::{Look, Output},
+    table, AdminClient, Done,
+};
+use crate::UnixMillis;
+
+/// Time that a router holds back an empty list of events, in milliseconds.
+const FOLLOW_WAIT_MS: u64 = 20_000;
+
+/// Runs a command that only looks.
+pub(super) async fn run(client: &AdminClient, command: Look, output: Output) -> Done {
+    match command {
+        Look::Status => status(client, output).await,
+        Look::Events { follow, since } => events(client, since, follow, output).await,
+        Look::State { router } => {
+            let state = client.get(&format!("/v1/routers/{router}/state")).await?;
+            println!("{state:#}");
+            Ok(())
+        }
+        Look::Get { kind } => {
+            let objects = client
+                .get(&format!("/v1/objects/{}", kind.as_str()))
+                .await?;
+            print_rows(&objects, output);
+            Ok(())
+        }
+        Look::Explain {
+            team,
+            chat,
+            service,
+        } => {
+            let path = format!("/v1/explain?team={team}&chat={chat}&service={service}");
+            println!("{:#}", client.get(&path).await?);
+            Ok(())
+        }
+    }
+}
+
+fn print_rows(rows: &Value, output: Output) {
+    match output {
+        Output::Json => println!("{rows}"),
+        Output::Table => print!(
+            "{}",
+            table::rows(rows.as_array().map_or(&[], Vec::as_slice))
+        ),
+    }
+}
+
+async fn status(client: &AdminClient, output: Output) -> Done {
+    let status = client.get("/v1/status").await?;
+    if output == Output::Json {
+        println!("{status}");
+        return Ok(());
+    }
+    let mut rows = vec![json!({
+        "router": status["router"], "state": status["phase"], "applied": status["applied"],
+    })];
+    for (name, router) in status["routers"].as_object().into_iter().flatten() {
+        rows.push(json!({
+            "router": name, "state": router["state"], "applied": router["applied"],
+        }));
+    }
+    print!("{}", table::rows(&rows));
+    Ok(())
+}
+
+async fn events(client: &AdminClient, since: u64, follow: bool, output: Output) -> Done {
+    let mut next = since;
+    loop {
+        let wait = if follow { FOLLOW_WAIT_MS } else { 0 };
+        let path = format!("/v1/decisions?since={next}&wait_ms={wait}");
+        let answer = client.get(&path).await?;
+        let decisions = answer["decisions"].as_array();
+        for decision in decisions.into_iter().flatten() {
+            match output {
+                Output::Json => println!("{decision}"),
+                Output::Table => println!("{}", event_line(decision)),
+            }
+        }
+        let is_last = decisions.is_none_or(Vec::is_empty);
+        next = answer["next"].as_u64().unwrap_or(next);
+        if is_last && !follow {
+            return Ok(());
+        }
+    }
+}
+
+fn event_line(decision: &Value) -> String {
+    let text = |key: &str| decision[key].as_str().unwrap_or("?");
+    let at = UnixMillis(decision["at"].as_u64().unwrap_or_default());
+    let time = std::time::UNIX_EPOCH + std::time::Duration::from_millis(at.0);
+    let time = humantime::format_rfc3339_millis(time);
+    let objects = decision["objects"].as_array();
+    let objects: Vec<_> = objects
+        .into_iter()
+        .flatten()
+        .filter_map(Value::as_str)
+        .collect();
+    let outcome = match &decision["rejection"] {
+        Value::Null => "accepted".to_string(),
+        rejection => format!("rejected ({})", rejection["reason"].as_str().unwrap_or("?")),
+    };
+    format!(
+        "{time} offset {} {outcome} {} by {}: {}",
+        decision["offset"],
+        text("id"),
+        text("operator"),
+        objects.join(" ")
+    )
+}
--- a/src/config/object.rs
+++ b/src/config/object.rs
@@ -94,7 +94,7 @@
 }
 
 /// Which part of the work an engine does.
-#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize, Deserialize, clap::ValueEnum)]
 #[serde(rename_all = "snake_case")]
 pub enum Role {
     /// Reads prompts and generates tokens.
--- a/src/config/settings/mod.rs
+++ b/src/config/settings/mod.rs
@@ -2,7 +2,7 @@
 
 mod reader;
 
-use std::{net::SocketAddr, time::Duration};
+use std::{net::SocketAddr, path::Path, time::Duration};
 
 use self::reader::Reader;
 use crate::{DomainName, Error, Result, RouterName, TeamName};
@@ -92,7 +92,23 @@
 }
 
 impl Settings {
-    /// Reads and checks a settings file.
+    /// Reads and checks the settings file at `path`.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`crate::Category::Settings`] as [`Settings::from_yaml`] does, each line
+    /// with the path of the file.
+    pub fn from_file(path: &Path) -> Result<Self> {
+        let in_file = |line: &str| format!("{}: {line}", path.display());
+        let text = std::fs::read_to_string(path)
+            .map_err(|err| settings_error(&[in_file(&err.to_string())]))?;
+        Settings::from_yaml(&text).map_err(|err| {
+            let lines: Vec<_> = err.message().lines().map(in_file).collect();
+            settings_error(&lines)
+        })
+    }
+
+    /// Reads and checks the text of a settings file.
     ///
     /// # Errors
     ///
--- a/src/config/settings/reader.rs
+++ b/src/config/settings/reader.rs
@@ -12,6 +12,9 @@
 /// Shortest accepted secret, in bytes.
 const MIN_SECRET_LEN: usize = 16;
 
+/// Form of a name.
+const NAME: &str = "1 to 128 bytes of [A-Za-z0-9._:-]";
+
 /// One mapping of the file, and the path to it.
 pub(super) struct Reader {
     path: String,
@@ -110,22 +113,19 @@
     }
 
     /// Reads a required value from its text.
-    pub(super) fn required<T: FromStr + Placeholder>(&mut self, key: &str) -> T
-    where
-        T::Err: std::fmt::Display,
-    {
-        self.parsed(key).unwrap_or_else(T::placeholder)
+    pub(super) fn required<T: FromStr + Placeholder>(&mut self, key: &str) -> T {
+        self.parsed(key, NAME).unwrap_or_else(T::placeholder)
     }
 
     /// Reads a required `IP:PORT`.
     pub(super) fn address(&mut self, key: &str) -> SocketAddr {
         let unspecified = SocketAddr::from(([0, 0, 0, 0], 0));
-        self.parsed(key).unwrap_or(unspecified)
+        self.parsed(key, "IP:PORT").unwrap_or(unspecified)
     }
 
     /// Reads a required `http://` URL.
     pub(super) fn url(&mut self, key: &str) -> http::Uri {
-        let url: http::Uri = self.parsed(key).unwrap_or_default();
+        let url: http::Uri = self.parsed(key, "an http:// URL").unwrap_or_default();
         if url.host().is_some() && url.scheme_str() != Some("http") {
             self.fault(key, "must be an http:// URL");
         }
@@ -140,7 +140,7 @@
 
     /// Reads a required secret.
     pub(super) fn secret(&mut self, key: &str) -> Secret {
-        let Some(text) = self.parsed::<String>(key) else {
+        let Some(text) = self.parsed::<String>(key, "text") else {
             return Secret::new("");
         };
         self.check_secret(key, &text);
@@ -168,7 +168,7 @@
         for item in &items {
             match TeamName::new(item.as_str().unwrap_or_default()) {
                 Ok(name) => names.push(name),
-                Err(err) => self.fault(key, err.message()),
+                Err(_) => self.fault(key, &format!("each must be {NAME}")),
             }
         }
         Some(names)
@@ -210,25 +210,16 @@
         }
     }
 
-    fn parsed<T: FromStr>(&mut self, key: &str) -> Option<T>
-    where
-        T::Err: std::fmt::Display,
-    {
+    fn parsed<T: FromStr>(&mut self, key: &str, form: &str) -> Option<T> {
         let Some(value) = self.take(key) else {
             self.fault(key, "is required");
             return None;
         };
-        let Some(text) = value.as_str() else {
-            self.fault(key, "must be text");
-            return None;
-        };
-        match text.parse() {
-            Ok(parsed) => Some(parsed),
-            Err(err) => {
-                self.fault(key, &format!("{err}"));
-                None
-            }
+        let parsed = value.as_str().and_then(|text| text.parse().ok());
+        if parsed.is_none() {
+            self.fault(key, &format!("must be {form}"));
         }
+        parsed
     }
 
     fn list(&mut self, key: &str) -> Option<Vec<Value>> {
--- /dev/null
+++ b/src/http/auth.rs
@@ -0,0 +1,21 @@
+//! Which operator sends a request.
+
+use http::{header, HeaderMap};
+use subtle::ConstantTimeEq;
+
+use crate::{config::Operator, Category, Error, Result, Router};
+
+/// Returns the operator whose token the request carries.
+pub(super) fn authorize<'a>(cx: &'a Router, headers: &HeaderMap) -> Result<&'a Operator> {
+    let value = headers.get(header::AUTHORIZATION);
+    let token = value.and_then(|value| value.as_bytes().strip_prefix(b"Bearer "));
+    let token = token.unwrap_or_default();
+    let holds = |operator: &&Operator| bool::from(operator.token.expose().ct_eq(token));
+    let wrong = || {
+        Error::not_run(
+            Category::Unauthorized,
+            "the operator token is missing or wrong",
+        )
+    };
+    cx.settings.operators.iter().find(holds).ok_or_else(wrong)
+}
--- a/src/http/mod.rs
+++ b/src/http/mod.rs
@@ -1,5 +1,7 @@
 //! The HTTP front end: encodes and decodes, and leaves every decision to the slices.
 
+mod admin;
+mod auth;
 mod caller;
 mod endpoint;
 mod head;
--- a/src/http/operator.rs
+++ b/src/http/operator.rs
@@ -7,14 +7,15 @@
     prelude::*,
     router::{builder::build_simple_router, Router as Routes},
 };
-use http::{header, HeaderMap, Response, StatusCode};
-use subtle::ConstantTimeEq;
+use http::{Response, StatusCode};
 
 use super::{
+    admin,
+    auth::authorize,
     endpoint::{Endpoint, Incoming},
     refusal::{json, text},
 };
-use crate::{config::Operator, inspect, Category, Error, Result, Router};
+use crate::{inspect, Result, Router};
 
 /// Returns the routes for operators.
 pub fn routes(cx: Arc<Router>) -> Routes {
@@ -31,24 +32,10 @@
         route
             .get("/state")
             .to_new_handler(Endpoint::new(&cx, state_dump));
+        admin::add_routes(route, &cx);
     })
 }
 
-/// Returns the operator whose token the request carries.
-fn authorize<'a>(cx: &'a Router, headers: &HeaderMap) -> Result<&'a Operator> {
-    let value = headers.get(header::AUTHORIZATION);
-    let token = value.and_then(|value| value.as_bytes().strip_prefix(b"Bearer "));
-    let token = token.unwrap_or_default();
-    let holds = |operator: &&Operator| bool::from(operator.token.expose().ct_eq(token));
-    let wrong = || {
-        Error::not_run(
-            Category::Unauthorized,
-            "the operator token is missing or wrong",
-        )
-    };
-    cx.settings.operators.iter().find(holds).ok_or_else(wrong)
-}
-
 async fn healthz(cx: Arc<Router>, req: Incoming) -> Result<Response<Body>> {
     authorize(&cx, &req.headers)?;
     Ok(text(StatusCode::OK, "ok\n".into()))
--- /dev/null
+++ b/src/intent/draft.rs
@@ -0,0 +1,167 @@
+//! Makes a plan of an intent: a pure function of the configuration and the fleet.
+
+use std::collections::BTreeSet;
+
+use super::{
+    capacity::changed_pools, ColdChats, Drafted, Fleet, Intent, Plan, PlanDocument, PoolCapacity,
+    Step,
+};
+use crate::{
+    config::{Model, Op, Pool, State},
+    Category, EngineName, Error, Result, TeamName, UnixMillis, VersionName,
+};
+
+/// Makes the plan `id` of `intent`.
+///
+/// # Errors
+///
+/// Returns [`Category::NotFound`] for an unknown engine or team, [`Category::BadInput`]
+/// when there is nothing to change, and [`Category::Conflict`] when the result would not
+/// fit together or would break the load bound.
+pub fn draft(
+    state: &State,
+    fleet: &Fleet,
+    intent: &Intent,
+    id: &str,
+    now: UnixMillis,
+) -> Result<Plan<Drafted>> {
+    check_names(state, fleet, intent)?;
+    let ops = ops(state, intent)?;
+    let mut after = state.clone();
+    after
+        .apply_ops(&ops)
+        .map_err(|err| refused(err.to_string()))?;
+    let has_effect = (&after.teams, &after.services, &after.pools, &after.models)
+        != (&state.teams, &state.services, &state.pools, &state.models)
+        || (&after.drained, &after.roles) != (&state.drained, &state.roles);
+    if !has_effect {
+        let message = "nothing to change: the configuration is so already";
+        return Err(Error::not_run(Category::BadInput, message));
+    }
+    let capacity = changed_pools(state, &after, fleet);
+    if let Some(reason) = capacity.iter().find_map(PoolCapacity::refusal) {
+        return Err(refused(reason));
+    }
+    let cold = cold_chats(state, &after, fleet, &capacity, &ops);
+    Ok(Plan::new(PlanDocument {
+        id: id.into(),
+        intent: intent.clone(),
+        base: state.applied,
+        drafted_at: now,
+        steps: ops.iter().map(Step::new).collect(),
+        relies_on: capacity.iter().map(capacity_key).collect(),
+        ops,
+        capacity,
+        cold,
+    }))
+}
+
+fn refused(reason: String) -> Error {
+    Error::not_run(Category::Conflict, reason)
+}
+
+/// Returns the key that two plans share which change the capacity of one pool.
+fn capacity_key(capacity: &PoolCapacity) -> String {
+    format!("capacity/{}", capacity.pool)
+}
+
+fn check_names(state: &State, fleet: &Fleet, intent: &Intent) -> Result<()> {
+    let missing = |message: String| Err(Error::not_run(Category::NotFound, message));
+    match intent {
+        Intent::Drain { engine } | Intent::SetRole { engine, .. }
+            if !fleet.engines.contains_key(engine) =>
+        {
+            missing(format!("no engine {engine}"))
+        }
+        Intent::Undrain { engine } if !state.drained.contains(engine) => {
+            missing(format!("engine {engine} is not drained"))
+        }
+        Intent::MoveTeam { team, .. } => state.team(team).map(drop),
+        _ => Ok(()),
+    }
+}
+
+fn ops(state: &State, intent: &Intent) -> Result<Vec<Op>> {
+    match intent {
+        Intent::MoveTeam { team, to } => move_team(state, team, to),
+        Intent::Apply { objects } => Ok(objects.ops(state)),
+        other => Ok(other.single_op().into_iter().collect()),
+    }
+}
+
+/// Loads the version where the team is served now, then moves the team.
+fn move_team(state: &State, team: &TeamName, to: &VersionName) -> Result<Vec<Op>> {
+    let from = state.team(team)?.version.as_ref();
+    let model = state.models.values().find(|model| model.has(to));
+    let unknown = || Error::not_run(Category::NotFound, format!("no version {to}"));
+    let model = model.ok_or_else(unknown)?;
+    let serves = |pool: &&Pool| match from {
+        Some(from) => pool.versions.contains(from),
+        None => loads_any(pool, model),
+    };
+    let mut pools: Vec<_> = state.pools.values().filter(serves).collect();
+    if pools.is_empty() {
+        pools.extend(state.pools.values().filter(|pool| loads_any(pool, model)));
+    }
+    if pools.is_empty() {
+        let message = format!(
+            "no pool serves team {team} or model {}; load {to} first",
+            model.name
+        );
+        return Err(refused(message));
+    }
+    pools.retain(|pool| !pool.versions.contains(to));
+    let load = |pool: &Pool| Op::Load {
+        pool: pool.name.clone(),
+        version: to.clone(),
+    };
+    let mut ops: Vec<_> = pools.into_iter().map(load).collect();
+    ops.push(Op::MoveTeam {
+        team: team.clone(),
+        to: to.clone(),
+    });
+    Ok(ops)
+}
+
+fn loads_any(pool: &Pool, model: &Model) -> bool {
+    pool.versions.iter().any(|version| model.has(version))
+}
+
+/// Estimates the chats whose next request finds no cached prefix.
+fn cold_chats(
+    before: &State,
+    after: &State,
+    fleet: &Fleet,
+    capacity: &[PoolCapacity],
+    ops: &[Op],
+) -> ColdChats {
+    let lost = |pool: &PoolCapacity| {
+        let engines = pool.engines_before.saturating_sub(pool.engines_after);
+        (pool.in_flight * engines).div_ceil(pool.engines_before.max(1))
+    };
+    let drained: u32 = capacity.iter().map(lost).sum();
+    let moved = moved_teams(before, after, ops);
+    let own = |team: &&TeamName| fleet.own_team_loads.get(*team).copied().unwrap_or_default();
+    let moved: u32 = moved.iter().map(|team| own(team) * fleet.routers).sum();
+    ColdChats {
+        in_flight: drained + moved,
+        engines: newly_drained(before, after),
+        basis: "requests in flight now: of a pool, in proportion to the engines it loses; \
+                of a moved team, those at this router times the number of routers. Chats that \
+                pause now and return later are not counted"
+            .into(),
+    }
+}
+
+fn moved_teams<'a>(before: &State, after: &State, ops: &'a [Op]) -> BTreeSet<&'a TeamName> {
+    let version = |state: &State, team| state.teams.get(team).and_then(|t| t.version.clone());
+    let teams = ops.iter().filter_map(Op::team);
+    teams
+        .filter(|team| before.teams.contains_key(*team))
+        .filter(|team| version(before, *team) != version(after, *team))
+        .collect()
+}
+
+fn newly_drained(before: &State, after: &State) -> Vec<EngineName> {
+    after.drained.difference(&before.drained).cloned().collect()
+}
--- /dev/null
+++ b/src/intent/mod.rs
@@ -0,0 +1,26 @@
+//! From what an operator wants to a change that holds everywhere.
+//!
+//! An [`Intent`] becomes a [`Plan`], a pure function of the configuration and of the
+//! fleet as one router sees it. The router keeps nothing: the plan travels to the operator
+//! as a sealed token, and confirming it sends the token back to any router, which
+//! appends its change to the configuration stream. The fold accepts or rejects it.
+
+mod capacity;
+mod confirm;
+mod draft;
+mod fleet;
+mod objects;
+mod plan;
+mod request;
+mod token;
+
+pub use self::{
+    capacity::PoolCapacity,
+    confirm::confirm,
+    draft::draft,
+    fleet::{EngineView, Fleet},
+    objects::{Objects, Removals},
+    plan::{ColdChats, Confirmed, Drafted, Plan, PlanDocument, Settled, Step},
+    request::Intent,
+    token::PlanToken,
+};
--- /dev/null
+++ b/src/intent/token.rs
@@ -0,0 +1,53 @@
+//! A plan as it travels to the operator and back, unaltered.
+
+use std::{fmt, str::FromStr};
+
+use base64::{engine::general_purpose::URL_SAFE_NO_PAD, Engine as _};
+
+use super::{Drafted, Plan};
+use crate::{peer::Sealer, Category, Error, Result};
+
+/// A plan with the proof that a router of the fleet made it.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct PlanToken(Vec<u8>);
+
+impl PlanToken {
+    /// Seals a plan.
+    pub fn new(plan: &Plan<Drafted>, sealer: &Sealer) -> Self {
+        let text = serde_json::to_vec(plan.document()).expect("a plan is plain data");
+        PlanToken(sealer.seal(&text))
+    }
+
+    /// Returns the plan.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`Category::BadInput`] when no router of the fleet made it like this.
+    pub fn open(&self, sealer: &Sealer) -> Result<Plan<Drafted>> {
+        let altered = || {
+            Error::not_run(
+                Category::BadInput,
+                "the plan is altered or of another fleet",
+            )
+        };
+        let text = sealer.open(&self.0).ok_or_else(altered)?;
+        let document = serde_json::from_slice(text).map_err(|_| altered())?;
+        Ok(Plan::new(document))
+    }
+}
+
+impl fmt::Display for PlanToken {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(&URL_SAFE_NO_PAD.encode(&self.0))
+    }
+}
+
+impl FromStr for PlanToken {
+    type Err = Error;
+
+    fn from_str(text: &str) -> Result<Self> {
+        let bytes = URL_SAFE_NO_PAD.decode(text.trim());
+        let malformed = |_| Error::not_run(Category::BadInput, "the plan token is malformed");
+        bytes.map(PlanToken).map_err(malformed)
+    }
+}
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -26,11 +26,13 @@
 #![warn(missing_docs)]
 
 pub mod admission;
+pub mod cli;
 pub mod config;
 mod error;
 mod http;
 mod id;
 pub mod inspect;
+pub mod intent;
 pub mod lookup;
 pub mod membership;
 pub mod once;
--- a/src/peer/message.rs
+++ b/src/peer/message.rs
@@ -28,6 +28,8 @@
     ConfigHead(ConfigHead),
     /// Asks for newer configuration.
     ConfigSince(ConfigSince),
+    /// Asks for the state dump.
+    Dump,
 }
 
 /// The answer to a [`Request`] as carried on the wire.
@@ -41,6 +43,8 @@
     ConfigHead(Option<Offset>),
     /// Answer to [`Request::ConfigSince`].
     ConfigPart(ConfigPart),
+    /// Answer to [`Request::Dump`], as JSON text.
+    Dump(String),
 }
 
 /// A typed call: what it asks and what it is answered with.
@@ -55,6 +59,25 @@
     fn answer(reply: Reply) -> Option<Self::Answer>;
 }
 
+/// Asks a router for its state dump, as JSON text.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct DumpRequest;
+
+impl Call for DumpRequest {
+    type Answer = String;
+
+    fn into_request(self) -> Request {
+        Request::Dump
+    }
+
+    fn answer(reply: Reply) -> Option<String> {
+        match reply {
+            Reply::Dump(text) => Some(text),
+            _ => None,
+        }
+    }
+}
+
 /// A request or reply with the number that ties them together.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub(super) struct Envelope<T> {
--- a/src/peer/mod.rs
+++ b/src/peer/mod.rs
@@ -12,7 +12,7 @@
 pub use self::{
     client::Peers,
     frame::{read_frame, write_frame, MAX_FRAME},
-    message::{Call, Reply, Request},
+    message::{Call, DumpRequest, Reply, Request},
     seal::{Purpose, Sealer, SEAL_LEN},
     server::serve,
 };
--- a/src/peer/server.rs
+++ b/src/peer/server.rs
@@ -7,9 +7,9 @@
 
 use super::{
     message::{Envelope, Hello},
-    read_frame, write_frame, Purpose, Reply, Request, Sealer,
+    read_frame, write_frame, Purpose, Reply, Request, Sealer, MAX_FRAME,
 };
-use crate::Router;
+use crate::{inspect::Dump, Router};
 
 /// Longest time for the first frame of a connection.
 const HELLO_TIMEOUT: Duration = Duration::from_secs(2);
@@ -68,6 +68,20 @@
             let known = cx.config.is_known();
             Reply::ConfigHead(known.then(|| cx.config.current().applied))
         }
+        Request::Dump => Reply::Dump(dump_text(cx)),
         Request::ConfigSince(req) => Reply::ConfigPart(cx.config.part_since(&req)),
     }
 }
+
+/// Returns the state dump, or what is wrong with it when it does not fit a frame.
+fn dump_text(cx: &Router) -> String {
+    let text = serde_json::to_string(&Dump::new(cx)).unwrap_or_default();
+    if text.len() < MAX_FRAME / 2 {
+        return text;
+    }
+    let len = text.len();
+    format!(
+        "{{\"too_large_bytes\":{len},\"router\":\"{}\"}}",
+        cx.settings.name
+    )
+}
--- /dev/null
+++ b/tests/cli/confirm.rs
@@ -0,0 +1,151 @@
+//! Plans are confirmed once, also in races, outages and with lost answers.
+
+use expect_test::expect;
+use rustix::process::Signal;
+use serde_json::{json, Value};
+
+use super::{
+    support::{dump, wait_until, Fleet},
+    tool::{finish, plan_apply, run, start},
+};
+
+fn share(fleet: &Fleet, router: usize) -> Value {
+    let state = dump(&fleet.routers[router]).expect("a dump");
+    state["config"]["teams"]["kerb"]["share"].clone()
+}
+
+fn decisions(fleet: &Fleet) -> Vec<String> {
+    let events = run(fleet, &["events", "--output", "json"]);
+    let lines = events.out.lines();
+    let events = lines.map(|line| serde_json::from_str::<Value>(line).expect("JSON"));
+    let texts = events.map(|event| {
+        let rejection = event["rejection"]["reason"].as_str();
+        format!(
+            "{} {}",
+            event["operator"].as_str().unwrap_or("?"),
+            rejection.unwrap_or("accepted")
+        )
+    });
+    texts.collect()
+}
+
+#[test]
+fn of_two_operators_at_the_same_moment_one_wins_and_both_learn_it() {
+    let fleet = Fleet::start(1, 3);
+    plan_apply(&fleet, "alice", "teams: [{name: kerb, share: 2}]");
+    plan_apply(&fleet, "bob", "teams: [{name: kerb, share: 3}]");
+    let alice = start(&fleet, 0, &["confirm", "alice.plan", "--wait"]);
+    let bob = start(&fleet, 1, &["confirm", "bob.plan", "--wait"]);
+    let (alice, bob) = (finish(alice), finish(bob));
+    let mut statuses = [alice.status, bob.status];
+    let winner = if alice.status == 0 { 2 } else { 3 };
+    statuses.sort_unstable();
+    assert_eq!(statuses, [0, 4], "{alice:?} {bob:?}");
+    let loser = if alice.status == 0 { &bob } else { &alice };
+    assert!(
+        loser.err.contains("team/kerb was changed since"),
+        "{loser:?}"
+    );
+    wait_until("the winner is in force everywhere", || {
+        (0..3).all(|router| share(&fleet, router) == winner)
+    });
+    expect![[r#"["test accepted", "test accepted", "test conflict"]"#]]
+        .assert_eq(&format!("{:?}", decisions(&fleet)));
+}
+
+#[test]
+fn a_confirmation_whose_answers_are_lost_is_one_change() {
+    let fleet = Fleet::start(1, 2);
+    plan_apply(&fleet, "p", "teams: [{name: kerb, share: 2}]");
+    fleet.faults(&json!({ "drop_append_answers": 1 }));
+    let first = run(&fleet, &["confirm", "p.plan", "--wait"]);
+    plan_apply(&fleet, "q", "teams: [{name: kerb, share: 5}]");
+    let between = run(&fleet, &["confirm", "q.plan", "--wait"]);
+    let again = run(&fleet, &["confirm", "p.plan"]);
+    let statuses = [first.status, between.status, again.status];
+    assert_eq!(
+        (statuses, share(&fleet, 0)),
+        ([0, 0, 0], json!(5)),
+        "{again:?}"
+    );
+    expect![[r#"["test accepted", "test accepted", "test accepted"]"#]]
+        .assert_eq(&format!("{:?}", decisions(&fleet)));
+}
+
+#[test]
+fn in_an_outage_plans_are_made_and_confirming_one_changes_nothing() {
+    let fleet = Fleet::start(1, 2);
+    fleet.faults(&json!({ "log_outage": true }));
+    plan_apply(&fleet, "p", "teams: [{name: kerb, share: 2}]");
+    let refused = run(&fleet, &["confirm", "p.plan"]);
+    fleet.faults(&json!({}));
+    let accepted = run(&fleet, &["confirm", "p.plan", "--wait"]);
+    assert_eq!(
+        (refused.status, accepted.status),
+        (8, 0),
+        "{refused:?} {accepted:?}"
+    );
+}
+
+#[test]
+fn the_exit_status_says_what_became_of_it() {
+    let fleet = Fleet::start(1, 2);
+    plan_apply(&fleet, "p", "teams: [{name: kerb, share: 2}]");
+    let file = fleet.dir.path().join("p.plan");
+    let token = std::fs::read_to_string(&file).expect("a plan");
+    let altered = if token.as_bytes()[80] == b'A' {
+        "B"
+    } else {
+        "A"
+    };
+    let altered = format!("{}{altered}{}", &token[..80], &token[81..]);
+    std::fs::write(fleet.dir.path().join("altered.plan"), altered).expect("a file");
+    let mut stranger = super::tool::command(&fleet, 0, &["confirm", "p.plan"]);
+    stranger.env("EBONYSPUR_TOKEN", "token-of-nobody-at-all");
+    let mut nowhere = super::tool::command(&fleet, 0, &["confirm", "p.plan"]);
+    nowhere.env(
+        "EBONYSPUR_ROUTERS",
+        super::support::free_address().to_string(),
+    );
+    let output = |command: &mut std::process::Command| {
+        super::tool::Run::new(&command.output().expect("a finished process")).status
+    };
+    let statuses = [
+        (
+            "last engine",
+            run(&fleet, &["plan", "drain", "engine-1"]).status,
+        ),
+        (
+            "unknown engine",
+            run(&fleet, &["plan", "drain", "engine-9"]).status,
+        ),
+        (
+            "altered plan",
+            run(&fleet, &["confirm", "altered.plan"]).status,
+        ),
+        ("wrong token", output(&mut stranger)),
+        ("no router", output(&mut nowhere)),
+        ("usage", run(&fleet, &["plan", "drain"]).status),
+        {
+            fleet.routers[1].process.signal(Signal::STOP);
+            let waited = run(&fleet, &["confirm", "p.plan", "--wait", "--timeout", "2s"]);
+            fleet.routers[1].process.signal(Signal::CONT);
+            ("frozen router", waited.status)
+        },
+        (
+            "thawed router",
+            run(&fleet, &["confirm", "p.plan", "--wait"]).status,
+        ),
+    ];
+    let lines = statuses.map(|(what, status)| format!("{what}: {status}"));
+    expect![[r#"
+        last engine: 3
+        unknown engine: 3
+        altered plan: 3
+        wrong token: 7
+        no router: 8
+        usage: 2
+        frozen router: 6
+        thawed router: 0"#]]
+    .assert_eq(&lines.join("\n"));
+}
--- /dev/null
+++ b/tests/cli/look.rs
@@ -0,0 +1,94 @@
+//! Commands that look, and the text of plans.
+
+use expect_test::expect;
+
+use super::{support::Fleet, tool::run};
+
+/// Replaces what differs from run to run.
+fn normalized(text: &str) -> String {
+    let words = text.split_inclusive([' ', '\n']);
+    let stable = |word: &str| {
+        let bare = word.trim_end();
+        let is_variable =
+            bare.starts_with("plan-") || bare.contains("127.0.0.1") || bare.ends_with('Z');
+        let is_variable = is_variable
+            || (bare.parse::<f64>().is_ok() && bare.contains('.') && !bare.ends_with('.'));
+        let end = if word.ends_with('\n') { "\n" } else { " " };
+        match (is_variable, bare.is_empty() && end == " ") {
+            (true, _) => format!("~{end}"),
+            (_, true) => String::new(),
+            _ => format!("{bare}{end}"),
+        }
+    };
+    words.map(stable).collect()
+}
+
+#[test]
+fn objects_events_and_plans_read_well() {
+    let mut fleet = Fleet::start(2, 1);
+    let mut text = String::new();
+    let mut show = |fleet: &Fleet, args: &[&str]| {
+        let shown = run(fleet, args);
+        text += &format!("$ {}\n{}{}", args.join(" "), shown.out, shown.err);
+    };
+    show(&fleet, &["status"]);
+    show(&fleet, &["plan", "drain", "engine-2", "--out", "d.plan"]);
+    show(&fleet, &["confirm", "d.plan", "--wait"]);
+    show(&fleet, &["plan", "show", "d.plan"]);
+    show(&fleet, &["get", "engines"]);
+    show(&fleet, &["get", "teams"]);
+    show(&fleet, &["get", "pools", "--output", "json"]);
+    show(&fleet, &["events"]);
+    let text = normalized(&text);
+    expect![[r#"
+        $ status
+        ROUTER APPLIED STATE
+        router-1 1 serving
+        $ plan drain engine-2 --out d.plan
+        ~ at offset 1
+
+        Steps:
+        1. engine/engine-2: take no new work; work in flight ends by itself
+
+        Chats that go cold: about 0
+        and the paused chats cached by engine-2
+        (requests in flight now: of a pool, in proportion to the engines it loses; of a moved team, those at this router times the number of routers. Chats that pause now and return later are not counted)
+
+        Capacity:
+        pool planners: engines 2 -> 1, 0 in flight, bound on an engine 1 -> 2, left: not known, as the pool sets no slots
+
+        Nothing has changed. Confirm with: ebonyspur confirm d.plan
+        $ confirm d.plan --wait
+        ~ was accepted at offset 1
+        in force on 1 of 1 routers after ~ s
+        $ plan show d.plan
+        ~ at offset 1
+
+        Steps:
+        1. engine/engine-2: take no new work; work in flight ends by itself
+
+        Chats that go cold: about 0
+        and the paused chats cached by engine-2
+        (requests in flight now: of a pool, in proportion to the engines it loses; of a moved team, those at this router times the number of routers. Chats that pause now and return later are not counted)
+
+        Capacity:
+        pool planners: engines 2 -> 1, 0 in flight, bound on an engine 1 -> 2, left: not known, as the pool sets no slots
+        $ get engines
+        NAME ADDRESS FAILURE_DOMAIN POOL ROLE STATE
+        engine-1 ~ d2 planners mixed live
+        engine-2 ~ d3 planners mixed drained
+        service-1 ~ d2 trades mixed live
+        $ get teams
+        NAME SHARE
+        kerb 1
+        $ get pools --output json
+        [{"load_factor":1.25,"name":"planners"},{"load_factor":1.25,"name":"trades"}]
+        $ events
+        ~ offset 0 accepted first by test: team/kerb pool/planners pool/trades service/planner service/trade
+        ~ offset 1 accepted ~ by test: engine/engine-2 capacity/planners
+    "#]].assert_eq(&text);
+    fleet.add_router("");
+    fleet.await_ready();
+    let state = run(&fleet, &["state", "router-2"]).json();
+    assert_eq!(state["router"], "router-2");
+}
--- /dev/null
+++ b/tests/cli/main.rs
@@ -0,0 +1,10 @@
+//! The command line against a fleet of processes.
+
+#[path = "../support/mod.rs"]
+mod support;
+
+mod confirm;
+mod drain;
+mod look;
+mod settings;
+mod tool;
--- /dev/null
+++ b/tests/cli/settings.rs
@@ -0,0 +1,53 @@
+//! Settings are checked alike by the command line and by the daemon.
+
+use std::process::Command;
+
+use expect_test::expect;
+
+use super::support::program;
+
+#[test]
+fn the_command_line_and_the_daemon_list_the_same_faults() {
+    let dir = tempfile::tempdir().expect("a directory");
+    std::fs::write(dir.path().join("faulty.yaml"), "listen: {callers: here}\n").expect("a file");
+    let run = |name: &str, args: &[&str]| {
+        let mut command = Command::new(program(name));
+        let output = command.args(args).current_dir(dir.path()).output();
+        let output = output.expect("a finished process");
+        assert!(!output.status.success());
+        String::from_utf8(output.stderr).expect("text")
+    };
+    let daemon = run("ebonyspurd", &["--settings", "faulty.yaml"]);
+    let tool = run("ebonyspur", &["settings", "check", "faulty.yaml"]);
+    assert_eq!(daemon, tool);
+    expect![[r#"
+        faulty.yaml: router.name: is required
+        faulty.yaml: router.failure_domain: is required
+        faulty.yaml: listen.callers: must be IP:PORT
+        faulty.yaml: listen.peers: is required
+        faulty.yaml: listen.operators: is required
+        faulty.yaml: platform.url: is required
+        faulty.yaml: peers.keys: must list at least one key
+    "#]]
+    .assert_eq(&tool);
+    let missing = run("ebonyspur", &["settings", "check", "none.yaml"]);
+    expect![[r#"
+        none.yaml: No such file or directory (os error 2)
+    "#]]
+    .assert_eq(&missing);
+}
+
+#[test]
+fn completions_know_the_commands() {
+    for shell in ["bash", "zsh", "fish"] {
+        let output = Command::new(program("ebonyspur"))
+            .args(["completions", shell])
+            .output();
+        let output = output.expect("a finished process");
+        let text = String::from_utf8(output.stdout).expect("text");
+        assert!(
+            text.contains("move-team") && text.contains("undrain"),
+            "{shell}"
+        );
+    }
+}
--- /dev/null
+++ b/tests/cli/tool.rs
@@ -0,0 +1,71 @@
+//! Runs the command line.
+
+use std::process::{Child, Command, Output, Stdio};
+
+use serde_json::Value;
+
+use super::support::{program, Fleet, TOKEN};
+
+/// What a run of the command line left.
+#[derive(Debug)]
+pub struct Run {
+    pub status: i32,
+    pub out: String,
+    pub err: String,
+}
+
+impl Run {
+    /// Reads the result of a finished process.
+    pub fn new(output: &Output) -> Self {
+        let text = |bytes: &[u8]| String::from_utf8_lossy(bytes).into_owned();
+        Run {
+            status: output.status.code().unwrap_or(-1),
+            out: text(&output.stdout),
+            err: text(&output.stderr),
+        }
+    }
+
+    /// Returns the output as JSON.
+    pub fn json(&self) -> Value {
+        serde_json::from_str(&self.out).unwrap_or_else(|err| panic!("{err}: {self:?}"))
+    }
+}
+
+/// Returns a command that asks the routers from the one at `first` on.
+pub fn command(fleet: &Fleet, first: usize, args: &[&str]) -> Command {
+    let order = fleet.routers[first..].iter().chain(&fleet.routers[..first]);
+    let routers: Vec<_> = order.map(|router| router.operators.to_string()).collect();
+    let mut command = Command::new(program("ebonyspur"));
+    command.args(args).current_dir(fleet.dir.path());
+    command.env("EBONYSPUR_ROUTERS", routers.join(","));
+    command.env("EBONYSPUR_TOKEN", TOKEN);
+    command.stdout(Stdio::piped()).stderr(Stdio::piped());
+    command
+}
+
+/// Runs the command line.
+pub fn run(fleet: &Fleet, args: &[&str]) -> Run {
+    let output = command(fleet, 0, args)
+        .output()
+        .expect("a finished process");
+    Run::new(&output)
+}
+
+/// Starts the command line.
+pub fn start(fleet: &Fleet, first: usize, args: &[&str]) -> Child {
+    command(fleet, first, args).spawn().expect("a process")
+}
+
+/// Waits for a started command line.
+pub fn finish(child: Child) -> Run {
+    Run::new(&child.wait_with_output().expect("a finished process"))
+}
+
+/// Writes the objects of a file and makes the plan that applies them.
+pub fn plan_apply(fleet: &Fleet, name: &str, yaml: &str) {
+    let file = fleet.dir.path().join(format!("{name}.yaml"));
+    std::fs::write(file, yaml).expect("a file");
+    let (input, out) = (format!("{name}.yaml"), format!("{name}.plan"));
+    let made = run(fleet, &["plan", "apply", &input, "--out", &out]);
+    assert_eq!(made.status, 0, "{made:?}");
+}
--- a/tests/config/settings.rs
+++ b/tests/config/settings.rs
@@ -43,9 +43,9 @@
 ";
     let err = Settings::from_yaml(text).expect_err("faulty settings");
     expect![[r#"
-        router.name: bad_input: a name is 1 to 128 bytes of [A-Za-z0-9._:-]
+        router.name: must be 1 to 128 bytes of [A-Za-z0-9._:-]
         router.failure_domain: is required
-        listen.callers: must be text
+        listen.callers: must be IP:PORT
         listen.operators: is required
         platform.url: must be an http:// URL
         peers.keys: must be text of at least 16 bytes
--- /dev/null
+++ b/tests/intent/main.rs
@@ -0,0 +1,5 @@
+//! Plans: what they say, what they refuse, and who may confirm them.
+
+mod draft;
+mod token;
+mod world;
--- /dev/null
+++ b/tests/intent/token.rs
@@ -0,0 +1,46 @@
+//! Plans as they travel to the operator and back.
+
+use ebonyspur::{
+    config::Secret,
+    intent::PlanToken,
+    peer::{Purpose, Sealer},
+};
+use expect_test::expect;
+
+use super::world::{drain, fleet, state};
+
+fn sealer(key: &str, purpose: Purpose) -> Sealer {
+    Sealer::new(&[Secret::new(key)], purpose)
+}
+
+#[test]
+fn an_altered_plan_is_not_opened() {
+    let key = sealer("key", Purpose::Plan);
+    let plan = drain(&state(), &fleet(4, 0), "engine-1").expect("a plan");
+    let text = PlanToken::new(&plan, &key).to_string();
+    let token: PlanToken = text.parse().expect("a token");
+    let opened = token.open(&key).expect("the plan");
+    assert_eq!(opened.document(), plan.document());
+
+    let mut altered = text.clone().into_bytes();
+    altered[60] = if altered[60] == b'A' { b'B' } else { b'A' };
+    let altered = String::from_utf8(altered).expect("text");
+    let faults = [
+        (altered.as_str(), &key),
+        (text.as_str(), &sealer("other", Purpose::Plan)),
+        (text.as_str(), &sealer("key", Purpose::Checkpoint)),
+        ("AAAA", &key),
+        ("not base64!", &key),
+    ];
+    let lines = faults.map(|(text, key)| {
+        let opened = text.parse::<PlanToken>().and_then(|token| token.open(key));
+        opened.map_or_else(|err| err.to_string(), |_| "opened".into())
+    });
+    expect![[r#"
+        bad_input: the plan is altered or of another fleet
+        bad_input: the plan is altered or of another fleet
+        bad_input: the plan is altered or of another fleet
+        bad_input: the plan is altered or of another fleet
+        bad_input: the plan token is malformed"#]]
+    .assert_eq(&lines.join("\n"));
+}
--- /dev/null
+++ b/tests/intent/world.rs
@@ -0,0 +1,80 @@
+//! A small configuration and fleet.
+
+use ebonyspur::{
+    config::{Change, Record, State},
+    intent::{draft, Drafted, EngineView, Fleet, Intent, Objects, Plan},
+    membership::PoolLoad,
+    Offset, Result, UnixMillis,
+};
+use serde_json::{json, Value};
+
+/// Objects of the configuration.
+const OBJECTS: &str = "
+models: [{name: drafter, versions: [v1, v2]}]
+pools:
+  - {name: planners, slots: 16, versions: [v1]}
+  - {name: trades}
+services:
+  - {name: planner, kind: chat, pool: planners}
+  - {name: trade, kind: plain, pool: trades}
+teams: [{name: kerb, version: v1}, {name: tilers, share: 3}]
+";
+
+/// Returns the configuration after the objects were put.
+pub fn state() -> State {
+    let mut state = State::default();
+    let objects = Objects::from_yaml(OBJECTS).expect("objects");
+    let change = Change {
+        id: "first".into(),
+        operator: "alice".into(),
+        at: UnixMillis(0),
+        base: Offset(0),
+        ops: objects.ops(&state),
+        relies_on: Vec::new(),
+    };
+    state.apply(Offset(0), &Record::Change(change));
+    state
+}
+
+/// Returns a fleet with `planners` engines of one pool and one server of the other.
+pub fn fleet(planners: u32, in_flight: u32) -> Fleet {
+    let mut fleet = Fleet {
+        routers: 3,
+        ..Fleet::default()
+    };
+    let names = (1..=planners).map(|n| (format!("engine-{n}"), "planners"));
+    for (name, pool) in names.chain([("server-1".into(), "trades")]) {
+        let pool = pool.parse().expect("a name");
+        let engine = EngineView {
+            pool,
+            leaving: false,
+        };
+        fleet.engines.insert(name.parse().expect("a name"), engine);
+    }
+    let load = PoolLoad {
+        in_flight,
+        engines: planners,
+    };
+    fleet
+        .loads
+        .insert("planners".parse().expect("a name"), load);
+    fleet
+        .own_team_loads
+        .insert("kerb".parse().expect("a name"), 4);
+    fleet
+}
+
+/// Returns an intent.
+pub fn intent(value: Value) -> Intent {
+    serde_json::from_value(value).expect("an intent")
+}
+
+/// Makes a plan.
+pub fn plan(state: &State, fleet: &Fleet, value: Value) -> Result<Plan<Drafted>> {
+    draft(state, fleet, &intent(value), "plan-1", UnixMillis(7))
+}
+
+/// Makes the plan that drains an engine.
+pub fn drain(state: &State, fleet: &Fleet, engine: &str) -> Result<Plan<Drafted>> {
+    plan(state, fleet, json!({ "intent": "drain", "engine": engine }))
+}
