--- a/src/config/settings/mod.rs
+++ b/src/config/settings/mod.rs
@@ -2,7 +2,7 @@
 
 mod reader;
 
-use std::{net::SocketAddr, time::Duration};
+use std::{net::SocketAddr, path::Path, time::Duration};
 
 use self::reader::Reader;
 use crate::{DomainName, Error, Result, RouterName, TeamName};
@@ -18,6 +18,8 @@
     pub listen: Listen,
     /// Base address of the platform's services, such as `http://127.0.0.1:6000`.
     pub platform: http::Uri,
+    /// Base address of the log service, when it differs from the platform's.
+    pub log: Option<http::Uri>,
     /// Keys that peers prove: the first one signs, each is accepted.
     pub peer_keys: Vec<Secret>,
     /// Operators and their tokens.
@@ -90,7 +92,23 @@
 }
 
 impl Settings {
-    /// Reads and checks a settings file.
+    /// Reads and checks the settings file at `path`.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`crate::Category::Settings`] as [`Settings::from_yaml`] does, each line
+    /// with the path of the file.
+    pub fn from_file(path: &Path) -> Result<Self> {
+        let in_file = |line: &str| format!("{}: {line}", path.display());
+        let text = std::fs::read_to_string(path)
+            .map_err(|err| settings_error(&[in_file(&err.to_string())]))?;
+        Settings::from_yaml(&text).map_err(|err| {
+            let lines: Vec<_> = err.message().lines().map(in_file).collect();
+            settings_error(&lines)
+        })
+    }
+
+    /// Reads and checks the text of a settings file.
     ///
     /// # Errors
     ///
@@ -112,6 +130,7 @@
             domain: root.section("router").required("failure_domain"),
             listen: read_listen(&mut root),
             platform: root.section("platform").url("url"),
+            log: root.section("platform").optional_url("log_url"),
             peer_keys: root.section("peers").secrets("keys"),
             operators: read_operators(&mut root),
             limits: read_limits(&mut root),
--- a/src/peer/mod.rs
+++ b/src/peer/mod.rs
@@ -13,7 +13,7 @@
 pub use self::{
     client::Peers,
     frame::{read_frame, write_frame, MAX_FRAME},
-    message::{Call, Reply, Request},
+    message::{Call, DumpRequest, Reply, Request},
     replay::{Replays, FRESHNESS, MAX_SENDERS},
     seal::{Purpose, Sealer, SEAL_LEN},
     server::serve,
