--- a/tests/once/main.rs
+++ b/tests/once/main.rs
@@ -2,5 +2,8 @@
 
 mod fuzz;
 mod ledger;
+mod processes;
 mod spec;
+#[path = "../support/mod.rs"]
+mod support;
 mod world;
--- a/tests/support/http.rs
+++ b/tests/support/http.rs
@@ -55,10 +55,13 @@
 }
 
 /// Reads the answer until the connection ends.
-pub fn read(mut stream: TcpStream) -> Answer {
-    stream
-        .set_read_timeout(Some(READ_TIMEOUT))
-        .expect("a timeout");
+pub fn read(stream: TcpStream) -> Answer {
+    read_within(stream, READ_TIMEOUT)
+}
+
+/// Reads the answer until the connection ends or is silent for `timeout`.
+pub fn read_within(mut stream: TcpStream, timeout: Duration) -> Answer {
+    stream.set_read_timeout(Some(timeout)).expect("a timeout");
     let mut bytes = Vec::new();
     // A reset leaves what came before it.
     let _ = stream.read_to_end(&mut bytes);
