--- a/src/http/caller.rs
+++ b/src/http/caller.rs
@@ -8,7 +8,7 @@
     prelude::*,
     router::{builder::build_simple_router, Router as Routes},
 };
-use http::{header, HeaderValue, Method, Response, StatusCode, Uri};
+use http::{header, HeaderMap, HeaderValue, Method, Response, StatusCode, Uri};
 use http_body_util::{BodyExt, StreamBody};
 use hyper::body::Frame;
 use serde::{Deserialize, Serialize};
@@ -25,7 +25,7 @@
     once::Key,
     placement::Hint,
     relay::{self, AnswerStream, ChatAnswer, Head, ServiceAnswer, ServiceCall},
-    Category, ChatId, Error, Result, Router, ServiceName, Verdict,
+    Category, ChatId, Error, RequestId, Result, Router, ServiceName, TeamName, Verdict,
 };
 
 /// Header that carries the hint, in both directions.
@@ -117,14 +117,42 @@
 }
 
 async fn post_chat(cx: Arc<Router>, req: Incoming) -> Result<Response<Body>> {
-    let floor = head::verdict_floor(&req.headers);
-    let answer = answer_chat(&cx, req).await;
-    answer.map_err(|err| err.with_verdict_at_least(floor))
+    let (subject, sender) = identify(&req.headers)?;
+    let answer = answer_chat(&cx, sender, req).await;
+    answer.map_err(|err| subject.refusal(err.with_verdict_at_least(subject.floor)))
 }
 
-async fn answer_chat(cx: &Arc<Router>, req: Incoming) -> Result<Response<Body>> {
-    let sender = Sender::from_headers(&req.headers)?;
+/// What a refusal is about, kept while the request is on its way.
+struct Subject {
+    id: RequestId,
+    team: TeamName,
+    floor: Verdict,
+}
+
+/// Reads who sends a request, and what a refusal of it would be about.
+fn identify(headers: &HeaderMap) -> Result<(Subject, Sender)> {
+    let floor = head::verdict_floor(headers);
+    let sender = Sender::from_headers(headers).map_err(|err| err.with_verdict_at_least(floor))?;
+    let subject = Subject {
+        id: sender.id.clone(),
+        team: sender.team.clone(),
+        floor,
+    };
+    Ok((subject, sender))
+}
+
+impl Subject {
+    /// Logs a refusal with the verdict that the caller sees.
+    fn refusal(&self, err: Error) -> Error {
+        let (id, team, verdict) = (&self.id, &self.team, err.verdict());
+        log::info!("request refused request={id} team={team} verdict={verdict} error=\"{err}\"");
+        err
+    }
+}
+
+async fn answer_chat(cx: &Arc<Router>, sender: Sender, req: Incoming) -> Result<Response<Body>> {
     cx.check_serving()?;
+    cx.admission.check(&sender.team, sender.attempt)?;
     let limits = &cx.settings.limits;
     let body = head::read_body(req.body, limits.body_bytes, limits.receive).await?;
     let chat_body: ChatBody = serde_json::from_slice(&body)
@@ -144,7 +172,7 @@
     let id = head.id.clone();
     let answer = relay::chat(cx, head, body).await?;
     let mut answer = match answer {
-        ChatAnswer::Stream { stream, hint } => with_hint(stream_answer(stream), &hint),
+        ChatAnswer::Stream { stream, hint } => with_hint(stream_answer(id.clone(), stream), &hint),
         ChatAnswer::Whole { body, hint } => {
             let mut answer = Response::new(whole(body));
             set(
@@ -176,14 +204,14 @@
 }
 
 /// Streams the parts; an error breaks the body off, so that it never looks whole.
-fn stream_answer(stream: Box<AnswerStream>) -> Response<Body> {
-    let parts = stream::unfold(Some(stream), |stream| async move {
-        let mut stream = stream?;
+fn stream_answer(id: RequestId, stream: Box<AnswerStream>) -> Response<Body> {
+    let parts = stream::unfold(Some((id, stream)), |state| async move {
+        let (id, mut stream) = state?;
         let part = stream.next_part().await?;
         let part = part.map(Frame::data).inspect_err(|err| {
-            log::warn!("answer broken off error=\"{err}\"");
+            log::warn!("answer broken off request={id} error=\"{err}\"");
         });
-        let rest = part.is_ok().then_some(stream);
+        let rest = part.is_ok().then_some((id, stream));
         Some((part.map_err(io::Error::other), rest))
     });
     let mut answer = Response::new(StreamBody::new(parts).boxed_unsync());
@@ -208,18 +236,24 @@
 }
 
 async fn call_service(cx: Arc<Router>, req: Incoming) -> Result<Response<Body>> {
-    let floor = head::verdict_floor(&req.headers);
-    let call = read_call(&cx, floor, req).await;
-    let call = call.map_err(|err| err.with_verdict_at_least(floor))?;
-    let answer = relay::call_service(&cx, call).await?;
+    let (subject, sender) = identify(&req.headers)?;
+    let call = read_call(&cx, subject.floor, sender, req).await;
+    let call = call.map_err(|err| subject.refusal(err.with_verdict_at_least(subject.floor)))?;
+    let answer = relay::call_service(&cx, call).await;
+    let answer = answer.map_err(|err| subject.refusal(err))?;
     Ok(encode_answer(answer))
 }
 
-async fn read_call(cx: &Router, floor: Verdict, req: Incoming) -> Result<ServiceCall> {
-    let sender = Sender::from_headers(&req.headers)?;
+async fn read_call(
+    cx: &Router,
+    floor: Verdict,
+    sender: Sender,
+    req: Incoming,
+) -> Result<ServiceCall> {
     cx.check_serving()?;
     let (name, path) = split_service_path(&req.uri)?;
     let service = find_service(cx, &sender, &name, ServiceKind::Plain)?;
+    cx.admission.check(&sender.team, sender.attempt)?;
     let limits = &cx.settings.limits;
     let body = head::read_body(req.body, limits.body_bytes, limits.receive).await?;
     let key = head::header(&req.headers, "idempotency-key")?.map(|call| Key {
--- a/src/router.rs
+++ b/src/router.rs
@@ -21,14 +21,14 @@
     http,
     inspect::Metrics,
     lookup::{Address, Ticket},
-    membership::{self, Membership, Peer, PoolLoad},
+    membership::{self, Engine, Membership, Peer, PoolLoad},
     once::{self, Once},
     peer::{self, Peers, Purpose, Sealer},
-    placement,
+    placement::{self, Hint, KnownLoads, Preference, Spill, MAX_RANKS},
     platform::Platform,
     relay::Backends,
     steward::{self, GrantId, Steward},
-    Category, Clock, EngineName, Error, Incarnation, PoolName, RequestId, Result,
+    Category, ChatId, Clock, EngineName, Error, Incarnation, PoolName, RequestId, Result,
 };
 
 /// Delay proposed to a caller of a router that does not serve.
@@ -49,6 +49,8 @@
     pub config: Config,
     /// Routers and engines known.
     pub membership: Membership,
+    /// Loads of engines that other routers count.
+    pub loads: KnownLoads,
     /// Grants on the engines that this router counts.
     pub steward: Steward,
     /// Load of the teams.
@@ -78,11 +80,15 @@
             incarnation,
             clock,
             config: Config::default(),
-            membership: Membership::new(settings.name.clone()),
+            membership: Membership::new(settings.name.clone(), incarnation),
+            loads: KnownLoads::default(),
             steward: Steward::default(),
             admission: Arc::default(),
             once: Arc::default(),
-            platform: Platform::new(&settings.platform),
+            platform: Platform::new(
+                &settings.platform,
+                settings.log.as_ref().unwrap_or(&settings.platform),
+            ),
             backends: Backends::new(&settings.limits),
             peers: Peers::new(settings.name.clone(), incarnation, frames),
             tickets: Sealer::new(&settings.peer_keys, Purpose::Ticket),
@@ -106,6 +112,8 @@
 
         let mut tasks = JoinSet::new();
         tasks.spawn(config::follow(self.clone()));
+        tasks.spawn(config::follow_peers(self.clone()));
+        tasks.spawn(config::write_checkpoints(self.clone()));
         tasks.spawn(membership::follow_instances(self.clone()));
         tasks.spawn(membership::gossip(self.clone(), datagrams.clone()));
         tasks.spawn(membership::receive(self.clone(), datagrams));
@@ -143,12 +151,18 @@
     ///
     /// # Errors
     ///
-    /// Returns [`Category::NotServing`] while the router starts or leaves.
+    /// Returns [`Category::NotServing`] while the router starts, leaves or is isolated.
     pub fn check_serving(&self) -> Result<()> {
-        if self.membership.is_serving() {
+        let isolated = self.membership.is_isolated(self.clock.now());
+        if self.membership.is_serving() && !isolated {
             return Ok(());
         }
-        let message = format!("the router is {}", self.membership.phase());
+        let phase = if isolated {
+            "isolated"
+        } else {
+            self.membership.phase()
+        };
+        let message = format!("the router is {phase}");
         let err = Error::not_run(Category::NotServing, message);
         Err(err.with_retry_after(NOT_SERVING_DELAY))
     }
@@ -162,6 +176,24 @@
             .cloned()
     }
 
+    /// Returns the engines to try for `chat`, the best first.
+    pub fn candidates<'a>(
+        &self,
+        chat: &ChatId,
+        hint: &Hint,
+        engines: impl IntoIterator<Item = &'a Arc<Engine>>,
+    ) -> Vec<Arc<Engine>> {
+        let now = self.clock.now();
+        let loads = self.loads.lock();
+        let load = |engine: &Engine| loads.get(engine, now);
+        let pref = Preference {
+            ranks: MAX_RANKS,
+            spill: Spill::RankThenLoad,
+            load: &load,
+        };
+        placement::preferred(chat.as_str(), hint, engines, &pref)
+    }
+
     /// Returns the load bound of the engines of `pool`.
     pub fn bound(&self, pool: &PoolName) -> u32 {
         let state = self.config.current();
