Refuse replayed frames and datagrams, and bound what strangers can hold

Cause: a recorded connection could be replayed to a server whole or in part, a connection that had gone silent was used for ever, and strangers could hold any number of connections.

Change: the server sends a nonce, the client answers with its own, and each frame is sealed with both nonces, its direction and its number. A connection on which a call is not answered in time is given up, so that the next call opens another; idle ones close at the client first. Refused connections and the bytes sent are counted.

Seen failing: without numbers in the seal [0, 0, 1] is read from a repeated frame where [0] must be; without the nonce in the seal of the hello its record opens a second connection; without giving up, calls go on into the silent connection.

--- a/src/inspect/metrics.rs
+++ b/src/inspect/metrics.rs
@@ -32,6 +32,10 @@
     pub datagrams_dropped: Counter<u64, AtomicU64>,
     /// Bytes sent in datagrams to other routers, without headers.
     pub datagram_bytes_sent: Counter<u64, AtomicU64>,
+    /// Bytes sent on connections between routers, without headers.
+    pub peer_sent: Counter<u64, AtomicU64>,
+    /// Connections beyond the limits, of strangers, or with malformed frames.
+    pub peer_connections_refused: Counter<u64, AtomicU64>,
 }
 
 impl Metrics {
@@ -60,12 +64,27 @@
             Unit::Bytes,
             datagram_bytes_sent.clone(),
         );
+        let peer_sent = Counter::default();
+        registry.register_with_unit(
+            "peer_sent",
+            "Sent on connections between routers, without headers",
+            Unit::Bytes,
+            peer_sent.clone(),
+        );
+        let peer_connections_refused = Counter::default();
+        registry.register(
+            "peer_connections_refused",
+            "Connections beyond the limits, of strangers, or with malformed frames",
+            peer_connections_refused.clone(),
+        );
         Metrics {
             registry,
             answers,
             answer_seconds,
             datagrams_dropped,
             datagram_bytes_sent,
+            peer_sent,
+            peer_connections_refused,
         }
     }
 
--- a/src/peer/client.rs
+++ b/src/peer/client.rs
@@ -1,26 +1,37 @@
 //! Calls to other routers, over one connection and one task for each peer.
 
-use std::{collections::BTreeMap, io, net::SocketAddr, sync::Mutex, time::Duration};
+use std::{
+    collections::BTreeMap,
+    io,
+    net::SocketAddr,
+    sync::{atomic::AtomicU64, Mutex},
+    time::Duration,
+};
 
-use bytes::BytesMut;
+use prometheus_client::metrics::counter::Counter;
 use slab::Slab;
 use tokio::{
     net::TcpStream,
     sync::{mpsc, oneshot},
+    time::{sleep_until, timeout, Instant},
 };
 
 use super::{
+    connect,
     message::{Envelope, Hello},
-    read_frame, write_frame, Call, Reply, Request, Sealer,
+    Call, Reply, Request, Sealer,
 };
 use crate::{sync::lock, Category, Error, Result, RouterName};
 
 /// Longest time for an answer.
 const CALL_TIMEOUT: Duration = Duration::from_secs(1);
 
-/// Longest time to open a connection.
+/// Longest time to open a connection and to prove the key on it.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
 
+/// Longest time a connection without calls stays open; shorter than at the server.
+const IDLE_TIMEOUT: Duration = Duration::from_secs(30);
+
 /// Most calls that wait for a connection to one peer.
 const QUEUE_LEN: usize = 1_024;
 
@@ -38,6 +49,7 @@
 pub struct Peers {
     hello: Hello,
     sealer: Sealer,
+    bytes: Counter<u64, AtomicU64>,
     links: Mutex<BTreeMap<RouterName, Link>>,
 }
 
@@ -50,10 +62,18 @@
                 incarnation,
             },
             sealer,
+            bytes: Counter::default(),
             links: Mutex::new(BTreeMap::new()),
         }
     }
 
+    /// Counts the bytes that are sent in `bytes`.
+    #[must_use]
+    pub fn with_counter(mut self, bytes: Counter<u64, AtomicU64>) -> Self {
+        self.bytes = bytes;
+        self
+    }
+
     /// Calls the router `name` at `address`.
     ///
     /// # Errors
@@ -71,7 +91,7 @@
         self.link(name, address)
             .try_send(Pending { req, tx })
             .map_err(|_| unavailable())?;
-        let reply = tokio::time::timeout(CALL_TIMEOUT, rx).await;
+        let reply = timeout(CALL_TIMEOUT, rx).await;
         let reply = reply
             .map_err(|_| unavailable())?
             .map_err(|_| unavailable())?;
@@ -88,8 +108,13 @@
             }
         }
         let (tx, rx) = mpsc::channel(QUEUE_LEN);
-        let task = drive(address, self.hello.clone(), self.sealer.clone(), rx);
-        tokio::spawn(task);
+        let opener = Opener {
+            address,
+            hello: self.hello.clone(),
+            sealer: self.sealer.clone(),
+            bytes: self.bytes.clone(),
+        };
+        tokio::spawn(drive(opener, rx));
         let link = Link {
             address,
             tx: tx.clone(),
@@ -99,40 +124,67 @@
     }
 }
 
+/// What is needed to open a connection.
+struct Opener {
+    address: SocketAddr,
+    hello: Hello,
+    sealer: Sealer,
+    bytes: Counter<u64, AtomicU64>,
+}
+
 /// Drives one connection until it fails; calls without an answer fail with it.
-async fn drive(address: SocketAddr, hello: Hello, sealer: Sealer, rx: mpsc::Receiver<Pending>) {
-    if let Err(err) = converse(address, &hello, &sealer, rx).await {
-        log::debug!("peer connection failed to={address} error=\"{err}\"");
+async fn drive(opener: Opener, rx: mpsc::Receiver<Pending>) {
+    if let Err(err) = converse(&opener, rx).await {
+        log::debug!(
+            "peer connection failed to={} error=\"{err}\"",
+            opener.address
+        );
     }
 }
 
-async fn converse(
-    address: SocketAddr,
-    hello: &Hello,
-    sealer: &Sealer,
-    mut rx: mpsc::Receiver<Pending>,
-) -> io::Result<()> {
-    let connect = TcpStream::connect(address);
-    let stream = tokio::time::timeout(CONNECT_TIMEOUT, connect).await??;
+async fn converse(opener: &Opener, mut rx: mpsc::Receiver<Pending>) -> io::Result<()> {
+    let deadline = Instant::now() + CONNECT_TIMEOUT;
+    let connecting = TcpStream::connect(opener.address);
+    let stream = tokio::time::timeout_at(deadline, connecting).await??;
     stream.set_nodelay(true)?;
     let (mut reader, mut writer) = stream.into_split();
-    write_frame(&mut writer, sealer, hello).await?;
-    let mut buf = BytesMut::new();
+    let Opener {
+        hello,
+        sealer,
+        bytes,
+        ..
+    } = opener;
+    let opening = connect(sealer, hello, &mut reader, &mut writer, bytes);
+    let mut channel = tokio::time::timeout_at(deadline, opening).await??;
     let mut waiting: Slab<oneshot::Sender<Reply>> = Slab::new();
+    let mut progress = Instant::now();
     loop {
+        let patience = if waiting.is_empty() {
+            IDLE_TIMEOUT
+        } else {
+            CALL_TIMEOUT
+        };
         tokio::select! {
             call = rx.recv() => {
                 let Some(call) = call else { return Ok(()) };
+                if waiting.is_empty() {
+                    progress = Instant::now();
+                }
                 let number = waiting.insert(call.tx) as u64;
                 let envelope = Envelope { number, body: call.req };
-                write_frame(&mut writer, sealer, &envelope).await?;
+                timeout(CALL_TIMEOUT, channel.tx.write(&mut writer, &envelope)).await??;
             }
-            reply = read_frame::<_, Envelope<Reply>>(&mut reader, sealer, &mut buf) => {
+            reply = channel.rx.read::<_, Envelope<Reply>>(&mut reader) => {
                 let reply = reply?;
+                progress = Instant::now();
                 let waiter = waiting.try_remove(reply.number as usize);
                 // The caller may have given up; its answer is dropped.
                 let _ = waiter.map(|tx| tx.send(reply.body));
             }
+            // The next call opens a new connection instead of waiting on a silent one.
+            () = sleep_until(progress + patience) => {
+                return if waiting.is_empty() { Ok(()) } else { Err(io::ErrorKind::TimedOut.into()) };
+            }
         }
     }
 }
--- a/src/peer/mod.rs
+++ b/src/peer/mod.rs
@@ -1,10 +1,12 @@
 //! Connections between routers: typed calls as sealed frames over TCP.
 //!
 //! One task serves each accepted connection and one task drives the connection to
-//! each peer. The messages belong to the slices; this module only carries them.
+//! each peer. The messages belong to the slices; this module only carries them. Both
+//! ends prove a shared key, and what was recorded of one connection counts on no other.
 
 mod client;
 mod frame;
+mod handshake;
 mod message;
 mod replay;
 mod seal;
@@ -12,9 +14,10 @@
 
 pub use self::{
     client::Peers,
-    frame::{read_frame, write_frame, MAX_FRAME},
-    message::{Call, Reply, Request},
+    frame::{FrameReader, FrameWriter, MAX_FRAME},
+    handshake::{accept, connect, Channel},
+    message::{Call, Hello, Reply, Request},
     replay::{Replays, FRESHNESS, MAX_SENDERS},
     seal::{Purpose, Sealer, SEAL_LEN},
-    server::serve,
+    server::{serve, MAX_CONNECTIONS, MAX_HALF_OPEN},
 };
--- a/src/peer/seal.rs
+++ b/src/peer/seal.rs
@@ -38,6 +38,27 @@
         }
     }
 
+    /// Returns a sealer whose proofs hold only together with `context`, parts of known length.
+    pub fn with_context(&self, context: &[&[u8]]) -> Self {
+        let extend = |key: &Hmac<Sha256>| {
+            let extend = |key: Hmac<Sha256>, part: &&[u8]| key.chain_update(part);
+            context.iter().fold(key.clone(), extend)
+        };
+        Sealer {
+            keys: self.keys.iter().map(extend).collect(),
+        }
+    }
+
+    /// Returns `payload` behind a proof that also covers `number`.
+    pub fn seal_numbered(&self, number: u64, payload: &[u8]) -> Vec<u8> {
+        self.with_context(&[&number.to_le_bytes()]).seal(payload)
+    }
+
+    /// Returns the payload when its proof holds for `number` under one of the keys.
+    pub fn open_numbered<'a>(&self, number: u64, sealed: &'a [u8]) -> Option<&'a [u8]> {
+        self.with_context(&[&number.to_le_bytes()]).open(sealed)
+    }
+
     /// Returns `payload` behind its proof.
     pub fn seal(&self, payload: &[u8]) -> Vec<u8> {
         let proof = self.keys[0].clone().chain_update(payload).finalize();
--- a/src/peer/server.rs
+++ b/src/peer/server.rs
@@ -2,57 +2,105 @@
 
 use std::{io, sync::Arc, time::Duration};
 
-use bytes::BytesMut;
-use tokio::net::{TcpListener, TcpStream};
+use tokio::{
+    net::{TcpListener, TcpStream},
+    sync::{OwnedSemaphorePermit, Semaphore},
+    time::timeout,
+};
 
 use super::{
+    accept,
     message::{Envelope, Hello},
-    read_frame, write_frame, Purpose, Reply, Request, Sealer,
+    Channel, Purpose, Reply, Request, Sealer,
 };
 use crate::Router;
 
-/// Longest time for the first frame of a connection.
-const HELLO_TIMEOUT: Duration = Duration::from_secs(2);
+/// Longest time for a client to prove its key.
+const HANDSHAKE_TIMEOUT: Duration = Duration::from_secs(2);
 
 /// Longest time a connection may carry nothing.
 const IDLE_TIMEOUT: Duration = Duration::from_secs(60);
 
+/// Longest time for the other end to take an answer.
+const WRITE_TIMEOUT: Duration = Duration::from_secs(5);
+
+/// Most connections from routers.
+pub const MAX_CONNECTIONS: usize = 1_024;
+
+/// Most connections whose other end has not proved its key.
+pub const MAX_HALF_OPEN: usize = 64;
+
 /// Pause after a failed accept, such as when file descriptors have run out.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(100);
 
 /// Accepts connections of other routers until the task is dropped.
+///
+/// Connections beyond the limits are closed at once, and counted.
 pub async fn serve(cx: Arc<Router>, listener: TcpListener) {
+    let open = Arc::new(Semaphore::new(MAX_CONNECTIONS));
+    let half_open = Arc::new(Semaphore::new(MAX_HALF_OPEN));
     loop {
-        match listener.accept().await {
-            Ok((stream, _)) => drop(tokio::spawn(connection(cx.clone(), stream))),
+        let stream = match listener.accept().await {
+            Ok((stream, _)) => stream,
             Err(err) => {
                 log::warn!("peer accept failed error=\"{err}\"");
                 tokio::time::sleep(ACCEPT_PAUSE).await;
+                continue;
             }
-        }
+        };
+        let places = (
+            open.clone().try_acquire_owned(),
+            half_open.clone().try_acquire_owned(),
+        );
+        let (Ok(open), Ok(half_open)) = places else {
+            cx.metrics.peer_connections_refused.inc();
+            continue;
+        };
+        tokio::spawn(connection(cx.clone(), stream, open, half_open));
     }
 }
 
-async fn connection(cx: Arc<Router>, mut stream: TcpStream) {
+async fn connection(
+    cx: Arc<Router>,
+    mut stream: TcpStream,
+    _open: OwnedSemaphorePermit,
+    half_open: OwnedSemaphorePermit,
+) {
     let sealer = Sealer::new(&cx.settings.peer_keys, Purpose::Frame);
-    if let Err(err) = answer_calls(&cx, &sealer, &mut stream).await {
-        log::debug!("peer connection ended error=\"{err}\"");
+    // Without it answers are only slower.
+    let _ = stream.set_nodelay(true);
+    let bytes = &cx.metrics.peer_sent;
+    let accepted = timeout(HANDSHAKE_TIMEOUT, accept(&sealer, &mut stream, bytes)).await;
+    drop(half_open);
+    let Ok(Ok((hello, channel))) = accepted else {
+        cx.metrics.peer_connections_refused.inc();
+        return;
+    };
+    if let Err(err) = answer_calls(&cx, &hello, channel, &mut stream).await {
+        log::debug!(
+            "peer connection ended from={} error=\"{err}\"",
+            hello.router
+        );
+        if err.kind() == io::ErrorKind::InvalidData {
+            cx.metrics.peer_connections_refused.inc();
+        }
     }
 }
 
-async fn answer_calls(cx: &Router, sealer: &Sealer, stream: &mut TcpStream) -> io::Result<()> {
-    stream.set_nodelay(true)?;
-    let mut buf = BytesMut::new();
-    let hello: Hello =
-        tokio::time::timeout(HELLO_TIMEOUT, read_frame(stream, sealer, &mut buf)).await??;
+async fn answer_calls(
+    cx: &Router,
+    hello: &Hello,
+    mut channel: Channel,
+    stream: &mut TcpStream,
+) -> io::Result<()> {
     loop {
-        let next = read_frame(stream, sealer, &mut buf);
-        let call: Envelope<Request> = tokio::time::timeout(IDLE_TIMEOUT, next).await??;
+        let next = channel.rx.read(stream);
+        let call: Envelope<Request> = timeout(IDLE_TIMEOUT, next).await??;
         let reply = Envelope {
             number: call.number,
-            body: answer(cx, &hello, call.body),
+            body: answer(cx, hello, call.body),
         };
-        write_frame(stream, sealer, &reply).await?;
+        timeout(WRITE_TIMEOUT, channel.tx.write(stream, &reply)).await??;
     }
 }
 
--- a/src/router.rs
+++ b/src/router.rs
@@ -76,6 +76,8 @@
         let clock = Clock::new();
         let incarnation = Incarnation(clock.wall().0);
         let frames = Sealer::new(&settings.peer_keys, Purpose::Frame);
+        let metrics = Metrics::new();
+        let peers = Peers::new(settings.name.clone(), incarnation, frames);
         Arc::new(Router {
             incarnation,
             clock,
@@ -87,9 +89,9 @@
             once: Once::new(),
             platform: Platform::new(&settings.platform),
             backends: Backends::new(&settings.limits),
-            peers: Peers::new(settings.name.clone(), incarnation, frames),
+            peers: peers.with_counter(metrics.peer_sent.clone()),
             tickets: Sealer::new(&settings.peer_keys, Purpose::Ticket),
-            metrics: Metrics::new(),
+            metrics,
             next_number: AtomicU64::new(0),
             settings,
         })
--- /dev/null
+++ b/tests/peer/main.rs
@@ -0,0 +1,6 @@
+//! Between routers: who is let in, and what malformed or repeated bytes come to.
+
+mod decode;
+mod replay;
+mod server;
+mod session;
--- /dev/null
+++ b/tests/peer/server.rs
@@ -0,0 +1,144 @@
+//! The listener for other routers, with strangers before it.
+
+use std::{io, net::SocketAddr, sync::Arc, time::Duration};
+
+use ebonyspur::{
+    config::Secret,
+    peer::{serve, Peers, Purpose, Sealer, MAX_HALF_OPEN},
+    steward::{GrantId, GrantReply, GrantRequest},
+    EngineName, Incarnation, Router, RouterName, Settings,
+};
+use tokio::{
+    io::{AsyncReadExt, AsyncWriteExt},
+    net::{TcpListener, TcpStream},
+};
+
+const SETTINGS: &str = "
+router: {name: router-1, failure_domain: d1}
+listen: {callers: '127.0.0.1:1', peers: '127.0.0.1:2', operators: '127.0.0.1:3'}
+platform: {url: 'http://127.0.0.1:4'}
+peers: {keys: [key-of-the-test-fleet]}
+";
+
+async fn start() -> (Arc<Router>, SocketAddr) {
+    let cx = Router::new(Settings::from_yaml(SETTINGS).expect("sound settings"));
+    let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
+    let address = listener.local_addr().expect("an address");
+    tokio::spawn(serve(cx.clone(), listener));
+    (cx, address)
+}
+
+async fn call(address: SocketAddr, key: &str) -> Option<GrantReply> {
+    let sealer = Sealer::new(&[Secret::new(key)], Purpose::Frame);
+    let caller = RouterName::new("router-2").expect("a valid name");
+    let peers = Peers::new(caller, Incarnation(1), sealer);
+    let req = GrantRequest {
+        engine: EngineName::new("engine-1").expect("a valid name"),
+        incarnation: Incarnation(1),
+        grant: GrantId(1),
+    };
+    let server = RouterName::new("router-1").expect("a valid name");
+    peers.call(&server, address, req).await.ok()
+}
+
+/// Waits until the other end has closed the connection.
+async fn closed(stream: &mut TcpStream) -> bool {
+    let mut rest = Vec::new();
+    let end = tokio::time::timeout(Duration::from_secs(30), stream.read_to_end(&mut rest));
+    end.await.is_ok()
+}
+
+#[tokio::test]
+async fn only_holders_of_a_key_are_answered() {
+    let (cx, address) = start().await;
+    assert_eq!(
+        call(address, "key-of-the-test-fleet").await,
+        Some(GrantReply::NotSteward)
+    );
+    assert_eq!(call(address, "key-of-a-stranger----").await, None);
+    while cx.metrics.peer_connections_refused.get() == 0 {
+        tokio::task::yield_now().await;
+    }
+}
+
+#[tokio::test]
+async fn malformed_bytes_end_the_connection_and_are_counted() {
+    let (cx, address) = start().await;
+    for bytes in [&b"GET / HTTP/1.1\r\n\r\n"[..], &[0xff; 600], &[16, 0, 0, 0]] {
+        let mut stream = TcpStream::connect(address).await.expect("a connection");
+        stream.write_all(bytes).await.expect("room");
+        assert!(closed(&mut stream).await);
+    }
+    assert_eq!(cx.metrics.peer_connections_refused.get(), 3);
+    assert!(call(address, "key-of-the-test-fleet").await.is_some());
+}
+
+#[tokio::test]
+async fn connections_that_prove_nothing_are_bounded_in_number_and_time() {
+    let (cx, address) = start().await;
+    let mut idle = Vec::new();
+    for _ in 0..MAX_HALF_OPEN + 10 {
+        idle.push(TcpStream::connect(address).await.expect("a connection"));
+    }
+    for stream in &mut idle[MAX_HALF_OPEN..] {
+        let end = stream.read(&mut [0; 64]).await;
+        assert!(matches!(end, Ok(0) | Err(_)), "closed at once");
+    }
+    for stream in &mut idle {
+        assert!(closed(stream).await);
+    }
+    let refused = cx.metrics.peer_connections_refused.get();
+    assert_eq!(refused, MAX_HALF_OPEN as u64 + 10);
+    assert!(call(address, "key-of-the-test-fleet").await.is_some());
+}
+
+#[tokio::test]
+async fn a_silent_connection_is_replaced_by_a_new_one() {
+    let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
+    let address = listener.local_addr().expect("an address");
+    let (_, server) = start().await;
+    let sealer = Sealer::new(&[Secret::new("key-of-the-test-fleet")], Purpose::Frame);
+    let caller = RouterName::new("router-2").expect("a valid name");
+    let peers = Peers::new(caller, Incarnation(1), sealer);
+    let proxy = tokio::spawn(forward(listener, server));
+    let name = RouterName::new("router-1").expect("a valid name");
+    let ask = |grant| {
+        let req = GrantRequest {
+            engine: EngineName::new("engine-1").expect("a valid name"),
+            incarnation: Incarnation(1),
+            grant: GrantId(grant),
+        };
+        peers.call(&name, address, req)
+    };
+    assert!(ask(1).await.is_ok());
+    assert!(ask(2).await.is_err(), "the connection has gone silent");
+    let mut grant = 3;
+    while ask(grant).await.is_err() {
+        grant += 1;
+        assert!(grant < 8, "calls go on into the silent connection");
+    }
+    proxy.abort();
+}
+
+/// Forwards connections; the first one goes silent after one answer.
+async fn forward(listener: TcpListener, server: SocketAddr) -> io::Result<()> {
+    let mut silent = Vec::new();
+    loop {
+        let (mut near, _) = listener.accept().await?;
+        let mut far = TcpStream::connect(server).await?;
+        if silent.is_empty() {
+            pass_on(&mut far, &mut near).await?;
+            pass_on(&mut near, &mut far).await?;
+            pass_on(&mut far, &mut near).await?;
+            silent.push((near, far));
+        } else {
+            tokio::spawn(async move { tokio::io::copy_bidirectional(&mut near, &mut far).await });
+        }
+    }
+}
+
+async fn pass_on(from: &mut TcpStream, to: &mut TcpStream) -> io::Result<()> {
+    let mut buf = [0; 4_096];
+    let len = from.read(&mut buf).await?;
+    to.write_all(&buf[..len]).await
+}
