--- a/src/admission/state.rs
+++ b/src/admission/state.rs
@@ -17,7 +17,19 @@
 const RETRY_DELAY: Duration = Duration::from_secs(2);
 
 /// How soon a caller needs the answer.
-#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, PartialOrd, Ord)]
+#[derive(
+    Debug,
+    Clone,
+    Copy,
+    Default,
+    PartialEq,
+    Eq,
+    PartialOrd,
+    Ord,
+    serde::Serialize,
+    serde::Deserialize,
+)]
+#[serde(rename_all = "snake_case")]
 pub enum Class {
     /// Someone waits for it.
     #[default]
--- a/src/peer/message.rs
+++ b/src/peer/message.rs
@@ -3,8 +3,9 @@
 use serde::{Deserialize, Serialize};
 
 use crate::{
+    config::{ConfigHead, ConfigPart, ConfigSince},
     steward::{GrantReply, GrantRequest, ReleaseRequest},
-    Incarnation, RouterName,
+    Incarnation, Offset, RouterName,
 };
 
 /// First frame of a connection.
@@ -23,6 +24,12 @@
     Grant(GrantRequest),
     /// Gives a slot back.
     Release(ReleaseRequest),
+    /// Asks how far the configuration is applied.
+    ConfigHead(ConfigHead),
+    /// Asks for newer configuration.
+    ConfigSince(ConfigSince),
+    /// Asks for the state dump.
+    Dump,
 }
 
 /// The answer to a [`Request`] as carried on the wire.
@@ -32,6 +39,12 @@
     Grant(GrantReply),
     /// Answer to [`Request::Release`].
     Released,
+    /// Answer to [`Request::ConfigHead`]; `None` while the configuration is unknown.
+    ConfigHead(Option<Offset>),
+    /// Answer to [`Request::ConfigSince`].
+    ConfigPart(ConfigPart),
+    /// Answer to [`Request::Dump`], as JSON text.
+    Dump(String),
 }
 
 /// A typed call: what it asks and what it is answered with.
@@ -46,6 +59,25 @@
     fn answer(reply: Reply) -> Option<Self::Answer>;
 }
 
+/// Asks a router for its state dump, as JSON text.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct DumpRequest;
+
+impl Call for DumpRequest {
+    type Answer = String;
+
+    fn into_request(self) -> Request {
+        Request::Dump
+    }
+
+    fn answer(reply: Reply) -> Option<String> {
+        match reply {
+            Reply::Dump(text) => Some(text),
+            _ => None,
+        }
+    }
+}
+
 /// A request or reply with the number that ties them together.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub(super) struct Envelope<T> {
--- a/src/peer/mod.rs
+++ b/src/peer/mod.rs
@@ -16,7 +16,7 @@
     client::Peers,
     frame::{FrameReader, FrameWriter, MAX_FRAME},
     handshake::{accept, connect, Channel},
-    message::{Call, Hello, Reply, Request},
+    message::{Call, DumpRequest, Hello, Reply, Request},
     replay::{Replays, FRESHNESS, MAX_SENDERS},
     seal::{Purpose, Sealer, SEAL_LEN},
     server::{serve, MAX_CONNECTIONS, MAX_HALF_OPEN},
--- a/src/router.rs
+++ b/src/router.rs
@@ -56,7 +56,7 @@
     /// Load of the teams.
     pub admission: Arc<Admission>,
     /// Claims of calls that must not be repeated.
-    pub once: Once,
+    pub once: Arc<Once>,
     /// Clients of the platform.
     pub platform: Platform,
     /// Clients of the backend servers.
@@ -86,8 +86,11 @@
             loads: KnownLoads::default(),
             steward: Steward::default(),
             admission: Arc::default(),
-            once: Once::new(),
-            platform: Platform::new(&settings.platform),
+            once: Arc::default(),
+            platform: Platform::new(
+                &settings.platform,
+                settings.log.as_ref().unwrap_or(&settings.platform),
+            ),
             backends: Backends::new(&settings.limits),
             peers: peers.with_counter(metrics.peer_sent.clone()),
             tickets: Sealer::new(&settings.peer_keys, Purpose::Ticket),
@@ -111,6 +114,8 @@
 
         let mut tasks = JoinSet::new();
         tasks.spawn(config::follow(self.clone()));
+        tasks.spawn(config::follow_peers(self.clone()));
+        tasks.spawn(config::write_checkpoints(self.clone()));
         tasks.spawn(membership::follow_instances(self.clone()));
         tasks.spawn(membership::gossip(self.clone(), datagrams.clone()));
         tasks.spawn(membership::receive(self.clone(), datagrams));
@@ -131,7 +136,12 @@
         // An error means that the sender is gone, which is a request to stop as well.
         let _ = stop.wait_for(|stop| *stop).await;
         self.membership.leave();
-        let drained = tokio::time::timeout(self.settings.limits.drain, serving).await;
+        let requests = async {
+            let _ = serving.await;
+            // Their results still have to reach the log.
+            self.once.idle().await;
+        };
+        let drained = tokio::time::timeout(self.settings.limits.drain, requests).await;
         if drained.is_err() {
             log::warn!("requests still in flight at the end of the drain");
         }
