Measure the time to force and the start with a long history

Cause: both targets of the configuration had no run behind them.

Change: a bench over real processes on loopback. Times are taken from just before the append is sent, so they are at most too large.

Not run: 76 routers.

--- /dev/null
+++ b/benches/in_force.rs
@@ -0,0 +1,128 @@
+//! Time from the acceptance of a change until it is in force, over real processes, and
+//! time for a router to serve that starts with a long history.
+//!
+//! The programs must be built in the same profile: `cargo build --release --workspace`.
+
+#[path = "../tests/support/mod.rs"]
+mod support;
+
+use std::{
+    io::{Read, Write},
+    net::{SocketAddr, TcpStream},
+    thread,
+    time::{Duration, Instant},
+};
+
+use serde_json::{json, Value};
+use support::{call, free_address, get, wait_until, Fleet, STREAM_BOUNDS, TOKEN};
+
+const ROUTERS: usize = 19;
+const CHANGES: usize = 20;
+const HISTORY: usize = 10_000;
+const RECORDS_PER_APPEND: usize = 500;
+
+/// Reads `path`; the answer ends with the connection.
+fn read(address: SocketAddr, path: &str) -> std::io::Result<String> {
+    let mut stream = TcpStream::connect(address)?;
+    let head = format!(
+        "GET {path} HTTP/1.1\r\nhost: router\r\nauthorization: Bearer {TOKEN}\r\n\
+         connection: close\r\n\r\n"
+    );
+    stream.write_all(head.as_bytes())?;
+    let mut text = String::new();
+    stream.read_to_string(&mut text)?;
+    Ok(text)
+}
+
+fn change(number: usize) -> Value {
+    json!({
+        "record": "change", "id": format!("change-{number}"), "operator": "bench", "at": 0,
+        "base": number, "ops": [{ "op": "put_team", "name": format!("team-{}", number % 100) }],
+    })
+}
+
+/// Publishes one change and returns the time until each router has it in force.
+fn publish(fleet: &Fleet) -> Vec<Duration> {
+    let bounds = get(&fleet.platform_url(STREAM_BOUNDS)).expect("the bounds");
+    let head = bounds["head"].as_u64().expect("an offset");
+    let routers: Vec<_> = fleet
+        .routers
+        .iter()
+        .map(|router| router.operators)
+        .collect();
+    let waiting: Vec<_> = routers
+        .into_iter()
+        .map(|router| {
+            thread::spawn(move || {
+                let path = format!("/v1/decisions?since={head}&wait_ms=30000");
+                let answer = read(router, &path).expect("an answer");
+                assert!(answer.contains("change-"), "in force within 30 s: {answer}");
+                Instant::now()
+            })
+        })
+        .collect();
+    thread::sleep(Duration::from_millis(500));
+    let url = fleet.platform_url("/v1/log/config");
+    let record = change(head as usize);
+    let started = Instant::now();
+    call("POST", &url, &json!({ "entries": [record] })).expect("an append");
+    // The append is accepted before this returns, so the figures are at most too large.
+    let ends = waiting
+        .into_iter()
+        .map(|thread| thread.join().expect("a time"));
+    ends.map(|end| end.saturating_duration_since(started))
+        .collect()
+}
+
+fn report(name: &str, mut times: Vec<Duration>) {
+    times.sort_unstable();
+    let at = |share: f64| times[((times.len() - 1) as f64 * share) as usize].as_millis();
+    println!(
+        "{name}: p50 {} ms, p90 {} ms, max {} ms, {} samples",
+        at(0.5),
+        at(0.9),
+        at(1.0),
+        times.len()
+    );
+}
+
+fn in_force() {
+    let mut fleet = Fleet::start(1, ROUTERS);
+    let times = (0..CHANGES).flat_map(|_| publish(&fleet)).collect();
+    report("in force at 19 routers", times);
+    let cut_off = ROUTERS / 3;
+    for index in 0..cut_off {
+        fleet.restart_router_with_log(index, free_address());
+    }
+    fleet.await_ready();
+    let (mut near, mut far) = (Vec::new(), Vec::new());
+    for _ in 0..CHANGES {
+        let times = publish(&fleet);
+        far.extend_from_slice(&times[..cut_off]);
+        near.extend_from_slice(&times[cut_off..]);
+    }
+    report("in force at 13 of 19 routers that read the log", near);
+    report("in force at 6 of 19 routers that cannot", far);
+}
+
+fn long_history() {
+    let mut fleet = Fleet::platform_only(&["--appends-per-second", "1000"]);
+    let url = fleet.platform_url("/v1/log/config");
+    for first in (0..HISTORY).step_by(RECORDS_PER_APPEND) {
+        let records: Vec<_> = (first..first + RECORDS_PER_APPEND).map(change).collect();
+        call("POST", &url, &json!({ "entries": records })).expect("an append");
+    }
+    let started = Instant::now();
+    fleet.add_router("");
+    let operators = fleet.routers[0].operators;
+    wait_until("the router serves", || {
+        read(operators, "/readyz").is_ok_and(|answer| answer.starts_with("HTTP/1.1 200"))
+    });
+    let took = started.elapsed().as_millis();
+    println!("serving after a start with {HISTORY} records: {took} ms");
+}
+
+fn main() {
+    in_force();
+    long_history();
+}
