Avoid an engine for a second after it refused work

Cause: the instance list names a dead engine for some 2 s, and each request whose chat belongs to it was sent there first and spent a retry of its team to be sent elsewhere.

Ruled out: taking the engine out of the view, which would make every router's choice differ from the stewards' for a refusal that may be a moment's.

Change: a refused connection, or a refusal for want of service, is noted with the life of the engine; for 1 s other engines are tried first. Engines and plain servers are now listed by one function.

Tests: tests/membership/reach.rs.

--- a/src/membership/mod.rs
+++ b/src/membership/mod.rs
@@ -15,6 +15,7 @@
 mod load;
 mod message;
 mod probe;
+mod reach;
 mod rumours;
 mod standing;
 mod state;
@@ -28,6 +29,7 @@
     load::{LoadSums, LOAD_TIMEOUT},
     message::{Datagram, Epoch, Health, Kind, LoadSum, PoolLoad, Rumour, MAX_DATAGRAM},
     probe::{Prober, Step},
+    reach::{Refusing, AVOIDANCE},
     rumours::{RumourQueue, MAX_RUMOURS},
     standing::{Standing, Standings, SUSPICION_TIMEOUT},
     state::{Membership, ISOLATION_TIMEOUT},
--- a/src/membership/state.rs
+++ b/src/membership/state.rs
@@ -5,7 +5,7 @@
     time::Duration,
 };
 
-use super::{Gossip, Life, Phase, View};
+use super::{Gossip, Life, Phase, Refusing, View};
 use crate::{platform::InstanceChanges, sync::lock, Incarnation, Instant, RouterName};
 
 /// Time without word from any other router and from the log, after which a router that
@@ -19,6 +19,8 @@
     gossip: Mutex<Gossip>,
     phase: Mutex<Option<Phase>>,
     log_heard: Mutex<Instant>,
+    /// Engines that lately refused to take work.
+    pub refusing: Refusing,
 }
 
 impl Membership {
@@ -29,6 +31,7 @@
             gossip: Mutex::new(Gossip::new(me, life)),
             phase: Mutex::new(Some(Phase::Starting(Life::new()))),
             log_heard: Mutex::default(),
+            refusing: Refusing::default(),
         }
     }
 
--- a/src/relay/request.rs
+++ b/src/relay/request.rs
@@ -163,14 +163,8 @@
 
     /// Returns the engines that the request may use, the best first.
     fn candidates(&self, cx: &Router) -> Result<Vec<Arc<Engine>>> {
-        let state = cx.config.current();
-        let view = cx.membership.view();
-        let open = |engine: &&Arc<Engine>| {
-            let shut = engine.leaving || state.drained.contains(&engine.name);
-            !shut && !self.stage.failed.contains(&engine.name)
-        };
-        let engines = view.engines(&self.head.pool).filter(open);
-        let ranked = cx.candidates(&self.head.chat, &self.head.hint, engines);
+        let engines = cx.open_engines(&self.head.pool, &self.stage.failed);
+        let ranked = cx.candidates(&self.head.chat, &self.head.hint, &engines);
         if ranked.is_empty() {
             return Err(Error::not_run(Category::Unavailable, "no engine is live"));
         }
@@ -232,6 +226,10 @@
             Ok(opening) => Ok(self.at_opening(sent, opening)),
             Err(err) => {
                 sent.note_failure(cx, &err);
+                let engine = self.stage.slot.engine();
+                cx.membership
+                    .refusing
+                    .note_failure(engine, &err, cx.clock.now());
                 Err(self.fail(err))
             }
         }
--- a/src/relay/service.rs
+++ b/src/relay/service.rs
@@ -1,6 +1,6 @@
 //! One call of a plain service.
 
-use std::sync::Arc;
+use std::{collections::BTreeSet, sync::Arc};
 
 use bytes::Bytes;
 use http::{header::CONTENT_TYPE, HeaderName, Method, Response};
@@ -116,10 +116,7 @@
 
 /// Returns the servers that may take the call, the preferred one first.
 pub(super) fn servers(cx: &Router, call: &ServiceCall) -> Vec<Arc<Engine>> {
-    let state = cx.config.current();
-    let view = cx.membership.view();
-    let open = |server: &&Arc<Engine>| !server.leaving && !state.drained.contains(&server.name);
-    let servers: Vec<_> = view.engines(&call.pool).filter(open).cloned().collect();
+    let servers = cx.open_engines(&call.pool, &BTreeSet::new());
     placement::candidates(call.id.as_str(), &Hint::default(), &servers)
 }
 
--- a/tests/membership/main.rs
+++ b/tests/membership/main.rs
@@ -6,4 +6,5 @@
 mod load;
 mod machine;
 mod network;
+mod reach;
 mod spread;
