Let callers go on to the next address where none listens

Cause: of the demo's 109 refusals, each was for a spent retry budget, and all came after the router was stopped: callers kept its address for 30 s, counted the connection that could not be opened as their first attempt, and arrived at the next router as a retry.

Ruled out: a larger budget, or budgets by router; an attempt that was never sent amplifies nothing, and only the caller can know it.

Conclusion: a stopped router costs its callers one connection.

--- a/stand-in/src/caller.rs
+++ b/stand-in/src/caller.rs
@@ -12,7 +12,7 @@
 use rand_pcg::Pcg64Mcg;
 use serde_json::{json, Value};
 
-use crate::web::{self, Http};
+use crate::web::{self, Http, SendError};
 
 /// Most requests of one run.
 const MAX_REQUESTS: u64 = 1_000_000;
@@ -20,6 +20,9 @@
 /// Most attempts at one request.
 const MAX_ATTEMPTS: u32 = 4;
 
+/// Most addresses tried for one request, the ones that accept no connection included.
+const MAX_ROUNDS: u32 = 10;
+
 #[derive(clap::Args)]
 pub struct Args {
     /// Routers to ask for an address, as HOST:PORT.
@@ -85,6 +88,8 @@
 /// What one attempt came to.
 enum Outcome {
     Answered,
+    /// No connection could be opened; this is no attempt.
+    Unsent(String),
     Refused(String),
     Broken(String),
 }
@@ -135,51 +140,74 @@
     let id = format!("req-{}-{number}", caller.args.seed);
     let mut last = Outcome::Broken("not tried".into());
     let mut key = None;
-    for attempt in 1..=MAX_ATTEMPTS {
-        let Some(address) = caller.address(chat, booking, attempt, &mut key).await else {
+    let mut attempt = 1;
+    for round in 1..=MAX_ROUNDS {
+        let Some(address) = caller.address(chat, booking, round, &mut key).await else {
             tokio::time::sleep(Duration::from_millis(200)).await;
             continue;
         };
         last = if booking {
-            caller
-                .book(&address, &id, attempt, key.as_deref().unwrap_or_default())
-                .await
+            let key = key.as_deref().unwrap_or_default();
+            caller.book(&address, &id, attempt, key).await
         } else {
             caller.chat(&address, &id, attempt, chat).await
         };
-        if matches!(last, Outcome::Answered) {
+        if matches!(last, Outcome::Unsent(_)) {
+            caller.drop_address(chat, &address);
+            continue;
+        }
+        if matches!(last, Outcome::Answered) || attempt == MAX_ATTEMPTS {
             break;
         }
         caller.addresses.lock().unwrap().remove(&chat);
         tokio::time::sleep(Duration::from_millis(100 << attempt)).await;
+        attempt += 1;
     }
     let mut report = caller.report.lock().unwrap();
     match last {
         Outcome::Answered => report.answered += 1,
-        Outcome::Refused(reason) | Outcome::Broken(reason) => {
+        Outcome::Unsent(reason) | Outcome::Refused(reason) | Outcome::Broken(reason) => {
             report.refused += 1;
             *report.reasons.entry(reason).or_default() += 1;
         }
     }
 }
 
+impl From<SendError> for Outcome {
+    fn from(err: SendError) -> Self {
+        match err {
+            SendError::Unsent(text) => Outcome::Unsent(text),
+            SendError::Sent(text) => Outcome::Broken(text),
+        }
+    }
+}
+
 impl Caller {
+    /// Forgets one address of a chat, so that the next one is used.
+    fn drop_address(&self, chat: u64, address: &str) {
+        if let Some((kept, _)) = self.addresses.lock().unwrap().get_mut(&chat) {
+            kept.retain(|other| other != address);
+        }
+    }
+
     /// Returns the router for a chat: kept from before, or asked of any router.
     async fn address(
         &self,
         chat: u64,
         booking: bool,
-        attempt: u32,
+        round: u32,
         key: &mut Option<String>,
     ) -> Option<String> {
         let kept = self.addresses.lock().unwrap().get(&chat).cloned();
         let fresh = kept.filter(|(_, until)| *until > Instant::now());
         let needs_key = booking && key.is_none();
         if let (Some((addresses, _)), false) = (fresh, needs_key) {
-            return addresses.first().cloned();
+            if let Some(first) = addresses.first() {
+                return Some(first.clone());
+            }
         }
         let count = self.args.routers.len();
-        let router = &self.args.routers[(chat as usize + attempt as usize) % count];
+        let router = &self.args.routers[(chat as usize + round as usize) % count];
         let service = if booking {
             &self.args.service
         } else {
@@ -238,7 +266,7 @@
         let answer = web::send(&self.http, "POST", &url, &headers, body.to_string()).await;
         let answer = match answer {
             Ok(answer) => answer,
-            Err(err) => return Outcome::Broken(err),
+            Err(err) => return Outcome::from(err),
         };
         if !answer.status().is_success() {
             return Outcome::Refused(answer.status().to_string());
@@ -311,7 +339,7 @@
         );
         let answer = web::call(&self.http, "POST", &url, &headers, String::new()).await;
         match answer {
-            Err(err) => Outcome::Broken(err),
+            Err(err) => Outcome::from(err),
             Ok((status, _)) if !status.is_success() => Outcome::Refused(status.to_string()),
             Ok((_, answer)) => {
                 let own = answer["booked"] == json!(key);
--- a/stand-in/src/main.rs
+++ b/stand-in/src/main.rs
@@ -66,7 +66,7 @@
     match web::call(&web::client(), method, url, &headers, body).await {
         Ok((status, answer)) if status.is_success() => println!("{answer}"),
         Ok((status, answer)) => fail(&format!("{status}: {answer}")),
-        Err(err) => fail(&err),
+        Err(err) => fail(&err.to_string()),
     }
 }
 
--- a/stand-in/src/web.rs
+++ b/stand-in/src/web.rs
@@ -1,7 +1,7 @@
 //! HTTP shared by the stand-ins: serving handlers and sending JSON.
 
 use std::{
-    collections::HashMap, future::Future, net::SocketAddr, panic::RefUnwindSafe, pin::Pin,
+    collections::HashMap, fmt, future::Future, net::SocketAddr, panic::RefUnwindSafe, pin::Pin,
     sync::Arc, time::Duration,
 };
 
@@ -145,6 +145,32 @@
     Client::builder(TokioExecutor::new()).build(connector)
 }
 
+/// A request that got no answer.
+#[derive(Debug)]
+pub enum SendError {
+    /// No connection could be opened, so the request was never sent.
+    Unsent(String),
+    /// The request may have arrived.
+    Sent(String),
+}
+
+impl SendError {
+    fn new(err: hyper_util::client::legacy::Error) -> Self {
+        if err.is_connect() {
+            SendError::Unsent(err.to_string())
+        } else {
+            SendError::Sent(err.to_string())
+        }
+    }
+}
+
+impl fmt::Display for SendError {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let (SendError::Unsent(text) | SendError::Sent(text)) = self;
+        f.write_str(text)
+    }
+}
+
 /// Sends a request and returns the head of the answer.
 pub async fn send(
     http: &Http,
@@ -152,15 +178,15 @@
     url: &str,
     headers: &[(&str, &str)],
     body: String,
-) -> Result<Response<Incoming>, String> {
+) -> Result<Response<Incoming>, SendError> {
     let mut req = Request::builder().method(method).uri(url);
     for (key, value) in headers {
         req = req.header(*key, *value);
     }
     let req = req
         .body(Full::new(body.into()))
-        .map_err(|err| err.to_string())?;
-    http.request(req).await.map_err(|err| err.to_string())
+        .map_err(|err| SendError::Unsent(err.to_string()))?;
+    http.request(req).await.map_err(SendError::new)
 }
 
 /// Sends a request and returns the status and the JSON of the answer.
@@ -170,14 +196,14 @@
     url: &str,
     headers: &[(&str, &str)],
     body: String,
-) -> Result<(StatusCode, Value), String> {
+) -> Result<(StatusCode, Value), SendError> {
     let answer = send(http, method, url, headers, body).await?;
     let status = answer.status();
     let body = answer
         .into_body()
         .collect()
         .await
-        .map_err(|err| err.to_string())?;
+        .map_err(|err| SendError::Sent(err.to_string()))?;
     let value = serde_json::from_slice(&body.to_bytes()).unwrap_or(Value::Null);
     Ok((status, value))
 }
