Quarantine requests that crash engines

Cause: a request that crashes engines was sent to one after the other, by the router's own retries and by its caller's.

Change: a request in flight when its engine dies (the connection ends and the engine's address refuses connections, or its life is over in the view) is a suspect. A suspect runs only where this router runs no other suspect; a whole answer clears it, a second death convicts it, and it is refused as quarantined. Deaths spread as a rumour, each counted once. Suspicion lasts 10 min, conviction 1 h, at most 4,096 are held.

Ruled out: a fingerprint that includes the chat, as the same request may come back under another one. A common body is cleared by its next whole answer.

--- a/src/admission/mod.rs
+++ b/src/admission/mod.rs
@@ -7,12 +7,14 @@
 
 mod budget;
 mod line;
+mod quarantine;
 mod queue;
 mod state;
 
 pub use self::{
     budget::{retry_delay, RetryBudget},
     line::{Lines, Waiter},
+    quarantine::{Crash, Entry, Fingerprint, Quarantine, Suspects, MAX_SUSPECTS},
     queue::{Applicant, Enqueued, Queue, QueueFull, WaitId, MAX_WAITING, MAX_WAITING_PER_TEAM},
     state::{Admission, Class, Permit, MAX_TEAMS},
 };
--- /dev/null
+++ b/src/admission/quarantine.rs
@@ -0,0 +1,237 @@
+//! Requests that were in flight on engines that died, and refusal of those that kill engines.
+//!
+//! A request in flight on an engine that dies is a suspect: it runs next only on an
+//! engine where no other suspect runs, so that a second death tells it from its
+//! neighbours. A whole answer clears it; the second death convicts it.
+
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    sync::{Arc, Mutex},
+    time::Duration,
+};
+
+use serde::{Deserialize, Serialize};
+use xxhash_rust::xxh3::xxh3_64;
+
+use crate::{sync::lock, Category, EngineName, Error, Incarnation, Instant, Result};
+
+/// How long a request stays under suspicion.
+const SUSPICION_TIME: Duration = Duration::from_secs(600);
+
+/// How long a convicted request is refused.
+const CONVICTION_TIME: Duration = Duration::from_secs(3_600);
+
+/// Deaths of engines that convict.
+const CONVICTING_DEATHS: usize = 2;
+
+/// Most suspects and convicts held; those that expire first are forgotten first.
+pub const MAX_SUSPECTS: usize = 4_096;
+
+/// Identifies requests with the same content.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+#[serde(transparent)]
+pub struct Fingerprint(pub u64);
+
+impl Fingerprint {
+    /// Returns the fingerprint of a request with this body.
+    pub fn of(body: &[u8]) -> Self {
+        Fingerprint(xxh3_64(body))
+    }
+}
+
+/// One life of an engine ended while a request was in flight on it.
+#[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+pub struct Crash {
+    /// Request that was in flight.
+    pub fingerprint: Fingerprint,
+    /// Engine that died.
+    pub engine: EngineName,
+    /// Which life of the engine ended.
+    pub incarnation: Incarnation,
+}
+
+#[derive(Debug)]
+struct Suspect {
+    deaths: BTreeSet<(EngineName, Incarnation)>,
+    cleared: usize,
+    until: Instant,
+}
+
+impl Suspect {
+    fn counted(&self) -> usize {
+        self.deaths.len() - self.cleared
+    }
+
+    fn is_convicted(&self) -> bool {
+        self.counted() >= CONVICTING_DEATHS
+    }
+}
+
+/// Suspects and convicts, bounded in number and time.
+#[derive(Debug, Default)]
+pub struct Suspects {
+    known: BTreeMap<Fingerprint, Suspect>,
+    /// The suspect that runs on each engine.
+    running: BTreeMap<EngineName, Fingerprint>,
+}
+
+impl Suspects {
+    /// Creates the state without suspects.
+    pub fn new() -> Self {
+        Suspects::default()
+    }
+
+    /// Counts the death of an engine against a request; returns whether it was news.
+    pub fn accuse(&mut self, crash: &Crash, now: Instant) -> bool {
+        self.expire(now);
+        let suspect = self.known.entry(crash.fingerprint).or_insert(Suspect {
+            deaths: BTreeSet::new(),
+            cleared: 0,
+            until: now + SUSPICION_TIME,
+        });
+        let news = suspect
+            .deaths
+            .insert((crash.engine.clone(), crash.incarnation));
+        if news && suspect.counted() == CONVICTING_DEATHS {
+            suspect.until = now + CONVICTION_TIME;
+        }
+        self.limit();
+        news
+    }
+
+    fn expire(&mut self, now: Instant) {
+        self.known.retain(|_, suspect| suspect.until > now);
+    }
+
+    fn limit(&mut self) {
+        if self.known.len() <= MAX_SUSPECTS {
+            return;
+        }
+        let next = self.known.iter().min_by_key(|(_, suspect)| suspect.until);
+        if let Some(fingerprint) = next.map(|(fingerprint, _)| *fingerprint) {
+            self.known.remove(&fingerprint);
+        }
+    }
+
+    /// Clears a request that was answered whole, unless it is convicted.
+    pub fn clear(&mut self, fingerprint: Fingerprint) {
+        if let Some(suspect) = self.known.get_mut(&fingerprint) {
+            if !suspect.is_convicted() {
+                suspect.cleared = suspect.deaths.len();
+            }
+        }
+    }
+
+    /// Returns whether the request is refused.
+    pub fn is_convicted(&self, fingerprint: Fingerprint, now: Instant) -> bool {
+        self.live(fingerprint, now)
+            .is_some_and(Suspect::is_convicted)
+    }
+
+    /// Returns whether the request may share an engine with no other suspect.
+    pub fn is_suspect(&self, fingerprint: Fingerprint, now: Instant) -> bool {
+        self.live(fingerprint, now)
+            .is_some_and(|suspect| suspect.counted() > 0)
+    }
+
+    fn live(&self, fingerprint: Fingerprint, now: Instant) -> Option<&Suspect> {
+        let suspect = self.known.get(&fingerprint);
+        suspect.filter(|suspect| suspect.until > now)
+    }
+
+    /// Takes `engine` for a suspect; returns whether no other suspect runs there.
+    pub fn occupy(&mut self, engine: &EngineName, fingerprint: Fingerprint) -> bool {
+        if self.running.contains_key(engine) {
+            return false;
+        }
+        self.running.insert(engine.clone(), fingerprint);
+        true
+    }
+
+    /// Gives `engine` free for the next suspect.
+    pub fn vacate(&mut self, engine: &EngineName) {
+        self.running.remove(engine);
+    }
+
+    /// Returns the number of suspects and convicts held.
+    pub fn len(&self) -> usize {
+        self.known.len()
+    }
+
+    /// Returns whether there is no suspect.
+    pub fn is_empty(&self) -> bool {
+        self.known.is_empty()
+    }
+}
+
+/// The suspects known to a router, shared by its tasks.
+#[derive(Debug, Default)]
+pub struct Quarantine {
+    suspects: Mutex<Suspects>,
+}
+
+impl Quarantine {
+    /// Checks that a request is not convicted.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`Category::Quarantined`] when it is.
+    pub fn check(&self, fingerprint: Fingerprint, now: Instant) -> Result<()> {
+        if !lock(&self.suspects).is_convicted(fingerprint, now) {
+            return Ok(());
+        }
+        let message = "engines died while they ran this request";
+        Err(Error::not_run(Category::Quarantined, message))
+    }
+
+    /// Counts the death of an engine against a request; returns whether it was news.
+    pub fn accuse(&self, crash: &Crash, now: Instant) -> bool {
+        lock(&self.suspects).accuse(crash, now)
+    }
+
+    /// Clears a request that was answered whole.
+    pub fn clear(&self, fingerprint: Fingerprint) {
+        lock(&self.suspects).clear(fingerprint);
+    }
+
+    /// Lets a request on `engine`, or returns `None` while it must not run there.
+    pub fn enter(
+        self: &Arc<Self>,
+        engine: &EngineName,
+        fingerprint: Fingerprint,
+        now: Instant,
+    ) -> Option<Entry> {
+        let mut suspects = lock(&self.suspects);
+        if !suspects.is_suspect(fingerprint, now) {
+            return Some(Entry { occupied: None });
+        }
+        let free = suspects.occupy(engine, fingerprint);
+        free.then(|| Entry {
+            occupied: Some((self.clone(), engine.clone())),
+        })
+    }
+
+    /// Returns the number of suspects and convicts held.
+    pub fn len(&self) -> usize {
+        lock(&self.suspects).len()
+    }
+
+    /// Returns whether there is no suspect.
+    pub fn is_empty(&self) -> bool {
+        self.len() == 0
+    }
+}
+
+/// A request on its engine; dropping it lets the next suspect there.
+#[derive(Debug)]
+pub struct Entry {
+    occupied: Option<(Arc<Quarantine>, EngineName)>,
+}
+
+impl Drop for Entry {
+    fn drop(&mut self) {
+        if let Some((quarantine, engine)) = self.occupied.take() {
+            lock(&quarantine.suspects).vacate(&engine);
+        }
+    }
+}
--- a/src/http/caller.rs
+++ b/src/http/caller.rs
@@ -19,7 +19,7 @@
     refusal::{json, whole},
 };
 use crate::{
-    admission::Class,
+    admission::{Class, Fingerprint},
     config::{Service, ServiceKind},
     lookup::{self, VALIDITY},
     once::Key,
@@ -168,6 +168,7 @@
         team: sender.team,
         pool: service.pool,
         attempt: sender.attempt,
+        fingerprint: Fingerprint::of(&body),
     };
     let id = head.id.clone();
     let answer = relay::chat(cx, head, body).await?;
--- a/src/membership/message.rs
+++ b/src/membership/message.rs
@@ -4,7 +4,7 @@
 
 use serde::{Deserialize, Serialize};
 
-use crate::{EngineName, Incarnation, Offset, PoolName, RouterName, UnixMillis};
+use crate::{admission::Crash, EngineName, Incarnation, Offset, PoolName, RouterName, UnixMillis};
 
 /// Largest datagram, in bytes.
 pub const MAX_DATAGRAM: usize = 1_200;
@@ -89,6 +89,8 @@
     },
     /// The configuration stream is known up to this offset.
     ConfigHead(Offset),
+    /// An engine died while a request was in flight on it.
+    EngineCrashed(Crash),
     /// A router has failed, or is said to, or refutes it.
     Health {
         /// Name of the router.
@@ -167,6 +169,7 @@
         let name = match self {
             Rumour::Load(sum) => return 1 + sum.max_len(),
             Rumour::EngineLeaving { name, .. } => name.as_str(),
+            Rumour::EngineCrashed(crash) => crash.engine.as_str(),
             Rumour::RouterLeaving { name, .. } | Rumour::Health { name, .. } => name.as_str(),
             Rumour::ConfigHead(_) => "",
         };
--- a/src/membership/task.rs
+++ b/src/membership/task.rs
@@ -8,6 +8,7 @@
 
 use super::{Datagram, Moment, OwnState, Rumour, Sending, MAX_DATAGRAM, TICK};
 use crate::{
+    admission::Crash,
     peer::{Purpose, Replays, Sealer},
     platform::{Instance, InstanceKind, InstanceState},
     EngineName, Incarnation, Result, Router,
@@ -80,6 +81,14 @@
         }
     }
 
+    /// Notes that an engine died with a request in flight, and tells the other routers.
+    pub fn engine_crashed(&self, crash: &Crash) {
+        if self.quarantine.accuse(crash, self.clock.now()) {
+            let rumour = Rumour::EngineCrashed(crash.clone());
+            self.membership.gossip().spread(rumour);
+        }
+    }
+
     /// Notes that a life of an engine takes no new work, and tells the other routers.
     pub fn engine_leaves(&self, name: &EngineName, incarnation: Incarnation) {
         let mut gossip = self.membership.gossip();
@@ -147,6 +156,11 @@
 
     fn merge_datagram(&self, datagram: &Datagram) -> Vec<Sending> {
         let at = self.moment();
+        for rumour in &datagram.rumours {
+            if let Rumour::EngineCrashed(crash) = rumour {
+                self.engine_crashed(crash);
+            }
+        }
         let mut gossip = self.membership.gossip();
         gossip.receive(&mut self.membership.view(), datagram, at)
     }
--- a/src/membership/view.rs
+++ b/src/membership/view.rs
@@ -174,6 +174,8 @@
                 epoch,
                 health,
             } => self.apply_health(name, *epoch, *health, now),
+            // The quarantine keeps these.
+            Rumour::EngineCrashed(_) => false,
             Rumour::ConfigHead(head) => {
                 let news = *head > self.config_head;
                 self.config_head = self.config_head.max(*head);
--- a/src/relay/chat.rs
+++ b/src/relay/chat.rs
@@ -49,6 +49,8 @@
     let mut verdict = Verdict::NotRun;
     let mut dispatches = 0;
     loop {
+        let convicted = cx.quarantine.check(req.head().fingerprint, cx.clock.now());
+        convicted.map_err(|err| err.with_verdict_at_least(verdict))?;
         let placed = req.place(cx).await;
         let placed = placed.map_err(|err| err.with_verdict_at_least(verdict))?;
         let failed = match placed.dispatch(cx, body.clone()).await {
--- a/src/relay/request.rs
+++ b/src/relay/request.rs
@@ -6,7 +6,7 @@
 
 use super::{AnswerStream, ChatAnswer, Opening, Sent};
 use crate::{
-    admission::{Applicant, Class, Permit, Waiter},
+    admission::{Applicant, Class, Entry, Fingerprint, Permit, Waiter},
     membership::Engine,
     placement::Hint,
     steward::Slot,
@@ -39,6 +39,8 @@
     pub attempt: u32,
     /// How soon the answer is needed.
     pub class: Class,
+    /// Tells requests that crash engines from others.
+    pub fingerprint: Fingerprint,
 }
 
 /// The request has been read.
@@ -54,6 +56,7 @@
 /// The request holds a slot on an engine.
 pub struct Placed {
     admitted: Admitted,
+    entry: Entry,
     slot: Slot,
 }
 
@@ -110,6 +113,9 @@
     }
 }
 
+/// A slot, and the leave to use it.
+type Place = (Entry, Slot);
+
 impl Request<Admitted> {
     /// Takes a slot on an engine below its bound, and waits for one if there is none.
     ///
@@ -119,8 +125,8 @@
     /// [`Category::Unavailable`] when no engine is live.
     pub async fn place(self, cx: &Arc<Router>) -> Result<Request<Placed>> {
         if !cx.admission.lines.is_waiting(&self.head.pool) {
-            match try_engines(cx, &self.candidates(cx)?).await {
-                Ok(slot) => return Ok(self.at_slot(slot)),
+            match self.try_engines(cx, &self.candidates(cx)?).await {
+                Ok(place) => return Ok(self.at_slot(place)),
                 Err(err) => log::debug!("request={} waits error=\"{err}\"", self.head.id),
             }
         }
@@ -134,10 +140,10 @@
             let freed = waiter.turn().await?;
             let engines = some_of(&self.candidates(cx)?, &freed, round);
             round += 1;
-            match try_engines(cx, &engines).await {
-                Ok(slot) => {
+            match self.try_engines(cx, &engines).await {
+                Ok(place) => {
                     waiter.placed();
-                    return Ok(self.at_slot(slot));
+                    return Ok(self.at_slot(place));
                 }
                 Err(_) => waiter.pause().await,
             }
@@ -177,9 +183,29 @@
         Ok(ranked)
     }
 
-    fn at_slot(self, slot: Slot) -> Request<Placed> {
+    /// Takes a slot on the first of `engines` that has one and that the request may use.
+    async fn try_engines(&self, cx: &Arc<Router>, engines: &[Arc<Engine>]) -> Result<Place> {
+        let mut refusal = Error::not_run(Category::Overloaded, "each engine is at its bound");
+        for engine in engines {
+            let now = cx.clock.now();
+            let entry = cx
+                .quarantine
+                .enter(&engine.name, self.head.fingerprint, now);
+            let Some(entry) = entry else {
+                continue;
+            };
+            match Slot::acquire(cx, engine).await {
+                Ok(slot) => return Ok((entry, slot)),
+                Err(err) => refusal = err,
+            }
+        }
+        Err(refusal)
+    }
+
+    fn at_slot(self, (entry, slot): Place) -> Request<Placed> {
         let stage = Placed {
             admitted: self.stage,
+            entry,
             slot,
         };
         Request {
@@ -189,18 +215,6 @@
     }
 }
 
-/// Takes a slot on the first of `engines` that has one.
-async fn try_engines(cx: &Arc<Router>, engines: &[Arc<Engine>]) -> Result<Slot> {
-    let mut refusal = Error::not_run(Category::Overloaded, "each engine is at its bound");
-    for engine in engines {
-        match Slot::acquire(cx, engine).await {
-            Ok(slot) => return Ok(slot),
-            Err(err) => refusal = err,
-        }
-    }
-    Err(refusal)
-}
-
 /// Returns the engines that a waiting request asks: those with freed slots and a few
 /// others, which change from round to round.
 fn some_of(ranked: &[Arc<Engine>], freed: &[EngineName], round: usize) -> Vec<Arc<Engine>> {
@@ -231,7 +245,7 @@
         match self.open(cx, &sent, fresh).await {
             Ok(opening) => Ok(self.at_opening(sent, opening)),
             Err(err) => {
-                sent.note_failure(cx, &err);
+                sent.note_failure(cx, &err).await;
                 Err(self.fail(err))
             }
         }
@@ -281,10 +295,14 @@
         let hint = self.next_hint();
         let holding = Holding {
             _permit: self.stage.placed.admitted.permit,
+            _entry: self.stage.placed.entry,
             _slot: self.stage.placed.slot,
         };
         match self.stage.opening {
-            Opening::Whole(body) => ChatAnswer::Whole { body, hint },
+            Opening::Whole(body) => {
+                cx.quarantine.clear(self.head.fingerprint);
+                ChatAnswer::Whole { body, hint }
+            }
             Opening::Stream(begun) => {
                 let stream = AnswerStream::new(cx, self.stage.sent, *begun, holding);
                 let stream = Box::new(stream);
@@ -297,5 +315,6 @@
 /// The slot and the permit of an answer under way.
 pub(super) struct Holding {
     _permit: Permit,
+    _entry: Entry,
     _slot: Slot,
 }
--- a/src/relay/sent.rs
+++ b/src/relay/sent.rs
@@ -1,14 +1,19 @@
 //! A chat request as it is sent to its engine, and sent again to resume its answer.
 
-use std::sync::Arc;
+use std::{io, sync::Arc};
 
 use bytes::Bytes;
 use http::{header::CONTENT_TYPE, HeaderName, Response};
 use http_body_util::Full;
 use hyper::body::Incoming;
+use tokio::net::TcpStream;
 
 use super::{backend::url, request::REQUEST_ID, Head};
-use crate::{admission::Class, membership::Engine, Category, Error, Result, Router};
+use crate::{
+    admission::{Class, Crash},
+    membership::Engine,
+    Category, Error, Result, Router,
+};
 
 /// Header that carries the priority class to an engine.
 const PRIORITY: &str = "x-priority";
@@ -68,8 +73,33 @@
         known.is_some_and(|engine| engine.incarnation == self.engine.incarnation)
     }
 
-    /// Notes that the connection to the engine failed with this request on it.
-    pub(super) fn note_failure(&self, _cx: &Router, _err: &Error) {}
+    /// Suspects this request when the engine died with it in flight.
+    pub(super) async fn note_failure(&self, cx: &Router, err: &Error) {
+        if err.classify() != Category::Cut || !self.engine_died(cx).await {
+            return;
+        }
+        let crash = Crash {
+            fingerprint: self.head.fingerprint,
+            engine: self.engine.name.clone(),
+            incarnation: self.engine.incarnation,
+        };
+        let (id, engine) = (&self.head.id, &self.engine.name);
+        log::warn!("engine died engine={engine} request={id}");
+        cx.engine_crashed(&crash);
+    }
+
+    /// Returns whether this life of the engine is over: a dead process accepts nothing.
+    async fn engine_died(&self, cx: &Router) -> bool {
+        if !self.engine_is_live(cx) {
+            return true;
+        }
+        let connect = TcpStream::connect(self.engine.address);
+        let refused = |err: io::Error| err.kind() == io::ErrorKind::ConnectionRefused;
+        match tokio::time::timeout(cx.settings.limits.connect, connect).await {
+            Ok(connected) => connected.is_err_and(refused),
+            Err(_) => false,
+        }
+    }
 
     fn message(&self, last: Option<u64>) -> Result<http::Request<Full<Bytes>>> {
         let priority = match self.head.class {
--- a/src/relay/stream.rs
+++ b/src/relay/stream.rs
@@ -59,7 +59,10 @@
         }
         loop {
             let err = match next_part(&mut self.source, &mut self.sequence).await {
-                Ok(part) => return Some(Ok(part)),
+                Ok(part) => {
+                    self.clear_at_end();
+                    return Some(Ok(part));
+                }
                 Err(err) => err,
             };
             if let Err(err) = self.resume(err).await {
@@ -68,13 +71,19 @@
         }
     }
 
+    fn clear_at_end(&self) {
+        if self.sequence.is_ended() {
+            self.cx.quarantine.clear(self.sent.head().fingerprint);
+        }
+    }
+
     /// Asks the engine for the rest of the answer, or returns why that is no use.
     async fn resume(&mut self, err: Error) -> Result<()> {
         let resumable = matches!(err.classify(), Category::Cut | Category::Timeout);
         if !resumable {
             return Err(err);
         }
-        self.sent.note_failure(&self.cx, &err);
+        self.sent.note_failure(&self.cx, &err).await;
         let team = &self.sent.head().team;
         if self.resumes >= MAX_RESUMES || !self.cx.admission.may_retry(team) {
             return Err(err);
--- a/src/router.rs
+++ b/src/router.rs
@@ -16,7 +16,7 @@
 use uuid::Uuid;
 
 use crate::{
-    admission::Admission,
+    admission::{Admission, Quarantine},
     config::{self, Config, Settings},
     http,
     inspect::Metrics,
@@ -55,6 +55,8 @@
     pub steward: Steward,
     /// Load of the teams.
     pub admission: Arc<Admission>,
+    /// Requests that crashed engines.
+    pub quarantine: Arc<Quarantine>,
     /// Claims of calls that must not be repeated.
     pub once: Arc<Once>,
     /// Clients of the platform.
@@ -84,6 +86,7 @@
             loads: KnownLoads::default(),
             steward: Steward::default(),
             admission: Arc::default(),
+            quarantine: Arc::default(),
             once: Arc::default(),
             platform: Platform::new(
                 &settings.platform,
--- /dev/null
+++ b/tests/relay/quarantine.rs
@@ -0,0 +1,170 @@
+//! Requests that crash the engines they run on, among others that do not.
+
+use std::{thread, time::Duration};
+
+use ebonyspur::{
+    admission::{Crash, Fingerprint, Suspects, MAX_SUSPECTS},
+    EngineName, Incarnation, Instant,
+};
+use expect_test::expect;
+use serde_json::json;
+
+use crate::support::{
+    http::{exchange, Answer},
+    Fleet,
+};
+
+fn crash(fingerprint: u64, engine: &str, incarnation: u64) -> Crash {
+    Crash {
+        fingerprint: Fingerprint(fingerprint),
+        engine: EngineName::new(engine).unwrap(),
+        incarnation: Incarnation(incarnation),
+    }
+}
+
+fn standing(suspects: &Suspects, fingerprint: u64, now: Instant) -> &'static str {
+    let fingerprint = Fingerprint(fingerprint);
+    match suspects.is_convicted(fingerprint, now) {
+        true => "convicted",
+        false if suspects.is_suspect(fingerprint, now) => "suspect",
+        false => "clear",
+    }
+}
+
+#[test]
+fn the_second_death_convicts_and_a_whole_answer_clears() {
+    let seconds = |secs: u64| Instant::from_millis(secs * 1_000);
+    let mut suspects = Suspects::new();
+    let mut steps = Vec::new();
+    let mut note = |what: &str, suspects: &Suspects, now| {
+        let standings = [1, 2].map(|number| standing(suspects, number, now));
+        steps.push(format!("{what}: {}\n", standings.join(" ")));
+    };
+    for number in [1, 2] {
+        suspects.accuse(&crash(number, "a", 1), seconds(0));
+    }
+    note("one death", &suspects, seconds(0));
+    suspects.accuse(&crash(1, "a", 1), seconds(1));
+    note("told again", &suspects, seconds(1));
+    suspects.clear(Fingerprint(2));
+    note("2 answered", &suspects, seconds(2));
+    for number in [1, 2] {
+        suspects.accuse(&crash(number, "a", 2), seconds(3));
+    }
+    note("next life dies", &suspects, seconds(3));
+    suspects.clear(Fingerprint(1));
+    note("1 answered", &suspects, seconds(4));
+    note("after 11 min", &suspects, seconds(660));
+    note("after 61 min", &suspects, seconds(3_660));
+    expect![[r#"
+        one death: suspect suspect
+        told again: suspect suspect
+        2 answered: suspect clear
+        next life dies: convicted suspect
+        1 answered: convicted suspect
+        after 11 min: convicted clear
+        after 61 min: clear clear
+    "#]]
+    .assert_eq(&steps.concat());
+}
+
+#[test]
+fn suspects_run_alone_on_an_engine_and_are_bounded() {
+    let now = Instant::from_millis(0);
+    let mut suspects = Suspects::new();
+    let engine = EngineName::new("b").unwrap();
+    let first = suspects.occupy(&engine, Fingerprint(1));
+    let second = suspects.occupy(&engine, Fingerprint(2));
+    suspects.vacate(&engine);
+    let later = suspects.occupy(&engine, Fingerprint(2));
+    for number in 0..2 * MAX_SUSPECTS as u64 {
+        suspects.accuse(&crash(number, "a", 1), now);
+    }
+    expect!["true false true, held 4096"].assert_eq(&format!(
+        "{first} {second} {later}, held {}",
+        suspects.len()
+    ));
+}
+
+fn chat(fleet: &Fleet, router: usize, id: &str, attempt: usize, prompt: &str) -> Answer {
+    let body = json!({
+        "model": "planner", "stream": true, "max_tokens": 40,
+        "messages": [{ "role": "user", "content": prompt }],
+    });
+    let attempt = attempt.to_string();
+    let headers = [
+        ("ebonyspur-team", "kerb"),
+        ("ebonyspur-chat", id),
+        ("ebonyspur-attempt", attempt.as_str()),
+        ("x-request-id", id),
+    ];
+    let address = fleet.routers[router % fleet.routers.len()].callers;
+    let path = "/v1/chat/completions";
+    exchange(address, "POST", path, &headers, &body.to_string())
+}
+
+/// Sends an innocent request until it is answered; returns the attempts that took.
+fn innocent(fleet: &Fleet, number: usize) -> usize {
+    let id = format!("innocent-{number}");
+    for attempt in 1..=8 {
+        let answer = chat(
+            fleet,
+            number + attempt,
+            &id,
+            attempt,
+            &format!("plan {number}"),
+        );
+        let own = answer.body.contains(&format!("{id}/39 "));
+        if answer.whole && own && answer.body.ends_with("data: [DONE]\n\n") {
+            return attempt;
+        }
+        thread::sleep(Duration::from_millis(400));
+    }
+    usize::MAX
+}
+
+/// Sends the crashing request to one router after the other.
+fn crasher(fleet: &Fleet) -> Vec<String> {
+    let send = |number: usize| {
+        thread::sleep(Duration::from_millis(1_000));
+        let id = format!("crasher-{number}");
+        let answer = chat(fleet, number, &id, 1, "CRASH");
+        format!("{} {}", answer.status, answer.reason())
+    };
+    (0..6).map(send).collect()
+}
+
+#[test]
+fn a_crashing_request_costs_two_engines_and_its_neighbours_are_answered() {
+    let mut fleet = Fleet::start(6, 3);
+    let (refusals, attempts) = thread::scope(|scope| {
+        let fleet = &fleet;
+        let crasher = scope.spawn(move || crasher(fleet));
+        let mut innocents = Vec::new();
+        for number in 0..60 {
+            thread::sleep(Duration::from_millis(100));
+            innocents.push(scope.spawn(move || innocent(fleet, number)));
+        }
+        let attempts: Vec<_> = innocents
+            .into_iter()
+            .map(|one| one.join().expect("attempts"))
+            .collect();
+        (crasher.join().expect("refusals"), attempts)
+    });
+    let lost = fleet
+        .engines
+        .iter_mut()
+        .filter_map(|engine| engine.process.has_ended().then_some(()));
+    let lost = lost.count();
+    let unanswered = attempts
+        .iter()
+        .filter(|attempts| **attempts == usize::MAX)
+        .count();
+    println!("refusals {refusals:?}, attempts {attempts:?}");
+    expect!["engines lost: 2, innocents unanswered: 0 of 60, last refusal: 422 quarantined"]
+        .assert_eq(&format!(
+            "engines lost: {lost}, innocents unanswered: {unanswered} of {}, last refusal: {}",
+            attempts.len(),
+            refusals.last().map_or("none", String::as_str)
+        ));
+}
