Account for all work on an engine across changes of its steward

Cause: a new steward started with an empty book, so after a change of stewards an engine could be given its whole bound twice; a lost release or a dead holder kept its slot for ever.

Change: a stewardship is a typestate: taking over, settled, leaving. A new steward asks the last one for its book, which then grants no more; without an answer it grants below the bound less what the engine reports, and settles with a report made after the take-over. Work whose holder is gone stays counted until reports prove that it ended. Each router lists its grants to the steward every 5 s, and at once when the steward changes. Requests wait up to 1.5 s for a warm engine, and take cold ones first below the mean; the bound uses the lowest load heard within 2 s.

Ruled out: expiry of a grant by time alone (a long stream would lose its slot; a paused holder's work goes on).

--- a/examples/policy/world.rs
+++ b/examples/policy/world.rs
@@ -9,7 +9,9 @@
 use ebonyspur::{
     membership::{Engine, PoolLoad},
     placement::{self, Directory, Hint, KnownLoads, Preference, Spill},
-    steward::{cautious_factor, load_bound, GrantId, GrantReply, Holder, LoadFloor, Steward},
+    steward::{
+        cautious_factor, load_bound, GrantId, GrantReply, HandOver, Holder, LoadFloor, Steward,
+    },
     ChatId, EngineName, Incarnation, Instant, RouterName,
 };
 use rand::{RngExt, SeedableRng};
@@ -418,6 +420,14 @@
         let bound = self.bound(steward, at, factor);
         let now = Instant::from_micros(self.now);
         let engine = self.sims[at].engine.clone();
+        if self.steward.take_over(&engine, now) {
+            let book = HandOver {
+                incarnation: engine.incarnation,
+                holders: Vec::new(),
+                unattributed: 0,
+            };
+            self.steward.accept(&engine.name, book, now);
+        }
         let reply = self.steward.grant(&engine, self.holder(grant), bound, now);
         let in_flight = self.sims[at].in_flight;
         self.known[router].lock().note(&engine.name, in_flight, now);
@@ -496,8 +506,13 @@
         let holder = self.holder(grant);
         self.sims[at].in_flight -= 1;
         let name = &self.sims[at].engine.name;
-        self.steward
-            .release(name, &holder.router, holder.incarnation, holder.grant);
+        self.steward.release(
+            name,
+            &holder.router,
+            holder.incarnation,
+            holder.grant,
+            Instant::from_micros(self.now),
+        );
         self.report.finished += 1;
     }
 }
--- a/src/inspect/dump.rs
+++ b/src/inspect/dump.rs
@@ -22,6 +22,7 @@
     routers: BTreeMap<RouterName, &'static str>,
     engines: Vec<EngineDump>,
     granted: BTreeMap<EngineName, u32>,
+    stewardships: BTreeMap<EngineName, &'static str>,
     admitted: BTreeMap<TeamName, u32>,
     keys_held: usize,
 }
@@ -57,6 +58,7 @@
                 .map(|engine| dump_engine(engine))
                 .collect(),
             granted: cx.steward.in_flight(),
+            stewardships: cx.steward.stages(),
             admitted: cx.admission.in_flight(),
             keys_held: cx.once.len(),
         }
--- a/src/once/task.rs
+++ b/src/once/task.rs
@@ -207,7 +207,7 @@
         key: key.clone(),
         router: cx.settings.name.clone(),
         incarnation: cx.incarnation,
-        nonce: cx.next_grant().0,
+        nonce: cx.next_nonce(),
     };
     let claim = Claim::new(record);
     if cx.once.standing(key) != Standing::Free {
--- a/src/peer/message.rs
+++ b/src/peer/message.rs
@@ -3,7 +3,10 @@
 use serde::{Deserialize, Serialize};
 
 use crate::{
-    steward::{GrantReply, GrantRequest, ReleaseRequest},
+    steward::{
+        GrantReply, GrantRequest, HandOver, HandOverRequest, ReleaseRequest, RenewReply,
+        RenewRequest,
+    },
     Incarnation, RouterName,
 };
 
@@ -23,6 +26,10 @@
     Grant(GrantRequest),
     /// Gives a slot back.
     Release(ReleaseRequest),
+    /// Lists the grants held.
+    Renew(RenewRequest),
+    /// Asks for the book of an engine.
+    HandOver(HandOverRequest),
 }
 
 /// The answer to a [`Request`] as carried on the wire.
@@ -32,6 +39,10 @@
     Grant(GrantReply),
     /// Answer to [`Request::Release`].
     Released,
+    /// Answer to [`Request::Renew`].
+    Renew(RenewReply),
+    /// Answer to [`Request::HandOver`].
+    HandOver(Option<HandOver>),
 }
 
 /// A typed call: what it asks and what it is answered with.
--- a/src/peer/server.rs
+++ b/src/peer/server.rs
@@ -60,9 +60,16 @@
     match req {
         Request::Grant(req) => Reply::Grant(cx.answer_grant(&from.router, from.incarnation, &req)),
         Request::Release(req) => {
+            let (router, incarnation, now) = (&from.router, from.incarnation, cx.clock.now());
             cx.steward
-                .release(&req.engine, &from.router, from.incarnation, req.grant);
+                .release(&req.engine, router, incarnation, req.grant, now);
             Reply::Released
         }
+        Request::Renew(req) => {
+            Reply::Renew(cx.answer_renewal(&from.router, from.incarnation, &req))
+        }
+        Request::HandOver(req) => {
+            Reply::HandOver(cx.steward.hand_over(&req.engine, cx.clock.now()))
+        }
     }
 }
--- a/src/relay/request.rs
+++ b/src/relay/request.rs
@@ -1,6 +1,6 @@
 //! Life cycle of a request.
 
-use std::{collections::BTreeSet, sync::Arc};
+use std::{collections::BTreeSet, sync::Arc, time::Duration};
 
 use bytes::Bytes;
 use http::{header::CONTENT_TYPE, Response};
@@ -12,7 +12,7 @@
     admission::{Applicant, Class, Permit, Waiter},
     membership::Engine,
     placement::Hint,
-    steward::Slot,
+    steward::{Limit, Slot},
     Category, ChatId, EngineName, Error, PoolName, RequestId, Result, Router, TeamName,
 };
 
@@ -25,6 +25,12 @@
 /// How many times longer a draft waits for an engine than an interactive request.
 const DRAFT_PATIENCE: u32 = 4;
 
+/// Longest wait for an engine that caches the chat, when another would have to start cold.
+const WARM_WAIT: Duration = Duration::from_millis(1_500);
+
+/// Time between two tries for an engine that caches the chat.
+const WARM_RETRY: Duration = Duration::from_millis(100);
+
 /// Engines without a freed slot that a waiting request asks in one round.
 const ENGINES_PER_ROUND: usize = 4;
 
@@ -124,6 +130,9 @@
     /// [`Category::Unavailable`] when no engine is live.
     pub async fn place(self, cx: &Arc<Router>) -> Result<Request<Placed>> {
         if !cx.admission.lines.is_waiting(&self.head.pool) {
+            if let Some(slot) = self.wait_for_warm(cx).await? {
+                return Ok(self.at_slot(slot));
+            }
             match try_engines(cx, &self.candidates(cx)?).await {
                 Ok(slot) => return Ok(self.at_slot(slot)),
                 Err(err) => log::debug!("request={} waits error=\"{err}\"", self.head.id),
@@ -132,6 +141,24 @@
         self.wait_for_slot(cx).await
     }
 
+    /// Waits a little for an engine that caches the chat, while it is at its bound.
+    async fn wait_for_warm(&self, cx: &Arc<Router>) -> Result<Option<Slot>> {
+        let deadline = cx.clock.now() + WARM_WAIT;
+        loop {
+            let mut warm = self.candidates(cx)?;
+            warm.retain(|engine| self.head.hint.position(engine).is_some());
+            if warm.is_empty() {
+                return Ok(None);
+            }
+            match try_below(cx, &warm, Limit::Bound).await {
+                Ok(slot) => return Ok(Some(slot)),
+                Err(err) if err.classify() != Category::Overloaded => return Ok(None),
+                Err(_) if cx.clock.now() >= deadline => return Ok(None),
+                Err(_) => tokio::time::sleep(WARM_RETRY).await,
+            }
+        }
+    }
+
     async fn wait_for_slot(self, cx: &Arc<Router>) -> Result<Request<Placed>> {
         let waiter = self.enqueue(cx)?;
         let mut round = 0;
@@ -194,11 +221,18 @@
     }
 }
 
-/// Takes a slot on the first of `engines` that has one.
+/// Takes a slot on the first of `engines` below the mean, else on the first below its bound.
 async fn try_engines(cx: &Arc<Router>, engines: &[Arc<Engine>]) -> Result<Slot> {
+    match try_below(cx, engines, Limit::Mean).await {
+        Ok(slot) => Ok(slot),
+        Err(_) => try_below(cx, engines, Limit::Bound).await,
+    }
+}
+
+async fn try_below(cx: &Arc<Router>, engines: &[Arc<Engine>], limit: Limit) -> Result<Slot> {
     let mut refusal = Error::not_run(Category::Overloaded, "each engine is at its bound");
     for engine in engines {
-        match Slot::acquire(cx, engine).await {
+        match Slot::acquire(cx, engine, limit).await {
             Ok(slot) => return Ok(slot),
             Err(err) => refusal = err,
         }
--- a/src/router.rs
+++ b/src/router.rs
@@ -21,14 +21,14 @@
     http,
     inspect::Metrics,
     lookup::{Address, Ticket},
-    membership::{self, Engine, Membership, Peer, PoolLoad},
+    membership::{self, Engine, Membership},
     once::{self, Once},
     peer::{self, Peers, Purpose, Sealer},
     placement::{self, Hint, KnownLoads, Preference, Spill, MAX_RANKS},
     platform::Platform,
     relay::Backends,
-    steward::{self, GrantId, Steward},
-    Category, ChatId, Clock, EngineName, Error, Incarnation, PoolName, RequestId, Result,
+    steward::{self, HeldGrants, Steward},
+    Category, ChatId, Clock, Error, Incarnation, RequestId, Result,
 };
 
 /// Delay proposed to a caller of a router that does not serve.
@@ -53,6 +53,8 @@
     pub loads: KnownLoads,
     /// Grants on the engines that this router counts.
     pub steward: Steward,
+    /// Grants that this router holds.
+    pub held: HeldGrants,
     /// Load of the teams.
     pub admission: Arc<Admission>,
     /// Claims of calls that must not be repeated.
@@ -83,6 +85,7 @@
             membership: Membership::new(settings.name.clone()),
             loads: KnownLoads::default(),
             steward: Steward::default(),
+            held: HeldGrants::default(),
             admission: Arc::default(),
             once: Once::new(),
             platform: Platform::new(&settings.platform),
@@ -112,6 +115,8 @@
         tasks.spawn(membership::follow_instances(self.clone()));
         tasks.spawn(membership::gossip(self.clone(), datagrams.clone()));
         tasks.spawn(membership::receive(self.clone(), datagrams));
+        tasks.spawn(steward::keep_engines(self.clone()));
+        tasks.spawn(steward::renew_grants(self.clone()));
         tasks.spawn(peer::serve(self.clone(), peers));
         for partition in 0..once::PARTITIONS {
             tasks.spawn(once::append_batches(self.clone(), partition));
@@ -151,15 +156,6 @@
         Err(err.with_retry_after(NOT_SERVING_DELAY))
     }
 
-    /// Returns the steward of `engine`, or `None` when it is this router.
-    pub fn steward_of(&self, engine: &EngineName) -> Option<Arc<Peer>> {
-        let view = self.membership.view();
-        let name = placement::first(engine.as_str(), view.duty_routers())?;
-        view.peer(name)
-            .filter(|peer| peer.name != self.settings.name)
-            .cloned()
-    }
-
     /// Returns the engines to try for `chat`, the best first.
     pub fn candidates<'a>(
         &self,
@@ -178,22 +174,9 @@
         placement::preferred(chat.as_str(), hint, engines, &pref)
     }
 
-    /// Returns the load bound of the engines of `pool`.
-    pub fn bound(&self, pool: &PoolName) -> u32 {
-        let state = self.config.current();
-        let factor = state.pools.get(pool).map(|pool| pool.load_factor);
-        let own = self.steward.loads().get(pool).copied().unwrap_or_default();
-        let view = self.membership.view();
-        let load = PoolLoad {
-            in_flight: own.in_flight + view.reported_load(pool).in_flight,
-            engines: view.engines(pool).filter(|engine| !engine.leaving).count() as u32,
-        };
-        steward::load_bound(load, factor.unwrap_or(config::DEFAULT_LOAD_FACTOR))
-    }
-
-    /// Returns the number for the next grant or claim of this life.
-    pub fn next_grant(&self) -> GrantId {
-        GrantId(self.next_number.fetch_add(1, Ordering::Relaxed))
+    /// Returns the number for the next claim of this life.
+    pub fn next_nonce(&self) -> u64 {
+        self.next_number.fetch_add(1, Ordering::Relaxed)
     }
 
     /// Returns an id for a request that brings none.
--- /dev/null
+++ b/src/steward/book.rs
@@ -0,0 +1,199 @@
+//! The grants on one engine.
+
+use std::{
+    collections::{HashMap, VecDeque},
+    time::Duration,
+};
+
+use serde::{Deserialize, Serialize};
+
+use super::GrantReply;
+use crate::{Incarnation, Instant, RouterName};
+
+/// How old a load report of an engine may be when it arrives.
+pub const REPORT_LAG: Duration = Duration::from_secs(1);
+
+/// Longest time from a grant until the engine has the request.
+pub const DISPATCH_TIME: Duration = Duration::from_secs(1);
+
+/// How long a holder may be silent before its grants lose their holder.
+pub const HOLDER_TIMEOUT: Duration = Duration::from_secs(15);
+
+/// Number of a grant within one life of the router that holds it.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize, Deserialize)]
+#[serde(transparent)]
+pub struct GrantId(pub u64);
+
+/// The holder of a grant.
+#[derive(Debug, Clone, PartialEq, Eq, Hash, Serialize, Deserialize)]
+pub struct Holder {
+    /// Router that uses the slot.
+    pub router: RouterName,
+    /// Life of that router.
+    pub incarnation: Incarnation,
+    /// Number of the grant.
+    pub grant: GrantId,
+}
+
+/// All grants on one engine that one life of a router holds.
+#[derive(Debug, Clone, Copy)]
+pub struct Held<'a> {
+    /// Router that holds them.
+    pub router: &'a RouterName,
+    /// Life of that router.
+    pub incarnation: Incarnation,
+    /// The grants.
+    pub grants: &'a [GrantId],
+    /// Grants from this number on are not covered.
+    pub before: GrantId,
+}
+
+#[derive(Debug, Clone, Copy)]
+struct Grant {
+    granted: Instant,
+    renewed: Instant,
+}
+
+/// What occupies one engine, as its steward accounts for it.
+///
+/// Work is either under a grant or unattributed: seen on the engine or left by a holder
+/// that is gone. Unattributed work falls only as the engine's reports prove that it ended.
+#[derive(Debug, Default)]
+pub struct Book {
+    grants: HashMap<Holder, Grant>,
+    unattributed: u32,
+    /// Since when the engine's reports cover the unattributed work.
+    covered_from: Instant,
+    /// When grants ended lately; the oldest first.
+    ended: VecDeque<Instant>,
+}
+
+impl Book {
+    /// Takes over the book of the last steward, which grants no more.
+    pub fn adopt(&mut self, holders: Vec<Holder>, unattributed: u32, now: Instant) {
+        for holder in holders {
+            if !self.grants.contains_key(&holder) {
+                self.put(holder, now);
+            }
+        }
+        self.unattributed = unattributed;
+        self.covered_from = now + REPORT_LAG + DISPATCH_TIME;
+    }
+
+    /// Returns the requests that may be in flight on the engine.
+    pub fn occupied(&self) -> u32 {
+        self.grants.len() as u32 + self.unattributed
+    }
+
+    /// Returns the work without a holder.
+    pub fn unattributed(&self) -> u32 {
+        self.unattributed
+    }
+
+    /// Returns the holders of all grants.
+    pub fn holders(&self) -> impl Iterator<Item = &Holder> {
+        self.grants.keys()
+    }
+
+    /// Grants a slot when fewer than `bound` are occupied.
+    ///
+    /// Asking again with the same holder is answered the same way and counted once.
+    pub fn grant(&mut self, holder: Holder, bound: u32, now: Instant) -> GrantReply {
+        if self.grants.contains_key(&holder) {
+            return GrantReply::Granted;
+        }
+        if self.occupied() >= bound {
+            return GrantReply::Full;
+        }
+        self.put(holder, now);
+        GrantReply::Granted
+    }
+
+    fn put(&mut self, holder: Holder, now: Instant) {
+        let grant = Grant {
+            granted: now,
+            renewed: now,
+        };
+        self.grants.insert(holder, grant);
+    }
+
+    /// Takes a slot back.
+    pub fn release(&mut self, holder: &Holder, now: Instant) {
+        if self.grants.remove(holder).is_some() {
+            self.ended.push_back(now);
+        }
+    }
+
+    /// Sets the grants of one router to those that it says it holds.
+    ///
+    /// Grants that it no longer lists were released with a message that was lost. Those
+    /// that the book does not know were granted by an earlier steward.
+    pub fn renew(&mut self, held: &Held<'_>, now: Instant) {
+        let ended: Vec<_> = self
+            .holders()
+            .filter(|holder| is_released(holder, held))
+            .cloned()
+            .collect();
+        ended.iter().for_each(|holder| self.release(holder, now));
+        for grant in held.grants {
+            self.renew_one(held, *grant, now);
+        }
+    }
+
+    fn renew_one(&mut self, held: &Held<'_>, grant: GrantId, now: Instant) {
+        let holder = Holder {
+            router: held.router.clone(),
+            incarnation: held.incarnation,
+            grant,
+        };
+        if let Some(grant) = self.grants.get_mut(&holder) {
+            grant.renewed = now;
+            return;
+        }
+        self.put(holder, now);
+        self.unattributed = self.unattributed.saturating_sub(1);
+    }
+
+    /// Takes the grants whose holder `is_gone` or silent as work without a holder.
+    pub fn disown(&mut self, is_gone: impl Fn(&Holder) -> bool, now: Instant) {
+        let before = self.grants.len();
+        self.grants.retain(|holder, grant| {
+            let silent = now.since(grant.renewed) > HOLDER_TIMEOUT;
+            !silent && !is_gone(holder)
+        });
+        let lost = (before - self.grants.len()) as u32;
+        if lost > 0 {
+            self.unattributed += lost;
+            self.covered_from = now + REPORT_LAG + DISPATCH_TIME;
+        }
+    }
+
+    /// Takes a load report of the engine into account.
+    pub fn report(&mut self, in_flight: u32, now: Instant) {
+        let recent = REPORT_LAG + DISPATCH_TIME;
+        while self.ended.front().is_some_and(|at| now.since(*at) > recent) {
+            self.ended.pop_front();
+        }
+        let long_held = |grant: &&Grant| now.since(grant.granted) > recent;
+        let surely = self.grants.values().filter(long_held).count() as u32;
+        let possibly = (self.grants.len() + self.ended.len()) as u32;
+        if now >= self.covered_from {
+            let most = in_flight.saturating_sub(surely);
+            self.unattributed = self.unattributed.min(most);
+        }
+        let least = in_flight.saturating_sub(possibly);
+        self.unattributed = self.unattributed.max(least);
+    }
+
+    /// Counts the work that a new steward finds on the engine.
+    pub fn found(&mut self, in_flight: u32, now: Instant) {
+        let granted = self.grants.len() as u32;
+        self.unattributed = self.unattributed.max(in_flight.saturating_sub(granted));
+        self.covered_from = now + REPORT_LAG + DISPATCH_TIME;
+    }
+}
+
+fn is_released(holder: &Holder, held: &Held<'_>) -> bool {
+    let same = holder.router == *held.router && holder.incarnation == held.incarnation;
+    same && holder.grant < held.before && !held.grants.contains(&holder.grant)
+}
--- a/src/steward/message.rs
+++ b/src/steward/message.rs
@@ -2,12 +2,21 @@
 
 use serde::{Deserialize, Serialize};
 
-use super::GrantId;
+use super::{GrantId, Holder};
 use crate::{
     peer::{Call, Reply, Request},
     EngineName, Incarnation,
 };
 
+/// Load up to which a slot is wanted.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Limit {
+    /// The mean, for a chat that the engine does not cache and others may serve as well.
+    Mean,
+    /// The bound.
+    Bound,
+}
+
 /// Asks for a slot on an engine.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct GrantRequest {
@@ -17,6 +26,8 @@
     pub incarnation: Incarnation,
     /// Number of the grant, chosen by the asking router.
     pub grant: GrantId,
+    /// Load up to which the slot is wanted.
+    pub limit: Limit,
 }
 
 /// Answer to a [`GrantRequest`].
@@ -41,6 +52,79 @@
     pub grant: GrantId,
 }
 
+/// Grants on one engine that the sender holds.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Renewal {
+    /// Engine they are on.
+    pub engine: EngineName,
+    /// The grants.
+    pub grants: Vec<GrantId>,
+}
+
+/// Lists all grants that the sender holds on engines of one steward.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct RenewRequest {
+    /// Grants from this number on are not covered.
+    pub before: GrantId,
+    /// The grants by engine.
+    pub renewals: Vec<Renewal>,
+}
+
+/// Answer to a [`RenewRequest`]: the engines that the asked router counts.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct RenewReply {
+    /// Engines whose grants are now on the book.
+    pub counted: Vec<EngineName>,
+}
+
+/// Asks the last steward of an engine for its book; it grants no more.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct HandOverRequest {
+    /// Engine that the asking router takes over.
+    pub engine: EngineName,
+}
+
+/// The book of an engine.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct HandOver {
+    /// Life of the engine.
+    pub incarnation: Incarnation,
+    /// Holders of all grants.
+    pub holders: Vec<Holder>,
+    /// Work without a holder.
+    pub unattributed: u32,
+}
+
+impl Call for RenewRequest {
+    type Answer = RenewReply;
+
+    fn into_request(self) -> Request {
+        Request::Renew(self)
+    }
+
+    fn answer(reply: Reply) -> Option<RenewReply> {
+        match reply {
+            Reply::Renew(reply) => Some(reply),
+            _ => None,
+        }
+    }
+}
+
+impl Call for HandOverRequest {
+    type Answer = Option<HandOver>;
+
+    fn into_request(self) -> Request {
+        Request::HandOver(self)
+    }
+
+    fn answer(reply: Reply) -> Option<Option<HandOver>> {
+        match reply {
+            Reply::HandOver(reply) => Some(reply),
+            _ => None,
+        }
+    }
+}
+
 impl Call for GrantRequest {
     type Answer = GrantReply;
 
--- a/src/steward/mod.rs
+++ b/src/steward/mod.rs
@@ -4,14 +4,28 @@
 //! It alone grants slots, so the bound on the engine's load has one keeper. A router
 //! that is not the steward asks it for a slot with a peer call.
 
+mod answer;
+mod book;
 mod bound;
+mod held;
 mod message;
 mod slot;
 mod state;
+mod stewardship;
+mod task;
 
 pub use self::{
+    book::{Book, GrantId, Held, Holder, DISPATCH_TIME, HOLDER_TIMEOUT, REPORT_LAG},
     bound::{cautious_factor, load_bound, LoadFloor, FLOOR_WINDOW, FRESH_FACTOR},
-    message::{GrantReply, GrantRequest, ReleaseRequest},
+    held::HeldGrants,
+    message::{
+        GrantReply, GrantRequest, HandOver, HandOverRequest, Limit, ReleaseRequest, RenewReply,
+        RenewRequest, Renewal,
+    },
     slot::Slot,
-    state::{GrantId, Holder, Steward},
+    state::Steward,
+    stewardship::{
+        Leaving, Settled, Stage, Stewardship, TakingOver, BLIND_TAKE_OVER, HAND_OVER_HOLD,
+    },
+    task::{keep_engines, renew_grants},
 };
--- a/src/steward/slot.rs
+++ b/src/steward/slot.rs
@@ -2,7 +2,7 @@
 
 use std::sync::Arc;
 
-use super::{GrantId, GrantReply, GrantRequest, Holder, ReleaseRequest};
+use super::{GrantId, GrantReply, GrantRequest, Limit, ReleaseRequest};
 use crate::{
     membership::{Engine, Peer},
     Category, Error, Result, Router,
@@ -13,55 +13,59 @@
     cx: Arc<Router>,
     engine: Arc<Engine>,
     grant: GrantId,
-    steward: Option<Arc<Peer>>,
+    held: bool,
     granted: bool,
 }
 
 impl Slot {
-    /// Asks the steward of `engine` for a slot.
+    /// Asks the steward of `engine` for a slot below `limit`.
     ///
     /// # Errors
     ///
     /// Returns [`Category::Overloaded`] when the engine is at its bound and
     /// [`Category::Unavailable`] when it leaves or its steward cannot be asked. The
     /// request has not run in any of these cases.
-    pub async fn acquire(cx: &Arc<Router>, engine: &Arc<Engine>) -> Result<Slot> {
+    pub async fn acquire(cx: &Arc<Router>, engine: &Arc<Engine>, limit: Limit) -> Result<Slot> {
+        let steward = cx.steward_of(&engine.name);
+        let name = steward
+            .as_ref()
+            .map_or(&cx.settings.name, |peer| &peer.name);
         let mut slot = Slot {
+            grant: cx.held.begin(&engine.name, name, cx.clock.now()),
             cx: cx.clone(),
             engine: engine.clone(),
-            grant: cx.next_grant(),
-            steward: cx.steward_of(&engine.name),
+            held: true,
             granted: false,
         };
-        let reply = slot.ask().await;
         let refused = |category| Err(Error::not_run(category, engine.name.to_string()));
-        match reply {
-            Ok(GrantReply::Granted) => {
-                slot.granted = true;
-                return Ok(slot);
-            }
+        let reply = match slot.ask(steward.as_deref(), limit).await {
+            Ok(reply) => reply,
             // The unknown grant is given back when the slot drops.
             Err(_) => return refused(Category::Unavailable),
-            Ok(_) => {}
+        };
+        if reply == GrantReply::Granted {
+            slot.granted = true;
+            return Ok(slot);
         }
-        slot.steward = None;
+        slot.held = false;
+        cx.held.end(&engine.name, slot.grant, true);
         match reply {
-            Ok(GrantReply::Full) => refused(Category::Overloaded),
+            GrantReply::Full => refused(Category::Overloaded),
             _ => refused(Category::Unavailable),
         }
     }
 
-    async fn ask(&self) -> Result<GrantReply> {
+    async fn ask(&self, steward: Option<&Peer>, limit: Limit) -> Result<GrantReply> {
         let req = GrantRequest {
             engine: self.engine.name.clone(),
             incarnation: self.engine.incarnation,
             grant: self.grant,
+            limit,
         };
-        match &self.steward {
-            Some(peer) => self.cx.peers.call(&peer.name, peer.peer_address, req).await,
-            None => Ok(self
-                .cx
-                .answer_grant(&self.cx.settings.name, self.cx.incarnation, &req)),
+        let cx = &self.cx;
+        match steward {
+            Some(peer) => cx.peers.call(&peer.name, peer.peer_address, req).await,
+            None => Ok(cx.answer_grant(&cx.settings.name, cx.incarnation, &req)),
         }
     }
 
@@ -73,26 +77,25 @@
 
 impl Drop for Slot {
     fn drop(&mut self) {
-        let cx = self.cx.clone();
-        let Some(peer) = self.steward.take() else {
-            let me = &cx.settings.name;
-            cx.steward
-                .release(&self.engine.name, me, cx.incarnation, self.grant);
-            if self.granted {
-                cx.slot_freed(&self.engine);
-            }
+        if !self.held {
+            return;
+        }
+        let (cx, engine, grant) = (self.cx.clone(), self.engine.clone(), self.grant);
+        let granted = self.granted;
+        // The steward may have changed since the grant.
+        let Some(peer) = cx.steward_of(&engine.name) else {
+            cx.release_here(&engine, grant, granted);
             return;
         };
-        let req = ReleaseRequest {
-            engine: self.engine.name.clone(),
-            grant: self.grant,
-        };
-        let freed = self.granted.then(|| self.engine.clone());
         tokio::spawn(async move {
-            if let Err(err) = cx.peers.call(&peer.name, peer.peer_address, req).await {
-                log::debug!("slot not given back error=\"{err}\"");
-            }
-            if let Some(engine) = freed {
+            let req = ReleaseRequest {
+                engine: engine.name.clone(),
+                grant,
+            };
+            let released = cx.peers.call(&peer.name, peer.peer_address, req).await;
+            // A lost release is made good by the next renewal.
+            cx.held.end(&engine.name, grant, released.is_ok());
+            if granted {
                 cx.slot_freed(&engine);
             }
         });
@@ -100,35 +103,19 @@
 }
 
 impl Router {
+    fn release_here(&self, engine: &Engine, grant: GrantId, granted: bool) {
+        let now = self.clock.now();
+        let me = &self.settings.name;
+        self.steward
+            .release(&engine.name, me, self.incarnation, grant, now);
+        self.held.end(&engine.name, grant, true);
+        if granted {
+            self.slot_freed(engine);
+        }
+    }
+
     fn slot_freed(&self, engine: &Engine) {
         let lines = &self.admission.lines;
         lines.slot_freed(&engine.pool, &engine.name);
     }
-
-    /// Decides a grant on an engine of which this router is the steward.
-    pub fn answer_grant(
-        &self,
-        router: &crate::RouterName,
-        incarnation: crate::Incarnation,
-        req: &GrantRequest,
-    ) -> GrantReply {
-        if self.steward_of(&req.engine).is_some() {
-            return GrantReply::NotSteward;
-        }
-        let engine = self.membership.view().engine(&req.engine).cloned();
-        let Some(engine) = engine.filter(|engine| engine.incarnation == req.incarnation) else {
-            return GrantReply::NotSteward;
-        };
-        let state = self.config.current();
-        if state.drained.contains(&engine.name) {
-            return GrantReply::Leaving;
-        }
-        let holder = Holder {
-            router: router.clone(),
-            incarnation,
-            grant: req.grant,
-        };
-        let bound = self.bound(&engine.pool);
-        self.steward.grant(&engine, holder, bound, self.clock.now())
-    }
 }
--- a/src/steward/state.rs
+++ b/src/steward/state.rs
@@ -1,82 +1,125 @@
-//! Grants on the engines that this router keeps count of.
+//! The stewardships of a router.
 
 use std::{
     collections::{BTreeMap, HashMap},
     sync::Mutex,
 };
 
-use serde::{Deserialize, Serialize};
-
-use super::GrantReply;
+use super::{Book, GrantId, GrantReply, HandOver, Held, Holder, LoadFloor, Stage, Stewardship};
 use crate::{
     membership::{Engine, PoolLoad},
     sync::lock,
     EngineName, Incarnation, Instant, PoolName, RouterName,
 };
 
-/// Number of a grant within one life of the router that holds it.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize, Deserialize)]
-#[serde(transparent)]
-pub struct GrantId(pub u64);
-
-/// The holder of a grant.
-#[derive(Debug, Clone, PartialEq, Eq, Hash)]
-pub struct Holder {
-    /// Router that uses the slot.
-    pub router: RouterName,
-    /// Life of that router.
-    pub incarnation: Incarnation,
-    /// Number of the grant.
-    pub grant: GrantId,
-}
-
-/// Grants on one engine.
+/// The stewardship of one life of an engine.
 #[derive(Debug)]
-struct Book {
+struct Entry {
     pool: PoolName,
     incarnation: Incarnation,
-    grants: HashMap<Holder, Instant>,
+    /// Taken out only while it changes under the lock.
+    stage: Option<Stage>,
+    /// Whether the engine takes no new work.
+    closed: bool,
 }
 
-impl Book {
-    fn new(engine: &Engine) -> Self {
-        Book {
+impl Entry {
+    fn new(engine: &Engine, now: Instant) -> Self {
+        let stewardship = Stewardship::new(Book::default(), now);
+        Entry {
             pool: engine.pool.clone(),
             incarnation: engine.incarnation,
-            grants: HashMap::new(),
+            stage: Some(Stage::TakingOver(stewardship)),
+            closed: engine.leaving,
+        }
+    }
+
+    fn stage(&self) -> &Stage {
+        self.stage.as_ref().expect("a stage between steps")
+    }
+
+    fn stage_mut(&mut self) -> &mut Stage {
+        self.stage.as_mut().expect("a stage between steps")
+    }
+
+    fn advance(&mut self, step: impl FnOnce(Stage) -> Stage) {
+        self.stage = self.stage.take().map(step);
+    }
+}
+
+#[derive(Debug, Default)]
+struct Inner {
+    entries: BTreeMap<EngineName, Entry>,
+    /// Latest life of each router that has asked.
+    lives: HashMap<RouterName, Incarnation>,
+    floors: BTreeMap<PoolName, LoadFloor>,
+}
+
+impl Inner {
+    /// Notes a life of a router; returns whether it is the latest known.
+    fn is_latest(&mut self, router: &RouterName, incarnation: Incarnation, now: Instant) -> bool {
+        let known = self.lives.get(router).copied().unwrap_or_default();
+        if incarnation > known {
+            self.lives.insert(router.clone(), incarnation);
+            self.disown(
+                |holder| holder.router == *router && holder.incarnation < incarnation,
+                now,
+            );
+        }
+        incarnation >= known
+    }
+
+    fn disown(&mut self, is_gone: impl Fn(&Holder) -> bool, now: Instant) {
+        for entry in self.entries.values_mut() {
+            entry.stage_mut().book_mut().disown(&is_gone, now);
         }
     }
 }
 
-/// The books of all engines of which this router is the steward.
+/// The stewardships of all engines that this router counts or counted.
 #[derive(Debug, Default)]
 pub struct Steward {
-    books: Mutex<BTreeMap<EngineName, Book>>,
+    inner: Mutex<Inner>,
 }
 
 impl Steward {
-    /// Grants a slot on `engine` when fewer than `bound` are out.
+    /// Starts to take over an engine, unless this life of it is already counted here.
+    ///
+    /// Returns whether a take-over has begun.
+    pub fn take_over(&self, engine: &Engine, now: Instant) -> bool {
+        let mut inner = lock(&self.inner);
+        let entry = inner.entries.get_mut(&engine.name);
+        match entry.filter(|entry| entry.incarnation == engine.incarnation) {
+            None => {
+                let entry = Entry::new(engine, now);
+                inner.entries.insert(engine.name.clone(), entry);
+                true
+            }
+            Some(entry) => {
+                entry.closed = engine.leaving;
+                let granted = entry.stage().is_granting();
+                entry.advance(|stage| stage.retake(now));
+                !granted && entry.stage().is_granting()
+            }
+        }
+    }
+
+    /// Grants a slot on `engine` when fewer than `bound` are occupied.
     ///
     /// Asking again with the same holder is answered the same way and counted once.
     pub fn grant(&self, engine: &Engine, holder: Holder, bound: u32, now: Instant) -> GrantReply {
         if engine.leaving {
             return GrantReply::Leaving;
         }
-        let mut books = lock(&self.books);
-        let book = books
-            .entry(engine.name.clone())
-            .or_insert_with(|| Book::new(engine));
-        if book.incarnation != engine.incarnation {
-            *book = Book::new(engine);
-        }
-        if book.grants.contains_key(&holder) {
-            return GrantReply::Granted;
+        let mut inner = lock(&self.inner);
+        if !inner.is_latest(&holder.router, holder.incarnation, now) {
+            return GrantReply::NotSteward;
         }
-        if book.grants.len() >= bound as usize {
-            return GrantReply::Full;
+        let entry = inner.entries.get_mut(&engine.name);
+        match entry.filter(|entry| entry.incarnation == engine.incarnation) {
+            Some(entry) => entry.stage_mut().grant(holder, bound, now),
+            None => GrantReply::NotSteward,
         }
-        book.grants.insert(holder, now);
-        GrantReply::Granted
     }
 
     /// Takes a slot back.
@@ -86,23 +129,96 @@
         router: &RouterName,
         incarnation: Incarnation,
         grant: GrantId,
+        now: Instant,
     ) {
         let holder = Holder {
             router: router.clone(),
             incarnation,
             grant,
         };
-        if let Some(book) = lock(&self.books).get_mut(engine) {
-            book.grants.remove(&holder);
+        if let Some(entry) = lock(&self.inner).entries.get_mut(engine) {
+            entry.stage_mut().book_mut().release(&holder, now);
         }
     }
 
-    /// Returns the load of the engines counted here, by pool.
+    /// Sets the grants of one router on `engine`; returns whether they are counted here.
+    pub fn renew(&self, engine: &EngineName, held: &Held<'_>, now: Instant) -> bool {
+        let mut inner = lock(&self.inner);
+        if !inner.is_latest(held.router, held.incarnation, now) {
+            return false;
+        }
+        let Some(entry) = inner.entries.get_mut(engine) else {
+            return false;
+        };
+        entry.stage_mut().book_mut().renew(held, now);
+        entry.stage().is_granting()
+    }
+
+    /// Takes a load report of one life of an engine.
+    pub fn report(&self, engine: &Engine, in_flight: u32, now: Instant) {
+        let mut inner = lock(&self.inner);
+        let entry = inner.entries.get_mut(&engine.name);
+        if let Some(entry) = entry.filter(|entry| entry.incarnation == engine.incarnation) {
+            entry.advance(|stage| stage.report(in_flight, now));
+        }
+    }
+
+    /// Lets time pass for all engines; `is_live` tells which routers are known.
+    pub fn tick(&self, is_live: impl Fn(&RouterName) -> bool, now: Instant) {
+        for entry in lock(&self.inner).entries.values_mut() {
+            entry.advance(|stage| stage.tick(&is_live, now));
+        }
+    }
+
+    /// Hands an engine over to another router, and grants no more on it.
+    pub fn hand_over(&self, engine: &EngineName, now: Instant) -> Option<HandOver> {
+        let mut inner = lock(&self.inner);
+        let entry = inner.entries.get_mut(engine)?;
+        entry.advance(|stage| stage.leave(now));
+        let book = entry.stage().book();
+        Some(HandOver {
+            incarnation: entry.incarnation,
+            holders: book.holders().cloned().collect(),
+            unattributed: book.unattributed(),
+        })
+    }
+
+    /// Takes what the last steward hands over.
+    pub fn accept(&self, engine: &EngineName, hand_over: HandOver, now: Instant) {
+        let mut inner = lock(&self.inner);
+        let entry = inner.entries.get_mut(engine);
+        if let Some(entry) = entry.filter(|entry| entry.incarnation == hand_over.incarnation) {
+            entry.advance(|stage| stage.accept(hand_over, now));
+        }
+    }
+
+    /// Stops granting on `engine`, of which another router is the steward.
+    pub fn leave(&self, engine: &EngineName, now: Instant) {
+        if let Some(entry) = lock(&self.inner).entries.get_mut(engine) {
+            entry.advance(|stage| stage.leave(now));
+        }
+    }
+
+    /// Forgets the engines that are not `listed`.
+    pub fn retain(&self, listed: impl Fn(&EngineName) -> bool) {
+        lock(&self.inner).entries.retain(|name, _| listed(name));
+    }
+
+    /// Returns the lowest load of `pool` lately, given its present `load`.
+    pub fn lowest_load(&self, pool: &PoolName, load: PoolLoad, now: Instant) -> PoolLoad {
+        let mut inner = lock(&self.inner);
+        let floor = inner.floors.entry(pool.clone()).or_default();
+        floor.observe(load, now)
+    }
+
+    /// Returns the load of the engines counted here that take work, by pool.
     pub fn loads(&self) -> BTreeMap<PoolName, PoolLoad> {
         let mut loads = BTreeMap::<_, PoolLoad>::new();
-        for book in lock(&self.books).values() {
-            let load = loads.entry(book.pool.clone()).or_default();
-            load.in_flight += book.grants.len() as u32;
+        let inner = lock(&self.inner);
+        let counted = |entry: &&Entry| !entry.closed && entry.stage().is_granting();
+        for entry in inner.entries.values().filter(counted) {
+            let load = loads.entry(entry.pool.clone()).or_default();
+            load.in_flight += entry.stage().book().occupied();
             load.engines += 1;
         }
         loads
@@ -110,8 +226,17 @@
 
     /// Returns the slots in use by engine.
     pub fn in_flight(&self) -> BTreeMap<EngineName, u32> {
-        let books = lock(&self.books);
-        let count = |(name, book): (&EngineName, &Book)| (name.clone(), book.grants.len() as u32);
-        books.iter().map(count).collect()
+        let inner = lock(&self.inner);
+        let granting = |(_, entry): &(&EngineName, &Entry)| entry.stage().is_granting();
+        let count =
+            |(name, entry): (&EngineName, &Entry)| (name.clone(), entry.stage().book().occupied());
+        inner.entries.iter().filter(granting).map(count).collect()
+    }
+
+    /// Returns the stage of each stewardship by engine.
+    pub fn stages(&self) -> BTreeMap<EngineName, &'static str> {
+        let inner = lock(&self.inner);
+        let stage = |(name, entry): (&EngineName, &Entry)| (name.clone(), entry.stage().as_str());
+        inner.entries.iter().map(stage).collect()
     }
 }
