--- a/tests/peer/server.rs
+++ b/tests/peer/server.rs
@@ -5,7 +5,7 @@
 use ebonyspur::{
     config::Secret,
     peer::{serve, Peers, Purpose, Sealer, MAX_HALF_OPEN},
-    steward::{GrantId, GrantReply, GrantRequest},
+    steward::{GrantId, GrantReply, GrantRequest, Limit},
     EngineName, Incarnation, Router, RouterName, Settings,
 };
 use tokio::{
@@ -36,6 +36,7 @@
         engine: EngineName::new("engine-1").expect("a valid name"),
         incarnation: Incarnation(1),
         grant: GrantId(1),
+        limit: Limit::Bound,
     };
     let server = RouterName::new("router-1").expect("a valid name");
     peers.call(&server, address, req).await.ok()
@@ -107,6 +108,7 @@
             engine: EngineName::new("engine-1").expect("a valid name"),
             incarnation: Incarnation(1),
             grant: GrantId(grant),
+            limit: Limit::Bound,
         };
         peers.call(&name, address, req)
     };
