Answer in JSON with a verdict where no handler has run

Cause: a path or method that does not exist was answered with an empty body and no verdict, and so was a request whose handler panicked.

Change: failures without a verdict get the form of all others; for a request that has a name the verdict is at most that it may have run.

Before: 'no such path: 404 -' and 'wrong method: 405 -'; after: 404 and 405 with a reason, a message and a verdict. Left to hyper: a head that is no HTTP or too large gets 400 or 431 with an empty body and ends the connection.

--- a/src/http/server.rs
+++ b/src/http/server.rs
@@ -2,15 +2,17 @@
 
 use std::{net::SocketAddr, panic::AssertUnwindSafe, sync::Arc, time::Duration};
 
-use gotham::{router::Router as Routes, service::call_handler, state::State};
-use hyper::{server::conn::http1, service::service_fn};
+use gotham::{helpers::http::Body, router::Router as Routes, service::call_handler, state::State};
+use http::{header, HeaderMap, Request, Response, StatusCode};
+use hyper::{body::Incoming, server::conn::http1, service::service_fn};
 use hyper_util::rt::{TokioIo, TokioTimer};
 use tokio::{
     net::{TcpListener, TcpStream},
     sync::{watch, Semaphore},
 };
 
-use crate::config::Limits;
+use super::refusal::{refuse, VERDICT};
+use crate::{config::Limits, Category, Error, Verdict};
 
 /// Largest head of a request, in bytes.
 const MAX_HEAD: usize = 32 * 1024;
@@ -61,9 +63,11 @@
 ) {
     // Without it answers are only slower.
     let _ = stream.set_nodelay(true);
-    let service = service_fn(move |req| {
+    let service = service_fn(move |req: Request<Incoming>| {
+        let floor = verdict_floor(req.headers());
         let state = AssertUnwindSafe(State::from_request(req, from));
-        call_handler(routes.clone(), state)
+        let answer = call_handler(routes.clone(), state);
+        async move { answer.await.map(|answer| with_verdict(answer, floor)) }
     });
     let connection = http1::Builder::new()
         .timer(TokioTimer::new())
@@ -84,6 +88,38 @@
     }
 }
 
+/// Returns the strongest verdict for a request that no handler has read.
+///
+/// Another attempt of a request that has a name may be under way elsewhere.
+fn verdict_floor(headers: &HeaderMap) -> Verdict {
+    let names = ["idempotency-key", "x-request-id", "ebonyspur-attempt"];
+    if names.iter().any(|name| headers.contains_key(*name)) {
+        Verdict::MayHaveRun
+    } else {
+        Verdict::NotRun
+    }
+}
+
+/// Gives the failures that no handler has answered the form of all others.
+fn with_verdict(answer: Response<Body>, floor: Verdict) -> Response<Body> {
+    let status = answer.status();
+    let is_failure = status.is_client_error() || status.is_server_error();
+    if !is_failure || answer.headers().contains_key(VERDICT) {
+        return answer;
+    }
+    let err = match status {
+        StatusCode::NOT_FOUND => Error::not_run(Category::NotFound, "no such path"),
+        _ if status.is_client_error() => Error::not_run(Category::BadInput, status.to_string()),
+        _ => Error::may_have_run(Category::Io, "the request has failed in the router"),
+    };
+    let mut refusal = refuse(&err.with_verdict_at_least(floor));
+    *refusal.status_mut() = status;
+    if let Some(allow) = answer.headers().get(header::ALLOW) {
+        refusal.headers_mut().insert(header::ALLOW, allow.clone());
+    }
+    refusal
+}
+
 /// Waits for the request to stop; a sender that is gone asks for it as well.
 async fn stopped(stop: &mut watch::Receiver<bool>) {
     drop(stop.wait_for(|stop| *stop).await);
