--- a/src/inspect/metrics.rs
+++ b/src/inspect/metrics.rs
@@ -30,10 +30,12 @@
     pub answer_seconds: Histogram,
     /// Datagrams that were malformed or not sealed by a peer.
     pub datagrams_dropped: Counter<u64, AtomicU64>,
-    /// Bytes sent in datagrams to other routers, without headers.
+    /// Bytes sent in datagrams to other routers, with headers of IP and UDP.
     pub datagram_bytes_sent: Counter<u64, AtomicU64>,
     /// Bytes sent on connections between routers, without headers.
     pub peer_sent: Counter<u64, AtomicU64>,
+    /// Bytes of the paths and bodies exchanged with the platform.
+    pub platform_exchanged: Counter<u64, AtomicU64>,
     /// Connections beyond the limits, of strangers, or with malformed frames.
     pub peer_connections_refused: Counter<u64, AtomicU64>,
 }
@@ -60,7 +62,7 @@
         let datagram_bytes_sent = Counter::default();
         registry.register_with_unit(
             "datagram_sent",
-            "Sent in datagrams to other routers, without headers",
+            "Sent in datagrams to other routers, with headers of IP and UDP",
             Unit::Bytes,
             datagram_bytes_sent.clone(),
         );
@@ -71,6 +73,13 @@
             Unit::Bytes,
             peer_sent.clone(),
         );
+        let platform_exchanged = Counter::default();
+        registry.register_with_unit(
+            "platform_exchanged",
+            "Paths and bodies exchanged with the platform",
+            Unit::Bytes,
+            platform_exchanged.clone(),
+        );
         let peer_connections_refused = Counter::default();
         registry.register(
             "peer_connections_refused",
@@ -84,6 +93,7 @@
             datagrams_dropped,
             datagram_bytes_sent,
             peer_sent,
+            platform_exchanged,
             peer_connections_refused,
         }
     }
--- a/src/membership/task.rs
+++ b/src/membership/task.rs
@@ -19,6 +19,9 @@
 /// Pause after a failed read of the instance list or of a socket.
 const RETRY_PAUSE: Duration = Duration::from_millis(500);
 
+/// Bytes of the headers of IP and UDP on a datagram.
+const HEADERS_LEN: usize = 20 + 8;
+
 /// Follows the instance list until the task is dropped.
 pub async fn follow_instances(cx: Arc<Router>) {
     loop {
@@ -93,7 +96,10 @@
 async fn send_all(cx: &Router, socket: &UdpSocket, sealer: &Sealer, due: Vec<Sending>) {
     for Sending { to, datagram } in due {
         match send(socket, sealer, to, &datagram).await {
-            Ok(len) => drop(cx.metrics.datagram_bytes_sent.inc_by(len as u64)),
+            Ok(len) => {
+                let bytes = (len + HEADERS_LEN) as u64;
+                cx.metrics.datagram_bytes_sent.inc_by(bytes);
+            }
             Err(err) => log::debug!("datagram not sent to={to} error=\"{err}\""),
         }
     }
--- a/src/platform/client.rs
+++ b/src/platform/client.rs
@@ -1,6 +1,6 @@
 //! A small JSON client over HTTP with deadlines.
 
-use std::time::Duration;
+use std::{sync::atomic::AtomicU64, time::Duration};
 
 use bytes::Bytes;
 use http::{header::CONTENT_TYPE, Method, Request, StatusCode, Uri};
@@ -9,6 +9,7 @@
     client::legacy::{connect::HttpConnector, Client},
     rt::{TokioExecutor, TokioTimer},
 };
+use prometheus_client::metrics::counter::Counter;
 use serde::{de::DeserializeOwned, Serialize};
 
 use crate::{Category, Error, Result};
@@ -27,6 +28,7 @@
 pub struct JsonClient {
     base: String,
     http: Client<HttpConnector, Full<Bytes>>,
+    bytes: Counter<u64, AtomicU64>,
 }
 
 impl JsonClient {
@@ -41,7 +43,18 @@
             .retry_canceled_requests(false)
             .build(connector);
         let base = base.to_string().trim_end_matches('/').to_string();
-        JsonClient { base, http }
+        JsonClient {
+            base,
+            http,
+            bytes: Counter::default(),
+        }
+    }
+
+    /// Counts the bytes of paths and bodies, both sent and received, in `bytes`.
+    #[must_use]
+    pub fn with_counter(mut self, bytes: Counter<u64, AtomicU64>) -> Self {
+        self.bytes = bytes;
+        self
     }
 
     /// Reads `path`.
@@ -76,6 +89,7 @@
     }
 
     fn request(&self, method: Method, path: &str, body: Bytes) -> Result<Request<Full<Bytes>>> {
+        self.bytes.inc_by((path.len() + body.len()) as u64);
         Request::builder()
             .method(method)
             .uri(format!("{}{path}", self.base))
@@ -100,6 +114,7 @@
         let status = answer.status();
         let body = Limited::new(answer.into_body(), MAX_ANSWER);
         let body = body.collect().await.map_err(body_error)?.to_bytes();
+        self.bytes.inc_by(body.len() as u64);
         check_status(status, &body)?;
         serde_json::from_slice(&body).map_err(body_error)
     }
--- a/src/platform/mod.rs
+++ b/src/platform/mod.rs
@@ -3,6 +3,10 @@
 //! Every operation has a deadline, and every error says whether it may have
 //! taken effect.
 
+use std::sync::atomic::AtomicU64;
+
+use prometheus_client::metrics::counter::Counter;
+
 mod client;
 mod instance;
 mod log;
@@ -24,10 +28,13 @@
 
 impl Platform {
     /// Creates clients for the platform at `base` and its log service at `log`.
-    pub fn new(base: &http::Uri, log: &http::Uri) -> Self {
+    ///
+    /// The bytes of paths and bodies are counted in `bytes`.
+    pub fn new(base: &http::Uri, log: &http::Uri, bytes: &Counter<u64, AtomicU64>) -> Self {
+        let client = |base| JsonClient::new(base).with_counter(bytes.clone());
         Platform {
-            log: LogService::new(JsonClient::new(log)),
-            instances: InstanceList::new(JsonClient::new(base)),
+            log: LogService::new(client(log)),
+            instances: InstanceList::new(client(base)),
         }
     }
 }
--- a/src/router.rs
+++ b/src/router.rs
@@ -90,6 +90,7 @@
             platform: Platform::new(
                 &settings.platform,
                 settings.log.as_ref().unwrap_or(&settings.platform),
+                &metrics.platform_exchanged,
             ),
             backends: Backends::new(&settings.limits),
             peers: peers.with_counter(metrics.peer_sent.clone()),
