Specify the fold and refute it without each of its guards

Cause: the fold was fuzzed, but not checked exhaustively.

The model stops at 3 records; the fuzzing goes to 60 steps.

--- a/tests/config/main.rs
+++ b/tests/config/main.rs
@@ -9,3 +9,4 @@
 mod machine;
 mod records;
 mod settings;
+mod spec;
