--- a/src/inspect/metrics.rs
+++ b/src/inspect/metrics.rs
@@ -30,6 +30,12 @@
     pub answer_seconds: Histogram,
     /// Datagrams that were malformed or not sealed by a peer.
     pub datagrams_dropped: Counter<u64, AtomicU64>,
+    /// Bytes sent in datagrams to other routers, without headers.
+    pub datagram_bytes_sent: Counter<u64, AtomicU64>,
+    /// Bytes sent on connections between routers, without headers.
+    pub peer_sent: Counter<u64, AtomicU64>,
+    /// Connections beyond the limits, of strangers, or with malformed frames.
+    pub peer_connections_refused: Counter<u64, AtomicU64>,
 }
 
 impl Metrics {
@@ -51,11 +57,34 @@
             "Datagrams that were malformed or not sealed by a peer",
             datagrams_dropped.clone(),
         );
+        let datagram_bytes_sent = Counter::default();
+        registry.register_with_unit(
+            "datagram_sent",
+            "Sent in datagrams to other routers, without headers",
+            Unit::Bytes,
+            datagram_bytes_sent.clone(),
+        );
+        let peer_sent = Counter::default();
+        registry.register_with_unit(
+            "peer_sent",
+            "Sent on connections between routers, without headers",
+            Unit::Bytes,
+            peer_sent.clone(),
+        );
+        let peer_connections_refused = Counter::default();
+        registry.register(
+            "peer_connections_refused",
+            "Connections beyond the limits, of strangers, or with malformed frames",
+            peer_connections_refused.clone(),
+        );
         Metrics {
             registry,
             answers,
             answer_seconds,
             datagrams_dropped,
+            datagram_bytes_sent,
+            peer_sent,
+            peer_connections_refused,
         }
     }
 
--- a/src/router.rs
+++ b/src/router.rs
@@ -56,7 +56,7 @@
     /// Load of the teams.
     pub admission: Arc<Admission>,
     /// Claims of calls that must not be repeated.
-    pub once: Once,
+    pub once: Arc<Once>,
     /// Clients of the platform.
     pub platform: Platform,
     /// Clients of the backend servers.
@@ -76,23 +76,25 @@
         let clock = Clock::new();
         let incarnation = Incarnation(clock.wall().0);
         let frames = Sealer::new(&settings.peer_keys, Purpose::Frame);
+        let metrics = Metrics::new();
+        let peers = Peers::new(settings.name.clone(), incarnation, frames);
         Arc::new(Router {
             incarnation,
             clock,
             config: Config::default(),
-            membership: Membership::new(settings.name.clone()),
+            membership: Membership::new(settings.name.clone(), incarnation),
             loads: KnownLoads::default(),
             steward: Steward::default(),
             admission: Arc::default(),
-            once: Once::new(),
+            once: Arc::default(),
             platform: Platform::new(
                 &settings.platform,
                 settings.log.as_ref().unwrap_or(&settings.platform),
             ),
             backends: Backends::new(&settings.limits),
-            peers: Peers::new(settings.name.clone(), incarnation, frames),
+            peers: peers.with_counter(metrics.peer_sent.clone()),
             tickets: Sealer::new(&settings.peer_keys, Purpose::Ticket),
-            metrics: Metrics::new(),
+            metrics,
             next_number: AtomicU64::new(0),
             settings,
         })
@@ -134,7 +136,12 @@
         // An error means that the sender is gone, which is a request to stop as well.
         let _ = stop.wait_for(|stop| *stop).await;
         self.membership.leave();
-        let drained = tokio::time::timeout(self.settings.limits.drain, serving).await;
+        let requests = async {
+            let _ = serving.await;
+            // Their results still have to reach the log.
+            self.once.idle().await;
+        };
+        let drained = tokio::time::timeout(self.settings.limits.drain, requests).await;
         if drained.is_err() {
             log::warn!("requests still in flight at the end of the drain");
         }
@@ -146,12 +153,18 @@
     ///
     /// # Errors
     ///
-    /// Returns [`Category::NotServing`] while the router starts or leaves.
+    /// Returns [`Category::NotServing`] while the router starts, leaves or is isolated.
     pub fn check_serving(&self) -> Result<()> {
-        if self.membership.is_serving() {
+        let isolated = self.membership.is_isolated(self.clock.now());
+        if self.membership.is_serving() && !isolated {
             return Ok(());
         }
-        let message = format!("the router is {}", self.membership.phase());
+        let phase = if isolated {
+            "isolated"
+        } else {
+            self.membership.phase()
+        };
+        let message = format!("the router is {phase}");
         let err = Error::not_run(Category::NotServing, message);
         Err(err.with_retry_after(NOT_SERVING_DELAY))
     }
