Give one router at a time the right to order engines

Cause: orders to engines need one sender at a time, and a holder may pause without knowing that its lease has lapsed.

Change: a lease for each group of pools on a log stream of its own. A record names the only position at which it counts, so each router judges each record alone, a late append is void, and a reader may start in the middle of the stream. The holder counts from before its append, others from when they saw the record, plus a margin for drift. The first three routers in rendezvous order follow the stream and bid, staggered.

Ruled out: deciding by the last effective record instead of the position, because a reader that starts after retention cannot tell which records took effect.

--- a/src/inspect/dump.rs
+++ b/src/inspect/dump.rs
@@ -5,8 +5,8 @@
 use serde::Serialize;
 
 use crate::{
-    config, membership::Engine, DomainName, EngineName, Incarnation, Offset, Router, RouterName,
-    TeamName,
+    config, membership::Engine, orders::Progress, DomainName, EngineName, Incarnation, Offset,
+    PoolName, Router, RouterName, TeamName,
 };
 
 /// The state of a router as an operator reads it.
@@ -24,6 +24,8 @@
     granted: BTreeMap<EngineName, u32>,
     admitted: BTreeMap<TeamName, u32>,
     keys_held: usize,
+    leases: BTreeMap<usize, Offset>,
+    orders: BTreeMap<PoolName, Progress>,
 }
 
 #[derive(Debug, Serialize)]
@@ -59,6 +61,8 @@
             granted: cx.steward.in_flight(),
             admitted: cx.admission.in_flight(),
             keys_held: cx.once.len(),
+            leases: cx.leases.fences(),
+            orders: cx.orders.progress(),
         }
     }
 }
--- a/src/inspect/metrics.rs
+++ b/src/inspect/metrics.rs
@@ -20,6 +20,12 @@
     verdict: &'static str,
 }
 
+/// Labels of the order counter.
+#[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
+pub struct OrderLabels {
+    outcome: &'static str,
+}
+
 /// Metrics of a router, by `prometheus-client`.
 #[derive(Debug)]
 pub struct Metrics {
@@ -30,6 +36,8 @@
     pub answer_seconds: Histogram,
     /// Datagrams that were malformed or not sealed by a peer.
     pub datagrams_dropped: Counter<u64, AtomicU64>,
+    /// Orders to engines by outcome.
+    pub orders: Family<OrderLabels, Counter<u64, AtomicU64>>,
 }
 
 impl Metrics {
@@ -51,7 +59,10 @@
             "Datagrams that were malformed or not sealed by a peer",
             datagrams_dropped.clone(),
         );
+        let orders = Family::default();
+        registry.register("orders", "Orders to engines", orders.clone());
         Metrics {
+            orders,
             registry,
             answers,
             answer_seconds,
@@ -68,6 +79,12 @@
         self.answers.get_or_create(&labels).inc();
     }
 
+    /// Counts an order to an engine, `None` for one that was accepted.
+    pub fn count_order(&self, err: Option<&Error>) {
+        let outcome = err.map_or("accepted", |err| err.classify().as_str());
+        self.orders.get_or_create(&OrderLabels { outcome }).inc();
+    }
+
     /// Returns the metrics in the OpenMetrics text format.
     pub fn encode(&self) -> String {
         let mut text = String::new();
--- a/src/platform/mod.rs
+++ b/src/platform/mod.rs
@@ -1,4 +1,4 @@
-//! Clients of the platform: the log service and the instance list.
+//! Clients of the platform: the log service, the instance list, the weight store.
 //!
 //! Every operation has a deadline, and every error says whether it may have
 //! taken effect.
@@ -6,11 +6,13 @@
 mod client;
 mod instance;
 mod log;
+mod weights;
 
 pub use self::{
     client::JsonClient,
     instance::{Instance, InstanceChanges, InstanceKind, InstanceList, InstanceState},
     log::{Entry, LogService, Page},
+    weights::{WeightStore, WeightUse},
 };
 
 /// The platform's services as this router reaches them.
@@ -20,6 +22,8 @@
     pub log: LogService,
     /// The instance list.
     pub instances: InstanceList,
+    /// The weight store.
+    pub weights: WeightStore,
 }
 
 impl Platform {
@@ -28,6 +32,7 @@
         Platform {
             log: LogService::new(JsonClient::new(log)),
             instances: InstanceList::new(JsonClient::new(base)),
+            weights: WeightStore::new(JsonClient::new(base)),
         }
     }
 }
--- a/src/router.rs
+++ b/src/router.rs
@@ -20,9 +20,11 @@
     config::{self, Config, Settings},
     http,
     inspect::Metrics,
+    lease::{self, Leases},
     lookup::{Address, Ticket},
     membership::{self, Engine, Membership, Peer, PoolLoad},
     once::{self, Once},
+    orders::{self, Orders},
     peer::{self, Peers, Purpose, Sealer},
     placement::{self, Hint, KnownLoads, Preference, Spill, MAX_RANKS},
     platform::Platform,
@@ -57,6 +59,10 @@
     pub admission: Arc<Admission>,
     /// Claims of calls that must not be repeated.
     pub once: Once,
+    /// Leases to order changes to engines.
+    pub leases: Leases,
+    /// Progress of the pools that this router drives.
+    pub orders: Orders,
     /// Clients of the platform.
     pub platform: Platform,
     /// Clients of the backend servers.
@@ -85,6 +91,8 @@
             steward: Steward::default(),
             admission: Arc::default(),
             once: Once::new(),
+            leases: Leases::new(),
+            orders: Orders::default(),
             platform: Platform::new(
                 &settings.platform,
                 settings.log.as_ref().unwrap_or(&settings.platform),
@@ -123,6 +131,11 @@
             tasks.spawn(once::tail(self.clone(), partition));
         }
 
+        for group in 0..lease::GROUPS {
+            tasks.spawn(lease::contend(self.clone(), group, stop.clone()));
+            tasks.spawn(orders::drive(self.clone(), group));
+        }
+
         let limits = self.settings.limits.clone();
         let routes = http::operator_routes(self.clone());
         // Operators are answered until the very end.
--- a/stand-in/src/engine.rs
+++ b/stand-in/src/engine.rs
@@ -17,7 +17,10 @@
 use serde_json::{json, Value};
 use tokio::sync::{OwnedSemaphorePermit, Semaphore};
 
-use crate::web::{self, Req};
+use crate::{
+    orders::Orders,
+    web::{self, Req},
+};
 
 #[derive(clap::Args)]
 pub struct Args {
@@ -51,6 +54,9 @@
     /// Time between tokens.
     #[arg(long, default_value_t = 5)]
     token_ms: u64,
+    /// Takes orders whatever their fencing number.
+    #[arg(long)]
+    ignores_fencing: bool,
 }
 
 #[derive(Default)]
@@ -67,6 +73,7 @@
     incarnation: u64,
     slots: Arc<Semaphore>,
     counts: Mutex<Counts>,
+    orders: Arc<Orders>,
 }
 
 pub async fn run(args: Args) {
@@ -78,6 +85,7 @@
         incarnation: since.as_millis() as u64,
         slots: Arc::new(Semaphore::new(args.slots)),
         counts: Mutex::default(),
+        orders: Orders::new(!args.ignores_fencing, &args.platform),
         args,
     });
     tokio::spawn(register(engine.clone()));
@@ -102,6 +110,9 @@
 async fn handle(engine: Arc<Engine>, req: Req) -> Response<Body> {
     match (req.method.as_str(), req.path().as_slice()) {
         ("POST", ["v1", "chat", "completions"]) => chat(engine, &req).await,
+        ("GET", ["orders"]) => web::json(StatusCode::OK, &engine.orders.report()),
+        ("POST", ["orders"]) => engine.orders.clone().receive(&req).await,
+        ("POST", ["orders", "hold"]) => engine.orders.hold(&req),
         ("GET", ["load"]) => web::json(StatusCode::OK, &engine.load()),
         _ => web::json(StatusCode::NOT_FOUND, &"no such path"),
     }
--- a/stand-in/src/main.rs
+++ b/stand-in/src/main.rs
@@ -2,6 +2,7 @@
 
 mod caller;
 mod engine;
+mod orders;
 mod platform;
 mod service;
 mod web;
--- /dev/null
+++ b/stand-in/src/orders.rs
@@ -0,0 +1,139 @@
+//! Orders to an engine: versions, role, and the fencing number.
+
+use std::{
+    collections::BTreeMap,
+    sync::{Arc, Mutex},
+    time::Duration,
+};
+
+use gotham::helpers::http::Body;
+use http::{Response, StatusCode};
+use serde::Deserialize;
+use serde_json::{json, Value};
+
+use crate::web::{self, Req};
+
+/// Pause before a load that the weight store refused is tried again.
+const RETRY_PAUSE: Duration = Duration::from_millis(200);
+
+#[derive(Deserialize)]
+struct Order {
+    fence: u64,
+    order: String,
+    #[serde(default)]
+    version: String,
+    #[serde(default)]
+    role: String,
+}
+
+#[derive(Default)]
+struct State {
+    fence: u64,
+    refused: u64,
+    role: String,
+    versions: BTreeMap<String, Value>,
+    hold_ms: u64,
+    held: u64,
+    went_back: u64,
+}
+
+pub struct Orders {
+    checks_fencing: bool,
+    platform: String,
+    state: Mutex<State>,
+}
+
+impl Orders {
+    pub fn new(checks_fencing: bool, platform: &str) -> Arc<Self> {
+        let state = State {
+            role: "mixed".to_string(),
+            ..State::default()
+        };
+        Arc::new(Orders {
+            checks_fencing,
+            platform: platform.to_string(),
+            state: Mutex::new(state),
+        })
+    }
+
+    pub fn report(&self) -> Value {
+        let state = self.state.lock().unwrap();
+        json!({
+            "versions": state.versions, "role": state.role, "fence": state.fence,
+            "checks_fencing": self.checks_fencing, "refused": state.refused,
+            "held": state.held, "went_back": state.went_back,
+        })
+    }
+
+    /// Makes the next order take effect late, also when its sender has hung up.
+    pub fn hold(&self, req: &Req) -> Response<Body> {
+        self.state.lock().unwrap().hold_ms = req.number("ms", 0);
+        web::json(StatusCode::OK, &json!({}))
+    }
+
+    pub async fn receive(self: Arc<Self>, req: &Req) -> Response<Body> {
+        let order: Order = match req.json() {
+            Ok(order) => order,
+            Err(refusal) => return *refusal,
+        };
+        let hold = {
+            let mut state = self.state.lock().unwrap();
+            let hold = std::mem::take(&mut state.hold_ms);
+            state.held += u64::from(hold > 0);
+            hold
+        };
+        let work = tokio::spawn(async move {
+            tokio::time::sleep(Duration::from_millis(hold)).await;
+            self.carry_out(order)
+        });
+        work.await.expect("an order carried out")
+    }
+
+    fn carry_out(self: Arc<Self>, order: Order) -> Response<Body> {
+        let mut state = self.state.lock().unwrap();
+        if self.checks_fencing && order.fence < state.fence {
+            state.refused += 1;
+            return web::json(StatusCode::CONFLICT, &json!({ "fence": state.fence }));
+        }
+        state.went_back += u64::from(order.fence < state.fence);
+        state.fence = state.fence.max(order.fence);
+        match order.order.as_str() {
+            "load" => {
+                state
+                    .versions
+                    .insert(order.version.clone(), json!({ "state": "loading" }));
+                tokio::spawn(self.clone().load(order.version));
+            }
+            "warm" => drop(
+                state
+                    .versions
+                    .insert(order.version, json!({ "state": "warm" })),
+            ),
+            "unload" => drop(state.versions.remove(&order.version)),
+            "set_role" => state.role = order.role,
+            _ => return web::json(StatusCode::BAD_REQUEST, &"no such order"),
+        }
+        web::json(StatusCode::OK, &json!({}))
+    }
+
+    async fn load(self: Arc<Self>, version: String) {
+        let http = web::client();
+        let url = format!("{}/v1/weights/{version}", self.platform);
+        let loaded = loop {
+            match web::call(&http, "POST", &url, &[], String::new()).await {
+                Ok((StatusCode::TOO_MANY_REQUESTS, _)) | Err(_) => {
+                    tokio::time::sleep(RETRY_PAUSE).await;
+                }
+                Ok((status, _)) if status.is_success() => break json!({ "state": "loaded" }),
+                Ok((status, _)) => {
+                    let reason = format!("weight store: {status}");
+                    break json!({ "state": "failed", "reason": reason });
+                }
+            }
+        };
+        let mut state = self.state.lock().unwrap();
+        if let Some(entry) = state.versions.get_mut(&version) {
+            *entry = loaded;
+        }
+    }
+}
--- a/stand-in/src/platform.rs
+++ b/stand-in/src/platform.rs
@@ -29,6 +29,20 @@
     /// Lag of the instance list.
     #[arg(long, default_value_t = 0)]
     lag_ms: u64,
+    /// Loads that the weight store serves at once.
+    #[arg(long, default_value_t = 2)]
+    weight_loads: u32,
+    /// Time of a load.
+    #[arg(long, default_value_t = 300)]
+    weight_load_ms: u64,
+}
+
+/// Loads of the weight store.
+#[derive(Default)]
+struct Weights {
+    loading: u32,
+    peak: u32,
+    refused: u64,
 }
 
 /// Faults, replaced whole by `POST /faults`.
@@ -68,6 +82,7 @@
     faults: Mutex<Faults>,
     streams: Mutex<HashMap<String, Stream>>,
     instances: Mutex<Instances>,
+    weights: Mutex<Weights>,
     append_turn: AsyncMutex<()>,
     changed: watch::Sender<u64>,
 }
@@ -79,6 +94,7 @@
         faults: Mutex::default(),
         streams: Mutex::default(),
         instances: Mutex::default(),
+        weights: Mutex::default(),
         append_turn: AsyncMutex::new(()),
         changed: watch::Sender::new(0),
     });
@@ -96,6 +112,8 @@
             platform.change(name, None);
             Ok(json!({}))
         }
+        ("GET", ["v1", "weights"]) => Ok(weight_use(&platform)),
+        ("POST", ["v1", "weights", version]) => load_weights(&platform, version).await,
         ("POST", ["faults"]) => req.json().map(|faults| {
             *platform.faults.lock().unwrap() = faults;
             json!({})
@@ -205,6 +223,36 @@
     Ok(json!({}))
 }
 
+fn weight_use(platform: &Platform) -> Value {
+    let weights = platform.weights.lock().unwrap();
+    json!({
+        "limit": platform.args.weight_loads, "loading": weights.loading,
+        "peak": weights.peak, "refused": weights.refused,
+    })
+}
+
+/// Serves one load; a version whose name holds `broken` is not there.
+async fn load_weights(platform: &Platform, version: &str) -> Answer {
+    {
+        let mut weights = platform.weights.lock().unwrap();
+        if weights.loading >= platform.args.weight_loads {
+            weights.refused += 1;
+            return Err(refuse(
+                StatusCode::TOO_MANY_REQUESTS,
+                &json!("too many loads"),
+            ));
+        }
+        weights.loading += 1;
+        weights.peak = weights.peak.max(weights.loading);
+    }
+    tokio::time::sleep(Duration::from_millis(platform.args.weight_load_ms)).await;
+    platform.weights.lock().unwrap().loading -= 1;
+    if version.contains("broken") {
+        return Err(refuse(StatusCode::NOT_FOUND, &json!("no such version")));
+    }
+    Ok(json!({}))
+}
+
 /// Takes instances off the list that have not been heard of.
 async fn expire(platform: Arc<Platform>) {
     loop {
--- /dev/null
+++ b/tests/lease/life.rs
@@ -0,0 +1,136 @@
+//! The stages of one lease between two routers, with the time as an argument.
+
+use std::{fmt::Write, time::Duration};
+
+use ebonyspur::{
+    lease::{Candidate, Holder, Lease, LeaseRecord, Phase, Terms},
+    Incarnation, Instant, Offset, RouterName,
+};
+use expect_test::expect;
+
+/// A stream with the rule of the log service: the next position, whatever was meant.
+#[derive(Default)]
+struct Log(Vec<(Offset, Option<LeaseRecord>)>);
+
+impl Log {
+    fn append(&mut self, record: LeaseRecord) {
+        self.0.push((Offset(self.0.len() as u64), Some(record)));
+    }
+}
+
+fn router(name: &str, incarnation: u64) -> Lease<Candidate> {
+    let me = Holder {
+        name: RouterName::new(name).unwrap(),
+        incarnation: Incarnation(incarnation),
+    };
+    Lease::new(me, Terms::default())
+}
+
+fn at(seconds: u64) -> Instant {
+    Instant::from_millis(seconds * 1_000)
+}
+
+fn show(phase: &Phase) -> String {
+    match phase {
+        Phase::Candidate(lease) => {
+            let bid_at = lease.bid_at(0, Duration::ZERO).as_micros();
+            format!("candidate, may bid at {} s", bid_at / 1_000_000)
+        }
+        Phase::Held(lease) => {
+            let until = lease.until().as_micros() / 1_000_000;
+            format!("held until {until} s, fence {}", lease.fence())
+        }
+        Phase::Lapsed(_) => "lapsed".to_string(),
+    }
+}
+
+fn held(phase: Phase) -> Lease<ebonyspur::lease::Held> {
+    match phase {
+        Phase::Held(lease) => lease,
+        other => panic!("not held: {}", show(&other)),
+    }
+}
+
+#[test]
+fn the_holder_counts_from_before_its_append_and_others_from_what_they_saw() {
+    let (mut log, mut text) = (Log::default(), String::new());
+    let mut first = router("r1", 1);
+    let second = router("r2", 1);
+    log.append(first.bid(at(0)).expect("a free lease"));
+    let first = first.observe(&log.0, at(2));
+    let second = second.observe(&log.0, at(1));
+    writeln!(text, "r1 {}", show(&first)).unwrap();
+    writeln!(text, "r2 {}", show(&second)).unwrap();
+    let mut first = held(first);
+    log.append(first.renew(at(4)));
+    let first = first.observe(&log.0, at(5));
+    writeln!(text, "r1 {}", show(&first)).unwrap();
+    let Phase::Candidate(second) = second else {
+        panic!("r2 cannot hold")
+    };
+    let second = second.observe(&log.0, at(6));
+    writeln!(text, "r2 {}", show(&second)).unwrap();
+    writeln!(text, "r1 {}", show(&held(first).expire(at(14)))).unwrap();
+    expect![[r#"
+        r1 held until 10 s, fence 0
+        r2 candidate, may bid at 12 s
+        r1 held until 14 s, fence 0
+        r2 candidate, may bid at 17 s
+        r1 lapsed
+    "#]]
+    .assert_eq(&text);
+}
+
+#[test]
+fn of_two_bids_at_one_position_the_first_in_the_log_counts() {
+    let (mut log, mut text) = (Log::default(), String::new());
+    let (mut first, mut second) = (router("r1", 1), router("r2", 1));
+    let (late, early) = (first.bid(at(0)).unwrap(), second.bid(at(0)).unwrap());
+    log.append(early);
+    log.append(late);
+    writeln!(text, "r1 {}", show(&first.observe(&log.0, at(1)))).unwrap();
+    writeln!(text, "r2 {}", show(&second.observe(&log.0, at(1)))).unwrap();
+    expect![[r#"
+        r1 candidate, may bid at 12 s
+        r2 held until 10 s, fence 0
+    "#]]
+    .assert_eq(&text);
+}
+
+#[test]
+fn a_restarted_router_does_not_take_up_its_old_lease() {
+    let mut log = Log::default();
+    let mut old = router("r1", 1);
+    log.append(old.bid(at(0)).unwrap());
+    let new = router("r1", 2).observe(&log.0, at(1));
+    expect!["candidate, may bid at 12 s"].assert_eq(&show(&new));
+}
+
+#[test]
+fn a_released_lease_is_free_at_once() {
+    let (mut log, mut text) = (Log::default(), String::new());
+    let mut first = router("r1", 1);
+    log.append(first.bid(at(0)).unwrap());
+    let (record, _lapsed) = held(first.observe(&log.0, at(1))).release();
+    log.append(record);
+    let second = router("r2", 1).observe(&log.0, at(2));
+    writeln!(text, "r2 {}", show(&second)).unwrap();
+    let Phase::Candidate(mut second) = second else {
+        panic!("r2 cannot hold")
+    };
+    log.append(second.bid(at(2)).unwrap());
+    writeln!(text, "r2 {}", show(&second.observe(&log.0, at(2)))).unwrap();
+    expect![[r#"
+        r2 candidate, may bid at 0 s
+        r2 held until 12 s, fence 2
+    "#]]
+    .assert_eq(&text);
+}
+
+#[test]
+fn a_candidate_that_lost_records_to_retention_waits_a_whole_term() {
+    let mut lease = router("r1", 1);
+    lease.skip_to(Offset(40), at(3));
+    assert!(lease.bid(at(13)).is_none());
+    expect!["candidate, may bid at 14 s"].assert_eq(&show(&lease.observe(&[], at(13))));
+}
--- /dev/null
+++ b/tests/orders/decide.rs
@@ -0,0 +1,181 @@
+//! The next orders for a pool, from the wanted state and the reports.
+
+use std::{collections::BTreeMap, fmt::Write};
+
+use ebonyspur::{
+    config::Role,
+    orders::{decide, Order, Report, VersionState, Wanted},
+    platform::WeightUse,
+    EngineName, Offset, VersionName,
+};
+use expect_test::expect;
+
+fn version(name: &str) -> VersionName {
+    VersionName::new(name).unwrap()
+}
+
+fn wanted(versions: &[&str], in_use: &[&str]) -> Wanted {
+    Wanted {
+        versions: versions.iter().map(|name| version(name)).collect(),
+        in_use: in_use.iter().map(|name| version(name)).collect(),
+        roles: BTreeMap::new(),
+    }
+}
+
+/// Carries out orders at once, as engines whose loads take no time would.
+struct Engines(BTreeMap<EngineName, Report>);
+
+impl Engines {
+    fn with(count: usize, loaded: &[&str]) -> Self {
+        let report = Report {
+            versions: loaded
+                .iter()
+                .map(|name| (version(name), VersionState::Warm))
+                .collect(),
+            ..Report::default()
+        };
+        let name = |number| EngineName::new(&format!("e{number}")).unwrap();
+        Engines((1..=count).map(|n| (name(n), report.clone())).collect())
+    }
+
+    fn carry_out(&mut self, engine: &EngineName, order: &Order, failing: Option<&str>) {
+        let report = self.0.get_mut(engine).unwrap();
+        match order {
+            Order::Load { version } if failing == Some(engine.as_str()) => {
+                let reason = "no memory".to_string();
+                let failed = VersionState::Failed { reason };
+                report.versions.insert(version.clone(), failed);
+            }
+            Order::Load { version } => {
+                report
+                    .versions
+                    .insert(version.clone(), VersionState::Loaded);
+            }
+            Order::Warm { version } => {
+                report.versions.insert(version.clone(), VersionState::Warm);
+            }
+            Order::Unload { version } => drop(report.versions.remove(version)),
+            Order::SetRole { role } => report.role = *role,
+        }
+    }
+
+    fn run(&mut self, wanted: &Wanted, free_loads: usize, failing: Option<&str>) -> String {
+        let mut text = String::new();
+        for round in 1..20 {
+            let decision = decide(wanted, &self.0, Offset(0), free_loads);
+            for (engine, order) in &decision.orders {
+                writeln!(text, "{round} {engine} {order:?}").unwrap();
+                self.carry_out(engine, order, failing);
+            }
+            for stop in &decision.stops {
+                writeln!(text, "{round} stopped at {} {}", stop.engine, stop.reason).unwrap();
+            }
+            if decision.orders.is_empty() {
+                writeln!(text, "{round} {} behind", decision.behind).unwrap();
+                break;
+            }
+        }
+        text
+    }
+}
+
+#[test]
+fn a_version_is_loaded_within_the_rate_and_warmed_before_the_old_one_goes() {
+    let mut engines = Engines::with(3, &["m-1"]);
+    expect![[r#"
+        1 e1 Load { version: m-2 }
+        1 e2 Load { version: m-2 }
+        2 e1 Warm { version: m-2 }
+        2 e2 Warm { version: m-2 }
+        2 e3 Load { version: m-2 }
+        3 e3 Warm { version: m-2 }
+        4 e1 Unload { version: m-1 }
+        4 e2 Unload { version: m-1 }
+        4 e3 Unload { version: m-1 }
+        5 0 behind
+    "#]]
+    .assert_eq(&engines.run(&wanted(&["m-2"], &[]), 2, None));
+}
+
+#[test]
+fn a_version_that_serves_a_team_stays() {
+    let mut engines = Engines::with(2, &["m-1", "m-2"]);
+    expect![[r#"
+        1 0 behind
+    "#]]
+    .assert_eq(&engines.run(&wanted(&["m-2"], &["m-1"]), 2, None));
+}
+
+#[test]
+fn a_failed_load_stops_its_move() {
+    let mut engines = Engines::with(3, &["m-1"]);
+    expect![[r#"
+        1 e1 Load { version: m-2 }
+        2 stopped at e1 no memory
+        2 3 behind
+    "#]]
+    .assert_eq(&engines.run(&wanted(&["m-2"], &[]), 1, Some("e1")));
+}
+
+#[test]
+fn another_router_goes_on_from_the_reports_alone() {
+    let mut engines = Engines::with(2, &["m-1"]);
+    let wanted = wanted(&["m-2"], &[]);
+    let first = decide(&wanted, &engines.0, Offset(0), 1);
+    let (engine, order) = first.orders.iter().next().expect("an order");
+    engines.carry_out(engine, order, None);
+    expect![[r#"
+        1 e1 Warm { version: m-2 }
+        1 e2 Load { version: m-2 }
+        2 e2 Warm { version: m-2 }
+        3 e1 Unload { version: m-1 }
+        3 e2 Unload { version: m-1 }
+        4 0 behind
+    "#]]
+    .assert_eq(&engines.run(&wanted, 1, None));
+}
+
+#[test]
+fn a_role_changes_before_anything_is_loaded() {
+    let mut engines = Engines::with(1, &[]);
+    let mut wanted = wanted(&["m-1"], &[]);
+    let engine = engines.0.keys().next().cloned().unwrap();
+    wanted.roles.insert(engine, Role::Prefill);
+    expect![[r#"
+        1 e1 SetRole { role: Prefill }
+        2 e1 Load { version: m-1 }
+        3 e1 Warm { version: m-1 }
+        4 0 behind
+    "#]]
+    .assert_eq(&engines.run(&wanted, 1, None));
+}
+
+#[test]
+fn an_engine_that_checks_fencing_learns_the_new_number_before_anything_else() {
+    let report = |checks_fencing| Report {
+        checks_fencing,
+        fence: Offset(3),
+        ..Report::default()
+    };
+    let name = |name: &str| EngineName::new(name).unwrap();
+    let reports = [
+        (name("checks"), report(true)),
+        (name("ignores"), report(false)),
+    ];
+    let decision = decide(&wanted(&["m-1"], &[]), &reports.into(), Offset(7), 2);
+    expect!["{checks: SetRole { role: Mixed }, ignores: Load { version: m-1 }}"]
+        .assert_eq(&format!("{:?}", decision.orders));
+}
+
+#[test]
+fn loads_known_here_count_although_the_store_does_not_show_them_yet() {
+    let usage = WeightUse {
+        limit: 4,
+        loading: 1,
+    };
+    let free: Vec<_> = [0, 1, 3, 5]
+        .iter()
+        .map(|known| usage.free(*known))
+        .collect();
+    expect!["[3, 3, 1, 0]"].assert_eq(&format!("{free:?}"));
+}
--- /dev/null
+++ b/tests/orders/frozen.rs
@@ -0,0 +1,60 @@
+//! A lease holder frozen past its lease, with orders of it still on their way.
+
+use expect_test::expect;
+use rustix::process::Signal;
+use serde_json::{json, Value};
+
+use crate::{
+    moves::{await_holder, await_versions, load, report, unload},
+    support::{call, dump, wait_until, Fleet},
+};
+
+/// Time for which the orders of the frozen holder are on their way.
+const LATE_MS: u64 = 30_000;
+
+fn hold_next_order(fleet: &Fleet, engine: usize) {
+    let address = fleet.engines[engine].address;
+    let url = format!("http://{address}/orders/hold?ms={LATE_MS}");
+    call("POST", &url, &Value::Null).expect("a held order");
+}
+
+fn counts(fleet: &Fleet, engine: usize) -> Value {
+    let report = report(fleet, engine);
+    json!({
+        "checks_fencing": report["checks_fencing"], "refused": report["refused"],
+        "went_back": report["went_back"], "versions": report["versions"],
+    })
+}
+
+#[test]
+fn late_orders_of_a_frozen_holder_are_refused_or_set_right() {
+    let mut fleet = Fleet::start(1, 3);
+    fleet.add_engine(&["--ignores-fencing"]);
+    fleet.await_ready();
+    fleet.publish("one", &json!([load("m-1")]));
+    await_versions(&fleet, &["m-1"]);
+    let holder = await_holder(&fleet);
+    let old_fence = report(&fleet, 0)["fence"].as_u64();
+    for engine in 0..2 {
+        hold_next_order(&fleet, engine);
+    }
+    fleet.publish("two", &json!([load("m-2")]));
+    wait_until("both orders are on their way", || {
+        (0..2).all(|engine| report(&fleet, engine)["held"] == 1)
+    });
+    fleet.routers[holder].process.signal(Signal::STOP);
+    fleet.publish("three", &json!([unload("m-2")]));
+    wait_until("another router has fenced the engine that checks", || {
+        report(&fleet, 0)["fence"].as_u64() > old_fence
+    });
+    fleet.routers[holder].process.signal(Signal::CONT);
+    wait_until("the late orders have arrived", || {
+        report(&fleet, 0)["refused"] == 1 && report(&fleet, 1)["went_back"] == 1
+    });
+    await_versions(&fleet, &["m-1"]);
+    wait_until("the frozen router knows that its lease has lapsed", || {
+        dump(&fleet.routers[holder]).is_some_and(|state| !state["orders"]["planners"].is_object())
+    });
+    let shown = json!([counts(&fleet, 0), counts(&fleet, 1)]);
+    expect![[""]].assert_eq(&serde_json::to_string_pretty(&shown).unwrap());
+}
--- /dev/null
+++ b/tests/orders/moves.rs
@@ -0,0 +1,95 @@
+//! Moves across real processes: the weight store's rate, a failed step, a dead holder.
+
+use expect_test::expect;
+use rustix::process::Signal;
+use serde_json::{json, Value};
+
+use crate::support::{dump, get, wait_until, Fleet};
+
+/// Returns what an engine reports.
+pub fn report(fleet: &Fleet, engine: usize) -> Value {
+    let url = format!("http://{}/orders", fleet.engines[engine].address);
+    get(&url).unwrap_or_default()
+}
+
+/// Waits until each engine has just `versions`, ready.
+pub fn await_versions(fleet: &Fleet, versions: &[&str]) {
+    let warm = |name: &&str| (name.to_string(), json!({ "state": "warm" }));
+    let wanted = Value::Object(versions.iter().map(warm).collect());
+    for engine in 0..fleet.engines.len() {
+        wait_until("the engine has the wanted versions", || {
+            report(fleet, engine)["versions"] == wanted
+        });
+    }
+}
+
+/// Returns the place of the router that drives the pool `planners`.
+pub fn await_holder(fleet: &Fleet) -> usize {
+    let mut holder = None;
+    wait_until("a router drives the pool", || {
+        holder = fleet.routers.iter().position(|router| {
+            dump(router).is_some_and(|state| state["orders"]["planners"].is_object())
+        });
+        holder.is_some()
+    });
+    holder.expect("a holder")
+}
+
+pub fn load(version: &str) -> Value {
+    json!({ "op": "load", "pool": "planners", "version": version })
+}
+
+pub fn unload(version: &str) -> Value {
+    json!({ "op": "unload", "pool": "planners", "version": version })
+}
+
+#[test]
+fn a_new_version_replaces_the_old_one_within_the_weight_stores_rate() {
+    let fleet = Fleet::start_with(&["--weight-loads", "2"], 5, 3);
+    fleet.publish("one", &json!([load("m-1")]));
+    await_versions(&fleet, &["m-1"]);
+    fleet.publish("two", &json!([load("m-2")]));
+    await_versions(&fleet, &["m-1", "m-2"]);
+    fleet.publish("three", &json!([unload("m-1")]));
+    await_versions(&fleet, &["m-2"]);
+    let weights = get(&fleet.platform_url("/v1/weights")).expect("the weight store");
+    expect![[r#"{"limit":2,"loading":0,"peak":2,"refused":0}"#]].assert_eq(&weights.to_string());
+}
+
+#[test]
+fn a_failed_load_stops_its_move_and_is_reported() {
+    let fleet = Fleet::start_with(&["--weight-loads", "1"], 3, 2);
+    fleet.publish("one", &json!([load("m-1")]));
+    await_versions(&fleet, &["m-1"]);
+    fleet.publish("two", &json!([load("m-broken"), unload("m-1")]));
+    let holder = await_holder(&fleet);
+    let mut stops = Value::Null;
+    wait_until("the stopped move is reported", || {
+        let state = dump(&fleet.routers[holder]).unwrap_or_default();
+        stops = state["orders"]["planners"]["stops"].clone();
+        stops.as_array().is_some_and(|stops| !stops.is_empty())
+    });
+    let tried = (0..3).filter(|engine| {
+        let versions = &report(&fleet, *engine)["versions"];
+        versions["m-broken"].is_object() || versions["m-1"]["state"] != "warm"
+    });
+    let shown =
+        json!({ "stops": stops.as_array().map(Vec::len), "engines_touched": tried.count() });
+    expect![[r#"{"engines_touched":1,"stops":1}"#]].assert_eq(&shown.to_string());
+}
+
+#[test]
+fn another_router_goes_on_when_the_one_that_drives_a_move_dies() {
+    let args = ["--weight-loads", "1", "--weight-load-ms", "2000"];
+    let fleet = Fleet::start_with(&args, 4, 3);
+    fleet.publish("one", &json!([load("m-1")]));
+    let holder = await_holder(&fleet);
+    wait_until("the move has begun", || {
+        (0..4).any(|engine| report(&fleet, engine)["versions"]["m-1"].is_object())
+    });
+    fleet.routers[holder].process.signal(Signal::KILL);
+    fleet.unlist_router(&fleet.routers[holder].name);
+    await_versions(&fleet, &["m-1"]);
+    let weights = get(&fleet.platform_url("/v1/weights")).expect("the weight store");
+    expect![[r#"{"limit":1,"loading":0,"peak":1,"refused":0}"#]].assert_eq(&weights.to_string());
+}
