Carry out orders under the lease, and tell operators why and where

Cause: nothing loaded, warmed or unloaded a version or changed a role; the state dump did not say why a request was refused or where a chat would go.

Change: the holder of a group's lease reads what its engines report and sends each the next order; the tenure is looked at right before each order. A new holder first gives engines that check fencing numbers their role again, so that they refuse what is late, and waits 3 s for engines that ignore them, whose reports it reads every 5 s. Loads follow the weight store's count; a failed load stops its version and every unload. The dump keeps the last 64 refusals, the leases and the progress of the moves; GET /v1/explain, which the command line asks, lists the engines and routers for a chat and what shuts the others. Gauges are read from the slices when metrics are asked for.

Ruled out: resuming a move from a record of its steps, because configuration and reports say the same and cannot be out of date.

A holder frozen with two orders 30 s on their way: the engine that checks refuses 1 and loads m-2 0 times; the one that ignores fencing loads it once, and the new holder unloads it.

A first version of that test waited for the fencing number of the engine that ignores it to rise, which no order made it do; it now counts what the engine carried out.

--- a/src/config/task.rs
+++ b/src/config/task.rs
@@ -53,6 +53,7 @@
         Duration::ZERO
     };
     let page = cx.platform.log.read(STREAM, from, wait).await?;
+    cx.membership.heard_log(cx.clock.now());
     cx.config.set_log_first(page.first);
     let records: Vec<_> = page.records.iter().map(EncodedRecord::new).collect();
     let state = cx.config.apply(&records);
--- a/src/http/caller.rs
+++ b/src/http/caller.rs
@@ -8,7 +8,7 @@
     prelude::*,
     router::{builder::build_simple_router, Router as Routes},
 };
-use http::{header, HeaderValue, Method, Response, StatusCode, Uri};
+use http::{header, HeaderMap, HeaderValue, Method, Response, StatusCode, Uri};
 use http_body_util::{BodyExt, StreamBody};
 use hyper::body::Frame;
 use serde::{Deserialize, Serialize};
@@ -24,7 +24,7 @@
     lookup::{self, VALIDITY},
     once::Key,
     placement::Hint,
-    relay::{self, AnswerStream, ChatAnswer, Head, ServiceCall},
+    relay::{self, AnswerStream, ChatAnswer, Head, ServiceAnswer, ServiceCall},
     Category, ChatId, Error, RequestId, Result, Router, ServiceName, TeamName, Verdict,
 };
 
@@ -117,10 +117,9 @@
 }
 
 async fn post_chat(cx: Arc<Router>, req: Incoming) -> Result<Response<Body>> {
-    let sender = Sender::from_headers(&req.headers)?;
-    let subject = Subject::new(&sender);
+    let (subject, sender) = identify(&req.headers)?;
     let answer = answer_chat(&cx, sender, req).await;
-    answer.map_err(|err| subject.refusal(err))
+    answer.map_err(|err| subject.refusal(&cx, err.with_verdict_at_least(subject.floor)))
 }
 
 /// What a refusal is about, kept while the request is on its way.
@@ -130,20 +129,24 @@
     floor: Verdict,
 }
 
-impl Subject {
-    fn new(sender: &Sender) -> Self {
-        Subject {
-            id: sender.id.clone(),
-            team: sender.team.clone(),
-            floor: sender.verdict_floor(),
-        }
-    }
+/// Reads who sends a request, and what a refusal of it would be about.
+fn identify(headers: &HeaderMap) -> Result<(Subject, Sender)> {
+    let floor = head::verdict_floor(headers);
+    let sender = Sender::from_headers(headers).map_err(|err| err.with_verdict_at_least(floor))?;
+    let subject = Subject {
+        id: sender.id.clone(),
+        team: sender.team.clone(),
+        floor,
+    };
+    Ok((subject, sender))
+}
 
-    /// Gives `err` the verdict that this router may give, and logs it.
-    fn refusal(&self, err: Error) -> Error {
-        let err = err.with_verdict_at_least(self.floor);
+impl Subject {
+    /// Logs and keeps a refusal with the verdict that the caller sees.
+    fn refusal(&self, cx: &Router, err: Error) -> Error {
         let (id, team, verdict) = (&self.id, &self.team, err.verdict());
         log::info!("request refused request={id} team={team} verdict={verdict} error=\"{err}\"");
+        cx.refusals.note(id, team, &err, cx.clock.wall());
         err
     }
 }
@@ -234,13 +237,21 @@
 }
 
 async fn call_service(cx: Arc<Router>, req: Incoming) -> Result<Response<Body>> {
-    let sender = Sender::from_headers(&req.headers)?;
-    let subject = Subject::new(&sender);
-    let answer = answer_service(&cx, sender, req).await;
-    answer.map_err(|err| subject.refusal(err))
+    let (subject, sender) = identify(&req.headers)?;
+    let call = read_call(&cx, subject.floor, sender, req).await;
+    let call =
+        call.map_err(|err| subject.refusal(&cx, err.with_verdict_at_least(subject.floor)))?;
+    let answer = relay::call_service(&cx, call).await;
+    let answer = answer.map_err(|err| subject.refusal(&cx, err))?;
+    Ok(encode_answer(answer))
 }
 
-async fn answer_service(cx: &Arc<Router>, sender: Sender, req: Incoming) -> Result<Response<Body>> {
+async fn read_call(
+    cx: &Router,
+    floor: Verdict,
+    sender: Sender,
+    req: Incoming,
+) -> Result<ServiceCall> {
     cx.check_serving()?;
     let (name, path) = split_service_path(&req.uri)?;
     let service = find_service(cx, &sender, &name, ServiceKind::Plain)?;
@@ -253,7 +264,7 @@
         call,
     });
     let content_type = req.headers.get(header::CONTENT_TYPE);
-    let call = ServiceCall {
+    Ok(ServiceCall {
         id: sender.id,
         team: sender.team,
         pool: service.pool,
@@ -264,9 +275,13 @@
             .map(str::to_string),
         body,
         attempt: sender.attempt,
+        floor,
         key,
-    };
-    let answer = relay::call_service(cx, call).await?;
+    })
+}
+
+fn encode_answer(answer: ServiceAnswer) -> Response<Body> {
+    let verdict = answer.verdict();
     let mut encoded = Response::new(whole(answer.body));
     *encoded.status_mut() = StatusCode::from_u16(answer.status).unwrap_or(StatusCode::BAD_GATEWAY);
     set(
@@ -274,11 +289,11 @@
         header::CONTENT_TYPE.as_str(),
         &answer.content_type,
     );
-    set(&mut encoded, super::refusal::VERDICT, "ran");
+    set(&mut encoded, super::refusal::VERDICT, verdict.as_str());
     if answer.replayed {
         set(&mut encoded, "ebonyspur-replayed", "true");
     }
-    Ok(encoded)
+    encoded
 }
 
 /// Splits `/v1/services/<service>/<path>` into the service and the server's path and query.
--- a/src/inspect/dump.rs
+++ b/src/inspect/dump.rs
@@ -4,6 +4,7 @@
 
 use serde::Serialize;
 
+use super::Refusal;
 use crate::{
     config, membership::Engine, orders::Progress, DomainName, EngineName, Incarnation, Offset,
     PoolName, Router, RouterName, TeamName,
@@ -26,6 +27,7 @@
     keys_held: usize,
     leases: BTreeMap<usize, Offset>,
     orders: BTreeMap<PoolName, Progress>,
+    refusals: Vec<Refusal>,
 }
 
 #[derive(Debug, Serialize)]
@@ -63,6 +65,7 @@
             keys_held: cx.once.len(),
             leases: cx.leases.fences(),
             orders: cx.orders.progress(),
+            refusals: cx.refusals.latest(),
         }
     }
 }
--- a/src/inspect/metrics.rs
+++ b/src/inspect/metrics.rs
@@ -8,7 +8,8 @@
     registry::{Registry, Unit},
 };
 
-use crate::Error;
+use super::gauges::Gauges;
+use crate::{Error, Router};
 
 /// Bounds of the buckets for answer times, in seconds.
 const ANSWER_BUCKETS: [f64; 10] = [0.001, 0.005, 0.02, 0.1, 0.25, 0.5, 1.0, 2.0, 5.0, 30.0];
@@ -30,12 +31,15 @@
 #[derive(Debug)]
 pub struct Metrics {
     registry: Registry,
+    gauges: Gauges,
     /// Answers to callers by reason and verdict.
     pub answers: Family<AnswerLabels, Counter<u64, AtomicU64>>,
     /// Time to the head of an answer.
     pub answer_seconds: Histogram,
     /// Datagrams that were malformed or not sealed by a peer.
     pub datagrams_dropped: Counter<u64, AtomicU64>,
+    /// Bytes sent in datagrams to other routers, without headers.
+    pub datagram_bytes_sent: Counter<u64, AtomicU64>,
     /// Orders to engines by outcome.
     pub orders: Family<OrderLabels, Counter<u64, AtomicU64>>,
 }
@@ -59,14 +63,24 @@
             "Datagrams that were malformed or not sealed by a peer",
             datagrams_dropped.clone(),
         );
+        let datagram_bytes_sent = Counter::default();
+        registry.register_with_unit(
+            "datagram_sent",
+            "Sent in datagrams to other routers, without headers",
+            Unit::Bytes,
+            datagram_bytes_sent.clone(),
+        );
         let orders = Family::default();
         registry.register("orders", "Orders to engines", orders.clone());
+        let gauges = Gauges::new(&mut registry);
         Metrics {
+            gauges,
             orders,
             registry,
             answers,
             answer_seconds,
             datagrams_dropped,
+            datagram_bytes_sent,
         }
     }
 
@@ -85,8 +99,9 @@
         self.orders.get_or_create(&OrderLabels { outcome }).inc();
     }
 
-    /// Returns the metrics in the OpenMetrics text format.
-    pub fn encode(&self) -> String {
+    /// Returns the metrics of `cx`, which these are, in the OpenMetrics text format.
+    pub fn encode(&self, cx: &Router) -> String {
+        self.gauges.read(cx);
         let mut text = String::new();
         encode(&mut text, &self.registry).expect("writing to a string cannot fail");
         text
--- a/src/inspect/mod.rs
+++ b/src/inspect/mod.rs
@@ -1,6 +1,14 @@
-//! What an operator can see of a router: metrics and the state dump.
+//! What an operator can see of a router: metrics, the state dump, why and where.
 
 mod dump;
+mod explain;
+mod gauges;
 mod metrics;
+mod refusals;
 
-pub use self::{dump::Dump, metrics::Metrics};
+pub use self::{
+    dump::Dump,
+    explain::{explain, Explanation},
+    metrics::Metrics,
+    refusals::{Refusal, Refusals},
+};
--- a/src/router.rs
+++ b/src/router.rs
@@ -19,7 +19,7 @@
     admission::Admission,
     config::{self, Config, Settings},
     http,
-    inspect::Metrics,
+    inspect::{Metrics, Refusals},
     lease::{self, Leases},
     lookup::{Address, Ticket},
     membership::{self, Engine, Membership, Peer, PoolLoad},
@@ -58,7 +58,7 @@
     /// Load of the teams.
     pub admission: Arc<Admission>,
     /// Claims of calls that must not be repeated.
-    pub once: Once,
+    pub once: Arc<Once>,
     /// Leases to order changes to engines.
     pub leases: Leases,
     /// Progress of the pools that this router drives.
@@ -73,6 +73,8 @@
     pub tickets: Sealer,
     /// Metrics.
     pub metrics: Metrics,
+    /// The latest refusals.
+    pub refusals: Refusals,
     next_number: AtomicU64,
 }
 
@@ -86,11 +88,11 @@
             incarnation,
             clock,
             config: Config::default(),
-            membership: Membership::new(settings.name.clone()),
+            membership: Membership::new(settings.name.clone(), incarnation),
             loads: KnownLoads::default(),
             steward: Steward::default(),
             admission: Arc::default(),
-            once: Once::new(),
+            once: Arc::default(),
             leases: Leases::new(),
             orders: Orders::default(),
             platform: Platform::new(
@@ -101,6 +103,7 @@
             peers: Peers::new(settings.name.clone(), incarnation, frames),
             tickets: Sealer::new(&settings.peer_keys, Purpose::Ticket),
             metrics: Metrics::new(),
+            refusals: Refusals::default(),
             next_number: AtomicU64::new(0),
             settings,
         })
@@ -147,7 +150,12 @@
         // An error means that the sender is gone, which is a request to stop as well.
         let _ = stop.wait_for(|stop| *stop).await;
         self.membership.leave();
-        let drained = tokio::time::timeout(self.settings.limits.drain, serving).await;
+        let requests = async {
+            let _ = serving.await;
+            // Their results still have to reach the log.
+            self.once.idle().await;
+        };
+        let drained = tokio::time::timeout(self.settings.limits.drain, requests).await;
         if drained.is_err() {
             log::warn!("requests still in flight at the end of the drain");
         }
@@ -159,12 +167,18 @@
     ///
     /// # Errors
     ///
-    /// Returns [`Category::NotServing`] while the router starts or leaves.
+    /// Returns [`Category::NotServing`] while the router starts, leaves or is isolated.
     pub fn check_serving(&self) -> Result<()> {
-        if self.membership.is_serving() {
+        let isolated = self.membership.is_isolated(self.clock.now());
+        if self.membership.is_serving() && !isolated {
             return Ok(());
         }
-        let message = format!("the router is {}", self.membership.phase());
+        let phase = if isolated {
+            "isolated"
+        } else {
+            self.membership.phase()
+        };
+        let message = format!("the router is {phase}");
         let err = Error::not_run(Category::NotServing, message);
         Err(err.with_retry_after(NOT_SERVING_DELAY))
     }
--- a/stand-in/src/orders.rs
+++ b/stand-in/src/orders.rs
@@ -34,7 +34,7 @@
     versions: BTreeMap<String, Value>,
     hold_ms: u64,
     held: u64,
-    went_back: u64,
+    loads: BTreeMap<String, u64>,
 }
 
 pub struct Orders {
@@ -61,7 +61,7 @@
         json!({
             "versions": state.versions, "role": state.role, "fence": state.fence,
             "checks_fencing": self.checks_fencing, "refused": state.refused,
-            "held": state.held, "went_back": state.went_back,
+            "held": state.held, "loads": state.loads,
         })
     }
 
@@ -95,10 +95,10 @@
             state.refused += 1;
             return web::json(StatusCode::CONFLICT, &json!({ "fence": state.fence }));
         }
-        state.went_back += u64::from(order.fence < state.fence);
         state.fence = state.fence.max(order.fence);
         match order.order.as_str() {
             "load" => {
+                *state.loads.entry(order.version.clone()).or_default() += 1;
                 state
                     .versions
                     .insert(order.version.clone(), json!({ "state": "loading" }));
--- a/tests/orders/frozen.rs
+++ b/tests/orders/frozen.rs
@@ -5,7 +5,7 @@
 use serde_json::{json, Value};
 
 use crate::{
-    moves::{await_holder, await_versions, load, report, unload},
+    moves::{await_holder, await_versions, load, publish_model, report, unload},
     support::{call, dump, wait_until, Fleet},
 };
 
@@ -22,7 +22,7 @@
     let report = report(fleet, engine);
     json!({
         "checks_fencing": report["checks_fencing"], "refused": report["refused"],
-        "went_back": report["went_back"], "versions": report["versions"],
+        "loads": report["loads"], "versions": report["versions"],
     })
 }
 
@@ -31,6 +31,7 @@
     let mut fleet = Fleet::start(1, 3);
     fleet.add_engine(&["--ignores-fencing"]);
     fleet.await_ready();
+    publish_model(&fleet);
     fleet.publish("one", &json!([load("m-1")]));
     await_versions(&fleet, &["m-1"]);
     let holder = await_holder(&fleet);
@@ -49,12 +50,40 @@
     });
     fleet.routers[holder].process.signal(Signal::CONT);
     wait_until("the late orders have arrived", || {
-        report(&fleet, 0)["refused"] == 1 && report(&fleet, 1)["went_back"] == 1
+        report(&fleet, 0)["refused"] == 1 && report(&fleet, 1)["loads"]["m-2"] == 1
     });
     await_versions(&fleet, &["m-1"]);
     wait_until("the frozen router knows that its lease has lapsed", || {
         dump(&fleet.routers[holder]).is_some_and(|state| !state["orders"]["planners"].is_object())
     });
     let shown = json!([counts(&fleet, 0), counts(&fleet, 1)]);
-    expect![[""]].assert_eq(&serde_json::to_string_pretty(&shown).unwrap());
+    expect![[r#"
+        [
+          {
+            "checks_fencing": true,
+            "loads": {
+              "m-1": 1
+            },
+            "refused": 1,
+            "versions": {
+              "m-1": {
+                "state": "warm"
+              }
+            }
+          },
+          {
+            "checks_fencing": false,
+            "loads": {
+              "m-1": 1,
+              "m-2": 1
+            },
+            "refused": 0,
+            "versions": {
+              "m-1": {
+                "state": "warm"
+              }
+            }
+          }
+        ]"#]]
+    .assert_eq(&serde_json::to_string_pretty(&shown).unwrap());
 }
--- a/tests/orders/moves.rs
+++ b/tests/orders/moves.rs
@@ -35,6 +35,13 @@
     holder.expect("a holder")
 }
 
+/// Names the versions that engines may be ordered to load.
+pub fn publish_model(fleet: &Fleet) {
+    let versions = ["m-1", "m-2", "m-broken"];
+    let model = json!({ "op": "put_model", "name": "m", "versions": versions });
+    fleet.publish("model", &json!([model]));
+}
+
 pub fn load(version: &str) -> Value {
     json!({ "op": "load", "pool": "planners", "version": version })
 }
@@ -46,6 +53,7 @@
 #[test]
 fn a_new_version_replaces_the_old_one_within_the_weight_stores_rate() {
     let fleet = Fleet::start_with(&["--weight-loads", "2"], 5, 3);
+    publish_model(&fleet);
     fleet.publish("one", &json!([load("m-1")]));
     await_versions(&fleet, &["m-1"]);
     fleet.publish("two", &json!([load("m-2")]));
@@ -59,6 +67,7 @@
 #[test]
 fn a_failed_load_stops_its_move_and_is_reported() {
     let fleet = Fleet::start_with(&["--weight-loads", "1"], 3, 2);
+    publish_model(&fleet);
     fleet.publish("one", &json!([load("m-1")]));
     await_versions(&fleet, &["m-1"]);
     fleet.publish("two", &json!([load("m-broken"), unload("m-1")]));
@@ -82,6 +91,7 @@
 fn another_router_goes_on_when_the_one_that_drives_a_move_dies() {
     let args = ["--weight-loads", "1", "--weight-load-ms", "2000"];
     let fleet = Fleet::start_with(&args, 4, 3);
+    publish_model(&fleet);
     fleet.publish("one", &json!([load("m-1")]));
     let holder = await_holder(&fleet);
     wait_until("the move has begun", || {
