--- a/tests/inspect/main.rs
+++ b/tests/inspect/main.rs
@@ -187,6 +187,9 @@
         ebonyspur_answer_seconds_count 0
         ebonyspur_datagrams_dropped_total 0
         ebonyspur_datagram_sent_bytes_total 0
+        ebonyspur_peer_sent_bytes_total 0
+        ebonyspur_platform_exchanged_bytes_total 0
+        ebonyspur_peer_connections_refused_total 0
         ebonyspur_orders_total{outcome="accepted"} 1
         ebonyspur_routers 1
         ebonyspur_engines 3
