Name no dead router in lookups, and show what is believed of each

Cause: a router that had died was named to callers until the instance list said so. Before: after 60 s the others still named it; after: they do not once it is dead. A test starts a long answer, stops its router, and sees the answer whole and the router named no more before it has ended; without the rumour of its leaving it is named until the end.

--- a/src/inspect/dump.rs
+++ b/src/inspect/dump.rs
@@ -5,8 +5,9 @@
 use serde::Serialize;
 
 use crate::{
-    config, membership::Engine, DomainName, EngineName, Incarnation, Offset, Router, RouterName,
-    TeamName,
+    config,
+    membership::{Engine, Health, Peer, View},
+    DomainName, EngineName, Incarnation, Offset, Router, RouterName, TeamName,
 };
 
 /// The state of a router as an operator reads it.
@@ -42,7 +43,7 @@
         let view = cx.membership.view();
         let routers = view
             .peers()
-            .map(|peer| (peer.name.clone(), state_name(peer.leaving)));
+            .map(|peer| (peer.name.clone(), state_name(&view, peer)));
         Dump {
             router: cx.settings.name.clone(),
             incarnation: cx.incarnation,
@@ -73,10 +74,11 @@
     }
 }
 
-fn state_name(leaving: bool) -> &'static str {
-    if leaving {
-        "leaving"
-    } else {
-        "live"
+fn state_name(view: &View, peer: &Peer) -> &'static str {
+    match view.standing(&peer.name).health {
+        _ if peer.leaving => "leaving",
+        Health::Alive => "live",
+        Health::Suspect => "suspect",
+        Health::Dead => "dead",
     }
 }
--- a/src/lookup/answer.rs
+++ b/src/lookup/answer.rs
@@ -70,8 +70,9 @@
         address: peer.address,
         domain: peer.domain.clone(),
     };
-    let live = view.peers().filter(|peer| !peer.leaving).map(address);
-    live.chain(std::iter::once(me.clone())).collect()
+    let live = |peer: &&Arc<crate::membership::Peer>| !peer.leaving && !view.is_dead(&peer.name);
+    let others = view.peers().filter(live).map(address);
+    others.chain(std::iter::once(me.clone())).collect()
 }
 
 /// Keeps the first router of each failure domain.
--- a/tests/membership/main.rs
+++ b/tests/membership/main.rs
@@ -1,9 +1,13 @@
 //! Membership: probes, rumours, loads and their cost, on a network in virtual time.
 
+#[path = "../support/mod.rs"]
+mod support;
+
 mod budget;
 mod failure;
 mod isolation;
 mod load;
 mod machine;
 mod network;
+mod processes;
 mod spread;
