--- a/src/relay/request.rs
+++ b/src/relay/request.rs
@@ -1,15 +1,15 @@
 //! Life cycle of a request.
 
-use std::{collections::BTreeSet, sync::Arc};
+use std::{collections::BTreeSet, sync::Arc, time::Duration};
 
 use bytes::Bytes;
 
 use super::{AnswerStream, ChatAnswer, Opening, Sent};
 use crate::{
-    admission::{Applicant, Class, Permit, Waiter},
+    admission::{Applicant, Class, Entry, Fingerprint, Permit, Waiter},
     membership::Engine,
     placement::Hint,
-    steward::Slot,
+    steward::{Limit, Slot},
     Category, ChatId, EngineName, Error, PoolName, RequestId, Result, Router, TeamName,
 };
 
@@ -19,6 +19,12 @@
 /// How many times longer a draft waits for an engine than an interactive request.
 const DRAFT_PATIENCE: u32 = 4;
 
+/// Longest wait for an engine that caches the chat, when another would have to start cold.
+const WARM_WAIT: Duration = Duration::from_millis(1_500);
+
+/// Time between two tries for an engine that caches the chat.
+const WARM_RETRY: Duration = Duration::from_millis(100);
+
 /// Engines without a freed slot that a waiting request asks in one round.
 const ENGINES_PER_ROUND: usize = 4;
 
@@ -39,6 +45,8 @@
     pub attempt: u32,
     /// How soon the answer is needed.
     pub class: Class,
+    /// Tells requests that crash engines from others.
+    pub fingerprint: Fingerprint,
 }
 
 /// The request has been read.
@@ -54,6 +62,7 @@
 /// The request holds a slot on an engine.
 pub struct Placed {
     admitted: Admitted,
+    entry: Entry,
     slot: Slot,
 }
 
@@ -110,6 +119,9 @@
     }
 }
 
+/// A slot, and the leave to use it.
+type Place = (Entry, Slot);
+
 impl Request<Admitted> {
     /// Takes a slot on an engine below its bound, and waits for one if there is none.
     ///
@@ -119,14 +131,35 @@
     /// [`Category::Unavailable`] when no engine is live.
     pub async fn place(self, cx: &Arc<Router>) -> Result<Request<Placed>> {
         if !cx.admission.lines.is_waiting(&self.head.pool) {
-            match try_engines(cx, &self.candidates(cx)?).await {
-                Ok(slot) => return Ok(self.at_slot(slot)),
+            if let Some(place) = self.wait_for_warm(cx).await? {
+                return Ok(self.at_slot(place));
+            }
+            match self.try_engines(cx, &self.candidates(cx)?).await {
+                Ok(place) => return Ok(self.at_slot(place)),
                 Err(err) => log::debug!("request={} waits error=\"{err}\"", self.head.id),
             }
         }
         self.wait_for_slot(cx).await
     }
 
+    /// Waits a little for an engine that caches the chat, while it is at its bound.
+    async fn wait_for_warm(&self, cx: &Arc<Router>) -> Result<Option<Place>> {
+        let deadline = cx.clock.now() + WARM_WAIT;
+        loop {
+            let mut warm = self.candidates(cx)?;
+            warm.retain(|engine| self.head.hint.position(engine).is_some());
+            if warm.is_empty() {
+                return Ok(None);
+            }
+            match self.try_below(cx, &warm, Limit::Bound).await {
+                Ok(place) => return Ok(Some(place)),
+                Err(err) if err.classify() != Category::Overloaded => return Ok(None),
+                Err(_) if cx.clock.now() >= deadline => return Ok(None),
+                Err(_) => tokio::time::sleep(WARM_RETRY).await,
+            }
+        }
+    }
+
     async fn wait_for_slot(self, cx: &Arc<Router>) -> Result<Request<Placed>> {
         let waiter = self.enqueue(cx)?;
         let mut round = 0;
@@ -134,10 +167,10 @@
             let freed = waiter.turn().await?;
             let engines = some_of(&self.candidates(cx)?, &freed, round);
             round += 1;
-            match try_engines(cx, &engines).await {
-                Ok(slot) => {
+            match self.try_engines(cx, &engines).await {
+                Ok(place) => {
                     waiter.placed();
-                    return Ok(self.at_slot(slot));
+                    return Ok(self.at_slot(place));
                 }
                 Err(_) => waiter.pause().await,
             }
@@ -163,23 +196,50 @@
 
     /// Returns the engines that the request may use, the best first.
     fn candidates(&self, cx: &Router) -> Result<Vec<Arc<Engine>>> {
-        let state = cx.config.current();
-        let view = cx.membership.view();
-        let open = |engine: &&Arc<Engine>| {
-            let shut = engine.leaving || state.drained.contains(&engine.name);
-            !shut && !self.stage.failed.contains(&engine.name)
-        };
-        let engines = view.engines(&self.head.pool).filter(open);
-        let ranked = cx.candidates(&self.head.chat, &self.head.hint, engines);
+        let engines = cx.open_engines(&self.head.pool, &self.stage.failed);
+        let ranked = cx.candidates(&self.head.chat, &self.head.hint, &engines);
         if ranked.is_empty() {
             return Err(Error::not_run(Category::Unavailable, "no engine is live"));
         }
         Ok(ranked)
     }
 
-    fn at_slot(self, slot: Slot) -> Request<Placed> {
+    /// Takes a slot on the first of `engines` below the mean, else on the first below its bound.
+    async fn try_engines(&self, cx: &Arc<Router>, engines: &[Arc<Engine>]) -> Result<Place> {
+        match self.try_below(cx, engines, Limit::Mean).await {
+            Ok(place) => Ok(place),
+            Err(_) => self.try_below(cx, engines, Limit::Bound).await,
+        }
+    }
+
+    /// Takes a slot on the first of `engines` that has one and that the request may use.
+    async fn try_below(
+        &self,
+        cx: &Arc<Router>,
+        engines: &[Arc<Engine>],
+        limit: Limit,
+    ) -> Result<Place> {
+        let mut refusal = Error::not_run(Category::Overloaded, "each engine is at its bound");
+        for engine in engines {
+            let now = cx.clock.now();
+            let entry = cx
+                .quarantine
+                .enter(&engine.name, self.head.fingerprint, now);
+            let Some(entry) = entry else {
+                continue;
+            };
+            match Slot::acquire(cx, engine, limit).await {
+                Ok(slot) => return Ok((entry, slot)),
+                Err(err) => refusal = err,
+            }
+        }
+        Err(refusal)
+    }
+
+    fn at_slot(self, (entry, slot): Place) -> Request<Placed> {
         let stage = Placed {
             admitted: self.stage,
+            entry,
             slot,
         };
         Request {
@@ -189,18 +249,6 @@
     }
 }
 
-/// Takes a slot on the first of `engines` that has one.
-async fn try_engines(cx: &Arc<Router>, engines: &[Arc<Engine>]) -> Result<Slot> {
-    let mut refusal = Error::not_run(Category::Overloaded, "each engine is at its bound");
-    for engine in engines {
-        match Slot::acquire(cx, engine).await {
-            Ok(slot) => return Ok(slot),
-            Err(err) => refusal = err,
-        }
-    }
-    Err(refusal)
-}
-
 /// Returns the engines that a waiting request asks: those with freed slots and a few
 /// others, which change from round to round.
 fn some_of(ranked: &[Arc<Engine>], freed: &[EngineName], round: usize) -> Vec<Arc<Engine>> {
@@ -231,7 +279,10 @@
         match self.open(cx, &sent, fresh).await {
             Ok(opening) => Ok(self.at_opening(sent, opening)),
             Err(err) => {
-                sent.note_failure(cx, &err);
+                sent.note_failure(cx, &err).await;
+                let engine = self.stage.slot.engine();
+                let refusing = &cx.membership.refusing;
+                refusing.note_failure(engine, &err, cx.clock.now());
                 Err(self.fail(err))
             }
         }
@@ -281,10 +332,14 @@
         let hint = self.next_hint();
         let holding = Holding {
             _permit: self.stage.placed.admitted.permit,
+            _entry: self.stage.placed.entry,
             _slot: self.stage.placed.slot,
         };
         match self.stage.opening {
-            Opening::Whole(body) => ChatAnswer::Whole { body, hint },
+            Opening::Whole(body) => {
+                cx.quarantine.clear(self.head.fingerprint);
+                ChatAnswer::Whole { body, hint }
+            }
             Opening::Stream(begun) => {
                 let stream = AnswerStream::new(cx, self.stage.sent, *begun, holding);
                 let stream = Box::new(stream);
@@ -297,5 +352,6 @@
 /// The slot and the permit of an answer under way.
 pub(super) struct Holding {
     _permit: Permit,
+    _entry: Entry,
     _slot: Slot,
 }
--- a/tests/membership/main.rs
+++ b/tests/membership/main.rs
@@ -10,4 +10,5 @@
 mod machine;
 mod network;
 mod processes;
+mod reach;
 mod spread;
