--- a/src/inspect/dump.rs
+++ b/src/inspect/dump.rs
@@ -4,10 +4,12 @@
 
 use serde::Serialize;
 
+use super::Refusal;
 use crate::{
     config,
     membership::{Engine, Health, Peer, View},
-    DomainName, EngineName, Incarnation, Offset, Router, RouterName, TeamName,
+    orders::Progress,
+    DomainName, EngineName, Incarnation, Offset, PoolName, Router, RouterName, TeamName,
 };
 
 /// The state of a router as an operator reads it.
@@ -26,6 +28,9 @@
     stewardships: BTreeMap<EngineName, &'static str>,
     admitted: BTreeMap<TeamName, u32>,
     keys_held: usize,
+    leases: BTreeMap<usize, Offset>,
+    orders: BTreeMap<PoolName, Progress>,
+    refusals: Vec<Refusal>,
 }
 
 #[derive(Debug, Serialize)]
@@ -62,6 +67,9 @@
             stewardships: cx.steward.stages(),
             admitted: cx.admission.in_flight(),
             keys_held: cx.once.len(),
+            leases: cx.leases.fences(),
+            orders: cx.orders.progress(),
+            refusals: cx.refusals.latest(),
         }
     }
 }
