Refuse requests of a class that the team may not use

Cause: teams got classes in the configuration, and nothing kept to them.

Change: the front end checks the class of a chat against the team.

Seen failing first: a team with the class draft was answered when it sent an interactive request; now it is refused as unauthorized, "not run", and a team without classes is answered as before.

--- a/src/config/object.rs
+++ b/src/config/object.rs
@@ -4,7 +4,9 @@
 
 use serde::{Deserialize, Serialize};
 
-use crate::{admission::Class, PoolName, ServiceName, TeamName, VersionName};
+use crate::{
+    admission::Class, Category, Error, PoolName, Result, ServiceName, TeamName, VersionName,
+};
 
 /// A team and its part of the fleet.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
@@ -23,6 +25,21 @@
     pub version: Option<VersionName>,
 }
 
+impl Team {
+    /// Checks that the team may send requests of `class`.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`Category::Unauthorized`] when it may not.
+    pub fn check_class(&self, class: Class) -> Result<()> {
+        if self.classes.is_empty() || self.classes.contains(&class) {
+            return Ok(());
+        }
+        let message = format!("team {} may not use this class", self.name);
+        Err(Error::not_run(Category::Unauthorized, message))
+    }
+}
+
 fn one() -> u32 {
     1
 }
--- a/src/http/caller.rs
+++ b/src/http/caller.rs
@@ -160,10 +160,12 @@
     let name = ServiceName::new(&chat_body.model)?;
     let service = find_service(cx, &sender, &name, ServiceKind::Chat)?;
     let chat = head::header::<ChatId>(&req.headers, "ebonyspur-chat")?;
+    let class = head::header::<Class>(&req.headers, "ebonyspur-class")?.unwrap_or_default();
+    cx.config.current().team(&sender.team)?.check_class(class)?;
     let head = Head {
         chat: chat.unwrap_or_else(|| head::fresh_chat(&sender.id)),
         hint: head::header(&req.headers, HINT)?.unwrap_or_default(),
-        class: head::header::<Class>(&req.headers, "ebonyspur-class")?.unwrap_or_default(),
+        class,
         id: sender.id,
         team: sender.team,
         pool: service.pool,
--- a/tests/config/main.rs
+++ b/tests/config/main.rs
@@ -4,6 +4,7 @@
 mod support;
 
 mod checkpoint;
+mod classes;
 mod fleet;
 mod fold;
 mod machine;
