--- a/src/membership/task.rs
+++ b/src/membership/task.rs
@@ -8,6 +8,7 @@
 
 use super::{Datagram, Moment, OwnState, Rumour, Sending, MAX_DATAGRAM, TICK};
 use crate::{
+    admission::Crash,
     peer::{Purpose, Replays, Sealer},
     platform::{Instance, InstanceKind, InstanceState},
     EngineName, Incarnation, Result, Router,
@@ -19,6 +20,9 @@
 /// Pause after a failed read of the instance list or of a socket.
 const RETRY_PAUSE: Duration = Duration::from_millis(500);
 
+/// Bytes of the headers of IP and UDP on a datagram.
+const HEADERS_LEN: usize = 20 + 8;
+
 /// Follows the instance list until the task is dropped.
 pub async fn follow_instances(cx: Arc<Router>) {
     loop {
@@ -80,6 +84,14 @@
         }
     }
 
+    /// Notes that an engine died with a request in flight, and tells the other routers.
+    pub fn engine_crashed(&self, crash: &Crash) {
+        if self.quarantine.accuse(crash, self.clock.now()) {
+            let rumour = Rumour::EngineCrashed(crash.clone());
+            self.membership.gossip().spread(rumour);
+        }
+    }
+
     /// Notes that a life of an engine takes no new work, and tells the other routers.
     pub fn engine_leaves(&self, name: &EngineName, incarnation: Incarnation) {
         let mut gossip = self.membership.gossip();
@@ -93,7 +105,10 @@
 async fn send_all(cx: &Router, socket: &UdpSocket, sealer: &Sealer, due: Vec<Sending>) {
     for Sending { to, datagram } in due {
         match send(socket, sealer, to, &datagram).await {
-            Ok(len) => drop(cx.metrics.datagram_bytes_sent.inc_by(len as u64)),
+            Ok(len) => {
+                let bytes = (len + HEADERS_LEN) as u64;
+                cx.metrics.datagram_bytes_sent.inc_by(bytes);
+            }
             Err(err) => log::debug!("datagram not sent to={to} error=\"{err}\""),
         }
     }
@@ -147,6 +162,11 @@
 
     fn merge_datagram(&self, datagram: &Datagram) -> Vec<Sending> {
         let at = self.moment();
+        for rumour in &datagram.rumours {
+            if let Rumour::EngineCrashed(crash) = rumour {
+                self.engine_crashed(crash);
+            }
+        }
         let mut gossip = self.membership.gossip();
         gossip.receive(&mut self.membership.view(), datagram, at)
     }
