--- a/src/http/operator.rs
+++ b/src/http/operator.rs
@@ -13,9 +13,10 @@
     admin,
     auth::authorize,
     endpoint::{Endpoint, Incoming},
+    head,
     refusal::{json, text},
 };
-use crate::{inspect, Result, Router};
+use crate::{inspect, placement::Hint, Result, Router};
 
 /// Returns the routes for operators.
 pub fn routes(cx: Arc<Router>) -> Routes {
@@ -32,6 +33,9 @@
         route
             .get("/state")
             .to_new_handler(Endpoint::new(&cx, state_dump));
+        route
+            .get("/v1/explain")
+            .to_new_handler(Endpoint::new(&cx, explain));
         admin::add_routes(route, &cx);
     })
 }
@@ -49,10 +53,26 @@
 
 async fn metrics(cx: Arc<Router>, req: Incoming) -> Result<Response<Body>> {
     authorize(&cx, &req.headers)?;
-    Ok(text(StatusCode::OK, cx.metrics.encode()))
+    Ok(text(StatusCode::OK, cx.metrics.encode(&cx)))
 }
 
 async fn state_dump(cx: Arc<Router>, req: Incoming) -> Result<Response<Body>> {
     authorize(&cx, &req.headers)?;
     Ok(json(StatusCode::OK, &inspect::Dump::new(&cx)))
 }
+
+async fn explain(cx: Arc<Router>, req: Incoming) -> Result<Response<Body>> {
+    authorize(&cx, &req.headers)?;
+    let query = head::query(&req.uri);
+    let (team, service) = (
+        head::param(&query, "team")?,
+        head::param(&query, "service")?,
+    );
+    let chat = head::param(&query, "chat")?;
+    let hint = match query.contains_key("hint") {
+        true => head::param(&query, "hint")?,
+        false => Hint::default(),
+    };
+    let explanation = inspect::explain(&cx, &team, &service, &chat, &hint)?;
+    Ok(json(StatusCode::OK, &explanation))
+}
--- a/src/inspect/metrics.rs
+++ b/src/inspect/metrics.rs
@@ -8,7 +8,8 @@
     registry::{Registry, Unit},
 };
 
-use crate::Error;
+use super::gauges::Gauges;
+use crate::{Error, Router};
 
 /// Bounds of the buckets for answer times, in seconds.
 const ANSWER_BUCKETS: [f64; 10] = [0.001, 0.005, 0.02, 0.1, 0.25, 0.5, 1.0, 2.0, 5.0, 30.0];
@@ -20,10 +21,17 @@
     verdict: &'static str,
 }
 
+/// Labels of the order counter.
+#[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
+pub struct OrderLabels {
+    outcome: &'static str,
+}
+
 /// Metrics of a router, by `prometheus-client`.
 #[derive(Debug)]
 pub struct Metrics {
     registry: Registry,
+    gauges: Gauges,
     /// Answers to callers by reason and verdict.
     pub answers: Family<AnswerLabels, Counter<u64, AtomicU64>>,
     /// Time to the head of an answer.
@@ -38,6 +46,8 @@
     pub platform_exchanged: Counter<u64, AtomicU64>,
     /// Connections beyond the limits, of strangers, or with malformed frames.
     pub peer_connections_refused: Counter<u64, AtomicU64>,
+    /// Orders to engines by outcome.
+    pub orders: Family<OrderLabels, Counter<u64, AtomicU64>>,
 }
 
 impl Metrics {
@@ -86,7 +96,12 @@
             "Connections beyond the limits, of strangers, or with malformed frames",
             peer_connections_refused.clone(),
         );
+        let orders = Family::default();
+        registry.register("orders", "Orders to engines", orders.clone());
+        let gauges = Gauges::new(&mut registry);
         Metrics {
+            gauges,
+            orders,
             registry,
             answers,
             answer_seconds,
@@ -107,8 +122,15 @@
         self.answers.get_or_create(&labels).inc();
     }
 
-    /// Returns the metrics in the OpenMetrics text format.
-    pub fn encode(&self) -> String {
+    /// Counts an order to an engine, `None` for one that was accepted.
+    pub fn count_order(&self, err: Option<&Error>) {
+        let outcome = err.map_or("accepted", |err| err.classify().as_str());
+        self.orders.get_or_create(&OrderLabels { outcome }).inc();
+    }
+
+    /// Returns the metrics of `cx`, which these are, in the OpenMetrics text format.
+    pub fn encode(&self, cx: &Router) -> String {
+        self.gauges.read(cx);
         let mut text = String::new();
         encode(&mut text, &self.registry).expect("writing to a string cannot fail");
         text
--- a/src/router.rs
+++ b/src/router.rs
@@ -19,10 +19,12 @@
     admission::{Admission, Quarantine},
     config::{self, Config, Settings},
     http,
-    inspect::Metrics,
+    inspect::{Metrics, Refusals},
+    lease::{self, Leases},
     lookup::{Address, Ticket},
     membership::{self, Engine, Membership},
     once::{self, Once},
+    orders::{self, Orders},
     peer::{self, Peers, Purpose, Sealer},
     placement::{self, Hint, KnownLoads, Preference, Spill, MAX_RANKS},
     platform::Platform,
@@ -61,6 +63,10 @@
     pub quarantine: Arc<Quarantine>,
     /// Claims of calls that must not be repeated.
     pub once: Arc<Once>,
+    /// Leases to order changes to engines.
+    pub leases: Leases,
+    /// Progress of the pools that this router drives.
+    pub orders: Orders,
     /// Clients of the platform.
     pub platform: Platform,
     /// Clients of the backend servers.
@@ -71,6 +77,8 @@
     pub tickets: Sealer,
     /// Metrics.
     pub metrics: Metrics,
+    /// The latest refusals.
+    pub refusals: Refusals,
     next_number: AtomicU64,
 }
 
@@ -93,6 +101,8 @@
             admission: Arc::default(),
             quarantine: Arc::default(),
             once: Arc::default(),
+            leases: Leases::new(),
+            orders: Orders::default(),
             platform: Platform::new(
                 &settings.platform,
                 settings.log.as_ref().unwrap_or(&settings.platform),
@@ -102,6 +112,7 @@
             peers: peers.with_counter(metrics.peer_sent.clone()),
             tickets: Sealer::new(&settings.peer_keys, Purpose::Ticket),
             metrics,
+            refusals: Refusals::default(),
             next_number: AtomicU64::new(0),
             settings,
         })
@@ -134,6 +145,11 @@
             tasks.spawn(once::tail(self.clone(), partition));
         }
 
+        for group in 0..lease::GROUPS {
+            tasks.spawn(lease::contend(self.clone(), group, stop.clone()));
+            tasks.spawn(orders::drive(self.clone(), group));
+        }
+
         let limits = self.settings.limits.clone();
         let routes = http::operator_routes(self.clone());
         // Operators are answered until the very end.
