--- a/src/relay/mod.rs
+++ b/src/relay/mod.rs
@@ -8,6 +8,7 @@
 mod chat;
 mod event;
 mod keyed;
+mod probe;
 mod request;
 mod sent;
 mod sequence;
