--- a/stand-in/src/caller.rs
+++ b/stand-in/src/caller.rs
@@ -46,6 +46,9 @@
     /// Percentage of requests that are bookings.
     #[arg(long, default_value_t = 20)]
     bookings: u32,
+    /// Sends bookings without a key, which are then not claimed.
+    #[arg(long)]
+    keyless: bool,
     /// Tokens of an answer.
     #[arg(long, default_value_t = 8)]
     tokens: u64,
@@ -71,6 +74,7 @@
     broken: u64,
     reasons: HashMap<String, u64>,
     first_token_us: Histogram<u64>,
+    booking_us: Histogram<u64>,
 }
 
 struct Caller {
@@ -103,6 +107,7 @@
             broken: 0,
             reasons: HashMap::new(),
             first_token_us: Histogram::new_with_max(60_000_000, 3).expect("three digits"),
+            booking_us: Histogram::new_with_max(60_000_000, 3).expect("three digits"),
         }),
         hints: Mutex::default(),
         addresses: Mutex::default(),
@@ -309,7 +314,16 @@
             "http://{address}/v1/services/{}/bookings",
             self.args.service
         );
-        let answer = web::call(&self.http, "POST", &url, &headers, String::new()).await;
+        let headers = match self.args.keyless {
+            true => &headers[..2],
+            false => &headers[..],
+        };
+        let started = Instant::now();
+        let answer = web::call(&self.http, "POST", &url, headers, String::new()).await;
+        let micros = started.elapsed().as_micros() as u64;
+        let mut report = self.report.lock().unwrap();
+        report.booking_us.saturating_record(micros);
+        drop(report);
         match answer {
             Err(err) => Outcome::Broken(err),
             Ok((status, _)) if !status.is_success() => Outcome::Refused(status.to_string()),
@@ -326,6 +340,7 @@
     fn summary(&self, doubled: u64) -> Value {
         let report = self.report.lock().unwrap();
         let millis = |quantile| report.first_token_us.value_at_quantile(quantile) as f64 / 1_000.0;
+        let booking = |quantile| report.booking_us.value_at_quantile(quantile) as f64 / 1_000.0;
         let mut skews = self.skews.lock().unwrap().clone();
         skews.sort_by(f64::total_cmp);
         let skew = skews.get(skews.len() * 99 / 100).copied().unwrap_or(0.0);
@@ -337,6 +352,7 @@
             "cache_reuse": (reuse * 1_000.0).round() / 1_000.0,
             "skew": (skew * 100.0).round() / 100.0,
             "first_token_ms": { "p50": millis(0.5), "p99": millis(0.99) },
+            "booking_ms": { "p50": booking(0.5), "p99": booking(0.99) },
         })
     }
 }
@@ -371,5 +387,7 @@
             *runs.entry(key.clone()).or_default() += count.as_u64().unwrap_or(0);
         }
     }
+    // Bookings without a key share the empty one.
+    runs.remove("");
     runs.values().filter(|count| **count > 1).count() as u64
 }
--- a/stand-in/src/platform.rs
+++ b/stand-in/src/platform.rs
@@ -68,7 +68,7 @@
     faults: Mutex<Faults>,
     streams: Mutex<HashMap<String, Stream>>,
     instances: Mutex<Instances>,
-    append_turn: AsyncMutex<()>,
+    append_turn: AsyncMutex<u64>,
     changed: watch::Sender<u64>,
 }
 
@@ -79,7 +79,7 @@
         faults: Mutex::default(),
         streams: Mutex::default(),
         instances: Mutex::default(),
-        append_turn: AsyncMutex::new(()),
+        append_turn: AsyncMutex::new(0),
         changed: watch::Sender::new(0),
     });
     tokio::spawn(expire(platform.clone()));
@@ -96,6 +96,7 @@
             platform.change(name, None);
             Ok(json!({}))
         }
+        ("GET", ["appends"]) => Ok(json!(*platform.append_turn.lock().await)),
         ("POST", ["faults"]) => req.json().map(|faults| {
             *platform.faults.lock().unwrap() = faults;
             json!({})
@@ -122,7 +123,8 @@
 async fn append(platform: &Platform, req: &Req, stream: &str) -> Answer {
     platform.log_faults().await?;
     let append: Append = req.json()?;
-    let turn = platform.append_turn.lock().await;
+    let mut turn = platform.append_turn.lock().await;
+    *turn += 1;
     let pause = Duration::from_secs(1) / platform.args.appends_per_second;
     tokio::time::sleep(pause).await;
     let offsets = platform.push(stream, append.entries);
