--- a/src/http/caller.rs
+++ b/src/http/caller.rs
@@ -119,7 +119,7 @@
 async fn post_chat(cx: Arc<Router>, req: Incoming) -> Result<Response<Body>> {
     let (subject, sender) = identify(&req.headers)?;
     let answer = answer_chat(&cx, sender, req).await;
-    answer.map_err(|err| subject.refusal(err.with_verdict_at_least(subject.floor)))
+    answer.map_err(|err| subject.refusal(&cx, err.with_verdict_at_least(subject.floor)))
 }
 
 /// What a refusal is about, kept while the request is on its way.
@@ -142,10 +142,11 @@
 }
 
 impl Subject {
-    /// Logs a refusal with the verdict that the caller sees.
-    fn refusal(&self, err: Error) -> Error {
+    /// Logs and keeps a refusal with the verdict that the caller sees.
+    fn refusal(&self, cx: &Router, err: Error) -> Error {
         let (id, team, verdict) = (&self.id, &self.team, err.verdict());
         log::info!("request refused request={id} team={team} verdict={verdict} error=\"{err}\"");
+        cx.refusals.note(id, team, &err, cx.clock.wall());
         err
     }
 }
@@ -239,9 +240,10 @@
 async fn call_service(cx: Arc<Router>, req: Incoming) -> Result<Response<Body>> {
     let (subject, sender) = identify(&req.headers)?;
     let call = read_call(&cx, subject.floor, sender, req).await;
-    let call = call.map_err(|err| subject.refusal(err.with_verdict_at_least(subject.floor)))?;
+    let call =
+        call.map_err(|err| subject.refusal(&cx, err.with_verdict_at_least(subject.floor)))?;
     let answer = relay::call_service(&cx, call).await;
-    let answer = answer.map_err(|err| subject.refusal(err))?;
+    let answer = answer.map_err(|err| subject.refusal(&cx, err))?;
     Ok(encode_answer(answer))
 }
 
--- a/src/peer/message.rs
+++ b/src/peer/message.rs
@@ -4,7 +4,10 @@
 
 use crate::{
     config::{ConfigHead, ConfigPart, ConfigSince},
-    steward::{GrantReply, GrantRequest, ReleaseRequest},
+    steward::{
+        GrantReply, GrantRequest, HandOver, HandOverRequest, ReleaseRequest, RenewReply,
+        RenewRequest,
+    },
     Incarnation, Offset, RouterName,
 };
 
@@ -30,6 +33,10 @@
     ConfigSince(ConfigSince),
     /// Asks for the state dump.
     Dump,
+    /// Lists the grants held.
+    Renew(RenewRequest),
+    /// Asks for the book of an engine.
+    HandOver(HandOverRequest),
 }
 
 /// The answer to a [`Request`] as carried on the wire.
@@ -45,6 +52,10 @@
     ConfigPart(ConfigPart),
     /// Answer to [`Request::Dump`], as JSON text.
     Dump(String),
+    /// Answer to [`Request::Renew`].
+    Renew(RenewReply),
+    /// Answer to [`Request::HandOver`].
+    HandOver(Option<HandOver>),
 }
 
 /// A typed call: what it asks and what it is answered with.
--- a/src/platform/mod.rs
+++ b/src/platform/mod.rs
@@ -1,16 +1,22 @@
-//! Clients of the platform: the log service and the instance list.
+//! Clients of the platform: the log service, the instance list, the weight store.
 //!
 //! Every operation has a deadline, and every error says whether it may have
 //! taken effect.
 
+use std::sync::atomic::AtomicU64;
+
+use prometheus_client::metrics::counter::Counter;
+
 mod client;
 mod instance;
 mod log;
+mod weights;
 
 pub use self::{
     client::JsonClient,
     instance::{Instance, InstanceChanges, InstanceKind, InstanceList, InstanceState},
     log::{Entry, LogService, Page},
+    weights::{WeightStore, WeightUse},
 };
 
 /// The platform's services as this router reaches them.
@@ -20,14 +26,20 @@
     pub log: LogService,
     /// The instance list.
     pub instances: InstanceList,
+    /// The weight store.
+    pub weights: WeightStore,
 }
 
 impl Platform {
     /// Creates clients for the platform at `base` and its log service at `log`.
-    pub fn new(base: &http::Uri, log: &http::Uri) -> Self {
+    ///
+    /// The bytes of paths and bodies are counted in `bytes`.
+    pub fn new(base: &http::Uri, log: &http::Uri, bytes: &Counter<u64, AtomicU64>) -> Self {
+        let client = |base| JsonClient::new(base).with_counter(bytes.clone());
         Platform {
-            log: LogService::new(JsonClient::new(log)),
-            instances: InstanceList::new(JsonClient::new(base)),
+            log: LogService::new(client(log)),
+            instances: InstanceList::new(client(base)),
+            weights: WeightStore::new(client(base)),
         }
     }
 }
--- a/src/relay/request.rs
+++ b/src/relay/request.rs
@@ -1,6 +1,6 @@
 //! Life cycle of a request.
 
-use std::{collections::BTreeSet, sync::Arc};
+use std::{collections::BTreeSet, sync::Arc, time::Duration};
 
 use bytes::Bytes;
 
@@ -9,7 +9,7 @@
     admission::{Applicant, Class, Entry, Fingerprint, Permit, Waiter},
     membership::Engine,
     placement::Hint,
-    steward::Slot,
+    steward::{Limit, Slot},
     Category, ChatId, EngineName, Error, PoolName, RequestId, Result, Router, TeamName,
 };
 
@@ -19,6 +19,12 @@
 /// How many times longer a draft waits for an engine than an interactive request.
 const DRAFT_PATIENCE: u32 = 4;
 
+/// Longest wait for an engine that caches the chat, when another would have to start cold.
+const WARM_WAIT: Duration = Duration::from_millis(1_500);
+
+/// Time between two tries for an engine that caches the chat.
+const WARM_RETRY: Duration = Duration::from_millis(100);
+
 /// Engines without a freed slot that a waiting request asks in one round.
 const ENGINES_PER_ROUND: usize = 4;
 
@@ -125,6 +131,9 @@
     /// [`Category::Unavailable`] when no engine is live.
     pub async fn place(self, cx: &Arc<Router>) -> Result<Request<Placed>> {
         if !cx.admission.lines.is_waiting(&self.head.pool) {
+            if let Some(place) = self.wait_for_warm(cx).await? {
+                return Ok(self.at_slot(place));
+            }
             match self.try_engines(cx, &self.candidates(cx)?).await {
                 Ok(place) => return Ok(self.at_slot(place)),
                 Err(err) => log::debug!("request={} waits error=\"{err}\"", self.head.id),
@@ -133,6 +142,24 @@
         self.wait_for_slot(cx).await
     }
 
+    /// Waits a little for an engine that caches the chat, while it is at its bound.
+    async fn wait_for_warm(&self, cx: &Arc<Router>) -> Result<Option<Place>> {
+        let deadline = cx.clock.now() + WARM_WAIT;
+        loop {
+            let mut warm = self.candidates(cx)?;
+            warm.retain(|engine| self.head.hint.position(engine).is_some());
+            if warm.is_empty() {
+                return Ok(None);
+            }
+            match self.try_below(cx, &warm, Limit::Bound).await {
+                Ok(place) => return Ok(Some(place)),
+                Err(err) if err.classify() != Category::Overloaded => return Ok(None),
+                Err(_) if cx.clock.now() >= deadline => return Ok(None),
+                Err(_) => tokio::time::sleep(WARM_RETRY).await,
+            }
+        }
+    }
+
     async fn wait_for_slot(self, cx: &Arc<Router>) -> Result<Request<Placed>> {
         let waiter = self.enqueue(cx)?;
         let mut round = 0;
@@ -177,8 +204,21 @@
         Ok(ranked)
     }
 
-    /// Takes a slot on the first of `engines` that has one and that the request may use.
+    /// Takes a slot on the first of `engines` below the mean, else on the first below its bound.
     async fn try_engines(&self, cx: &Arc<Router>, engines: &[Arc<Engine>]) -> Result<Place> {
+        match self.try_below(cx, engines, Limit::Mean).await {
+            Ok(place) => Ok(place),
+            Err(_) => self.try_below(cx, engines, Limit::Bound).await,
+        }
+    }
+
+    /// Takes a slot on the first of `engines` that has one and that the request may use.
+    async fn try_below(
+        &self,
+        cx: &Arc<Router>,
+        engines: &[Arc<Engine>],
+        limit: Limit,
+    ) -> Result<Place> {
         let mut refusal = Error::not_run(Category::Overloaded, "each engine is at its bound");
         for engine in engines {
             let now = cx.clock.now();
@@ -188,7 +228,7 @@
             let Some(entry) = entry else {
                 continue;
             };
-            match Slot::acquire(cx, engine).await {
+            match Slot::acquire(cx, engine, limit).await {
                 Ok(slot) => return Ok((entry, slot)),
                 Err(err) => refusal = err,
             }
@@ -241,9 +281,8 @@
             Err(err) => {
                 sent.note_failure(cx, &err).await;
                 let engine = self.stage.slot.engine();
-                cx.membership
-                    .refusing
-                    .note_failure(engine, &err, cx.clock.now());
+                let refusing = &cx.membership.refusing;
+                refusing.note_failure(engine, &err, cx.clock.now());
                 Err(self.fail(err))
             }
         }
--- a/src/router.rs
+++ b/src/router.rs
@@ -19,16 +19,18 @@
     admission::{Admission, Quarantine},
     config::{self, Config, Settings},
     http,
-    inspect::Metrics,
+    inspect::{Metrics, Refusals},
+    lease::{self, Leases},
     lookup::{Address, Ticket},
-    membership::{self, Engine, Membership, Peer, PoolLoad},
+    membership::{self, Engine, Membership},
     once::{self, Once},
+    orders::{self, Orders},
     peer::{self, Peers, Purpose, Sealer},
     placement::{self, Hint, KnownLoads, Preference, Spill, MAX_RANKS},
     platform::Platform,
     relay::Backends,
-    steward::{self, GrantId, Steward},
-    Category, ChatId, Clock, EngineName, Error, Incarnation, PoolName, RequestId, Result,
+    steward::{self, HeldGrants, Steward},
+    Category, ChatId, Clock, Error, Incarnation, RequestId, Result,
 };
 
 /// Delay proposed to a caller of a router that does not serve.
@@ -53,12 +55,18 @@
     pub loads: KnownLoads,
     /// Grants on the engines that this router counts.
     pub steward: Steward,
+    /// Grants that this router holds.
+    pub held: HeldGrants,
     /// Load of the teams.
     pub admission: Arc<Admission>,
     /// Requests that crashed engines.
     pub quarantine: Arc<Quarantine>,
     /// Claims of calls that must not be repeated.
     pub once: Arc<Once>,
+    /// Leases to order changes to engines.
+    pub leases: Leases,
+    /// Progress of the pools that this router drives.
+    pub orders: Orders,
     /// Clients of the platform.
     pub platform: Platform,
     /// Clients of the backend servers.
@@ -69,6 +77,8 @@
     pub tickets: Sealer,
     /// Metrics.
     pub metrics: Metrics,
+    /// The latest refusals.
+    pub refusals: Refusals,
     next_number: AtomicU64,
 }
 
@@ -87,17 +97,22 @@
             membership: Membership::new(settings.name.clone(), incarnation),
             loads: KnownLoads::default(),
             steward: Steward::default(),
+            held: HeldGrants::default(),
             admission: Arc::default(),
             quarantine: Arc::default(),
             once: Arc::default(),
+            leases: Leases::new(),
+            orders: Orders::default(),
             platform: Platform::new(
                 &settings.platform,
                 settings.log.as_ref().unwrap_or(&settings.platform),
+                &metrics.platform_exchanged,
             ),
             backends: Backends::new(&settings.limits),
             peers: peers.with_counter(metrics.peer_sent.clone()),
             tickets: Sealer::new(&settings.peer_keys, Purpose::Ticket),
             metrics,
+            refusals: Refusals::default(),
             next_number: AtomicU64::new(0),
             settings,
         })
@@ -122,12 +137,19 @@
         tasks.spawn(membership::follow_instances(self.clone()));
         tasks.spawn(membership::gossip(self.clone(), datagrams.clone()));
         tasks.spawn(membership::receive(self.clone(), datagrams));
+        tasks.spawn(steward::keep_engines(self.clone()));
+        tasks.spawn(steward::renew_grants(self.clone()));
         tasks.spawn(peer::serve(self.clone(), peers));
         for partition in 0..once::PARTITIONS {
             tasks.spawn(once::append_batches(self.clone(), partition));
             tasks.spawn(once::tail(self.clone(), partition));
         }
 
+        for group in 0..lease::GROUPS {
+            tasks.spawn(lease::contend(self.clone(), group, stop.clone()));
+            tasks.spawn(orders::drive(self.clone(), group));
+        }
+
         let limits = self.settings.limits.clone();
         let routes = http::operator_routes(self.clone());
         // Operators are answered until the very end.
@@ -172,15 +194,6 @@
         Err(err.with_retry_after(NOT_SERVING_DELAY))
     }
 
-    /// Returns the steward of `engine`, or `None` when it is this router.
-    pub fn steward_of(&self, engine: &EngineName) -> Option<Arc<Peer>> {
-        let view = self.membership.view();
-        let name = placement::first(engine.as_str(), view.duty_routers())?;
-        view.peer(name)
-            .filter(|peer| peer.name != self.settings.name)
-            .cloned()
-    }
-
     /// Returns the engines to try for `chat`, the best first.
     pub fn candidates<'a>(
         &self,
@@ -199,22 +212,9 @@
         placement::preferred(chat.as_str(), hint, engines, &pref)
     }
 
-    /// Returns the load bound of the engines of `pool`.
-    pub fn bound(&self, pool: &PoolName) -> u32 {
-        let state = self.config.current();
-        let factor = state.pools.get(pool).map(|pool| pool.load_factor);
-        let own = self.steward.loads().get(pool).copied().unwrap_or_default();
-        let view = self.membership.view();
-        let load = PoolLoad {
-            in_flight: own.in_flight + view.reported_load(pool).in_flight,
-            engines: view.engines(pool).filter(|engine| !engine.leaving).count() as u32,
-        };
-        steward::load_bound(load, factor.unwrap_or(config::DEFAULT_LOAD_FACTOR))
-    }
-
-    /// Returns the number for the next grant or claim of this life.
-    pub fn next_grant(&self) -> GrantId {
-        GrantId(self.next_number.fetch_add(1, Ordering::Relaxed))
+    /// Returns the number for the next claim of this life.
+    pub fn next_nonce(&self) -> u64 {
+        self.next_number.fetch_add(1, Ordering::Relaxed)
     }
 
     /// Returns an id for a request that brings none.
