--- a/src/relay/sent.rs
+++ b/src/relay/sent.rs
@@ -1,14 +1,13 @@
 //! A chat request as it is sent to its engine, and sent again to resume its answer.
 
-use std::{io, sync::Arc};
+use std::sync::Arc;
 
 use bytes::Bytes;
 use http::{header::CONTENT_TYPE, HeaderName, Response};
 use http_body_util::Full;
 use hyper::body::Incoming;
-use tokio::net::TcpStream;
 
-use super::{backend::url, request::REQUEST_ID, Head};
+use super::{backend::url, probe, request::REQUEST_ID, Head};
 use crate::{
     admission::{Class, Crash},
     membership::Engine,
@@ -93,12 +92,7 @@
         if !self.engine_is_live(cx) {
             return true;
         }
-        let connect = TcpStream::connect(self.engine.address);
-        let refused = |err: io::Error| err.kind() == io::ErrorKind::ConnectionRefused;
-        match tokio::time::timeout(cx.settings.limits.connect, connect).await {
-            Ok(connected) => connected.is_err_and(refused),
-            Err(_) => false,
-        }
+        probe::has_ended(self.engine.address, cx.settings.limits.connect).await
     }
 
     fn message(&self, last: Option<u64>) -> Result<http::Request<Full<Bytes>>> {
--- a/stand-in/src/platform.rs
+++ b/stand-in/src/platform.rs
@@ -82,8 +82,8 @@
     faults: Mutex<Faults>,
     streams: Mutex<HashMap<String, Stream>>,
     instances: Mutex<Instances>,
+    append_turn: AsyncMutex<u64>,
     weights: Mutex<Weights>,
-    append_turn: AsyncMutex<()>,
     changed: watch::Sender<u64>,
 }
 
@@ -94,8 +94,8 @@
         faults: Mutex::default(),
         streams: Mutex::default(),
         instances: Mutex::default(),
+        append_turn: AsyncMutex::new(0),
         weights: Mutex::default(),
-        append_turn: AsyncMutex::new(()),
         changed: watch::Sender::new(0),
     });
     tokio::spawn(expire(platform.clone()));
@@ -112,6 +112,7 @@
             platform.change(name, None);
             Ok(json!({}))
         }
+        ("GET", ["appends"]) => Ok(json!(*platform.append_turn.lock().await)),
         ("GET", ["v1", "weights"]) => Ok(weight_use(&platform)),
         ("POST", ["v1", "weights", version]) => load_weights(&platform, version).await,
         ("POST", ["faults"]) => req.json().map(|faults| {
@@ -140,7 +141,8 @@
 async fn append(platform: &Platform, req: &Req, stream: &str) -> Answer {
     platform.log_faults().await?;
     let append: Append = req.json()?;
-    let turn = platform.append_turn.lock().await;
+    let mut turn = platform.append_turn.lock().await;
+    *turn += 1;
     let pause = Duration::from_secs(1) / platform.args.appends_per_second;
     tokio::time::sleep(pause).await;
     let offsets = platform.push(stream, append.entries);
