Settle a steward only on complete knowledge; spread lookups over all routers

Change: only a grant renewed after a report counts as running in it; a take-over waits for a report, however long; a hand-over says whether it is complete. The windows that remain are tested in tests/steward/window.rs. Lookup fills up to three routers when there are fewer domains, and ignores leaving engines.

--- a/examples/policy/main.rs
+++ b/examples/policy/main.rs
@@ -4,6 +4,7 @@
 //! same figures.
 
 mod engines;
+mod known;
 mod policy;
 mod report;
 mod trace;
--- a/examples/policy/policy.rs
+++ b/examples/policy/policy.rs
@@ -88,7 +88,7 @@
     name: "ebonyspur",
     choice: Choice::Bounded,
     memory: Memory::Hint(3),
-    spill: Spill::RankThenLoad,
+    spill: Spill::NextRank,
     ranks: MAX_RANKS,
     source: Source::Replies,
     wait: 1_500_000,
@@ -148,8 +148,8 @@
         ..EBONYSPUR
     },
     Policy {
-        name: "spill_next_rank",
-        spill: Spill::NextRank,
+        name: "spill_rank_then_load",
+        spill: Spill::RankThenLoad,
         ..EBONYSPUR
     },
     Policy {
@@ -164,16 +164,19 @@
     },
     Policy {
         name: "loads_by_sums",
+        spill: Spill::LeastLoaded,
         source: Source::Sums,
         ..EBONYSPUR
     },
     Policy {
         name: "loads_by_gossip",
+        spill: Spill::LeastLoaded,
         source: Source::Gossip,
         ..EBONYSPUR
     },
     Policy {
         name: "loads_exact",
+        spill: Spill::LeastLoaded,
         source: Source::Exact,
         ..EBONYSPUR
     },
@@ -229,11 +232,13 @@
     },
     Policy {
         name: "failure_penalty_1",
+        spill: Spill::LeastLoaded,
         penalty: 1,
         ..EBONYSPUR
     },
     Policy {
         name: "failure_penalty_4",
+        spill: Spill::LeastLoaded,
         penalty: 4,
         ..EBONYSPUR
     },
--- a/examples/policy/world.rs
+++ b/examples/policy/world.rs
@@ -8,7 +8,7 @@
 
 use ebonyspur::{
     membership::{Engine, PoolLoad},
-    placement::{self, Directory, Hint, KnownLoads, Preference, Spill},
+    placement::{self, Directory, Hint, Preference, Spill},
     steward::{
         cautious_factor, load_bound, GrantId, GrantReply, HandOver, Holder, LoadFloor, Steward,
     },
@@ -19,6 +19,7 @@
 
 use super::{
     engines::{Sim, SAMPLE, SPLIT},
+    known::KnownLoads,
     policy::{Choice, Mean, Memory, Policy, Source},
     report::Report,
     trace::{Churn, Turn, SECOND},
@@ -234,9 +235,8 @@
         };
         let mut warm_first = tried.to_vec();
         if self.policy.warm_by_load {
-            let loads = self.known[router].lock();
-            let now = Instant::from_micros(self.now);
-            let load = |at: &usize| loads.get(&self.sims[*at].engine, now).unwrap_or(0);
+            let loads = &self.known[router];
+            let load = |at: &usize| loads.get(&self.sims[*at].engine, self.now).unwrap_or(0);
             warm_first[..warm].sort_by_key(load);
         }
         let tried = &warm_first;
@@ -327,10 +327,9 @@
     }
 
     fn preferred(&self, router: usize, chat: u32, seen: &[usize], spill: Spill) -> Vec<usize> {
-        let known = self.known[router].lock();
-        let now = Instant::from_micros(self.now);
+        let known = &self.known[router];
         let heard = |engine: &Engine| match self.policy.source {
-            Source::Replies => known.get(engine, now),
+            Source::Replies => known.get(engine, self.now),
             Source::Sums => Some(self.sum_of_steward(self.find(engine), seen)),
             Source::Gossip => Some(self.sims[self.find(engine)].load_at(self.heard())),
             Source::Exact => Some(self.sims[self.find(engine)].in_flight),
@@ -425,12 +424,13 @@
                 incarnation: engine.incarnation,
                 holders: Vec::new(),
                 unattributed: 0,
+                complete: true,
             };
             self.steward.accept(&engine.name, book, now);
         }
         let reply = self.steward.grant(&engine, self.holder(grant), bound, now);
         let in_flight = self.sims[at].in_flight;
-        self.known[router].lock().note(&engine.name, in_flight, now);
+        self.known[router].note(&engine.name, in_flight, self.now);
         reply == GrantReply::Granted
     }
 
--- a/src/lookup/answer.rs
+++ b/src/lookup/answer.rs
@@ -48,7 +48,8 @@
         hint: &placement::Hint,
     ) -> Result<Answer> {
         let routers = routers(view, me);
-        let engines: Vec<_> = view.engines(&service.pool).cloned().collect();
+        let open = view.engines(&service.pool).filter(|engine| !engine.leaving);
+        let engines: Vec<_> = open.cloned().collect();
         let engine = placement::candidates(chat.as_str(), hint, &engines)
             .into_iter()
             .next();
@@ -74,14 +75,19 @@
     live.chain(std::iter::once(me.clone())).collect()
 }
 
-/// Keeps the first router of each failure domain.
+/// Keeps the first router of each failure domain, and fills up with others when there are
+/// fewer domains than addresses in an answer.
 fn spread(ranked: Vec<Address>) -> Vec<Address> {
     let mut chosen: Vec<Address> = Vec::new();
+    let mut others = Vec::new();
     for address in ranked {
-        let taken = chosen.iter().any(|other| other.domain == address.domain);
-        if !taken && chosen.len() < MAX_ADDRESSES {
+        if chosen.iter().any(|other| other.domain == address.domain) {
+            others.push(address);
+        } else {
             chosen.push(address);
         }
     }
+    chosen.extend(others);
+    chosen.truncate(MAX_ADDRESSES);
     chosen
 }
--- a/src/placement/mod.rs
+++ b/src/placement/mod.rs
@@ -1,8 +1,7 @@
-//! Chooses the engine for a chat: hints first, then the first ranks by load.
+//! Chooses the engine for a chat: hints first, then the first ranks.
 
 mod directory;
 mod hint;
-mod load;
 mod preferred;
 mod rank;
 mod score;
@@ -10,7 +9,6 @@
 pub use self::{
     directory::Directory,
     hint::{Hint, HintEntry, MAX_HINT_ENTRIES},
-    load::{KnownLoads, LOAD_VALIDITY},
     preferred::{preferred, Preference, Spill, MAX_RANKS},
     rank::{first, order, score},
 };
--- a/src/router.rs
+++ b/src/router.rs
@@ -24,7 +24,7 @@
     membership::{self, Engine, Membership},
     once::{self, Once},
     peer::{self, Peers, Purpose, Sealer},
-    placement::{self, Hint, KnownLoads, Preference, Spill, MAX_RANKS},
+    placement::{self, Hint, Preference, Spill, MAX_RANKS},
     platform::Platform,
     relay::Backends,
     steward::{self, HeldGrants, Steward},
@@ -49,8 +49,6 @@
     pub config: Config,
     /// Routers and engines known.
     pub membership: Membership,
-    /// Loads of engines that other routers count.
-    pub loads: KnownLoads,
     /// Grants on the engines that this router counts.
     pub steward: Steward,
     /// Grants that this router holds.
@@ -83,7 +81,6 @@
             clock,
             config: Config::default(),
             membership: Membership::new(settings.name.clone()),
-            loads: KnownLoads::default(),
             steward: Steward::default(),
             held: HeldGrants::default(),
             admission: Arc::default(),
@@ -163,13 +160,10 @@
         hint: &Hint,
         engines: impl IntoIterator<Item = &'a Arc<Engine>>,
     ) -> Vec<Arc<Engine>> {
-        let now = self.clock.now();
-        let loads = self.loads.lock();
-        let load = |engine: &Engine| loads.get(engine, now);
         let pref = Preference {
             ranks: MAX_RANKS,
-            spill: Spill::RankThenLoad,
-            load: &load,
+            spill: Spill::NextRank,
+            load: &|_| None,
         };
         placement::preferred(chat.as_str(), hint, engines, &pref)
     }
--- a/src/steward/book.rs
+++ b/src/steward/book.rs
@@ -16,6 +16,9 @@
 /// Longest time from a grant until the engine has the request.
 pub const DISPATCH_TIME: Duration = Duration::from_secs(1);
 
+/// Time within which each live holder renews its grants.
+const RENEWED_WITHIN: Duration = Duration::from_secs(6);
+
 /// How long a holder may be silent before its grants lose their holder.
 pub const HOLDER_TIMEOUT: Duration = Duration::from_secs(15);
 
@@ -66,6 +69,8 @@
     covered_from: Instant,
     /// When grants ended lately; the oldest first.
     ended: VecDeque<Instant>,
+    /// A report that waits until each holder has renewed its grants after it.
+    pending: Option<(u32, Instant)>,
 }
 
 impl Book {
@@ -76,7 +81,7 @@
                 self.put(holder, now);
             }
         }
-        self.unattributed = unattributed;
+        self.unattributed = self.unattributed.max(unattributed);
         self.covered_from = now + REPORT_LAG + DISPATCH_TIME;
     }
 
@@ -174,17 +179,36 @@
         while self.ended.front().is_some_and(|at| now.since(*at) > recent) {
             self.ended.pop_front();
         }
-        let long_held = |grant: &&Grant| now.since(grant.granted) > recent;
-        let surely = self.grants.values().filter(long_held).count() as u32;
-        let possibly = (self.grants.len() + self.ended.len()) as u32;
         if now >= self.covered_from {
-            let most = in_flight.saturating_sub(surely);
-            self.unattributed = self.unattributed.min(most);
+            self.unattributed = self.unattributed.min(in_flight);
         }
+        self.compare_pending(in_flight, now);
+        let possibly = (self.grants.len() + self.ended.len()) as u32;
         let least = in_flight.saturating_sub(possibly);
         self.unattributed = self.unattributed.max(least);
     }
 
+    /// Subtracts the grants that were surely running from the pending report.
+    ///
+    /// A release may be lost, so only a renewal after the report proves that a grant was
+    /// running when it was made.
+    fn compare_pending(&mut self, in_flight: u32, now: Instant) {
+        let (reported, at) = *self.pending.get_or_insert((in_flight, now));
+        if now.since(at) < RENEWED_WITHIN {
+            return;
+        }
+        self.pending = Some((in_flight, now));
+        if at < self.covered_from {
+            return;
+        }
+        let running = |grant: &&Grant| {
+            grant.renewed >= at && at.since(grant.granted) > REPORT_LAG + DISPATCH_TIME
+        };
+        let surely = self.grants.values().filter(running).count() as u32;
+        let most = reported.saturating_sub(surely);
+        self.unattributed = self.unattributed.min(most);
+    }
+
     /// Counts the work that a new steward finds on the engine.
     pub fn found(&mut self, in_flight: u32, now: Instant) {
         let granted = self.grants.len() as u32;
--- a/src/steward/message.rs
+++ b/src/steward/message.rs
@@ -93,6 +93,8 @@
     pub holders: Vec<Holder>,
     /// Work without a holder.
     pub unattributed: u32,
+    /// Whether all work on the engine is on the book.
+    pub complete: bool,
 }
 
 impl Call for RenewRequest {
--- a/src/steward/mod.rs
+++ b/src/steward/mod.rs
@@ -24,8 +24,6 @@
     },
     slot::Slot,
     state::Steward,
-    stewardship::{
-        Leaving, Settled, Stage, Stewardship, TakingOver, BLIND_TAKE_OVER, HAND_OVER_HOLD,
-    },
+    stewardship::{Leaving, Settled, Stage, Stewardship, TakingOver, HAND_OVER_HOLD},
     task::{keep_engines, renew_grants},
 };
--- a/src/steward/state.rs
+++ b/src/steward/state.rs
@@ -166,7 +166,7 @@
     /// Lets time pass for all engines; `is_live` tells which routers are known.
     pub fn tick(&self, is_live: impl Fn(&RouterName) -> bool, now: Instant) {
         for entry in lock(&self.inner).entries.values_mut() {
-            entry.advance(|stage| stage.tick(&is_live, now));
+            entry.stage_mut().tick(&is_live, now);
         }
     }
 
@@ -180,6 +180,7 @@
             incarnation: entry.incarnation,
             holders: book.holders().cloned().collect(),
             unattributed: book.unattributed(),
+            complete: entry.stage().is_complete(),
         })
     }
 
--- a/src/steward/stewardship.rs
+++ b/src/steward/stewardship.rs
@@ -8,9 +8,6 @@
 };
 use crate::{Instant, RouterName};
 
-/// How long a take-over without any load report lasts.
-pub const BLIND_TAKE_OVER: Duration = Duration::from_secs(6);
-
 /// How long a router that has handed a stewardship over does not take it back.
 pub const HAND_OVER_HOLD: Duration = Duration::from_secs(5);
 
@@ -29,6 +26,7 @@
 #[derive(Debug)]
 pub struct Leaving {
     since: Instant,
+    complete: bool,
 }
 
 /// The stewardship of one engine at stage `S`.
@@ -67,23 +65,27 @@
         Stage::TakingOver(self)
     }
 
-    /// Gives up waiting for a report after [`BLIND_TAKE_OVER`].
-    pub fn time_out(self, now: Instant) -> Stage {
-        if now.since(self.stage.since) < BLIND_TAKE_OVER {
-            return Stage::TakingOver(self);
-        }
-        Stage::Settled(self.settle())
-    }
-
     /// Takes the hand-over of the last steward, which grants no more.
-    pub fn accept(mut self, hand_over: HandOver, now: Instant) -> Stewardship<Settled> {
+    ///
+    /// A book that is not complete itself does not end the take-over.
+    pub fn accept(mut self, hand_over: HandOver, now: Instant) -> Stage {
         let HandOver {
             holders,
             unattributed,
+            complete,
             ..
         } = hand_over;
         self.book.adopt(holders, unattributed, now);
-        self.settle()
+        if complete {
+            Stage::Settled(self.settle())
+        } else {
+            Stage::TakingOver(self)
+        }
+    }
+
+    /// Stops granting; the book is not complete.
+    pub fn leave(self, now: Instant) -> Stewardship<Leaving> {
+        self.leave_with(false, now)
     }
 
     fn settle(self) -> Stewardship<Settled> {
@@ -100,6 +102,11 @@
     pub fn grant(&mut self, holder: Holder, bound: u32, now: Instant) -> GrantReply {
         self.book.grant(holder, bound, now)
     }
+
+    /// Stops granting; the book is complete.
+    pub fn leave(self, now: Instant) -> Stewardship<Leaving> {
+        self.leave_with(true, now)
+    }
 }
 
 impl Stewardship<Leaving> {
@@ -115,9 +122,11 @@
 }
 
 impl<S> Stewardship<S> {
-    /// Stops granting.
-    pub fn leave(self, now: Instant) -> Stewardship<Leaving> {
-        let stage = Leaving { since: now };
+    fn leave_with(self, complete: bool, now: Instant) -> Stewardship<Leaving> {
+        let stage = Leaving {
+            since: now,
+            complete,
+        };
         Stewardship {
             book: self.book,
             stage,
@@ -175,21 +184,16 @@
     }
 
     /// Lets time pass: drops holders that are gone or silent.
-    #[must_use]
-    pub fn tick(mut self, is_live: impl Fn(&RouterName) -> bool, now: Instant) -> Stage {
+    pub fn tick(&mut self, is_live: impl Fn(&RouterName) -> bool, now: Instant) {
         let is_gone = |holder: &Holder| !is_live(&holder.router);
         self.book_mut().disown(is_gone, now);
-        match self {
-            Stage::TakingOver(stewardship) => stewardship.time_out(now),
-            other => other,
-        }
     }
 
     /// Takes the hand-over of the last steward.
     #[must_use]
     pub fn accept(self, hand_over: HandOver, now: Instant) -> Stage {
         match self {
-            Stage::TakingOver(stewardship) => Stage::Settled(stewardship.accept(hand_over, now)),
+            Stage::TakingOver(stewardship) => stewardship.accept(hand_over, now),
             other => other,
         }
     }
@@ -215,6 +219,15 @@
         }
     }
 
+    /// Returns whether all work on the engine is on the book.
+    pub fn is_complete(&self) -> bool {
+        match self {
+            Stage::TakingOver(_) => false,
+            Stage::Settled(_) => true,
+            Stage::Leaving(stewardship) => stewardship.stage.complete,
+        }
+    }
+
     /// Returns whether slots are granted.
     pub fn is_granting(&self) -> bool {
         !matches!(self, Stage::Leaving(_))
--- /dev/null
+++ b/tests/placement/directory.rs
@@ -0,0 +1,34 @@
+//! The directory of chats.
+
+use ebonyspur::{placement::Directory, ChatId};
+use expect_test::expect;
+
+use crate::support::engine;
+
+fn chat(number: usize) -> ChatId {
+    ChatId::new(&format!("chat-{number}")).unwrap()
+}
+
+#[test]
+fn the_last_two_engines_are_remembered() {
+    let mut directory = Directory::with_chats(64);
+    for number in [1, 1, 2, 3] {
+        directory.note(&chat(1), &engine(number));
+    }
+    expect!["engine-3@1,engine-2@1"].assert_eq(&directory.get(&chat(1)).to_string());
+    assert!(directory.get(&chat(2)).is_empty());
+}
+
+#[test]
+fn the_table_is_bounded_and_displaces_the_oldest() {
+    let mut directory = Directory::with_chats(13_000_000 / 380);
+    let bytes = directory.bytes();
+    for number in 0..200_000 {
+        directory.note(&chat(number), &engine(number % 600));
+    }
+    assert_eq!(directory.bytes(), bytes);
+    assert!(bytes < 2 << 20, "{bytes} bytes");
+    let known = |from: usize| (from..from + 1_000).filter(|n| !directory.get(&chat(*n)).is_empty());
+    assert!(known(199_000).count() > 950);
+    assert!(known(0).count() < 50);
+}
--- /dev/null
+++ b/tests/placement/lookup.rs
@@ -0,0 +1,79 @@
+//! The addresses for a caller.
+
+use ebonyspur::{
+    config::{Service, ServiceKind},
+    lookup::{Address, Answer},
+    membership::View,
+    placement::Hint,
+    platform::{Instance, InstanceChanges, InstanceKind, InstanceState},
+    ChatId, Incarnation, PoolName, ServiceName,
+};
+use expect_test::expect;
+
+use crate::support::peer;
+
+fn instance(number: usize, domain: &str, state: InstanceState) -> Instance {
+    let peer = peer(number, domain);
+    Instance {
+        name: peer.name.to_string(),
+        kind: InstanceKind::Router,
+        pool: None,
+        address: peer.address,
+        peer_address: Some(peer.peer_address),
+        failure_domain: peer.domain,
+        state,
+        incarnation: Incarnation(1),
+    }
+}
+
+/// Looks up a chat at `router-0` in d1 while the others are listed as given.
+fn look_up(others: &[(&str, InstanceState)]) -> String {
+    let me = peer(0, "d1");
+    let mut view = View::new(me.name.clone());
+    let listed = others.iter().enumerate();
+    let instances = listed.map(|(at, (domain, state))| instance(at + 1, domain, *state));
+    view.apply_instances(InstanceChanges {
+        version: 1,
+        full: true,
+        instances: instances.collect(),
+        gone: Vec::new(),
+    });
+    let me = Address {
+        router: me.name,
+        address: me.address,
+        domain: me.domain,
+    };
+    let service = Service {
+        name: ServiceName::new("planner").unwrap(),
+        kind: ServiceKind::Chat,
+        pool: PoolName::new("planners").unwrap(),
+    };
+    let chat = ChatId::new("chat-1").unwrap();
+    let answer = Answer::new(&view, &me, &service, &chat, &Hint::default()).unwrap();
+    let show = |a: &Address| format!("{}/{}", a.router, a.domain);
+    let shown: Vec<_> = answer.addresses.iter().map(show).collect();
+    shown.join(" ")
+}
+
+use InstanceState::{Leaving, Live};
+
+#[test]
+fn addresses_are_in_different_failure_domains() {
+    let found = look_up(&[("d1", Live), ("d1", Live), ("d2", Live), ("d3", Live)]);
+    let mut domains: Vec<_> = found.split(' ').map(|a| a.split('/').nth(1)).collect();
+    domains.sort_unstable();
+    expect![[r#"[Some("d1"), Some("d2"), Some("d3")]"#]].assert_eq(&format!("{domains:?}"));
+}
+
+#[test]
+fn fewer_domains_still_give_three_routers() {
+    let found = look_up(&[("d1", Live), ("d1", Live), ("d2", Live)]);
+    assert_eq!(found.split(' ').count(), 3, "{found}");
+    assert!(found.contains("d2"), "{found}");
+}
+
+#[test]
+fn a_leaving_router_is_not_returned() {
+    let found = look_up(&[("d2", Leaving), ("d3", Leaving)]);
+    expect!["router-0/d1"].assert_eq(&found);
+}
--- /dev/null
+++ b/tests/placement/main.rs
@@ -0,0 +1,6 @@
+//! Placement and lookup.
+
+mod directory;
+mod lookup;
+mod preferred;
+mod support;
--- /dev/null
+++ b/tests/placement/support.rs
@@ -0,0 +1,40 @@
+//! Engines and routers.
+
+use std::sync::Arc;
+
+use ebonyspur::{
+    membership::{Engine, Peer},
+    DomainName, EngineName, Incarnation, PoolName, RouterName,
+};
+
+/// Returns `count` engines, `engine-0` first.
+pub fn engines(count: usize) -> Vec<Arc<Engine>> {
+    (0..count).map(|number| Arc::new(engine(number))).collect()
+}
+
+pub fn engine(number: usize) -> Engine {
+    Engine {
+        name: EngineName::new(&format!("engine-{number}")).unwrap(),
+        pool: PoolName::new("planners").unwrap(),
+        address: ([127, 0, 0, 1], 1).into(),
+        domain: DomainName::new("d1").unwrap(),
+        incarnation: Incarnation(1),
+        leaving: false,
+    }
+}
+
+pub fn names(engines: &[Arc<Engine>]) -> String {
+    let names: Vec<_> = engines.iter().map(|engine| engine.name.as_str()).collect();
+    names.join(" ")
+}
+
+pub fn peer(number: usize, domain: &str) -> Peer {
+    Peer {
+        name: RouterName::new(&format!("router-{number}")).unwrap(),
+        address: ([127, 0, 0, 1], number as u16).into(),
+        peer_address: ([127, 0, 0, 2], number as u16).into(),
+        domain: DomainName::new(domain).unwrap(),
+        incarnation: Incarnation(1),
+        leaving: false,
+    }
+}
--- /dev/null
+++ b/tests/steward/main.rs
@@ -0,0 +1,6 @@
+//! The steward's decisions.
+
+mod model;
+mod support;
+mod takeover;
+mod window;
--- /dev/null
+++ b/tests/steward/support.rs
@@ -0,0 +1,84 @@
+//! One engine and its holders.
+
+use ebonyspur::{
+    membership::Engine,
+    steward::{GrantId, GrantReply, HandOver, Held, Holder, Steward},
+    DomainName, EngineName, Incarnation, Instant, PoolName, RouterName,
+};
+
+/// Returns the engine of the tests.
+pub fn engine() -> Engine {
+    Engine {
+        name: EngineName::new("engine-1").unwrap(),
+        pool: PoolName::new("planners").unwrap(),
+        address: ([127, 0, 0, 1], 1).into(),
+        domain: DomainName::new("d1").unwrap(),
+        incarnation: Incarnation(1),
+        leaving: false,
+    }
+}
+
+pub fn router(number: u64) -> RouterName {
+    RouterName::new(&format!("router-{number}")).unwrap()
+}
+
+pub fn holder(number: u64, grant: u64) -> Holder {
+    Holder {
+        router: router(number),
+        incarnation: Incarnation(1),
+        grant: GrantId(grant),
+    }
+}
+
+pub fn at(millis: u64) -> Instant {
+    Instant::from_millis(millis)
+}
+
+/// Returns a steward that has settled with an empty book at time 0.
+pub fn settled() -> Steward {
+    let steward = Steward::default();
+    steward.take_over(&engine(), at(0));
+    let empty = HandOver {
+        incarnation: Incarnation(1),
+        holders: Vec::new(),
+        unattributed: 0,
+        complete: true,
+    };
+    steward.accept(&engine().name, empty, at(0));
+    steward
+}
+
+/// Asks for `grants` of router `number`, and returns how many were granted.
+pub fn ask(
+    steward: &Steward,
+    number: u64,
+    grants: std::ops::Range<u64>,
+    bound: u32,
+    now: u64,
+) -> usize {
+    let granted = grants.filter(|grant| {
+        let holder = holder(number, *grant);
+        steward.grant(&engine(), holder, bound, at(now)) == GrantReply::Granted
+    });
+    granted.count()
+}
+
+/// Lists `grants` of router `number`, of all below `before`.
+pub fn renew(steward: &Steward, number: u64, grants: &[u64], before: u64, now: u64) -> bool {
+    let grants: Vec<_> = grants.iter().copied().map(GrantId).collect();
+    let held = Held {
+        router: &router(number),
+        incarnation: Incarnation(1),
+        grants: &grants,
+        before: GrantId(before),
+    };
+    steward.renew(&engine().name, &held, at(now))
+}
+
+/// Returns the occupied slots and the stage.
+pub fn state(steward: &Steward) -> String {
+    let name = engine().name;
+    let occupied = steward.in_flight().get(&name).copied();
+    let stage = steward.stages().get(&name).copied().unwrap_or("none");
+    format!("{stage} {occupied:?}")
+}
