--- a/benches/decisions.rs
+++ b/benches/decisions.rs
@@ -16,23 +16,27 @@
 /// Numbers of engines, with the routers before them.
 const SIZES: [(usize, usize); 3] = [(16, 19), (150, 95), (600, 380)];
 
-fn instance(kind: InstanceKind, name: String) -> Instance {
+fn instance(kind: InstanceKind, number: usize) -> Instance {
+    let name = match kind {
+        InstanceKind::Router => format!("router-{number}"),
+        _ => format!("engine-{number}"),
+    };
     Instance {
         name,
         kind,
         pool: Some(PoolName::new("planners").unwrap()),
         address: ([127, 0, 0, 1], 1).into(),
         peer_address: Some(([127, 0, 0, 1], 2).into()),
-        failure_domain: DomainName::new("d1").unwrap(),
+        failure_domain: DomainName::new(&format!("d{}", number % 7)).unwrap(),
         state: InstanceState::Live,
-        incarnation: Incarnation(1),
+        incarnation: Incarnation(number as u64),
     }
 }
 
 fn view(engines: usize, routers: usize) -> View {
     let mut view = View::new(RouterName::new("router-0").unwrap());
-    let engines = (0..engines).map(|n| instance(InstanceKind::Engine, format!("engine-{n}")));
-    let routers = (1..routers).map(|n| instance(InstanceKind::Router, format!("router-{n}")));
+    let engines = (0..engines).map(|n| instance(InstanceKind::Engine, n));
+    let routers = (1..routers).map(|n| instance(InstanceKind::Router, n));
     view.apply_instances(InstanceChanges {
         version: 1,
         full: true,
@@ -57,7 +61,7 @@
             pool: PoolName::new("planners").unwrap(),
         };
         let chat = ChatId::new("chat-1").unwrap();
-        let hint: Hint = "engine-7@1,engine-3@1,engine-5@1".parse().unwrap();
+        let hint: Hint = "engine-7@7,engine-3@3,engine-5@5".parse().unwrap();
         group.bench_function(BenchmarkId::from_parameter(engines), |b| {
             b.iter(|| Answer::new(&view, &me, &service, black_box(&chat), &hint).unwrap());
         });
@@ -69,7 +73,7 @@
     for (engines, routers) in SIZES {
         let view = view(engines, routers);
         let pool = PoolName::new("planners").unwrap();
-        let hint: Hint = "engine-7@1,engine-3@1,engine-5@1".parse().unwrap();
+        let hint: Hint = "engine-7@7,engine-3@3,engine-5@5".parse().unwrap();
         let pref = Preference {
             ranks: MAX_RANKS,
             spill: Spill::NextRank,
--- a/src/inspect/dump.rs
+++ b/src/inspect/dump.rs
@@ -4,9 +4,10 @@
 
 use serde::Serialize;
 
+use super::Refusal;
 use crate::{
-    config, membership::Engine, DomainName, EngineName, Incarnation, Offset, Router, RouterName,
-    TeamName,
+    config, membership::Engine, orders::Progress, DomainName, EngineName, Incarnation, Offset,
+    PoolName, Router, RouterName, TeamName,
 };
 
 /// The state of a router as an operator reads it.
@@ -25,6 +26,9 @@
     stewardships: BTreeMap<EngineName, &'static str>,
     admitted: BTreeMap<TeamName, u32>,
     keys_held: usize,
+    leases: BTreeMap<usize, Offset>,
+    orders: BTreeMap<PoolName, Progress>,
+    refusals: Vec<Refusal>,
 }
 
 #[derive(Debug, Serialize)]
@@ -61,6 +65,9 @@
             stewardships: cx.steward.stages(),
             admitted: cx.admission.in_flight(),
             keys_held: cx.once.len(),
+            leases: cx.leases.fences(),
+            orders: cx.orders.progress(),
+            refusals: cx.refusals.latest(),
         }
     }
 }
--- /dev/null
+++ b/src/inspect/explain.rs
@@ -0,0 +1,139 @@
+//! Where a chat would go, and why.
+
+use std::sync::Arc;
+
+use serde::Serialize;
+
+use crate::{
+    config::State, lookup, membership::Engine, placement::Hint, steward::Limit, Category, ChatId,
+    DomainName, EngineName, Result, Router, RouterName, ServiceName, TeamName,
+};
+
+/// What a request of a team for a chat would meet at this router.
+#[derive(Debug, Serialize)]
+pub struct Explanation {
+    team: TeamName,
+    service: ServiceName,
+    chat: ChatId,
+    #[serde(skip_serializing_if = "Option::is_none")]
+    refusal: Option<WouldRefuse>,
+    bound: u32,
+    waiting: usize,
+    routers: Vec<RouterName>,
+    engines: Vec<Choice>,
+    shut: Vec<Shut>,
+}
+
+/// Why the request would be refused now.
+#[derive(Debug, Serialize)]
+struct WouldRefuse {
+    reason: Category,
+    message: String,
+}
+
+/// One engine that the request would try, in this order.
+#[derive(Debug, Serialize)]
+struct Choice {
+    engine: EngineName,
+    failure_domain: DomainName,
+    steward: RouterName,
+    hinted: bool,
+    #[serde(skip_serializing_if = "Option::is_none")]
+    in_flight: Option<u32>,
+}
+
+/// An engine of the pool that takes no new work.
+#[derive(Debug, Serialize)]
+struct Shut {
+    engine: EngineName,
+    why: &'static str,
+}
+
+/// Explains where `chat` would go.
+///
+/// # Errors
+///
+/// Returns [`Category::NotFound`] for an unknown team or service.
+pub fn explain(
+    cx: &Router,
+    team: &TeamName,
+    service: &ServiceName,
+    chat: &ChatId,
+    hint: &Hint,
+) -> Result<Explanation> {
+    let state = cx.config.current();
+    state.team(team)?;
+    let service = state.service(service)?;
+    let engines: Vec<_> = cx
+        .membership
+        .view()
+        .engines(&service.pool)
+        .cloned()
+        .collect();
+    let why_shut = |engine: &Engine| why_shut(&state, engine);
+    let open = engines.iter().filter(|engine| why_shut(engine).is_none());
+    let ranked = cx.candidates(chat, hint, open);
+    let routers = lookup::Answer::new(&cx.membership.view(), &cx.address(), service, chat, hint)?;
+    let waiting = cx.admission.lines.waiting();
+    Ok(Explanation {
+        team: team.clone(),
+        service: service.name.clone(),
+        chat: chat.clone(),
+        refusal: would_refuse(cx, team, &ranked),
+        bound: cx.bound(&service.pool, Limit::Bound),
+        waiting: waiting.get(&service.pool).copied().unwrap_or_default(),
+        routers: routers.addresses.into_iter().map(|a| a.router).collect(),
+        engines: ranked
+            .iter()
+            .map(|engine| choice(cx, engine, hint))
+            .collect(),
+        shut: engines
+            .iter()
+            .filter_map(|engine| {
+                let engine_name = engine.name.clone();
+                why_shut(engine).map(|why| Shut {
+                    engine: engine_name,
+                    why,
+                })
+            })
+            .collect(),
+    })
+}
+
+fn why_shut(state: &State, engine: &Engine) -> Option<&'static str> {
+    if engine.leaving {
+        Some("leaving")
+    } else if state.drained.contains(&engine.name) {
+        Some("drained")
+    } else {
+        None
+    }
+}
+
+fn would_refuse(cx: &Router, team: &TeamName, ranked: &[Arc<Engine>]) -> Option<WouldRefuse> {
+    if let Err(err) = cx
+        .check_serving()
+        .and_then(|()| cx.admission.check(team, 1))
+    {
+        return Some(WouldRefuse {
+            reason: err.classify(),
+            message: err.message().to_string(),
+        });
+    }
+    ranked.is_empty().then(|| WouldRefuse {
+        reason: Category::Unavailable,
+        message: "no engine is live".to_string(),
+    })
+}
+
+fn choice(cx: &Router, engine: &Engine, hint: &Hint) -> Choice {
+    let steward = cx.steward_of(&engine.name);
+    let me = &cx.settings.name;
+    Choice {
+        engine: engine.name.clone(),
+        failure_domain: engine.domain.clone(),
+        steward: steward.map_or_else(|| me.clone(), |peer| peer.name.clone()),
+        hinted: hint.position(engine).is_some(),
+        in_flight: cx.steward.in_flight().get(&engine.name).copied(),
+    }
+}
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -26,14 +26,18 @@
 #![warn(missing_docs)]
 
 pub mod admission;
+pub mod cli;
 pub mod config;
 mod error;
 mod http;
 mod id;
 pub mod inspect;
+pub mod intent;
+pub mod lease;
 pub mod lookup;
 pub mod membership;
 pub mod once;
+pub mod orders;
 pub mod peer;
 pub mod placement;
 pub mod platform;
--- a/src/peer/message.rs
+++ b/src/peer/message.rs
@@ -3,11 +3,12 @@
 use serde::{Deserialize, Serialize};
 
 use crate::{
+    config::{ConfigHead, ConfigPart, ConfigSince},
     steward::{
         GrantReply, GrantRequest, HandOver, HandOverRequest, ReleaseRequest, RenewReply,
         RenewRequest,
     },
-    Incarnation, RouterName,
+    Incarnation, Offset, RouterName,
 };
 
 /// First frame of a connection.
@@ -26,6 +27,12 @@
     Grant(GrantRequest),
     /// Gives a slot back.
     Release(ReleaseRequest),
+    /// Asks how far the configuration is applied.
+    ConfigHead(ConfigHead),
+    /// Asks for newer configuration.
+    ConfigSince(ConfigSince),
+    /// Asks for the state dump.
+    Dump,
     /// Lists the grants held.
     Renew(RenewRequest),
     /// Asks for the book of an engine.
@@ -39,6 +46,12 @@
     Grant(GrantReply),
     /// Answer to [`Request::Release`].
     Released,
+    /// Answer to [`Request::ConfigHead`]; `None` while the configuration is unknown.
+    ConfigHead(Option<Offset>),
+    /// Answer to [`Request::ConfigSince`].
+    ConfigPart(ConfigPart),
+    /// Answer to [`Request::Dump`], as JSON text.
+    Dump(String),
     /// Answer to [`Request::Renew`].
     Renew(RenewReply),
     /// Answer to [`Request::HandOver`].
@@ -57,6 +70,25 @@
     fn answer(reply: Reply) -> Option<Self::Answer>;
 }
 
+/// Asks a router for its state dump, as JSON text.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct DumpRequest;
+
+impl Call for DumpRequest {
+    type Answer = String;
+
+    fn into_request(self) -> Request {
+        Request::Dump
+    }
+
+    fn answer(reply: Reply) -> Option<String> {
+        match reply {
+            Reply::Dump(text) => Some(text),
+            _ => None,
+        }
+    }
+}
+
 /// A request or reply with the number that ties them together.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub(super) struct Envelope<T> {
--- a/src/relay/request.rs
+++ b/src/relay/request.rs
@@ -3,13 +3,10 @@
 use std::{collections::BTreeSet, sync::Arc, time::Duration};
 
 use bytes::Bytes;
-use http::{header::CONTENT_TYPE, Response};
-use http_body_util::Full;
-use hyper::body::Incoming;
 
-use super::backend::url;
+use super::{AnswerStream, ChatAnswer, Opening, Sent};
 use crate::{
-    admission::{Applicant, Class, Permit, Waiter},
+    admission::{Applicant, Class, Entry, Fingerprint, Permit, Waiter},
     membership::Engine,
     placement::Hint,
     steward::{Limit, Slot},
@@ -19,9 +16,6 @@
 /// Header that carries the request id to and from a backend server.
 pub(super) const REQUEST_ID: &str = "x-request-id";
 
-/// Header that carries the priority class to an engine.
-const PRIORITY: &str = "x-priority";
-
 /// How many times longer a draft waits for an engine than an interactive request.
 const DRAFT_PATIENCE: u32 = 4;
 
@@ -51,6 +45,8 @@
     pub attempt: u32,
     /// How soon the answer is needed.
     pub class: Class,
+    /// Tells requests that crash engines from others.
+    pub fingerprint: Fingerprint,
 }
 
 /// The request has been read.
@@ -66,13 +62,15 @@
 /// The request holds a slot on an engine.
 pub struct Placed {
     admitted: Admitted,
+    entry: Entry,
     slot: Slot,
 }
 
 /// The request has been sent and its answer has begun.
 pub struct Dispatched {
     placed: Placed,
-    answer: Response<Incoming>,
+    sent: Sent,
+    opening: Opening,
 }
 
 /// A request at stage `S`.
@@ -121,6 +119,9 @@
     }
 }
 
+/// A slot, and the leave to use it.
+type Place = (Entry, Slot);
+
 impl Request<Admitted> {
     /// Takes a slot on an engine below its bound, and waits for one if there is none.
     ///
@@ -130,11 +131,11 @@
     /// [`Category::Unavailable`] when no engine is live.
     pub async fn place(self, cx: &Arc<Router>) -> Result<Request<Placed>> {
         if !cx.admission.lines.is_waiting(&self.head.pool) {
-            if let Some(slot) = self.wait_for_warm(cx).await? {
-                return Ok(self.at_slot(slot));
+            if let Some(place) = self.wait_for_warm(cx).await? {
+                return Ok(self.at_slot(place));
             }
-            match try_engines(cx, &self.candidates(cx)?).await {
-                Ok(slot) => return Ok(self.at_slot(slot)),
+            match self.try_engines(cx, &self.candidates(cx)?).await {
+                Ok(place) => return Ok(self.at_slot(place)),
                 Err(err) => log::debug!("request={} waits error=\"{err}\"", self.head.id),
             }
         }
@@ -142,7 +143,7 @@
     }
 
     /// Waits a little for an engine that caches the chat, while it is at its bound.
-    async fn wait_for_warm(&self, cx: &Arc<Router>) -> Result<Option<Slot>> {
+    async fn wait_for_warm(&self, cx: &Arc<Router>) -> Result<Option<Place>> {
         let deadline = cx.clock.now() + WARM_WAIT;
         loop {
             let mut warm = self.candidates(cx)?;
@@ -150,8 +151,8 @@
             if warm.is_empty() {
                 return Ok(None);
             }
-            match try_below(cx, &warm, Limit::Bound).await {
-                Ok(slot) => return Ok(Some(slot)),
+            match self.try_below(cx, &warm, Limit::Bound).await {
+                Ok(place) => return Ok(Some(place)),
                 Err(err) if err.classify() != Category::Overloaded => return Ok(None),
                 Err(_) if cx.clock.now() >= deadline => return Ok(None),
                 Err(_) => tokio::time::sleep(WARM_RETRY).await,
@@ -166,10 +167,10 @@
             let freed = waiter.turn().await?;
             let engines = some_of(&self.candidates(cx)?, &freed, round);
             round += 1;
-            match try_engines(cx, &engines).await {
-                Ok(slot) => {
+            match self.try_engines(cx, &engines).await {
+                Ok(place) => {
                     waiter.placed();
-                    return Ok(self.at_slot(slot));
+                    return Ok(self.at_slot(place));
                 }
                 Err(_) => waiter.pause().await,
             }
@@ -195,23 +196,50 @@
 
     /// Returns the engines that the request may use, the best first.
     fn candidates(&self, cx: &Router) -> Result<Vec<Arc<Engine>>> {
-        let state = cx.config.current();
-        let view = cx.membership.view();
-        let open = |engine: &&Arc<Engine>| {
-            let shut = engine.leaving || state.drained.contains(&engine.name);
-            !shut && !self.stage.failed.contains(&engine.name)
-        };
-        let engines = view.engines(&self.head.pool).filter(open);
-        let ranked = cx.candidates(&self.head.chat, &self.head.hint, engines);
+        let engines = cx.open_engines(&self.head.pool, &self.stage.failed);
+        let ranked = cx.candidates(&self.head.chat, &self.head.hint, &engines);
         if ranked.is_empty() {
             return Err(Error::not_run(Category::Unavailable, "no engine is live"));
         }
         Ok(ranked)
     }
 
-    fn at_slot(self, slot: Slot) -> Request<Placed> {
+    /// Takes a slot on the first of `engines` below the mean, else on the first below its bound.
+    async fn try_engines(&self, cx: &Arc<Router>, engines: &[Arc<Engine>]) -> Result<Place> {
+        match self.try_below(cx, engines, Limit::Mean).await {
+            Ok(place) => Ok(place),
+            Err(_) => self.try_below(cx, engines, Limit::Bound).await,
+        }
+    }
+
+    /// Takes a slot on the first of `engines` that has one and that the request may use.
+    async fn try_below(
+        &self,
+        cx: &Arc<Router>,
+        engines: &[Arc<Engine>],
+        limit: Limit,
+    ) -> Result<Place> {
+        let mut refusal = Error::not_run(Category::Overloaded, "each engine is at its bound");
+        for engine in engines {
+            let now = cx.clock.now();
+            let entry = cx
+                .quarantine
+                .enter(&engine.name, self.head.fingerprint, now);
+            let Some(entry) = entry else {
+                continue;
+            };
+            match Slot::acquire(cx, engine, limit).await {
+                Ok(slot) => return Ok((entry, slot)),
+                Err(err) => refusal = err,
+            }
+        }
+        Err(refusal)
+    }
+
+    fn at_slot(self, (entry, slot): Place) -> Request<Placed> {
         let stage = Placed {
             admitted: self.stage,
+            entry,
             slot,
         };
         Request {
@@ -221,25 +249,6 @@
     }
 }
 
-/// Takes a slot on the first of `engines` below the mean, else on the first below its bound.
-async fn try_engines(cx: &Arc<Router>, engines: &[Arc<Engine>]) -> Result<Slot> {
-    match try_below(cx, engines, Limit::Mean).await {
-        Ok(slot) => Ok(slot),
-        Err(_) => try_below(cx, engines, Limit::Bound).await,
-    }
-}
-
-async fn try_below(cx: &Arc<Router>, engines: &[Arc<Engine>], limit: Limit) -> Result<Slot> {
-    let mut refusal = Error::not_run(Category::Overloaded, "each engine is at its bound");
-    for engine in engines {
-        match Slot::acquire(cx, engine, limit).await {
-            Ok(slot) => return Ok(slot),
-            Err(err) => refusal = err,
-        }
-    }
-    Err(refusal)
-}
-
 /// Returns the engines that a waiting request asks: those with freed slots and a few
 /// others, which change from round to round.
 fn some_of(ranked: &[Arc<Engine>], freed: &[EngineName], round: usize) -> Vec<Arc<Engine>> {
@@ -257,35 +266,31 @@
     /// # Errors
     ///
     /// Gives the request back together with the error, so that the caller of this
-    /// function can decide by the verdict whether to place it again.
+    /// function can decide whether to place it again.
     pub async fn dispatch(
         self,
         cx: &Router,
         body: Bytes,
     ) -> std::result::Result<Request<Dispatched>, Box<Failed>> {
-        let req = match self.message(body) {
-            Ok(req) => req,
-            Err(err) => return Err(self.fail(err)),
-        };
-        match cx.backends.send(req).await.and_then(check_status) {
-            Ok(answer) => Ok(self.at_answer(answer)),
-            Err(err) => Err(self.fail(err)),
+        let engine = self.stage.slot.engine().clone();
+        let sent = Sent::new(self.head.clone(), body, engine);
+        // After a failure, a connection that was idle is not trusted.
+        let fresh = !self.stage.admitted.failed.is_empty();
+        match self.open(cx, &sent, fresh).await {
+            Ok(opening) => Ok(self.at_opening(sent, opening)),
+            Err(err) => {
+                sent.note_failure(cx, &err).await;
+                let engine = self.stage.slot.engine();
+                let refusing = &cx.membership.refusing;
+                refusing.note_failure(engine, &err, cx.clock.now());
+                Err(self.fail(err))
+            }
         }
     }
 
-    fn message(&self, body: Bytes) -> Result<http::Request<Full<Bytes>>> {
-        let engine = self.stage.slot.engine();
-        let priority = match self.head.class {
-            Class::Interactive => "1",
-            Class::Draft => "0",
-        };
-        http::Request::post(url(engine.address, "/v1/chat/completions"))
-            .header(CONTENT_TYPE, "application/json")
-            .header(REQUEST_ID, self.head.id.as_str())
-            .header(PRIORITY, priority)
-            .header("x-chat", self.head.chat.as_str())
-            .body(Full::new(body))
-            .map_err(|err| Error::not_run(Category::BadInput, err.to_string()))
+    async fn open(&self, cx: &Router, sent: &Sent, fresh: bool) -> Result<Opening> {
+        let answer = sent.send(cx, fresh).await?;
+        Opening::read(answer, &self.head.id, cx.backends.progress()).await
     }
 
     fn fail(self, err: Error) -> Box<Failed> {
@@ -298,10 +303,11 @@
         Box::new(Failed { req, err })
     }
 
-    fn at_answer(self, answer: Response<Incoming>) -> Request<Dispatched> {
+    fn at_opening(self, sent: Sent, opening: Opening) -> Request<Dispatched> {
         let stage = Dispatched {
             placed: self.stage,
-            answer,
+            sent,
+            opening,
         };
         Request {
             head: self.head,
@@ -310,21 +316,6 @@
     }
 }
 
-/// Accepts only an answer that the engine has begun; a refusal means nothing ran.
-fn check_status(answer: Response<Incoming>) -> Result<Response<Incoming>> {
-    let status = answer.status();
-    if status.is_success() {
-        return Ok(answer);
-    }
-    let message = format!("the engine answered {status}");
-    Err(match status.as_u16() {
-        429 => Error::not_run(Category::Overloaded, message),
-        503 => Error::not_run(Category::Unavailable, message),
-        400..=499 => Error::not_run(Category::BadInput, message),
-        _ => Error::may_have_run(Category::Backend, message),
-    })
-}
-
 impl Request<Dispatched> {
     /// Returns the engine that answers.
     pub fn engine(&self) -> &Arc<Engine> {
@@ -336,18 +327,31 @@
         self.head.hint.with_served_by(self.engine())
     }
 
-    /// Splits off the answer; what remains holds the slot and the permit.
-    pub(super) fn into_answer(self) -> (Holding, Response<Incoming>) {
+    /// Turns the request into its answer, which holds the slot and the permit.
+    pub fn into_answer(self, cx: &Arc<Router>) -> ChatAnswer {
+        let hint = self.next_hint();
         let holding = Holding {
             _permit: self.stage.placed.admitted.permit,
+            _entry: self.stage.placed.entry,
             _slot: self.stage.placed.slot,
         };
-        (holding, self.stage.answer)
+        match self.stage.opening {
+            Opening::Whole(body) => {
+                cx.quarantine.clear(self.head.fingerprint);
+                ChatAnswer::Whole { body, hint }
+            }
+            Opening::Stream(begun) => {
+                let stream = AnswerStream::new(cx, self.stage.sent, *begun, holding);
+                let stream = Box::new(stream);
+                ChatAnswer::Stream { stream, hint }
+            }
+        }
     }
 }
 
 /// The slot and the permit of an answer under way.
 pub(super) struct Holding {
     _permit: Permit,
+    _entry: Entry,
     _slot: Slot,
 }
--- a/src/router.rs
+++ b/src/router.rs
@@ -16,13 +16,15 @@
 use uuid::Uuid;
 
 use crate::{
-    admission::Admission,
+    admission::{Admission, Quarantine},
     config::{self, Config, Settings},
     http,
-    inspect::Metrics,
+    inspect::{Metrics, Refusals},
+    lease::{self, Leases},
     lookup::{Address, Ticket},
     membership::{self, Engine, Membership},
     once::{self, Once},
+    orders::{self, Orders},
     peer::{self, Peers, Purpose, Sealer},
     placement::{self, Hint, Preference, Spill, MAX_RANKS},
     platform::Platform,
@@ -55,8 +57,14 @@
     pub held: HeldGrants,
     /// Load of the teams.
     pub admission: Arc<Admission>,
+    /// Requests that crashed engines.
+    pub quarantine: Arc<Quarantine>,
     /// Claims of calls that must not be repeated.
-    pub once: Once,
+    pub once: Arc<Once>,
+    /// Leases to order changes to engines.
+    pub leases: Leases,
+    /// Progress of the pools that this router drives.
+    pub orders: Orders,
     /// Clients of the platform.
     pub platform: Platform,
     /// Clients of the backend servers.
@@ -67,6 +75,8 @@
     pub tickets: Sealer,
     /// Metrics.
     pub metrics: Metrics,
+    /// The latest refusals.
+    pub refusals: Refusals,
     next_number: AtomicU64,
 }
 
@@ -76,20 +86,30 @@
         let clock = Clock::new();
         let incarnation = Incarnation(clock.wall().0);
         let frames = Sealer::new(&settings.peer_keys, Purpose::Frame);
+        let metrics = Metrics::new();
+        let peers = Peers::new(settings.name.clone(), incarnation, frames);
         Arc::new(Router {
             incarnation,
             clock,
             config: Config::default(),
-            membership: Membership::new(settings.name.clone()),
+            membership: Membership::new(settings.name.clone(), incarnation),
             steward: Steward::default(),
             held: HeldGrants::default(),
             admission: Arc::default(),
-            once: Once::new(),
-            platform: Platform::new(&settings.platform),
+            quarantine: Arc::default(),
+            once: Arc::default(),
+            leases: Leases::new(),
+            orders: Orders::default(),
+            platform: Platform::new(
+                &settings.platform,
+                settings.log.as_ref().unwrap_or(&settings.platform),
+                &metrics.platform_exchanged,
+            ),
             backends: Backends::new(&settings.limits),
-            peers: Peers::new(settings.name.clone(), incarnation, frames),
+            peers: peers.with_counter(metrics.peer_sent.clone()),
             tickets: Sealer::new(&settings.peer_keys, Purpose::Ticket),
-            metrics: Metrics::new(),
+            metrics,
+            refusals: Refusals::default(),
             next_number: AtomicU64::new(0),
             settings,
         })
@@ -109,6 +129,8 @@
 
         let mut tasks = JoinSet::new();
         tasks.spawn(config::follow(self.clone()));
+        tasks.spawn(config::follow_peers(self.clone()));
+        tasks.spawn(config::write_checkpoints(self.clone()));
         tasks.spawn(membership::follow_instances(self.clone()));
         tasks.spawn(membership::gossip(self.clone(), datagrams.clone()));
         tasks.spawn(membership::receive(self.clone(), datagrams));
@@ -120,6 +142,11 @@
             tasks.spawn(once::tail(self.clone(), partition));
         }
 
+        for group in 0..lease::GROUPS {
+            tasks.spawn(lease::contend(self.clone(), group, stop.clone()));
+            tasks.spawn(orders::drive(self.clone(), group));
+        }
+
         let limits = self.settings.limits.clone();
         let routes = http::operator_routes(self.clone());
         // Operators are answered until the very end.
@@ -131,7 +158,12 @@
         // An error means that the sender is gone, which is a request to stop as well.
         let _ = stop.wait_for(|stop| *stop).await;
         self.membership.leave();
-        let drained = tokio::time::timeout(self.settings.limits.drain, serving).await;
+        let requests = async {
+            let _ = serving.await;
+            // Their results still have to reach the log.
+            self.once.idle().await;
+        };
+        let drained = tokio::time::timeout(self.settings.limits.drain, requests).await;
         if drained.is_err() {
             log::warn!("requests still in flight at the end of the drain");
         }
@@ -143,12 +175,18 @@
     ///
     /// # Errors
     ///
-    /// Returns [`Category::NotServing`] while the router starts or leaves.
+    /// Returns [`Category::NotServing`] while the router starts, leaves or is isolated.
     pub fn check_serving(&self) -> Result<()> {
-        if self.membership.is_serving() {
+        let isolated = self.membership.is_isolated(self.clock.now());
+        if self.membership.is_serving() && !isolated {
             return Ok(());
         }
-        let message = format!("the router is {}", self.membership.phase());
+        let phase = if isolated {
+            "isolated"
+        } else {
+            self.membership.phase()
+        };
+        let message = format!("the router is {phase}");
         let err = Error::not_run(Category::NotServing, message);
         Err(err.with_retry_after(NOT_SERVING_DELAY))
     }
--- /dev/null
+++ b/tests/once/main.rs
@@ -0,0 +1,9 @@
+//! Calls that must not be repeated: never run twice, and "not run" only when that is so.
+
+mod fuzz;
+mod ledger;
+mod processes;
+mod spec;
+#[path = "../support/mod.rs"]
+mod support;
+mod world;
--- /dev/null
+++ b/tests/relay/main.rs
@@ -0,0 +1,8 @@
+//! Answers: checked part by part, resumed, and never passed off as whole when they are not.
+
+mod quarantine;
+mod resume;
+mod sequence;
+mod silence;
+#[path = "../support/mod.rs"]
+mod support;
