--- a/src/inspect/explain.rs
+++ b/src/inspect/explain.rs
@@ -134,6 +134,6 @@
         failure_domain: engine.domain.clone(),
         steward: steward.map_or_else(|| me.clone(), |peer| peer.name.clone()),
         hinted: hint.position(engine).is_some(),
-        in_flight: cx.loads.lock().get(engine, cx.clock.now()),
+        in_flight: cx.steward.in_flight().get(&engine.name).copied(),
     }
 }
--- a/src/lookup/answer.rs
+++ b/src/lookup/answer.rs
@@ -1,10 +1,12 @@
 //! The addresses for a caller.
 
-use std::{net::SocketAddr, sync::Arc, time::Duration};
+use std::{cmp::Reverse, net::SocketAddr, sync::Arc, time::Duration};
 
 use crate::{
-    config::Service, membership::View, placement, Category, ChatId, DomainName, Error, Result,
-    RouterName,
+    config::Service,
+    membership::{Peer, View},
+    placement::{self, Preference, Spill},
+    Category, ChatId, DomainName, Error, Result, RouterName,
 };
 
 /// How long a caller may use an answer.
@@ -47,16 +49,16 @@
         chat: &ChatId,
         hint: &placement::Hint,
     ) -> Result<Answer> {
-        let routers = routers(view, me);
-        let engines: Vec<_> = view.engines(&service.pool).cloned().collect();
-        let engine = placement::candidates(chat.as_str(), hint, &engines)
-            .into_iter()
-            .next();
-        let key = engine
-            .as_ref()
-            .map_or(chat.as_str(), |engine| engine.name.as_str());
-        let ranked = placement::order(key, &routers, |router| router.router.as_str());
-        let addresses = spread(ranked);
+        let open = view.engines(&service.pool).filter(|engine| !engine.leaving);
+        let pref = Preference {
+            ranks: 1,
+            spill: Spill::NextRank,
+            load: &|_| None,
+        };
+        let engines = placement::preferred(chat.as_str(), hint, open, &pref);
+        let engine = engines.first();
+        let key = engine.map_or(chat.as_str(), |engine| engine.name.as_str());
+        let addresses = spread(key, view, me);
         if addresses.is_empty() {
             return Err(Error::not_run(Category::Unavailable, "no router is live"));
         }
@@ -64,25 +66,66 @@
     }
 }
 
-fn routers(view: &View, me: &Address) -> Vec<Address> {
-    let address = |peer: &Arc<crate::membership::Peer>| Address {
-        router: peer.name.clone(),
-        address: peer.address,
-        domain: peer.domain.clone(),
-    };
-    let live = |peer: &&Arc<crate::membership::Peer>| !peer.leaving && !view.is_dead(&peer.name);
-    let others = view.peers().filter(live).map(address);
-    others.chain(std::iter::once(me.clone())).collect()
+/// A router in the choice, this one or another.
+#[derive(Clone, Copy)]
+struct Choice<'a> {
+    score: u64,
+    router: &'a RouterName,
+    address: SocketAddr,
+    domain: &'a DomainName,
 }
 
-/// Keeps the first router of each failure domain.
-fn spread(ranked: Vec<Address>) -> Vec<Address> {
-    let mut chosen: Vec<Address> = Vec::new();
-    for address in ranked {
-        let taken = chosen.iter().any(|other| other.domain == address.domain);
-        if !taken && chosen.len() < MAX_ADDRESSES {
-            chosen.push(address);
+impl Choice<'_> {
+    fn to_address(self) -> Address {
+        Address {
+            router: self.router.clone(),
+            address: self.address,
+            domain: self.domain.clone(),
         }
     }
-    chosen
+}
+
+fn routers<'a>(key: &'a str, view: &'a View, me: &'a Address) -> impl Iterator<Item = Choice<'a>> {
+    let live = |peer: &&Arc<Peer>| !peer.leaving && !view.is_dead(&peer.name);
+    let others = view
+        .peers()
+        .filter(live)
+        .map(|peer| (&peer.name, peer.address, &peer.domain));
+    let mine = std::iter::once((&me.router, me.address, &me.domain));
+    others
+        .chain(mine)
+        .map(move |(router, address, domain)| Choice {
+            score: placement::score(key, router.as_str()),
+            router,
+            address,
+            domain,
+        })
+}
+
+/// Returns the first routers of different failure domains, and fills up with others when
+/// there are fewer domains than addresses in an answer.
+fn spread(key: &str, view: &View, me: &Address) -> Vec<Address> {
+    let mut firsts: Vec<Choice<'_>> = Vec::new();
+    let mut others: Vec<Choice<'_>> = Vec::new();
+    for mut choice in routers(key, view, me) {
+        let same = firsts
+            .iter_mut()
+            .find(|first| first.domain == choice.domain);
+        let Some(first) = same else {
+            firsts.push(choice);
+            continue;
+        };
+        if choice.score > first.score {
+            std::mem::swap(first, &mut choice);
+        }
+        others.push(choice);
+    }
+    let by_score = |choice: &Choice<'_>| Reverse(choice.score);
+    firsts.sort_unstable_by_key(by_score);
+    if firsts.len() < MAX_ADDRESSES {
+        others.sort_unstable_by_key(by_score);
+        firsts.extend(others);
+    }
+    let chosen = firsts.into_iter().take(MAX_ADDRESSES);
+    chosen.map(Choice::to_address).collect()
 }
--- a/src/placement/hint.rs
+++ b/src/placement/hint.rs
@@ -55,7 +55,7 @@
     /// Returns the place of this life of `engine` in the hint, 0 for the newest.
     pub fn position(&self, engine: &Engine) -> Option<usize> {
         let same = |entry: &HintEntry| {
-            entry.engine == engine.name && entry.incarnation == engine.incarnation
+            entry.incarnation == engine.incarnation && entry.engine == engine.name
         };
         self.entries.iter().position(same)
     }
