Say shared things once: scripts, specifications, the policy bench's choice

Cause: three scripts carried the same functions to start, wait for and end processes, two tests the same check of a specification, and the policy bench had a file of 522 lines.

Change: scripts/lib.sh and tests/support/spec.rs hold what was repeated; the bench's choice of router and engines is a module of its own.

Conclusion: no behaviour changed.

--- a/examples/policy/world.rs
+++ b/examples/policy/world.rs
@@ -1,26 +1,27 @@
 //! Virtual time: drives one policy through the trace.
 
+mod choose;
+
 use std::{
     cmp::Reverse,
     collections::{BinaryHeap, HashMap},
-    sync::Arc,
 };
 
 use ebonyspur::{
-    membership::{Engine, PoolLoad},
-    placement::{self, Directory, Hint, Preference, Spill},
+    membership::PoolLoad,
+    placement::{Directory, Hint},
     steward::{
         cautious_factor, load_bound, GrantId, GrantReply, HandOver, Holder, LoadFloor, Steward,
     },
     ChatId, EngineName, Incarnation, Instant, RouterName,
 };
-use rand::{RngExt, SeedableRng};
+use rand::SeedableRng;
 use rand_pcg::Pcg64Mcg;
 
 use super::{
     engines::{Sim, SAMPLE, SPLIT},
     known::KnownLoads,
-    policy::{Choice, Mean, Memory, Policy, Source},
+    policy::{Choice, Mean, Memory, Policy},
     report::Report,
     trace::{Churn, Turn, SECOND},
 };
@@ -283,128 +284,6 @@
             .find(|at| self.acquire(router, *at, grant, FACTOR))
     }
 
-    /// Returns the router that the request reaches, and the engines it tries.
-    fn order(&mut self, chat: u32) -> (usize, Vec<usize>) {
-        let asked = self.rng.random_range(0..ROUTERS);
-        let ordered = self.ordered_by(asked, chat, Spill::NextRank);
-        if ordered.is_empty() || self.rng.random_bool(STALE) {
-            return (asked, self.ordered_by(asked, chat, self.policy.spill));
-        }
-        let router = match self.policy.memory {
-            Memory::Directory => self.home(chat),
-            _ => self.steward_of(ordered[0]),
-        };
-        (router, self.ordered_by(router, chat, self.policy.spill))
-    }
-
-    fn steward_of(&self, at: usize) -> usize {
-        let name = self.sims[at].engine.name.as_str();
-        let first = placement::first(name, self.names.iter()).expect("a router");
-        self.names
-            .iter()
-            .position(|other| other == first)
-            .expect("a router")
-    }
-
-    fn ordered_by(&self, router: usize, chat: u32, spill: Spill) -> Vec<usize> {
-        let seen = |at: &usize| self.sims[*at].is_seen(router, self.now);
-        let seen: Vec<usize> = (0..self.sims.len()).filter(seen).collect();
-        match self.policy.choice {
-            Choice::LeastLoaded => self.by_key(seen, |at| self.sims[at].load_at(self.heard())),
-            Choice::Oracle => {
-                let live = self.live();
-                self.by_key(live, |at| {
-                    (!self.sims[at].caches(chat), self.sims[at].in_flight)
-                })
-            }
-            Choice::Bounded | Choice::First => self.preferred(router, chat, &seen, spill),
-        }
-    }
-
-    fn by_key<K: Ord>(&self, mut engines: Vec<usize>, key: impl Fn(usize) -> K) -> Vec<usize> {
-        engines.sort_by_key(|at| key(*at));
-        engines
-    }
-
-    fn preferred(&self, router: usize, chat: u32, seen: &[usize], spill: Spill) -> Vec<usize> {
-        let known = &self.known[router];
-        let heard = |engine: &Engine| match self.policy.source {
-            Source::Replies => known.get(engine, self.now),
-            Source::Sums => Some(self.sum_of_steward(self.find(engine), seen)),
-            Source::Gossip => Some(self.sims[self.find(engine)].load_at(self.heard())),
-            Source::Exact => Some(self.sims[self.find(engine)].in_flight),
-        };
-        let load = |engine: &Engine| {
-            let penalty = self.policy.penalty * self.failed_lately(&engine.name);
-            heard(engine)
-                .map(|load| load + penalty)
-                .or((penalty > 0).then_some(penalty))
-        };
-        let pref = Preference {
-            ranks: self.policy.ranks,
-            spill,
-            load: &load,
-        };
-        let hint = self.hint(chat);
-        let engines: Vec<Arc<Engine>> = seen
-            .iter()
-            .map(|at| self.sims[*at].engine.clone())
-            .collect();
-        let ordered = placement::preferred(chat_id(chat).as_str(), &hint, &engines, &pref);
-        ordered.iter().map(|engine| self.find(engine)).collect()
-    }
-
-    /// Returns the router that keeps the directory entry of `chat`.
-    fn home(&self, chat: u32) -> usize {
-        let first = placement::first(chat_id(chat).as_str(), self.names.iter());
-        let first = first.expect("a router");
-        self.names
-            .iter()
-            .position(|other| other == first)
-            .expect("a router")
-    }
-
-    fn failed_lately(&self, engine: &EngineName) -> u32 {
-        let failures = self.failures.get(engine).map_or(&[][..], Vec::as_slice);
-        let recent = |at: &&u64| self.now - **at < FAILURE_MEMORY;
-        failures.iter().filter(recent).count() as u32
-    }
-
-    fn hint(&self, chat: u32) -> Hint {
-        match self.policy.memory {
-            Memory::None => Hint::default(),
-            Memory::Hint(_) => self.memory.get(&chat).cloned().unwrap_or_default(),
-            Memory::Directory => self.directories[self.home(chat)].get(&chat_id(chat)),
-        }
-    }
-
-    /// Returns the load that the steward of an engine gossips, over the engines it counts.
-    fn sum_of_steward(&self, at: usize, seen: &[usize]) -> u32 {
-        let steward = self.steward_of(at);
-        let counted: Vec<_> = seen
-            .iter()
-            .filter(|at| self.steward_of(**at) == steward)
-            .collect();
-        let sum: u32 = counted
-            .iter()
-            .map(|at| self.sims[**at].load_at(self.heard()))
-            .sum();
-        sum / counted.len().max(1) as u32
-    }
-
-    /// Returns the time of the loads that gossip has brought.
-    fn heard(&self) -> u64 {
-        self.now
-            .saturating_sub(self.scale.gossip_ms * SECOND / 1_000)
-    }
-
-    fn find(&self, engine: &Engine) -> usize {
-        let same = |sim: &Sim| {
-            sim.engine.incarnation == engine.incarnation && sim.engine.name == engine.name
-        };
-        self.sims.iter().rposition(same).expect("an engine")
-    }
-
     fn acquire(&mut self, router: usize, at: usize, grant: u64, factor: f64) -> bool {
         let steward = self.steward_of(at);
         if !self.sims[at].is_live(self.now) {
--- a/scripts/claim-cost.sh
+++ b/scripts/claim-cost.sh
@@ -8,33 +8,7 @@
 [ "$profile" = release ] && flags+=(--release)
 cargo build "${flags[@]}" >&2
 bin=target/$profile
-dir=$(mktemp -d)
-pids=()
-stop_all() {
-    for pid in "${pids[@]}"; do kill "$pid" 2>/dev/null || true; done
-    wait 2>/dev/null || true
-    rm -rf "$dir"
-}
-trap stop_all EXIT
-
-start() { # NAME COMMAND...
-    local name=$1
-    shift
-    "$@" >"$dir/$name.log" 2>&1 &
-    pids+=($!)
-    eval "pid_$name=$!"
-}
-request() { "$bin/stand-in" request "$@"; }
-wait_for() { # COMMAND...
-    for _ in $(seq 100); do
-        if "$@" >/dev/null 2>&1; then return 0; fi
-        sleep 0.1
-    done
-    echo "claim-cost: gave up waiting for: $*" >&2
-    "$@" >&2 || true
-    tail -n 5 "$dir"/*.log >&2
-    exit 1
-}
+. scripts/lib.sh
 
 platform=http://127.0.0.1:9700
 start platform "$bin/stand-in" platform --listen 127.0.0.1:9700
--- a/scripts/router-size.sh
+++ b/scripts/router-size.sh
@@ -7,26 +7,13 @@
 cd "$(dirname "$0")/.."
 cargo build --locked --release --workspace --bins >&2
 bin=target/release
-dir=$(mktemp -d)
-pids=()
-stop_all() {
-    for pid in "${pids[@]}"; do kill "$pid" 2>/dev/null || true; done
-    wait 2>/dev/null || true
-    rm -rf "$dir"
-}
-trap stop_all EXIT
+. scripts/lib.sh
 
 platform=http://127.0.0.1:7700
-state=http://127.0.0.1:7703/state
 token=token-of-the-measurement
-request() { "$bin/stand-in" request --token "$token" "$@"; }
 
-"$bin/stand-in" platform --listen 127.0.0.1:7700 >"$dir/platform.log" 2>&1 &
-pids+=($!)
-for _ in $(seq 50); do
-    request GET "$platform/v1/instances" >/dev/null 2>&1 && break
-    sleep 0.1
-done
+start platform "$bin/stand-in" platform --listen 127.0.0.1:7700
+wait_for request GET "$platform/v1/instances"
 
 publish() { # OFFSET OPS
     local change='{"record":"change","id":"change-'$1'","operator":"size","at":0,'
@@ -53,13 +40,9 @@
 peers: {keys: [key-of-the-measurement]}
 operators: [{name: size, token: $token}]
 YAML
-"$bin/ebonyspurd" --settings "$dir/router.yaml" >"$dir/router.log" 2>&1 &
-router=$!
-pids+=("$router")
-for _ in $(seq 100); do
-    request GET "$state" 2>/dev/null | grep -q '"phase":"serving"' && break
-    sleep 0.1
-done
+start router "$bin/ebonyspurd" --settings "$dir/router.yaml"
+router=$pid_router
+wait_for request GET http://127.0.0.1:7703/readyz --token "$token"
 sleep 3
 ticks() { awk '{print $14 + $15}' "/proc/$router/stat"; }
 before=$(ticks)
--- a/tests/support/mod.rs
+++ b/tests/support/mod.rs
@@ -3,6 +3,7 @@
 #![allow(dead_code)]
 
 pub mod http;
+pub mod spec;
 
 use std::{
     fs::File,
