Shorten what did not fit a screen, and name the leaving phase once

Cause: read as a newcomer, `Router::run` and `inspect::explain` needed scrolling, and two places compared the name of a phase as text.

Change: the tasks without a socket are started by a function of their own; the engines that are shut are listed by one; `Membership::is_leaving` replaces the comparisons.

Conclusion: no behaviour changed.

--- a/src/inspect/explain.rs
+++ b/src/inspect/explain.rs
@@ -64,28 +64,22 @@
     let state = cx.config.current();
     state.team(team)?;
     let service = state.service(service)?;
-    let engines: Vec<_> = cx
-        .membership
-        .view()
-        .engines(&service.pool)
-        .cloned()
-        .collect();
-    let why_shut = |engine: &Engine| why_shut(&state, engine);
-    let open = engines.iter().filter(|engine| why_shut(engine).is_none());
+    let pool = &service.pool;
+    let engines: Vec<_> = cx.membership.view().engines(pool).cloned().collect();
+    let open = engines
+        .iter()
+        .filter(|engine| why_shut(&state, engine).is_none());
     let ranked = cx.candidates(chat, hint, open);
     let routers = lookup::Answer::new(&cx.membership.view(), &cx.address(), service, chat, hint)?;
     let waiting = cx.admission.lines.waiting();
+    let seekers = cx.admission.seekers.count(pool);
     Ok(Explanation {
         team: team.clone(),
         service: service.name.clone(),
         chat: chat.clone(),
         refusal: would_refuse(cx, team, &ranked),
-        bound: cx.bound(
-            &service.pool,
-            Limit::Bound,
-            cx.admission.seekers.count(&service.pool),
-        ),
-        waiting: waiting.get(&service.pool).copied().unwrap_or_default(),
+        bound: cx.bound(pool, Limit::Bound, seekers),
+        waiting: waiting.get(pool).copied().unwrap_or_default(),
         routers: routers.addresses.into_iter().map(|a| a.router).collect(),
         engines: ranked
             .iter()
@@ -93,17 +87,17 @@
             .collect(),
         shut: engines
             .iter()
-            .filter_map(|engine| {
-                let engine_name = engine.name.clone();
-                why_shut(engine).map(|why| Shut {
-                    engine: engine_name,
-                    why,
-                })
-            })
+            .filter_map(|engine| shut(&state, engine))
             .collect(),
     })
 }
 
+fn shut(state: &State, engine: &Engine) -> Option<Shut> {
+    let why = why_shut(state, engine)?;
+    let engine = engine.name.clone();
+    Some(Shut { engine, why })
+}
+
 fn why_shut(state: &State, engine: &Engine) -> Option<&'static str> {
     if engine.leaving {
         Some("leaving")
--- a/src/membership/state.rs
+++ b/src/membership/state.rs
@@ -98,6 +98,11 @@
         !matches!(*lock(&self.phase), Some(Phase::Starting(_)))
     }
 
+    /// Returns whether the router has been asked to stop.
+    pub fn is_leaving(&self) -> bool {
+        matches!(*lock(&self.phase), Some(Phase::Leaving(_)))
+    }
+
     /// Returns whether new requests are taken.
     pub fn is_serving(&self) -> bool {
         matches!(*lock(&self.phase), Some(Phase::Serving(_)))
--- a/src/membership/task.rs
+++ b/src/membership/task.rs
@@ -70,7 +70,7 @@
         let own = OwnState {
             config_head: self.config.current().applied,
             loads: self.counted_loads(),
-            leaving: self.membership.phase() == "leaving",
+            leaving: self.membership.is_leaving(),
         };
         let at = self.moment();
         let mut gossip = self.membership.gossip();
--- a/src/router.rs
+++ b/src/router.rs
@@ -128,24 +128,10 @@
         let datagrams = Arc::new(UdpSocket::bind(listen.peers).await?);
 
         let mut tasks = JoinSet::new();
-        tasks.spawn(config::follow(self.clone()));
-        tasks.spawn(config::follow_peers(self.clone()));
-        tasks.spawn(config::write_checkpoints(self.clone()));
-        tasks.spawn(membership::follow_instances(self.clone()));
+        self.spawn_duties(&mut tasks, &stop);
         tasks.spawn(membership::gossip(self.clone(), datagrams.clone()));
         tasks.spawn(membership::receive(self.clone(), datagrams));
-        tasks.spawn(steward::keep_engines(self.clone()));
-        tasks.spawn(steward::renew_grants(self.clone()));
         tasks.spawn(peer::serve(self.clone(), peers));
-        for partition in 0..once::PARTITIONS {
-            tasks.spawn(once::append_batches(self.clone(), partition));
-            tasks.spawn(once::tail(self.clone(), partition));
-        }
-
-        for group in 0..lease::GROUPS {
-            tasks.spawn(lease::contend(self.clone(), group, stop.clone()));
-            tasks.spawn(orders::drive(self.clone(), group));
-        }
 
         let limits = self.settings.limits.clone();
         let routes = http::operator_routes(self.clone());
@@ -171,6 +157,24 @@
         Ok(())
     }
 
+    /// Starts the tasks that need no socket of their own.
+    fn spawn_duties(self: &Arc<Self>, tasks: &mut JoinSet<()>, stop: &watch::Receiver<bool>) {
+        tasks.spawn(config::follow(self.clone()));
+        tasks.spawn(config::follow_peers(self.clone()));
+        tasks.spawn(config::write_checkpoints(self.clone()));
+        tasks.spawn(membership::follow_instances(self.clone()));
+        tasks.spawn(steward::keep_engines(self.clone()));
+        tasks.spawn(steward::renew_grants(self.clone()));
+        for partition in 0..once::PARTITIONS {
+            tasks.spawn(once::append_batches(self.clone(), partition));
+            tasks.spawn(once::tail(self.clone(), partition));
+        }
+        for group in 0..lease::GROUPS {
+            tasks.spawn(lease::contend(self.clone(), group, stop.clone()));
+            tasks.spawn(orders::drive(self.clone(), group));
+        }
+    }
+
     /// Checks that new requests are taken.
     ///
     /// # Errors
--- a/src/steward/answer.rs
+++ b/src/steward/answer.rs
@@ -15,7 +15,7 @@
 impl Router {
     /// Returns the steward of `engine`, or `None` when it is this router.
     pub fn steward_of(&self, engine: &EngineName) -> Option<Arc<Peer>> {
-        let leaving = !self.membership.is_serving() && self.membership.phase() == "leaving";
+        let leaving = self.membership.is_leaving();
         let view = self.membership.view();
         let me = &self.settings.name;
         let candidates = view.duty_routers().filter(|name| !leaving || *name != me);
