Hold a team's shift back until its version is ready, and stop moves that fail

Cause: a team's move was in force at once, before any engine had loaded the new version, and the version did not reach the engines at all. A failed load stopped at its first failure and was forgotten with its driver; operators saw it only in the holder's dump.

Ruled out: a shift by each router on its own from gossiped reports (not at one offset, and back when an engine restarts); a record for each team.

Change: a change of a team's version begins a move, and the old version goes on. The holder of each pool's lease appends a step to the configuration stream when the pool's engines have the version warm, or when a load has failed three times with pauses. The fold shifts the team when all pools are ready, and keeps what has stopped. A step counts for moves and pools as its driver had seen them, under the newest fencing number, and once. `plan retry` and a move confirmed anew go on; `status` and `events` say what waits and why it stopped. `plan move-team` unloads what no team needs, 15 s after the shift. Requests carry the team's version to the engine. spec/Moves.tla checks the guards.

An engine that joins after the shift may get requests before it is warm.

--- a/src/cli/args.rs
+++ b/src/cli/args.rs
@@ -134,7 +134,7 @@
         /// Name of the engine.
         engine: EngineName,
     },
-    /// Move a team to a version, which is loaded where the team is served.
+    /// Move a team to a version, which serves it once engines have it ready.
     MoveTeam {
         /// Name of the team.
         team: TeamName,
@@ -156,6 +156,11 @@
         /// What to unload.
         version: VersionName,
     },
+    /// Try again what the engines of a pool could not load.
+    Retry {
+        /// Name of the pool.
+        pool: PoolName,
+    },
     /// Give an engine a role.
     SetRole {
         /// Name of the engine.
--- a/src/cli/show.rs
+++ b/src/cli/show.rs
@@ -65,6 +65,12 @@
         }));
     }
     print!("{}", table::rows(&rows));
+    for key in ["moves", "stopped"] {
+        let rows = status[key].as_array().map_or(&[][..], Vec::as_slice);
+        if !rows.is_empty() {
+            print!("\n{}:\n{}", key.to_uppercase(), table::rows(rows));
+        }
+    }
     Ok(())
 }
 
@@ -104,8 +110,12 @@
         Value::Null => "accepted".to_string(),
         rejection => format!("rejected ({})", rejection["reason"].as_str().unwrap_or("?")),
     };
+    let note = match decision["note"].as_str() {
+        Some(note) => format!(" ({note})"),
+        None => String::new(),
+    };
     format!(
-        "{time} offset {} {outcome} {} by {}: {}",
+        "{time} offset {} {outcome} {} by {}: {}{note}",
         decision["offset"],
         text("id"),
         text("operator"),
--- a/src/config/apply.rs
+++ b/src/config/apply.rs
@@ -1,6 +1,12 @@
 //! Operations on the objects of a state, each with its inverse.
 
-use super::{Op, Role, State};
+use std::collections::BTreeMap;
+
+use super::{Halt, Model, Move, Op, Pool, Role, Service, State, Team};
+use crate::{PoolName, TeamName, VersionName};
+
+/// Versions that the engines of a pool could not load.
+type Halts = BTreeMap<VersionName, Halt>;
 
 /// Number of steps into which 1.0 of a load factor is divided.
 const LOAD_FACTOR_STEPS: f64 = 1_000.0;
@@ -8,11 +14,15 @@
 /// Carries out one operation whose object exists.
 pub(super) fn apply(state: &mut State, op: &Op) {
     match op {
-        Op::PutTeam(team) => drop(state.teams.insert(team.name.clone(), team.clone())),
-        Op::RemoveTeam { name } => drop(state.teams.remove(name)),
+        Op::PutTeam(team) => state.put_team(team),
+        Op::RemoveTeam { name } => {
+            state.moves.remove(name);
+            state.teams.remove(name);
+        }
         Op::MoveTeam { team, to } => {
-            if let Some(team) = state.teams.get_mut(team) {
+            if let Some(mut team) = state.teams.get(team).cloned() {
                 team.version = Some(to.clone());
+                state.put_team(&team);
             }
         }
         Op::PutService(svc) => drop(state.services.insert(svc.name.clone(), svc.clone())),
@@ -20,17 +30,24 @@
         Op::PutPool(pool) => {
             let mut pool = pool.clone();
             pool.load_factor = rounded(pool.load_factor);
+            state.halts.remove(&pool.name);
             state.pools.insert(pool.name.clone(), pool);
         }
-        Op::RemovePool { name } => drop(state.pools.remove(name)),
+        Op::RemovePool { name } => {
+            state.halts.remove(name);
+            state.pools.remove(name);
+        }
         Op::Load { pool, version } => {
+            state.go_on(pool, version);
             let pool = state.pools.get_mut(pool);
             pool.map(|pool| pool.versions.insert(version.clone()));
         }
         Op::Unload { pool, version } => {
+            state.go_on(pool, version);
             let pool = state.pools.get_mut(pool);
             pool.map(|pool| pool.versions.remove(version));
         }
+        Op::Retry { pool } => drop(state.halts.remove(pool)),
         Op::PutModel(model) => drop(state.models.insert(model.name.clone(), model.clone())),
         Op::RemoveModel { name } => drop(state.models.remove(name)),
         Op::Drain { engine } => drop(state.drained.insert(engine.clone())),
@@ -47,45 +64,79 @@
     (factor * LOAD_FACTOR_STEPS).round() / LOAD_FACTOR_STEPS
 }
 
-/// Returns the operation that undoes `op` on `state`.
-pub(super) fn inverse(state: &State, op: &Op) -> Op {
-    match op {
-        Op::PutTeam(crate::config::Team { name, .. })
-        | Op::RemoveTeam { name }
-        | Op::MoveTeam { team: name, .. } => match state.teams.get(name) {
-            Some(team) => Op::PutTeam(team.clone()),
-            None => Op::RemoveTeam { name: name.clone() },
-        },
-        Op::PutService(crate::config::Service { name, .. }) | Op::RemoveService { name } => {
-            match state.services.get(name) {
-                Some(service) => Op::PutService(service.clone()),
-                None => Op::RemoveService { name: name.clone() },
+/// What an operation changes, as it was before.
+pub(super) enum Undo {
+    /// An operation that sets the object back.
+    Op(Op),
+    /// A team, and where it was moving to.
+    Team(TeamName, Option<Team>, Option<Move>),
+    /// A pool, and what it could not load.
+    Pool(PoolName, Option<Pool>, Option<Halts>),
+}
+
+impl Undo {
+    /// Returns what undoes `op` on `state`.
+    pub(super) fn new(state: &State, op: &Op) -> Self {
+        match op {
+            Op::PutTeam(Team { name, .. })
+            | Op::RemoveTeam { name }
+            | Op::MoveTeam { team: name, .. } => {
+                let (team, moving) = (state.teams.get(name), state.moves.get(name));
+                Undo::Team(name.clone(), team.cloned(), moving.cloned())
+            }
+            Op::PutPool(Pool { name, .. })
+            | Op::RemovePool { name }
+            | Op::Load { pool: name, .. }
+            | Op::Unload { pool: name, .. }
+            | Op::Retry { pool: name } => {
+                let (pool, halts) = (state.pools.get(name), state.halts.get(name));
+                Undo::Pool(name.clone(), pool.cloned(), halts.cloned())
+            }
+            Op::PutService(Service { name, .. }) | Op::RemoveService { name } => {
+                Undo::Op(match state.services.get(name) {
+                    Some(service) => Op::PutService(service.clone()),
+                    None => Op::RemoveService { name: name.clone() },
+                })
+            }
+            Op::PutModel(Model { name, .. }) | Op::RemoveModel { name } => {
+                Undo::Op(match state.models.get(name) {
+                    Some(model) => Op::PutModel(model.clone()),
+                    None => Op::RemoveModel { name: name.clone() },
+                })
             }
+            Op::Drain { engine } | Op::Undrain { engine } => {
+                let engine = engine.clone();
+                Undo::Op(match state.drained.contains(&engine) {
+                    true => Op::Drain { engine },
+                    false => Op::Undrain { engine },
+                })
+            }
+            Op::SetRole { engine, .. } => Undo::Op(Op::SetRole {
+                engine: engine.clone(),
+                role: state.roles.get(engine).copied().unwrap_or_default(),
+            }),
         }
-        Op::PutPool(crate::config::Pool { name, .. })
-        | Op::RemovePool { name }
-        | Op::Load { pool: name, .. }
-        | Op::Unload { pool: name, .. } => match state.pools.get(name) {
-            Some(pool) => Op::PutPool(pool.clone()),
-            None => Op::RemovePool { name: name.clone() },
-        },
-        Op::PutModel(crate::config::Model { name, .. }) | Op::RemoveModel { name } => {
-            match state.models.get(name) {
-                Some(model) => Op::PutModel(model.clone()),
-                None => Op::RemoveModel { name: name.clone() },
+    }
+
+    /// Sets `state` back.
+    pub(super) fn restore(self, state: &mut State) {
+        match self {
+            Undo::Op(op) => apply(state, &op),
+            Undo::Team(name, team, moving) => {
+                set(&mut state.moves, name.clone(), moving);
+                set(&mut state.teams, name, team);
+            }
+            Undo::Pool(name, pool, halts) => {
+                set(&mut state.halts, name.clone(), halts);
+                set(&mut state.pools, name, pool);
             }
         }
-        Op::Drain { engine } | Op::Undrain { engine } => match state.drained.contains(engine) {
-            true => Op::Drain {
-                engine: engine.clone(),
-            },
-            false => Op::Undrain {
-                engine: engine.clone(),
-            },
-        },
-        Op::SetRole { engine, .. } => Op::SetRole {
-            engine: engine.clone(),
-            role: state.roles.get(engine).copied().unwrap_or_default(),
-        },
+    }
+}
+
+fn set<K: Ord, V>(map: &mut BTreeMap<K, V>, key: K, value: Option<V>) {
+    match value {
+        Some(value) => drop(map.insert(key, value)),
+        None => drop(map.remove(&key)),
     }
 }
--- a/src/config/check.rs
+++ b/src/config/check.rs
@@ -31,9 +31,10 @@
     let exists = match op {
         Op::RemoveTeam { name } | Op::MoveTeam { team: name, .. } => has_team(state, name),
         Op::RemoveService { name } => has_service(state, name),
-        Op::RemovePool { name } | Op::Load { pool: name, .. } | Op::Unload { pool: name, .. } => {
-            state.pools.contains_key(name)
-        }
+        Op::RemovePool { name }
+        | Op::Load { pool: name, .. }
+        | Op::Unload { pool: name, .. }
+        | Op::Retry { pool: name } => state.pools.contains_key(name),
         Op::RemoveModel { name } => state.models.contains_key(name),
         _ => true,
     };
@@ -91,7 +92,9 @@
 
 fn check_teams<'a>(state: &State, teams: impl Iterator<Item = &'a Team>) -> Result<(), Rejection> {
     for team in teams {
-        let Some(version) = &team.version else {
+        let moving = state.moves.get(&team.name);
+        let wanted = moving.map(|moving| &moving.to).or(team.version.as_ref());
+        let Some(version) = wanted else {
             continue;
         };
         if !is_loaded(state, version) {
--- a/src/config/decision.rs
+++ b/src/config/decision.rs
@@ -15,6 +15,8 @@
     Rejected(Rejection),
     /// The change was decided before, at this offset; it is not applied again.
     Repeated(Offset),
+    /// The step of a move is late, repeated or of an earlier driver; it changes nothing.
+    VoidStep,
     /// The checkpoint agrees with the fold.
     Checkpointed,
     /// The checkpoint landed late or differs from the fold; it changes nothing.
@@ -78,14 +80,14 @@
     }
 }
 
-/// The account of one decided change.
+/// The account of one decided change, or of one step of a move.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Decision {
     /// Offset of the change.
     pub offset: Offset,
     /// Identity of the change.
     pub id: String,
-    /// Operator who confirmed it.
+    /// Operator who confirmed it, or router that drove the step.
     pub operator: String,
     /// Wall time of the confirmation.
     pub at: UnixMillis,
@@ -94,4 +96,7 @@
     /// Why it is not in force; absent when it was accepted.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub rejection: Option<Rejection>,
+    /// What a step of a move came to; absent for changes.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub note: Option<String>,
 }
--- a/src/config/mod.rs
+++ b/src/config/mod.rs
@@ -12,6 +12,7 @@
 mod checkpoint;
 mod decision;
 mod message;
+mod moves;
 mod object;
 mod pull;
 mod record;
@@ -24,6 +25,7 @@
     checkpoint::{checkpoint_due, newest_usable},
     decision::{Decision, Outcome, Rejection},
     message::{decode, ConfigHead, ConfigPart, ConfigSince, EncodedRecord},
+    moves::{Halt, Move, MoveStep, StepResult, MAX_REASON_LEN},
     object::{Model, Pool, Role, Service, ServiceKind, Team, DEFAULT_LOAD_FACTOR},
     pull::follow_peers,
     record::{Change, Checkpoint, Op, Record},
--- a/src/config/record.rs
+++ b/src/config/record.rs
@@ -2,7 +2,7 @@
 
 use serde::{Deserialize, Serialize};
 
-use super::{Model, Pool, Role, Service, State, Team};
+use super::{Model, MoveStep, Pool, Role, Service, State, Team};
 use crate::{EngineName, Offset, PoolName, ServiceName, TeamName, UnixMillis, VersionName};
 
 /// A record of the configuration stream.
@@ -11,6 +11,8 @@
 pub enum Record {
     /// A confirmed change.
     Change(Change),
+    /// A step of a move.
+    Step(MoveStep),
     /// The state at an offset, so that earlier records may be dropped.
     Checkpoint(Checkpoint),
     /// A record that this program cannot read; it changes nothing at any router.
@@ -68,11 +70,11 @@
         /// Name of the team.
         name: TeamName,
     },
-    /// Moves a team to a version.
+    /// Moves a team to a version, which serves it once engines have it ready.
     MoveTeam {
         /// Name of the team.
         team: TeamName,
-        /// Version that serves it from now on.
+        /// Version that is to serve it.
         to: VersionName,
     },
     /// Creates or replaces a service.
@@ -103,6 +105,11 @@
         /// What to unload.
         version: VersionName,
     },
+    /// Tries again what the engines of a pool could not load.
+    Retry {
+        /// Name of the pool.
+        pool: PoolName,
+    },
     /// Creates or replaces a model.
     PutModel(Model),
     /// Removes a model.
@@ -142,7 +149,8 @@
             Op::PutPool(Pool { name, .. })
             | Op::RemovePool { name }
             | Op::Load { pool: name, .. }
-            | Op::Unload { pool: name, .. } => format!("pool/{name}"),
+            | Op::Unload { pool: name, .. }
+            | Op::Retry { pool: name } => format!("pool/{name}"),
             Op::PutModel(Model { name, .. }) | Op::RemoveModel { name } => format!("model/{name}"),
             Op::Drain { engine } | Op::Undrain { engine } | Op::SetRole { engine, .. } => {
                 format!("engine/{engine}")
--- a/src/config/shared.rs
+++ b/src/config/shared.rs
@@ -158,7 +158,7 @@
 
 fn log_outcome(offset: Offset, outcome: &Outcome) {
     match outcome {
-        Outcome::VoidCheckpoint | Outcome::Gap => {
+        Outcome::VoidCheckpoint | Outcome::VoidStep | Outcome::Gap => {
             log::warn!("config offset={offset} outcome={outcome:?}");
         }
         Outcome::Unchanged => log::debug!("config offset={offset} outcome={outcome:?}"),
--- a/src/config/state.rs
+++ b/src/config/state.rs
@@ -5,8 +5,8 @@
 use serde::{Deserialize, Serialize};
 
 use super::{
-    apply, check, Change, Checkpoint, Decision, Model, Op, Outcome, Pool, Record, Rejection, Role,
-    Service, Team,
+    apply, check, Change, Checkpoint, Decision, Halt, Model, Move, Op, Outcome, Pool, Record,
+    Rejection, Role, Service, Team,
 };
 use crate::{
     id::check_name, Category, EngineName, Error, Offset, PoolName, Result, ServiceName, TeamName,
@@ -40,6 +40,15 @@
     pub pools: BTreeMap<PoolName, Pool>,
     /// Models by name.
     pub models: BTreeMap<VersionName, Model>,
+    /// Teams on their way to another version.
+    #[serde(default, skip_serializing_if = "BTreeMap::is_empty")]
+    pub moves: BTreeMap<TeamName, Move>,
+    /// Versions that could not be loaded, by pool.
+    #[serde(default, skip_serializing_if = "BTreeMap::is_empty")]
+    pub halts: BTreeMap<PoolName, BTreeMap<VersionName, Halt>>,
+    /// Highest fencing number of the steps of each pool.
+    #[serde(default, skip_serializing_if = "BTreeMap::is_empty")]
+    pub fences: BTreeMap<PoolName, Offset>,
     /// Engines that get no new work.
     pub drained: BTreeSet<EngineName>,
     /// Roles of the engines whose role is not the default one.
@@ -75,6 +84,7 @@
         }
         let outcome = match record {
             Record::Change(change) => self.apply_change(offset, change),
+            Record::Step(step) => self.apply_step(offset, step),
             Record::Checkpoint(checkpoint) => self.compare(offset, checkpoint),
             Record::Unreadable => Outcome::Unchanged,
         };
@@ -98,6 +108,7 @@
             at: change.at,
             objects: change.objects().collect(),
             rejection: rejection.clone(),
+            note: None,
         });
         rejection.map_or(Outcome::Accepted, Outcome::Rejected)
     }
@@ -141,12 +152,13 @@
             if fits.is_err() {
                 break;
             }
-            undo.push(apply::inverse(self, op));
+            undo.push(apply::Undo::new(self, op));
             apply::apply(self, op);
         }
         let fits = fits.and_then(|()| check::check(self, ops));
         if fits.is_err() {
-            undo.iter().rev().for_each(|op| apply::apply(self, op));
+            let undo = undo.into_iter().rev();
+            undo.for_each(|undo| undo.restore(self));
         }
         fits
     }
--- a/src/http/admin.rs
+++ b/src/http/admin.rs
@@ -19,6 +19,7 @@
     inspect,
     intent::{self, Fleet, Intent, PlanDocument, PlanToken},
     membership::Peer,
+    orders::{self, HaltStatus, MoveStatus},
     peer::{DumpRequest, Purpose, Sealer},
     Category, Error, Offset, Result, Router, RouterName,
 };
@@ -119,6 +120,10 @@
     applied: Offset,
     head: Offset,
     routers: BTreeMap<RouterName, RouterStatus>,
+    /// Teams on their way to another version.
+    moves: Vec<MoveStatus>,
+    /// Versions that could not be loaded, whose moves stand still.
+    stopped: Vec<HaltStatus>,
 }
 
 #[derive(Serialize)]
@@ -133,12 +138,15 @@
     authorize(&cx, &req.headers)?;
     let peers: Vec<_> = cx.membership.view().peers().cloned().collect();
     let routers = join_all(peers.iter().map(|peer| ask_status(&cx, peer))).await;
+    let state = cx.config.current();
     let status = Status {
         router: cx.settings.name.clone(),
         phase: cx.membership.phase(),
-        applied: cx.config.current().applied,
+        applied: state.applied,
         head: cx.membership.view().config_head(),
         routers: routers.into_iter().collect(),
+        moves: orders::moves(&state),
+        stopped: orders::halts(&state),
     };
     Ok(json(StatusCode::OK, &status))
 }
--- a/src/intent/draft.rs
+++ b/src/intent/draft.rs
@@ -8,7 +8,7 @@
 };
 use crate::{
     config::{Model, Op, Pool, State},
-    Category, EngineName, Error, Result, TeamName, UnixMillis, VersionName,
+    Category, EngineName, Error, PoolName, Result, TeamName, UnixMillis, VersionName,
 };
 
 /// Makes the plan `id` of `intent`.
@@ -33,7 +33,8 @@
         .map_err(|err| refused(err.to_string()))?;
     let has_effect = (&after.teams, &after.services, &after.pools, &after.models)
         != (&state.teams, &state.services, &state.pools, &state.models)
-        || (&after.drained, &after.roles) != (&state.drained, &state.roles);
+        || (&after.drained, &after.roles) != (&state.drained, &state.roles)
+        || (&after.moves, &after.halts) != (&state.moves, &state.halts);
     if !has_effect {
         let message = "nothing to change: the configuration is so already";
         return Err(Error::not_run(Category::BadInput, message));
@@ -116,13 +117,54 @@
         version: to.clone(),
     };
     let mut ops: Vec<_> = pools.into_iter().map(load).collect();
+    ops.extend(retries(state, to));
     ops.push(Op::MoveTeam {
         team: team.clone(),
         to: to.clone(),
     });
+    ops.extend(unloads(state, team, to));
     Ok(ops)
 }
 
+/// Tries again where `version` could not be loaded.
+fn retries<'a>(state: &'a State, version: &'a VersionName) -> impl Iterator<Item = Op> + 'a {
+    let halted = state.halts.iter();
+    let halted = halted.filter(move |(_, halts)| halts.contains_key(version));
+    halted.map(|(pool, _)| Op::Retry { pool: pool.clone() })
+}
+
+/// Unloads the versions that the team leaves, unless another team may need them.
+fn unloads(state: &State, team: &TeamName, to: &VersionName) -> Vec<Op> {
+    let current = state.teams.get(team).and_then(|team| team.version.as_ref());
+    let next = state.moves.get(team).map(|moving| &moving.to);
+    let left = [current, next].into_iter().flatten();
+    let left: BTreeSet<_> = left.filter(|version| *version != to).collect();
+    let others = state.teams.keys().filter(|other| *other != team);
+    let needed: Vec<_> = others.map(|other| wanted_version(state, other)).collect();
+    let is_left = |version: &VersionName| {
+        let may_need =
+            |needed: &Option<&VersionName>| needed.is_none_or(|needed| needed == version);
+        left.contains(version) && !needed.iter().any(may_need)
+    };
+    let loaded = state.pools.values().flat_map(|pool| {
+        let versions = pool.versions.iter();
+        versions.map(move |version| (&pool.name, version))
+    });
+    let loaded = loaded.filter(|(_, version)| is_left(version));
+    let unload = |(pool, version): (&PoolName, &VersionName)| Op::Unload {
+        pool: pool.clone(),
+        version: version.clone(),
+    };
+    loaded.map(unload).collect()
+}
+
+/// Returns the version that `team` has or moves to.
+fn wanted_version<'a>(state: &'a State, team: &TeamName) -> Option<&'a VersionName> {
+    let current = state.teams.get(team).and_then(|team| team.version.as_ref());
+    let next = state.moves.get(team).map(|moving| &moving.to);
+    next.or(current)
+}
+
 fn loads_any(pool: &Pool, model: &Model) -> bool {
     pool.versions.iter().any(|version| model.has(version))
 }
@@ -154,11 +196,10 @@
 }
 
 fn moved_teams<'a>(before: &State, after: &State, ops: &'a [Op]) -> BTreeSet<&'a TeamName> {
-    let version = |state: &State, team| state.teams.get(team).and_then(|t| t.version.clone());
     let teams = ops.iter().filter_map(Op::team);
     teams
         .filter(|team| before.teams.contains_key(*team))
-        .filter(|team| version(before, *team) != version(after, *team))
+        .filter(|team| wanted_version(before, team) != wanted_version(after, team))
         .collect()
 }
 
--- a/src/intent/objects.rs
+++ b/src/intent/objects.rs
@@ -73,7 +73,7 @@
         let services = self.services.iter();
         let services = services.filter(|new| state.services.get(&new.name) != Some(new));
         let teams = self.teams.iter();
-        let teams = teams.filter(|new| state.teams.get(&new.name) != Some(new));
+        let teams = teams.filter(|new| state.wanted_team(&new.name).as_ref() != Some(new));
         let ops = models.cloned().map(Op::PutModel);
         let ops = ops.chain(pools.cloned().map(Op::PutPool));
         let ops = ops.chain(services.cloned().map(Op::PutService));
--- a/src/intent/plan.rs
+++ b/src/intent/plan.rs
@@ -49,9 +49,12 @@
             | Op::RemoveService { .. }
             | Op::RemovePool { .. }
             | Op::RemoveModel { .. } => "remove".into(),
-            Op::MoveTeam { to, .. } => format!("move to version {to}"),
+            Op::MoveTeam { to, .. } => format!("move to version {to} once engines have it ready"),
             Op::Load { version, .. } => format!("load version {version}"),
-            Op::Unload { version, .. } => format!("unload version {version}"),
+            Op::Unload { version, .. } => {
+                format!("unload version {version} once no team is served by it")
+            }
+            Op::Retry { .. } => "try failed loads again".into(),
             Op::Drain { .. } => "take no new work; work in flight ends by itself".into(),
             Op::Undrain { .. } => "take new work again".into(),
             Op::SetRole { role, .. } => format!("change role to {role:?}").to_lowercase(),
@@ -133,7 +136,7 @@
     /// Returns [`Category::Unauthorized`] when the plan touches what the operator may
     /// not change.
     pub fn confirm(self, operator: &Operator, now: UnixMillis) -> Result<Plan<Confirmed>> {
-        check_scope(operator, &self.document.ops)?;
+        check_scope(operator, &self.document)?;
         let stage = Confirmed {
             operator: operator.name.clone(),
             at: now,
@@ -145,13 +148,19 @@
     }
 }
 
-/// Checks that `operator` may carry out `ops`.
-fn check_scope(operator: &Operator, ops: &[Op]) -> Result<()> {
+/// Checks that `operator` may carry out `plan`.
+///
+/// A move of an own team may unload the version that it alone needed.
+fn check_scope(operator: &Operator, plan: &PlanDocument) -> Result<()> {
     let Some(teams) = &operator.teams else {
         return Ok(());
     };
-    let is_allowed = |op: &Op| op.team().is_some_and(|team| teams.contains(team));
-    let Some(op) = ops.iter().find(|op| !is_allowed(op)) else {
+    let is_move = matches!(plan.intent, Intent::MoveTeam { .. });
+    let is_allowed = |op: &Op| match op {
+        Op::Unload { .. } => is_move,
+        op => op.team().is_some_and(|team| teams.contains(team)),
+    };
+    let Some(op) = plan.ops.iter().find(|op| !is_allowed(op)) else {
         return Ok(());
     };
     let message = format!("operator {} may not change {}", operator.name, op.object());
--- a/src/intent/request.rs
+++ b/src/intent/request.rs
@@ -22,7 +22,8 @@
         /// Name of the engine.
         engine: EngineName,
     },
-    /// Move a team to a version, which is loaded where the team is served.
+    /// Move a team to a version, which is loaded where the team is served and serves it
+    /// once it is ready there; the old one goes when no team needs it.
     MoveTeam {
         /// Name of the team.
         team: TeamName,
@@ -43,6 +44,11 @@
         /// What to unload.
         version: VersionName,
     },
+    /// Try again what the engines of a pool could not load.
+    Retry {
+        /// Name of the pool.
+        pool: PoolName,
+    },
     /// Give an engine a role.
     SetRole {
         /// Name of the engine.
@@ -65,6 +71,7 @@
             Intent::Undrain { engine } => Op::Undrain { engine },
             Intent::Load { pool, version } => Op::Load { pool, version },
             Intent::Unload { pool, version } => Op::Unload { pool, version },
+            Intent::Retry { pool } => Op::Retry { pool },
             Intent::SetRole { engine, role } => Op::SetRole { engine, role },
             Intent::MoveTeam { .. } | Intent::Apply { .. } => return None,
         })
--- a/src/orders/state.rs
+++ b/src/orders/decide.rs
@@ -4,10 +4,10 @@
 
 use serde::Serialize;
 
-use super::{Order, Report, VersionState, Wanted};
-use crate::{EngineName, Offset, VersionName};
+use super::{Order, Report, Retries, VersionState, Wanted};
+use crate::{EngineName, Instant, Offset, VersionName};
 
-/// A step that failed and stops its move until the configuration changes.
+/// A step that failed too often and stops its move until an operator goes on.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize)]
 pub struct Stop {
     /// Engine on which it failed.
@@ -35,23 +35,32 @@
 /// nothing but makes it refuse every order of an earlier holder.
 ///
 /// At most `free_loads` loads start. Versions are loaded and warmed on every engine
-/// before any engine unloads one; a failed load starts no further load of its version
-/// and no unload.
+/// before any engine unloads one, and none is unloaded before each router knows that it
+/// serves no team. A failed load is tried again as `retries` allow; until
+/// it succeeds no other engine loads its version and none unloads one.
 pub fn decide(
     wanted: &Wanted,
     reports: &BTreeMap<EngineName, Report>,
     fence: Offset,
     mut free_loads: usize,
+    retries: &Retries,
+    now: Instant,
 ) -> Decision {
-    let stops = failed_steps(wanted, reports);
-    let stopped: BTreeSet<_> = stops.iter().map(|stop| &stop.version).collect();
+    let stops = stops(wanted, reports, retries);
+    let halted = wanted.halts.keys();
+    let held_back: BTreeSet<_> = halted.chain(retries.failing()).collect();
+    let may_retry = |engine: &EngineName, version: &VersionName| {
+        let is_stopped = stops.iter().any(|stop| stop.version == *version);
+        !is_stopped && retries.is_due(engine, version, now)
+    };
     let ready = |report: &Report| {
         wanted
             .versions
             .iter()
             .all(|version| is_warm(report, version))
     };
-    let may_unload = stops.is_empty() && reports.values().all(ready);
+    let are_ready = stops.is_empty() && reports.values().all(ready);
+    let may_unload = wanted.is_known_everywhere && are_ready;
     let mut orders = BTreeMap::new();
     let mut behind = 0;
     for (engine, report) in reports {
@@ -59,7 +68,13 @@
         let role = wanted.role(engine);
         let order = if report.role != role || is_unfenced(report, fence) {
             Some(Order::SetRole { role })
-        } else if let Some(order) = next_step(wanted, report, &stopped, &mut free_loads) {
+        } else if let Some(order) = next_step(wanted, report, &mut free_loads, |version| {
+            match report.versions.get(version) {
+                Some(VersionState::Failed { .. }) => may_retry(engine, version),
+                Some(_) => false,
+                None => !held_back.contains(version),
+            }
+        }) {
             Some(order)
         } else {
             let version = extra.filter(|_| may_unload).cloned();
@@ -81,23 +96,43 @@
     report.checks_fencing && report.fence < fence
 }
 
-fn failed_steps(wanted: &Wanted, reports: &BTreeMap<EngineName, Report>) -> Vec<Stop> {
-    let mut stops = Vec::new();
-    for (engine, report) in reports {
-        for version in &wanted.versions {
-            if let Some(VersionState::Failed { reason }) = report.versions.get(version) {
-                stops.push(Stop {
-                    engine: engine.clone(),
-                    version: version.clone(),
-                    reason: reason.clone(),
-                });
-            }
+/// Returns the moves that the configuration has stopped, and those that stop now.
+fn stops(wanted: &Wanted, reports: &BTreeMap<EngineName, Report>, retries: &Retries) -> Vec<Stop> {
+    let halts = wanted.halts.iter().map(|(version, halt)| Stop {
+        engine: halt.engine.clone(),
+        version: version.clone(),
+        reason: halt.reason.clone(),
+    });
+    let mut stops: Vec<_> = halts.collect();
+    for (engine, version, reason) in failures(wanted, reports) {
+        if retries.is_exhausted(engine, version) && !wanted.halts.contains_key(version) {
+            stops.push(Stop {
+                engine: engine.clone(),
+                version: version.clone(),
+                reason: reason.to_string(),
+            });
         }
     }
     stops
 }
 
-fn is_warm(report: &Report, version: &VersionName) -> bool {
+fn failures<'a>(
+    wanted: &'a Wanted,
+    reports: &'a BTreeMap<EngineName, Report>,
+) -> impl Iterator<Item = (&'a EngineName, &'a VersionName, &'a str)> {
+    let states = reports.iter().flat_map(|(engine, report)| {
+        let versions = report.versions.iter();
+        versions.map(move |(version, state)| (engine, version, state))
+    });
+    let wanted = states.filter(|(_, version, _)| wanted.versions.contains(*version));
+    wanted.filter_map(|(engine, version, state)| match state {
+        VersionState::Failed { reason } => Some((engine, version, reason.as_str())),
+        _ => None,
+    })
+}
+
+/// Returns whether an engine has `version` ready.
+pub(super) fn is_warm(report: &Report, version: &VersionName) -> bool {
     report.versions.get(version) == Some(&VersionState::Warm)
 }
 
@@ -112,8 +147,8 @@
 fn next_step(
     wanted: &Wanted,
     report: &Report,
-    stopped: &BTreeSet<&VersionName>,
     free_loads: &mut usize,
+    may_load: impl Fn(&VersionName) -> bool,
 ) -> Option<Order> {
     for version in &wanted.versions {
         match report.versions.get(version) {
@@ -121,7 +156,7 @@
                 let version = version.clone();
                 return Some(Order::Warm { version });
             }
-            None if *free_loads > 0 && !stopped.contains(version) => {
+            _ if *free_loads > 0 && may_load(version) => {
                 *free_loads -= 1;
                 let version = version.clone();
                 return Some(Order::Load { version });
--- a/src/orders/mod.rs
+++ b/src/orders/mod.rs
@@ -3,20 +3,28 @@
 //! Orders are level-triggered. The holder of a group's lease compares what the
 //! configuration wants with what each engine reports and sends the next order, so
 //! another router can go on at any time from the configuration and the reports alone.
+//! A step that concerns all routers, the shift of teams to a version that is ready or the
+//! stop of a move, goes into the configuration stream under the same fencing number.
 //! An order carries the fencing number of the lease. To an engine that ignores it,
 //! nothing is sent until the longest order of the holder before has ended, and its
 //! report is read more often, so that a late order is soon set right.
 
+mod decide;
 mod message;
 mod progress;
-mod state;
+mod retry;
+mod status;
+mod step;
 mod task;
 mod wanted;
 
 pub use self::{
+    decide::{decide, Decision, Stop},
     message::{FencedOrder, Order, Report, VersionState},
     progress::{Orders, Progress},
-    state::{decide, Decision, Stop},
+    retry::Retries,
+    status::{halts, moves, HaltStatus, MoveStatus},
+    step::next_step,
     task::drive,
     wanted::Wanted,
 };
--- a/src/orders/task.rs
+++ b/src/orders/task.rs
@@ -9,10 +9,13 @@
 use futures_util::{stream, StreamExt};
 use serde_json::Value;
 
-use super::{decide, FencedOrder, Order, Progress, Report, VersionState, Wanted};
+use super::{
+    decide, next_step, FencedOrder, Order, Progress, Report, Retries, Stop, VersionState, Wanted,
+};
 use crate::{
+    config::{MoveStep, Record, State, STREAM},
     lease::{group_of, Tenure},
-    membership::Engine,
+    membership::{Engine, ISOLATION_TIMEOUT},
     platform::JsonClient,
     EngineName, Error, Instant, Offset, PoolName, Result, Router,
 };
@@ -57,6 +60,8 @@
 struct Round {
     applied: Offset,
     reports: HashMap<EngineName, (Report, Instant)>,
+    retries: HashMap<PoolName, (Option<Offset>, Retries)>,
+    wanted: HashMap<PoolName, (Wanted, Instant)>,
 }
 
 impl Round {
@@ -68,12 +73,32 @@
         }
         for pool in state.pools.keys().filter(|pool| group_of(pool) == group) {
             if let Some(wanted) = Wanted::from_config(&state, pool) {
-                self.drive_pool(cx, tenure, pool, &wanted).await;
+                let wanted = self.settle(pool, wanted, cx.clock.now());
+                self.drive_pool(cx, tenure, &state, pool, &wanted).await;
             }
         }
     }
 
-    async fn drive_pool(&mut self, cx: &Router, tenure: Tenure, pool: &PoolName, wanted: &Wanted) {
+    /// Notes since when `pool` is wanted so; by the end of the time after which a router
+    /// that hears nothing takes no requests, all others know it.
+    fn settle(&mut self, pool: &PoolName, mut wanted: Wanted, now: Instant) -> Wanted {
+        let known = self.wanted.entry(pool.clone());
+        let (last, since) = known.or_insert_with(|| (wanted.clone(), now));
+        if *last != wanted {
+            (*last, *since) = (wanted.clone(), now);
+        }
+        wanted.is_known_everywhere = now >= *since + ISOLATION_TIMEOUT;
+        wanted
+    }
+
+    async fn drive_pool(
+        &mut self,
+        cx: &Router,
+        tenure: Tenure,
+        state: &State,
+        pool: &PoolName,
+        wanted: &Wanted,
+    ) {
         let engines = live_engines(cx, pool);
         self.refresh(cx, &engines).await;
         let reports: BTreeMap<_, _> = engines
@@ -84,7 +109,15 @@
             })
             .collect();
         let free = free_loads(cx, wanted, &reports).await;
-        let decision = decide(wanted, &reports, tenure.fence, free);
+        let now = cx.clock.now();
+        let retries = self.retries(state, pool);
+        retries.note(&reports, now);
+        let decision = decide(wanted, &reports, tenure.fence, free, retries, now);
+        for (engine, order) in &decision.orders {
+            if let Order::Load { version } = order {
+                retries.tried(engine, version);
+            }
+        }
         for engine in &engines {
             let Some(order) = decision.orders.get(&engine.name) else {
                 continue;
@@ -96,10 +129,21 @@
             // What the order brought about is read in the next round.
             self.reports.remove(&engine.name);
         }
+        report_step(cx, tenure, state, pool, &reports, &decision.stops).await;
         let progress = Progress::new(reports.values(), decision.behind, decision.stops);
         publish(cx, pool, progress);
     }
 
+    /// Returns the failed loads of `pool`, none once an operator has changed it.
+    fn retries(&mut self, state: &State, pool: &PoolName) -> &mut Retries {
+        let changed = state.touched.get(&format!("pool/{pool}")).copied();
+        let (seen, retries) = self.retries.entry(pool.clone()).or_default();
+        if *seen != changed {
+            (*seen, *retries) = (changed, Retries::default());
+        }
+        retries
+    }
+
     /// Reads the reports that are missing, too old, or of an engine at work.
     async fn refresh(&mut self, cx: &Router, engines: &[Arc<Engine>]) {
         let now = cx.clock.now();
@@ -143,11 +187,15 @@
     live.cloned().collect()
 }
 
+fn needs_load(state: Option<&VersionState>) -> bool {
+    matches!(state, None | Some(VersionState::Failed { .. }))
+}
+
 /// Returns how many loads may start; none when that is not known.
 async fn free_loads(cx: &Router, wanted: &Wanted, reports: &BTreeMap<EngineName, Report>) -> usize {
     let missing = |report: &Report| {
         let mut versions = wanted.versions.iter();
-        versions.any(|version| !report.versions.contains_key(version))
+        versions.any(|version| needs_load(report.versions.get(version)))
     };
     if !reports.values().any(missing) {
         return 0;
@@ -167,6 +215,41 @@
     tenure.permits(now) && (fenced || now >= tenure.since + LONGEST_ORDER)
 }
 
+/// Appends the next step of the pool's moves; appending one again is harmless.
+async fn report_step(
+    cx: &Router,
+    tenure: Tenure,
+    state: &State,
+    pool: &PoolName,
+    reports: &BTreeMap<EngineName, Report>,
+    stops: &[Stop],
+) {
+    let open = live_engines(cx, pool).into_iter();
+    let open = open.filter(|engine| !state.drained.contains(&engine.name));
+    let open: Vec<_> = open.map(|engine| engine.name.clone()).collect();
+    let Some((version, result)) = next_step(state, pool, &open, reports, stops) else {
+        return;
+    };
+    let step = Record::Step(MoveStep {
+        pool: pool.clone(),
+        version,
+        result,
+        router: cx.settings.name.clone(),
+        at: cx.clock.wall(),
+        base: state.applied,
+        fence: tenure.fence,
+    });
+    let Ok(entry) = serde_json::to_value(step) else {
+        return;
+    };
+    if !tenure.permits(cx.clock.now()) {
+        return;
+    }
+    if let Err(err) = cx.platform.log.append(STREAM, &[entry]).await {
+        log::warn!("step not confirmed pool={pool} error=\"{err}\"");
+    }
+}
+
 async fn report(engine: &Engine) -> Result<Report> {
     client(engine)?.get("/orders", ORDER_TIMEOUT).await
 }
--- a/src/orders/wanted.rs
+++ b/src/orders/wanted.rs
@@ -3,7 +3,7 @@
 use std::collections::{BTreeMap, BTreeSet};
 
 use crate::{
-    config::{Role, State},
+    config::{Halt, Role, State},
     EngineName, PoolName, VersionName,
 };
 
@@ -12,10 +12,15 @@
 pub struct Wanted {
     /// Versions that each engine is to have ready.
     pub versions: BTreeSet<VersionName>,
-    /// Versions that serve a team and so are not unloaded.
+    /// Versions that serve a team or soon will, and so are not unloaded.
     pub in_use: BTreeSet<VersionName>,
+    /// Versions whose moves have stopped.
+    pub halts: BTreeMap<VersionName, Halt>,
     /// Roles that differ from the default.
     pub roles: BTreeMap<EngineName, Role>,
+    /// Whether each router that takes requests knows it, so that no request comes any more
+    /// for a version that serves no team.
+    pub is_known_everywhere: bool,
 }
 
 impl Wanted {
@@ -28,11 +33,14 @@
             return None;
         }
         let teams = state.teams.values();
-        let in_use = teams.filter_map(|team| team.version.clone()).collect();
+        let current = teams.filter_map(|team| team.version.as_ref());
+        let next = state.moves.values().map(|moving| &moving.to);
         Some(Wanted {
             versions,
-            in_use,
+            in_use: current.chain(next).cloned().collect(),
+            halts: state.halts.get(pool).cloned().unwrap_or_default(),
             roles: state.roles.clone(),
+            is_known_everywhere: false,
         })
     }
 
--- a/src/relay/request.rs
+++ b/src/relay/request.rs
@@ -274,7 +274,7 @@
         body: Bytes,
     ) -> std::result::Result<Request<Dispatched>, Box<Failed>> {
         let engine = self.stage.slot.engine().clone();
-        let sent = Sent::new(self.head.clone(), body, engine);
+        let sent = Sent::new(cx, self.head.clone(), body, engine);
         // After a failure, a connection that was idle is not trusted.
         let fresh = !self.stage.admitted.failed.is_empty();
         match self.open(cx, &sent, fresh).await {
--- a/src/relay/sent.rs
+++ b/src/relay/sent.rs
@@ -11,7 +11,7 @@
 use crate::{
     admission::{Class, Crash},
     membership::Engine,
-    Category, Error, Result, Router,
+    Category, Error, Result, Router, VersionName,
 };
 
 /// Header that carries the priority class to an engine.
@@ -20,6 +20,9 @@
 /// Header that carries the chat to an engine.
 const CHAT: &str = "x-chat";
 
+/// Header that names the version that is to serve the request.
+const VERSION: &str = "x-version";
+
 /// Header by which an answer is resumed after the event with this number.
 const LAST_EVENT_ID: HeaderName = HeaderName::from_static("last-event-id");
 
@@ -28,12 +31,20 @@
     head: Head,
     body: Bytes,
     engine: Arc<Engine>,
+    version: Option<VersionName>,
 }
 
 impl Sent {
     /// Creates the request that is about to be sent to `engine`.
-    pub(super) fn new(head: Head, body: Bytes, engine: Arc<Engine>) -> Self {
-        Sent { head, body, engine }
+    pub(super) fn new(cx: &Router, head: Head, body: Bytes, engine: Arc<Engine>) -> Self {
+        let config = cx.config.current();
+        let team = config.teams.get(&head.team);
+        Sent {
+            version: team.and_then(|team| team.version.clone()),
+            head,
+            body,
+            engine,
+        }
     }
 
     /// Returns what is known of the request from its headers.
@@ -105,6 +116,9 @@
             .header(REQUEST_ID, self.head.id.as_str())
             .header(PRIORITY, priority)
             .header(CHAT, self.head.chat.as_str());
+        if let Some(version) = &self.version {
+            req = req.header(VERSION, version.as_str());
+        }
         if let Some(last) = last {
             req = req.header(LAST_EVENT_ID, last);
         }
--- a/stand-in/src/engine.rs
+++ b/stand-in/src/engine.rs
@@ -161,6 +161,7 @@
         std::future::pending::<()>().await;
     }
     running._slot = engine.slots.clone().acquire_owned().await.ok();
+    engine.orders.serve(&req.header("x-version"));
     let warm = engine.touch(&req.header("x-chat"));
     let first = if warm {
         engine.args.warm_ms
--- a/stand-in/src/orders.rs
+++ b/stand-in/src/orders.rs
@@ -35,6 +35,8 @@
     hold_ms: u64,
     held: u64,
     loads: BTreeMap<String, u64>,
+    served: BTreeMap<String, u64>,
+    unready: u64,
 }
 
 pub struct Orders {
@@ -61,10 +63,23 @@
         json!({
             "versions": state.versions, "role": state.role, "fence": state.fence,
             "checks_fencing": self.checks_fencing, "refused": state.refused,
-            "held": state.held, "loads": state.loads,
+            "held": state.held, "loads": state.loads, "served": state.served,
+            "unready": state.unready,
         })
     }
 
+    /// Counts a request for `version`, and one that finds it not ready.
+    pub fn serve(&self, version: &str) {
+        if version.is_empty() {
+            return;
+        }
+        let mut state = self.state.lock().unwrap();
+        *state.served.entry(version.to_string()).or_default() += 1;
+        let loaded = state.versions.get(version);
+        let is_ready = loaded.is_some_and(|loaded| loaded["state"] == "warm");
+        state.unready += u64::from(!is_ready);
+    }
+
     /// Makes the next order take effect late, also when its sender has hung up.
     pub fn hold(&self, req: &Req) -> Response<Body> {
         self.state.lock().unwrap().hold_ms = req.number("ms", 0);
--- a/stand-in/src/platform.rs
+++ b/stand-in/src/platform.rs
@@ -55,6 +55,8 @@
     log_delay_ms: u64,
     /// Appends that take effect and are answered by nothing.
     drop_append_answers: u32,
+    /// Versions whose name holds `broken` are there.
+    weights_mended: bool,
 }
 
 #[derive(Default)]
@@ -249,7 +251,8 @@
     }
     tokio::time::sleep(Duration::from_millis(platform.args.weight_load_ms)).await;
     platform.weights.lock().unwrap().loading -= 1;
-    if version.contains("broken") {
+    let is_mended = platform.faults.lock().unwrap().weights_mended;
+    if version.contains("broken") && !is_mended {
         return Err(refuse(StatusCode::NOT_FOUND, &json!("no such version")));
     }
     Ok(json!({}))
--- a/tests/config/main.rs
+++ b/tests/config/main.rs
@@ -8,6 +8,7 @@
 mod fleet;
 mod fold;
 mod machine;
+mod moves;
 mod records;
 mod settings;
 mod spec;
--- a/tests/config/spec.rs
+++ b/tests/config/spec.rs
@@ -1,4 +1,4 @@
-//! The specification of the fold, checked, and its mutants, refuted.
+//! The specifications of the fold and of moves, checked, and their mutants, refuted.
 
 use expect_test::expect;
 
@@ -9,6 +9,24 @@
     invariants: &["SameState", "NeverBack", "OneWinner", "AnswerIsTrue"],
 };
 
+static MOVES: Spec = Spec {
+    name: "Moves",
+    invariants: &["ShiftedReady", "StopIsNews", "NewestDriver"],
+};
+
+#[test]
+fn the_specification_of_moves_holds_and_each_guard_is_needed() {
+    let table = MOVES.table(&["SeenMove", "SeenPool", "Fenced", "Together"]);
+    expect![[r#"
+        all guards: holds, states=281755 depth=10
+        without SeenMove: ShiftedReady broken by Begin See Begin Begin Take
+        without SeenPool: StopIsNews broken by Begin See See Take Retry Take
+        without Fenced: NewestDriver broken by Begin See See Take Take
+        without Together: ShiftedReady broken by Begin See Take
+    "#]]
+    .assert_eq(&table);
+}
+
 #[test]
 fn the_specification_holds_and_each_guard_is_needed() {
     let table = FOLD.table(&[
--- a/tests/orders/main.rs
+++ b/tests/orders/main.rs
@@ -3,6 +3,7 @@
 mod decide;
 mod frozen;
 mod moves;
+mod shift;
 
 #[path = "../support/mod.rs"]
 mod support;
