Test explain from end to end, and measure the time to force at 76 routers too

Cause: `ebonyspur explain` was tested only inside the library, and the time until a change is in force was measured at 19 routers only.

Change: a test asks through the binary which engine serves a chat, sends the chat, drains that engine and does both again. `scripts/in-force.sh` builds the programs and measures 19 and 76 real routers, or the sizes given, also with a third cut off from the log.

The time to force is not run yet.

--- a/benches/in_force.rs
+++ b/benches/in_force.rs
@@ -1,7 +1,8 @@
 //! Time from the acceptance of a change until it is in force, over real processes, and
 //! time for a router to serve that starts with a long history.
 //!
-//! The programs must be built in the same profile: `cargo build --release --workspace`.
+//! Arguments are the sizes of the fleets, 19 and 76 without any; `scripts/in-force.sh`
+//! builds the programs and runs it.
 
 #[path = "../tests/support/mod.rs"]
 mod support;
@@ -16,7 +17,7 @@
 use serde_json::{json, Value};
 use support::{call, free_address, get, wait_until, Fleet, STREAM_BOUNDS, TOKEN};
 
-const ROUTERS: usize = 19;
+const FLEETS: [usize; 2] = [19, 76];
 const CHANGES: usize = 20;
 const HISTORY: usize = 10_000;
 const RECORDS_PER_APPEND: usize = 500;
@@ -86,11 +87,11 @@
     );
 }
 
-fn in_force() {
-    let mut fleet = Fleet::start(1, ROUTERS);
+fn in_force(routers: usize) {
+    let mut fleet = Fleet::start(1, routers);
     let times = (0..CHANGES).flat_map(|_| publish(&fleet)).collect();
-    report("in force at 19 routers", times);
-    let cut_off = ROUTERS / 3;
+    report(&format!("in force at {routers} routers"), times);
+    let cut_off = routers / 3;
     for index in 0..cut_off {
         fleet.restart_router_with_log(index, free_address());
     }
@@ -101,8 +102,15 @@
         far.extend_from_slice(&times[..cut_off]);
         near.extend_from_slice(&times[cut_off..]);
     }
-    report("in force at 13 of 19 routers that read the log", near);
-    report("in force at 6 of 19 routers that cannot", far);
+    let reading = routers - cut_off;
+    report(
+        &format!("in force at {reading} of {routers} routers that read the log"),
+        near,
+    );
+    report(
+        &format!("in force at {cut_off} of {routers} routers that cannot"),
+        far,
+    );
 }
 
 fn long_history() {
@@ -123,6 +131,11 @@
 }
 
 fn main() {
-    in_force();
+    let given = std::env::args().filter_map(|arg| arg.parse().ok());
+    let mut fleets: Vec<usize> = given.collect();
+    if fleets.is_empty() {
+        fleets.extend(FLEETS);
+    }
+    fleets.into_iter().for_each(in_force);
     long_history();
 }
--- a/tests/cli/main.rs
+++ b/tests/cli/main.rs
@@ -5,6 +5,7 @@
 
 mod confirm;
 mod drain;
+mod explain;
 mod look;
 mod settings;
 mod tool;
