Rebalance a pool: spread its versions evenly, and place requests by what engines carry

Cause: each engine of a pool had to carry every version of the pool, and there was no intent to rebalance.

Ruled out: spreading by a rule at each router (routers that know different engines would place by different spreads), and a spread in force at once (requests would come to engines that have not loaded their versions).

Change: `plan rebalance POOL [--copies N]` gives each version to N engines, first to those that carry fewest, in the failure domains with fewest copies, and moves least. The plan names what each engine is to carry, the chats that go cold and what is left for each version; it is refused when an engine would carry nothing, or when a version's requests exceed what its engines may have. The fold keeps the old spread until a step reports that the engines have theirs ready; orders load first and unload 15 s after. Requests go only to engines that carry their team's version; `explain` says so of the others.

A driver that dies in the middle of a rebalance is not tested across processes.

--- a/benches/plan.rs
+++ b/benches/plan.rs
@@ -7,7 +7,7 @@
     config::{Op, State},
     intent::{draft, EngineView, Fleet, Intent, Objects},
     membership::PoolLoad,
-    UnixMillis,
+    PoolName, UnixMillis,
 };
 
 const ENGINES: usize = 600;
@@ -39,6 +39,7 @@
         let pool = pool.parse().expect("a name");
         let view = EngineView {
             pool,
+            domain: format!("d{}", engine % 3).parse().expect("a name"),
             leaving: false,
         };
         let name = format!("engine-{engine}").parse().expect("a name");
@@ -69,13 +70,25 @@
             ..Objects::default()
         },
     };
-    for (name, intent) in [
-        ("drain", drain),
-        ("move-team", move_team),
-        ("apply-all-teams", apply),
+    let pool: PoolName = "pool-0".parse().expect("a name");
+    let load = Op::Load {
+        pool: pool.clone(),
+        version: "v2".parse().expect("a name"),
+    };
+    let mut wide = state.clone();
+    wide.apply_ops(&[load]).expect("a load");
+    let rebalance = Intent::Rebalance {
+        pool,
+        copies: Some(ENGINES / POOLS / 2),
+    };
+    for (name, state, intent) in [
+        ("rebalance", &wide, rebalance),
+        ("drain", &state, drain),
+        ("move-team", &state, move_team),
+        ("apply-all-teams", &state, apply),
     ] {
         criterion.bench_function(&format!("plan/{name}"), |bencher| {
-            bencher.iter(|| draft(&state, &fleet, black_box(&intent), "plan-1", UnixMillis(0)));
+            bencher.iter(|| draft(state, &fleet, black_box(&intent), "plan-1", UnixMillis(0)));
         });
     }
 }
--- a/src/cli/args.rs
+++ b/src/cli/args.rs
@@ -161,6 +161,14 @@
         /// Name of the pool.
         pool: PoolName,
     },
+    /// Spread the versions of a pool evenly over its engines.
+    Rebalance {
+        /// Name of the pool.
+        pool: PoolName,
+        /// Engines that are to carry each version [default: all of them].
+        #[arg(long)]
+        copies: Option<usize>,
+    },
     /// Give an engine a role.
     SetRole {
         /// Name of the engine.
--- a/src/cli/plan.rs
+++ b/src/cli/plan.rs
@@ -27,6 +27,7 @@
         PlanCommand::Load { pool, version } => Intent::Load { pool, version },
         PlanCommand::Unload { pool, version } => Intent::Unload { pool, version },
         PlanCommand::Retry { pool } => Intent::Retry { pool },
+        PlanCommand::Rebalance { pool, copies } => Intent::Rebalance { pool, copies },
         PlanCommand::SetRole { engine, role } => Intent::SetRole { engine, role },
         PlanCommand::Apply { file } => Intent::Apply {
             objects: Objects::from_yaml(&read(&file)?)?,
--- a/src/cli/show.rs
+++ b/src/cli/show.rs
@@ -71,6 +71,9 @@
             print!("\n{}:\n{}", key.to_uppercase(), table::rows(rows));
         }
     }
+    for pool in status["rebalancing"].as_array().into_iter().flatten() {
+        println!("\nrebalancing pool {}", pool.as_str().unwrap_or("?"));
+    }
     Ok(())
 }
 
--- a/src/cli/table.rs
+++ b/src/cli/table.rs
@@ -4,7 +4,7 @@
 
 use serde_json::Value;
 
-use crate::intent::{PlanDocument, PoolCapacity};
+use crate::intent::{PlanDocument, PoolCapacity, VersionCapacity};
 
 /// Most steps of a plan that are listed.
 const SHOWN_STEPS: usize = 20;
@@ -87,15 +87,31 @@
         );
     }
     line(&mut text, format!("  ({})", plan.cold.basis));
-    if !plan.capacity.is_empty() {
+    if !plan.capacity.is_empty() || !plan.versions.is_empty() {
         line(&mut text, "\nCapacity:".into());
     }
     plan.capacity
         .iter()
         .for_each(|pool| line(&mut text, pool_line(pool)));
+    for version in &plan.versions {
+        line(&mut text, version_line(version));
+    }
     text
 }
 
+fn version_line(version: &VersionCapacity) -> String {
+    format!(
+        "  version {}: engines {} -> {}, {} in flight, at most {} on an engine, left: {} further \
+         requests",
+        version.version,
+        version.engines_before,
+        version.engines_after,
+        version.in_flight,
+        version.limit,
+        version.left()
+    )
+}
+
 fn pool_line(pool: &PoolCapacity) -> String {
     let left = pool
         .left
--- a/src/config/apply.rs
+++ b/src/config/apply.rs
@@ -2,7 +2,7 @@
 
 use std::collections::BTreeMap;
 
-use super::{Halt, Model, Move, Op, Pool, Role, Service, State, Team};
+use super::{Halt, Model, Move, Op, Pool, Role, Service, Spread, State, Team};
 use crate::{PoolName, TeamName, VersionName};
 
 /// Versions that the engines of a pool could not load.
@@ -31,14 +31,26 @@
             let mut pool = pool.clone();
             pool.load_factor = rounded(pool.load_factor);
             state.halts.remove(&pool.name);
+            let old = state.pools.get(&pool.name).map(|old| old.versions.clone());
+            for version in pool.versions.difference(&old.unwrap_or_default()) {
+                state.carry_everywhere(&pool.name, version);
+            }
             state.pools.insert(pool.name.clone(), pool);
         }
         Op::RemovePool { name } => {
             state.halts.remove(name);
+            state.spreads.remove(name);
             state.pools.remove(name);
         }
         Op::Load { pool, version } => {
             state.go_on(pool, version);
+            if state
+                .pools
+                .get(pool)
+                .is_some_and(|pool| !pool.versions.contains(version))
+            {
+                state.carry_everywhere(pool, version);
+            }
             let pool = state.pools.get_mut(pool);
             pool.map(|pool| pool.versions.insert(version.clone()));
         }
@@ -47,6 +59,7 @@
             let pool = state.pools.get_mut(pool);
             pool.map(|pool| pool.versions.remove(version));
         }
+        Op::Spread { pool, engines } => state.begin_spread(pool, engines),
         Op::Retry { pool } => drop(state.halts.remove(pool)),
         Op::PutModel(model) => drop(state.models.insert(model.name.clone(), model.clone())),
         Op::RemoveModel { name } => drop(state.models.remove(name)),
@@ -70,8 +83,8 @@
     Op(Op),
     /// A team, and where it was moving to.
     Team(TeamName, Option<Team>, Option<Move>),
-    /// A pool, and what it could not load.
-    Pool(PoolName, Option<Pool>, Option<Halts>),
+    /// A pool, what it could not load, and how its versions are spread.
+    Pool(PoolName, Option<Pool>, Option<Halts>, Option<Spread>),
 }
 
 impl Undo {
@@ -88,9 +101,11 @@
             | Op::RemovePool { name }
             | Op::Load { pool: name, .. }
             | Op::Unload { pool: name, .. }
-            | Op::Retry { pool: name } => {
+            | Op::Retry { pool: name }
+            | Op::Spread { pool: name, .. } => {
                 let (pool, halts) = (state.pools.get(name), state.halts.get(name));
-                Undo::Pool(name.clone(), pool.cloned(), halts.cloned())
+                let spread = state.spreads.get(name);
+                Undo::Pool(name.clone(), pool.cloned(), halts.cloned(), spread.cloned())
             }
             Op::PutService(Service { name, .. }) | Op::RemoveService { name } => {
                 Undo::Op(match state.services.get(name) {
@@ -126,7 +141,8 @@
                 set(&mut state.moves, name.clone(), moving);
                 set(&mut state.teams, name, team);
             }
-            Undo::Pool(name, pool, halts) => {
+            Undo::Pool(name, pool, halts, spread) => {
+                set(&mut state.spreads, name.clone(), spread);
                 set(&mut state.halts, name.clone(), halts);
                 set(&mut state.pools, name, pool);
             }
--- a/src/config/check.rs
+++ b/src/config/check.rs
@@ -34,7 +34,8 @@
         Op::RemovePool { name }
         | Op::Load { pool: name, .. }
         | Op::Unload { pool: name, .. }
-        | Op::Retry { pool: name } => state.pools.contains_key(name),
+        | Op::Retry { pool: name }
+        | Op::Spread { pool: name, .. } => state.pools.contains_key(name),
         Op::RemoveModel { name } => state.models.contains_key(name),
         _ => true,
     };
--- a/src/config/mod.rs
+++ b/src/config/mod.rs
@@ -18,6 +18,7 @@
 mod record;
 mod settings;
 mod shared;
+mod spread;
 mod state;
 mod task;
 
@@ -31,6 +32,7 @@
     record::{Change, Checkpoint, Op, Record},
     settings::{Limits, Listen, Operator, Secret, Settings},
     shared::Config,
+    spread::{Assignment, Spread},
     state::{CheckpointMark, State, WINDOW},
     task::{follow, write_checkpoints},
 };
--- a/src/config/moves.rs
+++ b/src/config/moves.rs
@@ -36,9 +36,7 @@
 pub struct MoveStep {
     /// Pool whose engines were looked at.
     pub pool: PoolName,
-    /// Version that was to be loaded.
-    pub version: VersionName,
-    /// What has come of it.
+    /// What has come of the step.
     pub result: StepResult,
     /// Router that drives the pool.
     pub router: RouterName,
@@ -55,9 +53,11 @@
 #[serde(rename_all = "snake_case")]
 pub enum StepResult {
     /// Enough engines of the pool have the version ready.
-    Warm,
-    /// An engine could not load it, however often it tried.
-    Failed(Halt),
+    Warm(VersionName),
+    /// An engine could not load the version, however often it tried.
+    Failed(VersionName, Halt),
+    /// The engines have ready what they are to carry.
+    Spread,
 }
 
 impl State {
@@ -115,8 +115,11 @@
             return Outcome::VoidStep;
         }
         let taken = match &step.result {
-            StepResult::Warm => self.pool_is_warm(offset, step),
-            StepResult::Failed(halt) => self.halt(step, halt),
+            StepResult::Warm(version) => self.pool_is_warm(offset, step, version),
+            StepResult::Failed(version, halt) => self.halt(step, version, halt),
+            StepResult::Spread => self
+                .spread_is_warm(&step.pool)
+                .map(|note| (Vec::new(), note)),
         };
         let Some((teams, note)) = taken else {
             return Outcome::VoidStep;
@@ -138,7 +141,12 @@
     fn counts(&self, offset: Offset, step: &MoveStep) -> bool {
         let is_recent = step.base <= offset && offset.0 <= step.base.0 + WINDOW;
         let pool = self.pools.get(&step.pool);
-        let is_wanted = pool.is_some_and(|pool| pool.versions.contains(&step.version));
+        let is_wanted = pool.is_some_and(|pool| match &step.result {
+            StepResult::Warm(version) | StepResult::Failed(version, _) => {
+                pool.versions.contains(version)
+            }
+            StepResult::Spread => true,
+        });
         let changed = self.touched.get(&format!("pool/{}", step.pool));
         let has_seen_change = changed.is_none_or(|changed| *changed < step.base);
         let newest = self.fences.get(&step.pool);
@@ -147,21 +155,26 @@
     }
 
     /// Shifts the teams whose pools are all ready; returns them, and what was done.
-    fn pool_is_warm(&mut self, offset: Offset, step: &MoveStep) -> Option<(Vec<TeamName>, String)> {
-        let mut is_news = self.go_on(&step.pool, &step.version);
+    fn pool_is_warm(
+        &mut self,
+        offset: Offset,
+        step: &MoveStep,
+        version: &VersionName,
+    ) -> Option<(Vec<TeamName>, String)> {
+        let mut is_news = self.go_on(&step.pool, version);
         for moving in self.moves.values_mut() {
-            if moving.to == step.version && moving.since < step.base {
+            if moving.to == *version && moving.since < step.base {
                 is_news |= moving.ready.insert(step.pool.clone());
             }
         }
         let due = self.moves.iter().filter(|(_, moving)| {
-            moving.to == step.version && moving.since < step.base && self.may_shift(moving)
+            moving.to == *version && moving.since < step.base && self.may_shift(moving)
         });
         let due: Vec<_> = due.map(|(team, _)| team.clone()).collect();
         for name in &due {
             self.shift(offset, name);
         }
-        let (pool, version) = (&step.pool, &step.version);
+        let pool = &step.pool;
         let note = match due.len() {
             0 => format!("{version} is ready in pool {pool}"),
             _ => format!("shifted to {version}"),
@@ -190,18 +203,23 @@
         self.touched.insert(format!("team/{name}"), offset);
     }
 
-    fn halt(&mut self, step: &MoveStep, halt: &Halt) -> Option<(Vec<TeamName>, String)> {
+    fn halt(
+        &mut self,
+        step: &MoveStep,
+        version: &VersionName,
+        halt: &Halt,
+    ) -> Option<(Vec<TeamName>, String)> {
         let halts = self.halts.get(&step.pool);
-        let is_halted = halts.is_some_and(|halts| halts.contains_key(&step.version));
+        let is_halted = halts.is_some_and(|halts| halts.contains_key(version));
         if halt.reason.len() > MAX_REASON_LEN || is_halted {
             return None;
         }
         let halts = self.halts.entry(step.pool.clone()).or_default();
-        halts.insert(step.version.clone(), halt.clone());
-        let (engine, version, reason) = (&halt.engine, &step.version, &halt.reason);
+        halts.insert(version.clone(), halt.clone());
+        let (engine, reason) = (&halt.engine, &halt.reason);
         let note = format!("stopped: {engine} could not load {version}: {reason}");
         let moves = self.moves.iter();
-        let stopped = moves.filter(|(_, moving)| moving.to == step.version);
+        let stopped = moves.filter(|(_, moving)| moving.to == *version);
         Some((stopped.map(|(team, _)| team.clone()).collect(), note))
     }
 }
--- a/src/config/record.rs
+++ b/src/config/record.rs
@@ -2,7 +2,7 @@
 
 use serde::{Deserialize, Serialize};
 
-use super::{Model, MoveStep, Pool, Role, Service, State, Team};
+use super::{Assignment, Model, MoveStep, Pool, Role, Service, State, Team};
 use crate::{EngineName, Offset, PoolName, ServiceName, TeamName, UnixMillis, VersionName};
 
 /// A record of the configuration stream.
@@ -110,6 +110,13 @@
         /// Name of the pool.
         pool: PoolName,
     },
+    /// Spreads the versions of a pool over its engines.
+    Spread {
+        /// Name of the pool.
+        pool: PoolName,
+        /// What each engine is to carry.
+        engines: Assignment,
+    },
     /// Creates or replaces a model.
     PutModel(Model),
     /// Removes a model.
@@ -150,7 +157,8 @@
             | Op::RemovePool { name }
             | Op::Load { pool: name, .. }
             | Op::Unload { pool: name, .. }
-            | Op::Retry { pool: name } => format!("pool/{name}"),
+            | Op::Retry { pool: name }
+            | Op::Spread { pool: name, .. } => format!("pool/{name}"),
             Op::PutModel(Model { name, .. }) | Op::RemoveModel { name } => format!("model/{name}"),
             Op::Drain { engine } | Op::Undrain { engine } | Op::SetRole { engine, .. } => {
                 format!("engine/{engine}")
--- a/src/config/state.rs
+++ b/src/config/state.rs
@@ -6,7 +6,7 @@
 
 use super::{
     apply, check, Change, Checkpoint, Decision, Halt, Model, Move, Op, Outcome, Pool, Record,
-    Rejection, Role, Service, Team,
+    Rejection, Role, Service, Spread, Team,
 };
 use crate::{
     id::check_name, Category, EngineName, Error, Offset, PoolName, Result, ServiceName, TeamName,
@@ -46,6 +46,9 @@
     /// Versions that could not be loaded, by pool.
     #[serde(default, skip_serializing_if = "BTreeMap::is_empty")]
     pub halts: BTreeMap<PoolName, BTreeMap<VersionName, Halt>>,
+    /// Pools whose versions are spread over their engines.
+    #[serde(default, skip_serializing_if = "BTreeMap::is_empty")]
+    pub spreads: BTreeMap<PoolName, Spread>,
     /// Highest fencing number of the steps of each pool.
     #[serde(default, skip_serializing_if = "BTreeMap::is_empty")]
     pub fences: BTreeMap<PoolName, Offset>,
--- a/src/http/admin.rs
+++ b/src/http/admin.rs
@@ -21,7 +21,7 @@
     membership::Peer,
     orders::{self, HaltStatus, MoveStatus},
     peer::{DumpRequest, Purpose, Sealer},
-    Category, Error, Offset, Result, Router, RouterName,
+    Category, Error, Offset, PoolName, Result, Router, RouterName,
 };
 
 /// Largest body of a request, in bytes.
@@ -122,6 +122,8 @@
     routers: BTreeMap<RouterName, RouterStatus>,
     /// Teams on their way to another version.
     moves: Vec<MoveStatus>,
+    /// Pools whose versions are being spread.
+    rebalancing: Vec<PoolName>,
     /// Versions that could not be loaded, whose moves stand still.
     stopped: Vec<HaltStatus>,
 }
@@ -146,6 +148,7 @@
         head: cx.membership.view().config_head(),
         routers: routers.into_iter().collect(),
         moves: orders::moves(&state),
+        rebalancing: orders::rebalancing(&state),
         stopped: orders::halts(&state),
     };
     Ok(json(StatusCode::OK, &status))
--- a/src/inspect/explain.rs
+++ b/src/inspect/explain.rs
@@ -68,7 +68,7 @@
     let engines: Vec<_> = cx.membership.view().engines(pool).cloned().collect();
     let open = engines
         .iter()
-        .filter(|engine| why_shut(&state, engine).is_none());
+        .filter(|engine| why_shut(&state, team, engine).is_none());
     let ranked = cx.candidates(chat, hint, open);
     let routers = lookup::Answer::new(&cx.membership.view(), &cx.address(), service, chat, hint)?;
     let waiting = cx.admission.lines.waiting();
@@ -87,22 +87,24 @@
             .collect(),
         shut: engines
             .iter()
-            .filter_map(|engine| shut(&state, engine))
+            .filter_map(|engine| shut(&state, team, engine))
             .collect(),
     })
 }
 
-fn shut(state: &State, engine: &Engine) -> Option<Shut> {
-    let why = why_shut(state, engine)?;
+fn shut(state: &State, team: &TeamName, engine: &Engine) -> Option<Shut> {
+    let why = why_shut(state, team, engine)?;
     let engine = engine.name.clone();
     Some(Shut { engine, why })
 }
 
-fn why_shut(state: &State, engine: &Engine) -> Option<&'static str> {
+fn why_shut(state: &State, team: &TeamName, engine: &Engine) -> Option<&'static str> {
     if engine.leaving {
         Some("leaving")
     } else if state.drained.contains(&engine.name) {
         Some("drained")
+    } else if !state.serves(team, engine) {
+        Some("without the team's version")
     } else {
         None
     }
--- a/src/intent/draft.rs
+++ b/src/intent/draft.rs
@@ -3,8 +3,8 @@
 use std::collections::BTreeSet;
 
 use super::{
-    capacity::changed_pools, ColdChats, Drafted, Fleet, Intent, Plan, PlanDocument, PoolCapacity,
-    Step,
+    capacity::changed_pools, rebalance, ColdChats, Drafted, Fleet, Intent, Plan, PlanDocument,
+    PoolCapacity, Step, VersionCapacity,
 };
 use crate::{
     config::{Model, Op, Pool, State},
@@ -26,7 +26,7 @@
     now: UnixMillis,
 ) -> Result<Plan<Drafted>> {
     check_names(state, fleet, intent)?;
-    let ops = ops(state, intent)?;
+    let ops = ops(state, fleet, intent)?;
     let mut after = state.clone();
     after
         .apply_ops(&ops)
@@ -34,7 +34,8 @@
     let has_effect = (&after.teams, &after.services, &after.pools, &after.models)
         != (&state.teams, &state.services, &state.pools, &state.models)
         || (&after.drained, &after.roles) != (&state.drained, &state.roles)
-        || (&after.moves, &after.halts) != (&state.moves, &state.halts);
+        || (&after.moves, &after.halts, &after.spreads)
+            != (&state.moves, &state.halts, &state.spreads);
     if !has_effect {
         let message = "nothing to change: the configuration is so already";
         return Err(Error::not_run(Category::BadInput, message));
@@ -43,16 +44,25 @@
     if let Some(reason) = capacity.iter().find_map(PoolCapacity::refusal) {
         return Err(refused(reason));
     }
-    let cold = cold_chats(state, &after, fleet, &capacity, &ops);
+    let versions = rebalance::capacities(state, fleet, &ops);
+    if let Some(reason) = versions.iter().find_map(VersionCapacity::refusal) {
+        return Err(refused(reason));
+    }
+    let mut cold = cold_chats(state, &after, fleet, &capacity, &ops);
+    cold.in_flight += versions.iter().map(VersionCapacity::cold).sum::<u32>();
+    let spread = versions
+        .first()
+        .map(|version| format!("capacity/{}", version.pool));
     Ok(Plan::new(PlanDocument {
         id: id.into(),
         intent: intent.clone(),
         base: state.applied,
         drafted_at: now,
-        steps: ops.iter().map(Step::new).collect(),
-        relies_on: capacity.iter().map(capacity_key).collect(),
+        steps: ops.iter().flat_map(Step::all).collect(),
+        relies_on: capacity.iter().map(capacity_key).chain(spread).collect(),
         ops,
         capacity,
+        versions,
         cold,
     }))
 }
@@ -82,8 +92,11 @@
     }
 }
 
-fn ops(state: &State, intent: &Intent) -> Result<Vec<Op>> {
+fn ops(state: &State, fleet: &Fleet, intent: &Intent) -> Result<Vec<Op>> {
     match intent {
+        Intent::Rebalance { pool, copies } => {
+            Ok(vec![rebalance::spread(state, fleet, pool, *copies)?])
+        }
         Intent::MoveTeam { team, to } => move_team(state, team, to),
         Intent::Apply { objects } => Ok(objects.ops(state)),
         other => Ok(other.single_op().into_iter().collect()),
--- a/src/intent/fleet.rs
+++ b/src/intent/fleet.rs
@@ -5,7 +5,7 @@
 use crate::{
     config::State,
     membership::{PoolLoad, View},
-    EngineName, PoolName, TeamName,
+    DomainName, EngineName, PoolName, TeamName,
 };
 
 /// The fleet as one router sees it.
@@ -26,6 +26,8 @@
 pub struct EngineView {
     /// Its pool.
     pub pool: PoolName,
+    /// Its failure domain.
+    pub domain: DomainName,
     /// Whether it takes no new work by itself.
     pub leaving: bool,
 }
@@ -43,8 +45,11 @@
             ..Fleet::default()
         };
         for engine in view.all_engines() {
-            let (pool, leaving) = (engine.pool.clone(), engine.leaving);
-            let seen = EngineView { pool, leaving };
+            let seen = EngineView {
+                pool: engine.pool.clone(),
+                domain: engine.domain.clone(),
+                leaving: engine.leaving,
+            };
             fleet.engines.insert(engine.name.clone(), seen);
         }
         let pools = fleet.engines.values().map(|engine| &engine.pool);
--- a/src/intent/mod.rs
+++ b/src/intent/mod.rs
@@ -11,6 +11,7 @@
 mod fleet;
 mod objects;
 mod plan;
+mod rebalance;
 mod request;
 mod token;
 
@@ -21,6 +22,7 @@
     fleet::{EngineView, Fleet},
     objects::{Objects, Removals},
     plan::{ColdChats, Confirmed, Drafted, Plan, PlanDocument, Settled, Step},
+    rebalance::VersionCapacity,
     request::Intent,
     token::PlanToken,
 };
--- a/src/intent/plan.rs
+++ b/src/intent/plan.rs
@@ -2,7 +2,7 @@
 
 use serde::{Deserialize, Serialize};
 
-use super::{Intent, PoolCapacity};
+use super::{Intent, PoolCapacity, VersionCapacity};
 use crate::{
     config::{Change, Op, Operator, Rejection, State},
     Category, EngineName, Error, Offset, Result, UnixMillis,
@@ -23,6 +23,9 @@
     pub steps: Vec<Step>,
     /// Pools whose capacity changes.
     pub capacity: Vec<PoolCapacity>,
+    /// Versions whose engines change.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub versions: Vec<VersionCapacity>,
     /// Estimate of the chats that go cold.
     pub cold: ColdChats,
     /// The operations.
@@ -41,8 +44,25 @@
 }
 
 impl Step {
-    /// Describes one operation.
-    pub fn new(op: &Op) -> Self {
+    /// Describes one operation, which has a step for each engine that it names.
+    pub fn all(op: &Op) -> Vec<Self> {
+        let Op::Spread { engines, .. } = op else {
+            return vec![Step::new(op)];
+        };
+        let steps = engines.iter().map(|(engine, versions)| {
+            let versions: Vec<_> = versions.iter().map(|version| version.as_str()).collect();
+            Step {
+                object: format!("engine/{engine}"),
+                action: format!(
+                    "carry {} once all engines have theirs ready",
+                    versions.join(", ")
+                ),
+            }
+        });
+        [Step::new(op)].into_iter().chain(steps).collect()
+    }
+
+    fn new(op: &Op) -> Self {
         let action = match op {
             Op::PutTeam(_) | Op::PutService(_) | Op::PutPool(_) | Op::PutModel(_) => "put".into(),
             Op::RemoveTeam { .. }
@@ -54,6 +74,10 @@
             Op::Unload { version, .. } => {
                 format!("unload version {version} once no team is served by it")
             }
+            Op::Spread { engines, .. } if engines.is_empty() => {
+                "carry all versions on each engine".into()
+            }
+            Op::Spread { .. } => "spread versions over engines; others carry all".into(),
             Op::Retry { .. } => "try failed loads again".into(),
             Op::Drain { .. } => "take no new work; work in flight ends by itself".into(),
             Op::Undrain { .. } => "take new work again".into(),
--- a/src/intent/request.rs
+++ b/src/intent/request.rs
@@ -49,6 +49,14 @@
         /// Name of the pool.
         pool: PoolName,
     },
+    /// Spread the versions of a pool evenly over its engines.
+    Rebalance {
+        /// Name of the pool.
+        pool: PoolName,
+        /// Engines that are to carry each version; all of them when absent.
+        #[serde(default, skip_serializing_if = "Option::is_none")]
+        copies: Option<usize>,
+    },
     /// Give an engine a role.
     SetRole {
         /// Name of the engine.
@@ -73,7 +81,9 @@
             Intent::Unload { pool, version } => Op::Unload { pool, version },
             Intent::Retry { pool } => Op::Retry { pool },
             Intent::SetRole { engine, role } => Op::SetRole { engine, role },
-            Intent::MoveTeam { .. } | Intent::Apply { .. } => return None,
+            Intent::MoveTeam { .. } | Intent::Apply { .. } | Intent::Rebalance { .. } => {
+                return None;
+            }
         })
     }
 }
--- a/src/orders/decide.rs
+++ b/src/orders/decide.rs
@@ -53,34 +53,37 @@
         let is_stopped = stops.iter().any(|stop| stop.version == *version);
         !is_stopped && retries.is_due(engine, version, now)
     };
-    let ready = |report: &Report| {
-        wanted
-            .versions
-            .iter()
-            .all(|version| is_warm(report, version))
+    let ready = |(engine, report): (&EngineName, &Report)| {
+        let mut versions = wanted.versions_of(engine);
+        versions.all(|version| is_warm(report, version))
     };
-    let are_ready = stops.is_empty() && reports.values().all(ready);
+    let are_ready = stops.is_empty() && reports.iter().all(ready);
     let may_unload = wanted.is_known_everywhere && are_ready;
     let mut orders = BTreeMap::new();
     let mut behind = 0;
     for (engine, report) in reports {
-        let extra = surplus(wanted, report);
+        let extra = surplus(wanted, engine, report);
         let role = wanted.role(engine);
-        let order = if report.role != role || is_unfenced(report, fence) {
-            Some(Order::SetRole { role })
-        } else if let Some(order) = next_step(wanted, report, &mut free_loads, |version| {
-            match report.versions.get(version) {
-                Some(VersionState::Failed { .. }) => may_retry(engine, version),
-                Some(_) => false,
-                None => !held_back.contains(version),
-            }
-        }) {
-            Some(order)
-        } else {
-            let version = extra.filter(|_| may_unload).cloned();
-            version.map(|version| Order::Unload { version })
-        };
-        if order.is_some() || extra.is_some() || !ready(report) {
+        let order =
+            if report.role != role || is_unfenced(report, fence) {
+                Some(Order::SetRole { role })
+            } else if let Some(order) = next_step(
+                wanted,
+                engine,
+                report,
+                &mut free_loads,
+                |version| match report.versions.get(version) {
+                    Some(VersionState::Failed { .. }) => may_retry(engine, version),
+                    Some(_) => false,
+                    None => !held_back.contains(version),
+                },
+            ) {
+                Some(order)
+            } else {
+                let version = extra.filter(|_| may_unload).cloned();
+                version.map(|version| Order::Unload { version })
+            };
+        if order.is_some() || extra.is_some() || !ready((engine, report)) {
             behind += 1;
         }
         orders.extend(order.map(|order| (engine.clone(), order)));
@@ -137,20 +140,26 @@
 }
 
 /// Returns a version that the engine has and nobody wants.
-fn surplus<'a>(wanted: &Wanted, report: &'a Report) -> Option<&'a VersionName> {
+fn surplus<'a>(
+    wanted: &Wanted,
+    engine: &EngineName,
+    report: &'a Report,
+) -> Option<&'a VersionName> {
     let unwanted = |version: &&VersionName| {
-        !wanted.versions.contains(*version) && !wanted.in_use.contains(*version)
+        let mut own = wanted.versions_of(engine);
+        !own.any(|wanted| wanted == *version) && !wanted.needs(engine, version)
     };
     report.versions.keys().find(unwanted)
 }
 
 fn next_step(
     wanted: &Wanted,
+    engine: &EngineName,
     report: &Report,
     free_loads: &mut usize,
     may_load: impl Fn(&VersionName) -> bool,
 ) -> Option<Order> {
-    for version in &wanted.versions {
+    for version in wanted.versions_of(engine) {
         match report.versions.get(version) {
             Some(VersionState::Loaded) => {
                 let version = version.clone();
--- a/src/orders/mod.rs
+++ b/src/orders/mod.rs
@@ -23,7 +23,7 @@
     message::{FencedOrder, Order, Report, VersionState},
     progress::{Orders, Progress},
     retry::Retries,
-    status::{halts, moves, HaltStatus, MoveStatus},
+    status::{halts, moves, rebalancing, HaltStatus, MoveStatus},
     step::next_step,
     task::drive,
     wanted::Wanted,
--- a/src/orders/status.rs
+++ b/src/orders/status.rs
@@ -53,6 +53,13 @@
     state.moves.iter().map(status).collect()
 }
 
+/// Returns the pools whose versions are being spread.
+pub fn rebalancing(state: &State) -> Vec<PoolName> {
+    let spreads = state.spreads.iter();
+    let pending = spreads.filter(|(_, spread)| spread.next.is_some());
+    pending.map(|(pool, _)| pool.clone()).collect()
+}
+
 /// Returns what has stopped.
 pub fn halts(state: &State) -> Vec<HaltStatus> {
     let halts = state.halts.iter().flat_map(|(pool, halts)| {
--- a/src/orders/step.rs
+++ b/src/orders/step.rs
@@ -2,7 +2,7 @@
 
 use std::collections::BTreeMap;
 
-use super::{decide::is_warm, Report, Stop};
+use super::{decide::is_warm, Report, Stop, Wanted};
 use crate::{
     config::{Halt, Move, State, StepResult, MAX_REASON_LEN},
     EngineName, PoolName, VersionName,
@@ -20,17 +20,24 @@
     open: &[EngineName],
     reports: &BTreeMap<EngineName, Report>,
     stops: &[Stop],
-) -> Option<(VersionName, StepResult)> {
+) -> Option<StepResult> {
     let halts = state.halts.get(pool);
     let is_halted = |version: &VersionName| halts.is_some_and(|halts| halts.contains_key(version));
     if let Some(stop) = stops.iter().find(|stop| !is_halted(&stop.version)) {
-        return Some((stop.version.clone(), StepResult::Failed(halt(stop))));
+        return Some(StepResult::Failed(stop.version.clone(), halt(stop)));
     }
     let moves = state.moves.values();
     let due = moves.filter(|moving| awaits(state, moving, pool));
     let mut versions = due.map(|moving| &moving.to);
-    let warm = versions.find(|version| pool_is_warm(version, open, reports))?;
-    Some((warm.clone(), StepResult::Warm))
+    let warm = versions.find(|version| {
+        let carries = |engine: &&EngineName| state.carries(pool, engine, version);
+        let carriers: Vec<_> = open.iter().filter(carries).collect();
+        are_ready(&carriers, reports, |_, report| is_warm(report, version))
+    });
+    if let Some(version) = warm {
+        return Some(StepResult::Warm(version.clone()));
+    }
+    is_spread(state, pool, open, reports).then_some(StepResult::Spread)
 }
 
 /// Returns whether `moving` lacks only what a step of `pool` can bring.
@@ -39,15 +46,41 @@
     needs_pool && (!moving.ready.contains(pool) || state.may_shift(moving))
 }
 
-fn pool_is_warm(
-    version: &VersionName,
+/// Returns whether the engines have ready what they are to carry from now on.
+fn is_spread(
+    state: &State,
+    pool: &PoolName,
     open: &[EngineName],
     reports: &BTreeMap<EngineName, Report>,
 ) -> bool {
-    let reporting: Vec<_> = open.iter().filter_map(|name| reports.get(name)).collect();
+    let spread = state.spreads.get(pool);
+    let is_pending = spread.is_some_and(|spread| spread.next.is_some());
+    let Some(wanted) = Wanted::from_config(state, pool).filter(|_| is_pending) else {
+        return false;
+    };
+    let open: Vec<_> = open.iter().collect();
+    are_ready(&open, reports, |engine, report| {
+        let mut versions = wanted.versions_of(engine);
+        versions.all(|version| is_warm(report, version))
+    })
+}
+
+/// Returns whether enough of `engines` report, and all that do are ready.
+fn are_ready(
+    engines: &[&EngineName],
+    reports: &BTreeMap<EngineName, Report>,
+    is_ready: impl Fn(&EngineName, &Report) -> bool,
+) -> bool {
+    let reporting = engines
+        .iter()
+        .filter_map(|name| Some((*name, reports.get(*name)?)));
+    let reporting: Vec<_> = reporting.collect();
     let (part, whole) = REPORTING_SHARE;
-    let are_enough = !reporting.is_empty() && reporting.len() * whole >= open.len() * part;
-    are_enough && reporting.iter().all(|report| is_warm(report, version))
+    let are_enough = !reporting.is_empty() && reporting.len() * whole >= engines.len() * part;
+    are_enough
+        && reporting
+            .iter()
+            .all(|(engine, report)| is_ready(engine, report))
 }
 
 fn halt(stop: &Stop) -> Halt {
--- a/src/orders/task.rs
+++ b/src/orders/task.rs
@@ -193,11 +193,11 @@
 
 /// Returns how many loads may start; none when that is not known.
 async fn free_loads(cx: &Router, wanted: &Wanted, reports: &BTreeMap<EngineName, Report>) -> usize {
-    let missing = |report: &Report| {
-        let mut versions = wanted.versions.iter();
+    let missing = |(engine, report): (&EngineName, &Report)| {
+        let mut versions = wanted.versions_of(engine);
         versions.any(|version| needs_load(report.versions.get(version)))
     };
-    if !reports.values().any(missing) {
+    if !reports.iter().any(missing) {
         return 0;
     }
     let loading = reports.values().filter(|report| is_loading(report)).count();
@@ -227,12 +227,11 @@
     let open = live_engines(cx, pool).into_iter();
     let open = open.filter(|engine| !state.drained.contains(&engine.name));
     let open: Vec<_> = open.map(|engine| engine.name.clone()).collect();
-    let Some((version, result)) = next_step(state, pool, &open, reports, stops) else {
+    let Some(result) = next_step(state, pool, &open, reports, stops) else {
         return;
     };
     let step = Record::Step(MoveStep {
         pool: pool.clone(),
-        version,
         result,
         router: cx.settings.name.clone(),
         at: cx.clock.wall(),
--- a/src/orders/wanted.rs
+++ b/src/orders/wanted.rs
@@ -3,7 +3,7 @@
 use std::collections::{BTreeMap, BTreeSet};
 
 use crate::{
-    config::{Halt, Role, State},
+    config::{Assignment, Halt, Role, Spread, State},
     EngineName, PoolName, VersionName,
 };
 
@@ -12,6 +12,10 @@
 pub struct Wanted {
     /// Versions that each engine is to have ready.
     pub versions: BTreeSet<VersionName>,
+    /// Versions of the engines that do not carry all of them.
+    pub engines: Assignment,
+    /// How the versions are spread now, by which requests are placed.
+    pub spread: Spread,
     /// Versions that serve a team or soon will, and so are not unloaded.
     pub in_use: BTreeSet<VersionName>,
     /// Versions whose moves have stopped.
@@ -35,7 +39,10 @@
         let teams = state.teams.values();
         let current = teams.filter_map(|team| team.version.as_ref());
         let next = state.moves.values().map(|moving| &moving.to);
+        let spread = state.spreads.get(pool).cloned().unwrap_or_default();
         Some(Wanted {
+            engines: spread.wanted().clone(),
+            spread,
             versions,
             in_use: current.chain(next).cloned().collect(),
             halts: state.halts.get(pool).cloned().unwrap_or_default(),
@@ -44,6 +51,18 @@
         })
     }
 
+    /// Returns the versions that `engine` is to have ready.
+    pub fn versions_of(&self, engine: &EngineName) -> impl Iterator<Item = &VersionName> {
+        let own = self.engines.get(engine);
+        let versions = self.versions.iter();
+        versions.filter(move |version| own.is_none_or(|own| own.contains(*version)))
+    }
+
+    /// Returns whether `engine` may get requests for `version`, which it so keeps.
+    pub fn needs(&self, engine: &EngineName, version: &VersionName) -> bool {
+        self.in_use.contains(version) && self.spread.carries(engine, version)
+    }
+
     /// Returns the wanted role of `engine`.
     pub fn role(&self, engine: &EngineName) -> Role {
         self.roles.get(engine).copied().unwrap_or_default()
--- a/src/relay/request.rs
+++ b/src/relay/request.rs
@@ -197,7 +197,9 @@
 
     /// Returns the engines that the request may use, the best first.
     fn candidates(&self, cx: &Router) -> Result<Vec<Arc<Engine>>> {
-        let engines = cx.open_engines(&self.head.pool, &self.stage.failed);
+        let mut engines = cx.open_engines(&self.head.pool, &self.stage.failed);
+        let config = cx.config.current();
+        engines.retain(|engine| config.serves(&self.head.team, engine));
         let ranked = cx.candidates(&self.head.chat, &self.head.hint, &engines);
         if ranked.is_empty() {
             return Err(Error::not_run(Category::Unavailable, "no engine is live"));
--- a/tests/cli/main.rs
+++ b/tests/cli/main.rs
@@ -7,5 +7,6 @@
 mod drain;
 mod explain;
 mod look;
+mod rebalance;
 mod settings;
 mod tool;
--- a/tests/cli/settings.rs
+++ b/tests/cli/settings.rs
@@ -46,7 +46,9 @@
         let output = output.expect("a finished process");
         let text = String::from_utf8(output.stdout).expect("text");
         assert!(
-            text.contains("move-team") && text.contains("undrain"),
+            ["move-team", "undrain", "retry", "rebalance"]
+                .iter()
+                .all(|name| text.contains(name)),
             "{shell}"
         );
     }
--- a/tests/config/moves.rs
+++ b/tests/config/moves.rs
@@ -38,8 +38,7 @@
 fn step(pool: &str, version: &str, base: u64, fence: u64) -> MoveStep {
     MoveStep {
         pool: PoolName::new(pool).unwrap(),
-        version: VersionName::new(version).unwrap(),
-        result: StepResult::Warm,
+        result: StepResult::Warm(VersionName::new(version).unwrap()),
         router: RouterName::new("router-1").unwrap(),
         at: UnixMillis(0),
         base: Offset(base),
@@ -53,14 +52,18 @@
         reason: "no memory".into(),
     };
     MoveStep {
-        result: StepResult::Failed(halt),
+        result: StepResult::Failed(VersionName::new(version).unwrap(), halt),
         ..step(pool, version, base, fence)
     }
 }
 
 /// Appends a step and returns what became of it and of the team.
 fn run(state: &mut State, step: MoveStep) -> String {
-    let (pool, version) = (step.pool.clone(), step.version.clone());
+    let pool = step.pool.clone();
+    let version = match &step.result {
+        StepResult::Warm(version) | StepResult::Failed(version, _) => version.to_string(),
+        StepResult::Spread => "spread".into(),
+    };
     let outcome = append(state, &Record::Step(step));
     let note = state.decided.back().and_then(|last| last.note.clone());
     let note = match describe(&outcome).as_str() {
@@ -197,3 +200,47 @@
         Accepted [kerb=Some("v1") ] share=4"#]]
     .assert_eq(&lines.join("\n"));
 }
+
+#[test]
+fn versions_are_spread_once_the_engines_have_theirs_ready() {
+    let mut state = state();
+    put(
+        &mut state,
+        &ops(json!([{ "op": "load", "pool": "p", "version": "v2" }])),
+    );
+    let carries = |state: &State| {
+        let pool = PoolName::new("p").unwrap();
+        let carries = |engine: &str, version: &str| {
+            let (engine, version) = (engine.parse().unwrap(), version.parse().unwrap());
+            state.carries(&pool, &engine, &version)
+        };
+        ["e1", "e2", "e3"].map(|engine| (carries(engine, "v1"), carries(engine, "v2")))
+    };
+    let spread = json!([{ "op": "spread", "pool": "p",
+                          "engines": { "e1": ["v1"], "e2": ["v2"] } }]);
+    let mut lines = vec![put(&mut state, &ops(spread))];
+    lines.push(format!("{:?}", carries(&state)));
+    let done = |base, fence| MoveStep {
+        result: StepResult::Spread,
+        ..step("p", "v1", base, fence)
+    };
+    lines.push(run(&mut state, done(2, 5)));
+    lines.push(run(&mut state, done(4, 5)));
+    lines.push(format!("{:?}", carries(&state)));
+    lines.push(run(&mut state, done(5, 5)));
+    // A version that is loaded later is carried by all.
+    let later = json!([{ "op": "unload", "pool": "p", "version": "v2" },
+                       { "op": "load", "pool": "p", "version": "v2" }]);
+    lines.push(put(&mut state, &ops(later)));
+    lines.push(format!("{:?}", carries(&state)));
+    expect![[r#"
+        Accepted
+        [(true, true), (true, true), (true, true)]
+        p spread: VoidStep  [kerb=Some("v1") ]
+        p spread: Accepted pool p is rebalanced [kerb=Some("v1") ]
+        [(true, false), (false, true), (true, true)]
+        p spread: VoidStep  [kerb=Some("v1") ]
+        Accepted
+        [(true, true), (false, true), (true, true)]"#]]
+    .assert_eq(&lines.join("\n"));
+}
--- a/tests/intent/world.rs
+++ b/tests/intent/world.rs
@@ -43,10 +43,11 @@
         ..Fleet::default()
     };
     let names = (1..=planners).map(|n| (format!("engine-{n}"), "planners"));
-    for (name, pool) in names.chain([("server-1".into(), "trades")]) {
+    for (number, (name, pool)) in names.chain([("server-1".into(), "trades")]).enumerate() {
         let pool = pool.parse().expect("a name");
         let engine = EngineView {
             pool,
+            domain: format!("d{}", number % 3 + 1).parse().expect("a name"),
             leaving: false,
         };
         fleet.engines.insert(name.parse().expect("a name"), engine);
--- a/tests/orders/decide.rs
+++ b/tests/orders/decide.rs
@@ -208,3 +208,29 @@
     "#]]
     .assert_eq(&engines.run(&wanted, 2, None));
 }
+
+#[test]
+fn an_engine_keeps_what_requests_may_need_until_the_versions_are_spread() {
+    let mut engines = Engines::with(2, &["m-1"]);
+    let carried = |versions: [&str; 2]| {
+        let names = ["e1", "e2"].map(|name| EngineName::new(name).unwrap());
+        let sets = versions.map(|name| [version(name)].into());
+        names.into_iter().zip(sets).collect()
+    };
+    let mut spread = Wanted {
+        engines: carried(["m-1", "m-2"]),
+        ..wanted(&["m-1", "m-2"], &["m-1", "m-2"])
+    };
+    let before = engines.run(&spread, 2, None);
+    spread.spread.current = carried(["m-1", "m-2"]);
+    let after = engines.run(&spread, 2, None);
+    expect![[r#"
+        1 e2 Load { version: m-2 }
+        2 e2 Warm { version: m-2 }
+        3 0 behind
+        spread
+        1 e2 Unload { version: m-1 }
+        2 0 behind
+    "#]]
+    .assert_eq(&format!("{before}spread\n{after}"));
+}
