--- a/tests/orders/shift.rs
+++ b/tests/orders/shift.rs
@@ -48,8 +48,8 @@
 }
 
 /// Returns the notes of the steps in the order of the stream.
-fn notes(fleet: &Fleet) -> Vec<String> {
-    let operators = fleet.routers[0].operators;
+fn notes(fleet: &Fleet, router: usize) -> Vec<String> {
+    let operators = fleet.routers[router].operators;
     let answer = get(&format!("http://{operators}/v1/decisions")).expect("decisions");
     let decisions = answer["decisions"].as_array().cloned().unwrap_or_default();
     let notes = decisions.iter().filter_map(|past| past["note"].as_str());
@@ -146,7 +146,7 @@
     fleet.publish("three", &json!([{ "op": "retry", "pool": "planners" }]));
     await_shift(&fleet, "m-broken", 3);
     let engine = stopped["stopped"][0]["engine"].as_str().unwrap_or("?");
-    let mut notes = notes(&fleet);
+    let mut notes = notes(&fleet, 0);
     notes
         .iter_mut()
         .for_each(|note| *note = note.replace(engine, "ENGINE"));
@@ -186,3 +186,25 @@
         }"#]]
     .assert_eq(&serde_json::to_string_pretty(&seen).unwrap());
 }
+
+#[test]
+fn a_rebalance_goes_on_although_the_router_that_drives_it_dies() {
+    let fleet = fleet(&["--weight-loads", "1", "--weight-load-ms", "3000"], 2);
+    let holder = await_holder(&fleet);
+    let engines = json!({ "engine-1": ["m-1"], "engine-2": ["m-2"] });
+    let spread = json!({ "op": "spread", "pool": "planners", "engines": engines });
+    fleet.publish("two", &json!([load("m-2"), spread]));
+    wait_until("the rebalance has begun", || {
+        report(&fleet, 1)["versions"]["m-2"].is_object()
+    });
+    fleet.routers[holder].process.signal(Signal::KILL);
+    fleet.unlist_router(&fleet.routers[holder].name);
+    let versions = |engine: usize| report(&fleet, engine)["versions"].clone();
+    wait_until("the versions are spread", || {
+        versions(0) == json!({ "m-1": { "state": "warm" } })
+            && versions(1) == json!({ "m-2": { "state": "warm" } })
+    });
+    let notes = notes(&fleet, (holder + 1) % 3);
+    let loads = [&report(&fleet, 0)["loads"], &report(&fleet, 1)["loads"]].map(Value::to_string);
+    expect![[r#"["shifted to m-1", "pool planners is rebalanced"] ["{\"m-1\":1}", "{\"m-1\":1,\"m-2\":1}"]"#]].assert_eq(&format!("{notes:?} {loads:?}"));
+}
