Share out ports between test programs that run at once

Cause: each test program took ports from a range that its process id chose, modulo 200 ranges, and went on into the next range when it had used its own. Two programs that ran at once could be given the same port between the check and its use.

Ruled out: ports in TIME_WAIT (both listeners set the reuse option) and the range of the system's own ports (32768 up, ours end below 30000).

Change: a program owns a block of 100 ports while it listens on the first of it, and takes another block when one is used up.

--- a/tests/support/mod.rs
+++ b/tests/support/mod.rs
@@ -3,17 +3,18 @@
 #![allow(dead_code)]
 
 pub mod http;
+mod port;
 pub mod spec;
 
 use std::{
     fs::File,
-    net::{SocketAddr, TcpListener, UdpSocket},
+    net::SocketAddr,
     path::{Path, PathBuf},
     process::{Child, Command, Output, Stdio},
-    sync::atomic::{AtomicU32, Ordering},
     time::{Duration, Instant},
 };
 
+pub use port::free_address;
 use rustix::process::{kill_process, Pid, Signal};
 use serde_json::{json, Value};
 
@@ -36,25 +37,6 @@
     }
 }
 
-/// First port given out, below the range from which the system picks ports by itself.
-const FIRST_PORT: u16 = 10_000;
-
-/// Number of ports given out.
-const PORTS: u32 = 20_000;
-
-/// Returns a free address on loopback that no other test of this process gets.
-pub fn free_address() -> SocketAddr {
-    static NEXT: AtomicU32 = AtomicU32::new(0);
-    loop {
-        let number = NEXT.fetch_add(1, Ordering::Relaxed) + std::process::id() * 100;
-        let port = FIRST_PORT + (number % PORTS) as u16;
-        let address = SocketAddr::from(([127, 0, 0, 1], port));
-        if TcpListener::bind(address).is_ok() && UdpSocket::bind(address).is_ok() {
-            return address;
-        }
-    }
-}
-
 /// Returns a built program of this workspace.
 pub fn program(name: &str) -> PathBuf {
     let daemon = Path::new(env!("CARGO_BIN_EXE_ebonyspurd"));
