Wait until a killed server has ended before the next call

Cause: a_call_that_no_server_took_is_known_not_to_run_at_every_router sent SIGKILL and called at once. A process that dies still accepts connections until the system has closed its sockets; the call then ends as "cut", whose verdict "may have run" is the right one for a connection that was taken and lost. The test expects the verdict of a server that takes no connection.

Conclusion: a race of the test, not a fault of the router.

--- a/tests/once/processes.rs
+++ b/tests/once/processes.rs
@@ -258,7 +258,7 @@
 fn a_call_that_no_server_took_is_known_not_to_run_at_every_router() {
     let mut fleet = fleet(2);
     let key = key();
-    fleet.servers[0].process.signal(Signal::KILL);
+    fleet.servers[0].process.kill();
     let first = show(&book(&fleet, 0, &key, 1, ""));
     let second = show(&book(&fleet, 1, &key, 2, ""));
     fleet.add_server();
--- a/tests/support/mod.rs
+++ b/tests/support/mod.rs
@@ -73,6 +73,12 @@
         kill_process(pid, signal).expect("a running process");
     }
 
+    /// Kills the process and waits until it has ended, so that its ports are closed.
+    pub fn kill(&mut self) {
+        self.signal(Signal::KILL);
+        self.child.wait().expect("a child");
+    }
+
     /// Returns whether the process has ended.
     pub fn has_ended(&mut self) -> bool {
         self.child.try_wait().expect("a child").is_some()
@@ -269,9 +275,7 @@
 
     /// Kills a router.
     pub fn kill_router(&mut self, index: usize) {
-        let process = &mut self.routers[index].process;
-        process.signal(Signal::KILL);
-        wait_until("the router has ended", || process.has_ended());
+        self.routers[index].process.kill();
     }
 
     /// Starts a router again, which is killed first if it runs.
