--- a/scripts/demo.sh
+++ b/scripts/demo.sh
@@ -8,41 +8,10 @@
 bin=target/release
 . scripts/lib.sh
 
-platform=http://127.0.0.1:7600
-start platform "$bin/stand-in" platform --listen 127.0.0.1:7600
-wait_for request GET "$platform/v1/instances"
+start_fleet 7600 4
 
-for n in 1 2 3 4; do
-    start "engine$n" "$bin/stand-in" engine --listen "127.0.0.1:761$n" --name "engine-$n" \
-        --pool planners --domain "d$((n % 2 + 1))" --platform "$platform"
-done
-start service "$bin/stand-in" service --listen 127.0.0.1:7620 --name trade-1 \
-    --pool trades --domain d1 --platform "$platform"
-
-request POST "$platform/v1/log/config" "$(cat scripts/demo-config.json)" >/dev/null
-for n in 1 2 3; do
-    cat >"$dir/router$n.yaml" <<YAML
-router: {name: router-$n, failure_domain: d$((n % 2 + 1))}
-listen:
-  callers: 127.0.0.1:763$n
-  peers: 127.0.0.1:764$n
-  operators: 127.0.0.1:765$n
-platform: {url: "$platform"}
-peers: {keys: [demo-key-of-the-fleet]}
-operators: [{name: demo, token: demo-token-of-operators}]
-YAML
-    request PUT "$platform/v1/instances/router-$n" "{\"kind\": \"router\",
-        \"address\": \"127.0.0.1:763$n\", \"peer_address\": \"127.0.0.1:764$n\",
-        \"failure_domain\": \"d$((n % 2 + 1))\", \"state\": \"live\"}" >/dev/null
-    start "router$n" "$bin/ebonyspurd" --settings "$dir/router$n.yaml"
-done
-for n in 1 2 3; do
-    wait_for request GET "http://127.0.0.1:765$n/readyz" --token demo-token-of-operators
-done
-
-"$bin/stand-in" caller --routers 127.0.0.1:7631,127.0.0.1:7632,127.0.0.1:7633 \
-    --engines 127.0.0.1:7611,127.0.0.1:7612,127.0.0.1:7613,127.0.0.1:7614 \
-    --servers 127.0.0.1:7620 --rate "${RATE:-100}" --seconds 10 >"$dir/report" &
+"$bin/stand-in" caller --routers "$(addresses 31 3)" --engines "$(addresses 11 4)" \
+    --servers "$(address 20)" --rate "${RATE:-100}" --seconds 10 >"$dir/report" &
 caller=$!
 sleep 3
 kill -KILL "$pid_engine2"
--- a/scripts/lib.sh
+++ b/scripts/lib.sh
@@ -29,3 +29,54 @@
     tail -n 5 "$dir"/*.log >&2
     exit 1
 }
+
+# The fleet of the scripts: a platform, engines, one service and three routers. Ports
+# count from FIRST_PORT: 0 platform, 11.. engines, 20 service; of router N: 30 + N for
+# callers, 40 + N for peers, 50 + N for operators.
+token=demo-token-of-operators
+
+address() { echo "127.0.0.1:$((first_port + $1))"; } # PORT_OFFSET
+
+start_fleet() { # FIRST_PORT ENGINES
+    first_port=$1
+    engines=$2
+    platform=http://$(address 0)
+    start platform "$bin/stand-in" platform --listen "$(address 0)"
+    wait_for request GET "$platform/v1/instances"
+    local n
+    for n in $(seq "$engines"); do
+        start "engine$n" "$bin/stand-in" engine --listen "$(address $((10 + n)))" \
+            --name "engine-$n" --pool planners --domain "d$((n % 2 + 1))" --platform "$platform"
+    done
+    start service "$bin/stand-in" service --listen "$(address 20)" --name trade-1 \
+        --pool trades --domain d1 --platform "$platform"
+    request POST "$platform/v1/log/config" "$(cat scripts/demo-config.json)" >/dev/null
+    for n in 1 2 3; do start_router "$n"; done
+    for n in 1 2 3; do
+        wait_for request GET "http://$(address $((50 + n)))/readyz" --token "$token"
+    done
+}
+
+start_router() { # NUMBER
+    local n=$1
+    cat >"$dir/router$n.yaml" <<YAML
+router: {name: router-$n, failure_domain: d$((n % 2 + 1))}
+listen:
+  callers: $(address $((30 + n)))
+  peers: $(address $((40 + n)))
+  operators: $(address $((50 + n)))
+platform: {url: "$platform"}
+peers: {keys: [demo-key-of-the-fleet]}
+operators: [{name: demo, token: $token}]
+YAML
+    request PUT "$platform/v1/instances/router-$n" "{\"kind\": \"router\",
+        \"address\": \"$(address $((30 + n)))\", \"peer_address\": \"$(address $((40 + n)))\",
+        \"failure_domain\": \"d$((n % 2 + 1))\", \"state\": \"live\"}" >/dev/null
+    start "router$n" "$bin/ebonyspurd" --settings "$dir/router$n.yaml"
+}
+
+addresses() { # FIRST_OFFSET COUNT: a list separated by commas
+    local n list=
+    for n in $(seq 0 $(($2 - 1))); do list+=,$(address $(($1 + n))); done
+    echo "${list#,}"
+}
