Fuzz the interfaces of callers and operators with a router behind them

Cause: the decoders of peers' frames, datagrams, hints, tickets, events, settings and records were fuzzed one by one; headers, paths, queries and JSON bodies of callers and operators were met with a fixed list of bad input only.

Change: 300 requests to each listener of a real router, from a fixed seed, made of the interface's own names and malformed values. Each answer is a success, a refusal with reason and message, or a bare refusal by the HTTP library; the router serves afterwards.

Seen failing: with the check of a header's text replaced by a panic, the first request with a header that is not ASCII is answered by 500 and the run fails, shrunk to one header.

--- a/tests/front/main.rs
+++ b/tests/front/main.rs
@@ -1,5 +1,6 @@
 //! The interface for callers, met with input that no caller should send.
 
+mod fuzz;
 #[path = "../support/mod.rs"]
 mod support;
 
