Measure the loss of a failure domain in a fleet of real processes

Cause: docs/CAPACITY.md told what the loss of a domain should do; no run showed it.

Half-way through the load all its routers and engines are killed at the same moment and stay on the instance list, as on a platform whose list lags for long; a second load shows what is left.

--- a/scripts/fleet.py
+++ b/scripts/fleet.py
@@ -1,4 +1,8 @@
-"""Starts a fleet of real processes on loopback, loads it and measures the routers."""
+"""Starts a fleet of real processes on loopback, loads it and measures the routers.
+
+With a failure domain to lose, all its routers and engines are killed half-way through the
+load, and stay on the instance list; a second load shows what is left.
+"""
 
 import json
 import os
@@ -47,8 +51,17 @@
         self.directory = directory
         self.processes = []
         self.router_processes = []
+        self.domains = []
         self.platform = f"127.0.0.1:{BASE_PORT}"
 
+    def lose(self, domain):
+        """Kills all routers and engines of a failure domain."""
+        for process in self.members(domain):
+            process.kill()
+
+    def members(self, domain):
+        return [process for process, where in self.domains if where == domain]
+
     def start(self, name, *args):
         log = open(os.path.join(self.directory, name + ".log"), "w")
         process = subprocess.Popen(args, stdout=log, stderr=log, stdin=subprocess.DEVNULL)
@@ -82,9 +95,12 @@
             wait_for(f"router {number} knows all others", lambda: self.is_ready(number))
 
     def start_backend(self, kind, name, address, pool, number):
-        self.start(name, f"{BIN}/stand-in", kind, "--listen", address, "--name", name,
-                   "--pool", pool, "--domain", f"d{number % DOMAINS}",
-                   "--platform", f"http://{self.platform}")
+        domain = f"d{number % DOMAINS}"
+        process = self.start(
+            name, f"{BIN}/stand-in", kind, "--listen", address, "--name", name,
+            "--pool", pool, "--domain", domain, "--platform", f"http://{self.platform}")
+        if kind == "engine":
+            self.domains.append((process, domain))
 
     def start_router(self, number):
         callers, peers, operators = self.ports(number)
@@ -104,6 +120,7 @@
             "failure_domain": domain, "state": "live"})
         process = self.start(name, f"{BIN}/ebonyspurd", "--settings", path)
         self.router_processes.append(process)
+        self.domains.append((process, domain))
 
     def is_ready(self, number):
         state = json.loads(http("GET", f"http://{self.ports(number)[2]}/state"))
@@ -122,13 +139,18 @@
             samples.append(sample)
         return samples
 
-    def load(self, rate, seconds):
+    def load(self, rate, seconds, lose=None):
         callers = ",".join(self.ports(number)[0] for number in range(self.routers))
-        output = subprocess.run(
+        caller = subprocess.Popen(
             [f"{BIN}/stand-in", "caller", "--routers", callers, "--rate", str(rate),
              "--seconds", str(seconds), "--engines", ",".join(self.engines),
-             "--servers", self.server], capture_output=True, timeout=seconds + 120)
-        return json.loads(output.stdout)
+             "--servers", self.server], stdout=subprocess.PIPE, stderr=subprocess.DEVNULL)
+        self.processes.append(caller)
+        if lose:
+            time.sleep(seconds / 2)
+            self.lose(lose)
+        output, _ = caller.communicate(timeout=seconds + 120)
+        return json.loads(output)
 
 
 def cpu_seconds(pid):
@@ -165,25 +187,46 @@
     }
 
 
+KEPT = ["sent", "answered", "refused", "reasons", "mixed", "doubled", "cache_reuse", "skew",
+        "first_token_ms"]
+
+
+def kept(report):
+    return {key: report[key] for key in KEPT}
+
+
+def measure(fleet, rate, seconds):
+    time.sleep(SETTLE_SECONDS)
+    first = fleet.sample()
+    time.sleep(seconds / 2)
+    idle = fleet.sample()
+    report = fleet.load(rate, seconds)
+    loaded = fleet.sample()
+    return {"idle": describe(first, idle), "loaded": describe(idle, loaded), **kept(report)}
+
+
+def measure_loss(fleet, rate, seconds, domain):
+    time.sleep(SETTLE_SECONDS)
+    during = fleet.load(rate, seconds, lose=domain)
+    after = fleet.load(rate, seconds)
+    lost = {"domain": domain, "processes": len(fleet.members(domain))}
+    return {"lost": lost, "during": kept(during), "after": kept(after)}
+
+
 def main():
     routers, rate, seconds = (int(arg) for arg in sys.argv[1:4])
+    domain = sys.argv[4] if len(sys.argv) > 4 else None
     with tempfile.TemporaryDirectory() as directory:
         fleet = Fleet(routers, directory)
         try:
             fleet.start_all()
-            time.sleep(SETTLE_SECONDS)
-            first = fleet.sample()
-            time.sleep(seconds / 2)
-            idle = fleet.sample()
-            report = fleet.load(rate, seconds)
-            loaded = fleet.sample()
+            if domain:
+                report = measure_loss(fleet, rate, seconds, domain)
+            else:
+                report = measure(fleet, rate, seconds)
         finally:
             fleet.stop()
-    keep = ["sent", "answered", "refused", "mixed", "doubled", "cache_reuse", "skew",
-            "first_token_ms"]
-    print(json.dumps({
-        "routers": routers, "rate": rate, "idle": describe(first, idle),
-        "loaded": describe(idle, loaded), **{key: report[key] for key in keep}}))
+    print(json.dumps({"routers": routers, "rate": rate, **report}))
 
 
 main()
