Measure first tokens from the caller's question, and what a router adds to them

Cause: the caller stand-in counted a first token from the sending of the attempt that was answered, so that lookup, failed attempts and pauses were left out of every figure given so far. Its servers sent small parts with Nagle's algorithm on: against a client that delays its acknowledgements, a first token waited some 40 ms for nothing.

Ruled out: a wait in the router, since the same 49 ms stood in direct calls of an engine that answers after 2 ms.

Change: first_token_ms counts from the question, attempt_first_token_ms from the sending; both with p95.

--- a/scripts/lib.sh
+++ b/scripts/lib.sh
@@ -32,7 +32,8 @@
 
 # The fleet of the scripts: a platform, engines, one service and three routers. Ports
 # count from FIRST_PORT: 0 platform, 11.. engines, 20 service; of router N: 30 + N for
-# callers, 40 + N for peers, 50 + N for operators.
+# callers, 40 + N for peers, 50 + N for operators. `engine_args` go to each engine.
+engine_args=()
 token=demo-token-of-operators
 
 address() { echo "127.0.0.1:$((first_port + $1))"; } # PORT_OFFSET
@@ -46,7 +47,8 @@
     local n
     for n in $(seq "$engines"); do
         start "engine$n" "$bin/stand-in" engine --listen "$(address $((10 + n)))" \
-            --name "engine-$n" --pool planners --domain "d$((n % 2 + 1))" --platform "$platform"
+            --name "engine-$n" --pool planners --domain "d$((n % 2 + 1))" --platform "$platform" \
+            "${engine_args[@]}"
     done
     start service "$bin/stand-in" service --listen "$(address 20)" --name trade-1 \
         --pool trades --domain d1 --platform "$platform"
--- a/stand-in/src/caller.rs
+++ b/stand-in/src/caller.rs
@@ -6,13 +6,15 @@
     time::{Duration, Instant},
 };
 
-use hdrhistogram::Histogram;
 use http_body_util::BodyExt;
 use rand::{RngExt, SeedableRng};
 use rand_pcg::Pcg64Mcg;
 use serde_json::{json, Value};
 
-use crate::web::{self, Http, SendError};
+use crate::{
+    report::Report,
+    web::{self, Http, SendError},
+};
 
 /// Most requests of one run.
 const MAX_REQUESTS: u64 = 1_000_000;
@@ -26,8 +28,11 @@
 #[derive(clap::Args)]
 pub struct Args {
     /// Routers to ask for an address, as HOST:PORT.
-    #[arg(long, value_delimiter = ',', required = true)]
+    #[arg(long, value_delimiter = ',', required_unless_present = "direct")]
     routers: Vec<String>,
+    /// Sends chats to the engines themselves, past the routers.
+    #[arg(long)]
+    direct: bool,
     /// Team of the callers.
     #[arg(long, default_value = "kerb")]
     team: String,
@@ -66,20 +71,6 @@
     servers: Vec<String>,
 }
 
-struct Report {
-    sent: u64,
-    answered: u64,
-    whole: u64,
-    mixed: u64,
-    refused: u64,
-    warm: u64,
-    returned: u64,
-    broken: u64,
-    reasons: HashMap<String, u64>,
-    first_token_us: Histogram<u64>,
-    booking_us: Histogram<u64>,
-}
-
 struct Caller {
     args: Args,
     http: Http,
@@ -101,19 +92,7 @@
 pub async fn run(args: Args) {
     let caller = Arc::new(Caller {
         http: web::client(),
-        report: Mutex::new(Report {
-            sent: 0,
-            answered: 0,
-            whole: 0,
-            mixed: 0,
-            refused: 0,
-            warm: 0,
-            returned: 0,
-            broken: 0,
-            reasons: HashMap::new(),
-            first_token_us: Histogram::new_with_max(60_000_000, 3).expect("three digits"),
-            booking_us: Histogram::new_with_max(60_000_000, 3).expect("three digits"),
-        }),
+        report: Mutex::new(Report::new()),
         hints: Mutex::default(),
         addresses: Mutex::default(),
         skews: Mutex::default(),
@@ -123,7 +102,8 @@
     start_requests(&caller).await;
     sampler.abort();
     let doubled = count_doubled(&caller).await;
-    println!("{}", caller.summary(doubled));
+    let skews = caller.skews.lock().unwrap().clone();
+    println!("{}", caller.report.lock().unwrap().summary(doubled, skews));
 }
 
 async fn start_requests(caller: &Arc<Caller>) {
@@ -141,6 +121,7 @@
 }
 
 async fn one_request(caller: Arc<Caller>, number: u64, chat: u64, booking: bool) {
+    let asked = Instant::now();
     caller.report.lock().unwrap().sent += 1;
     let id = format!("req-{}-{number}", caller.args.seed);
     let mut last = Outcome::Broken("not tried".into());
@@ -155,7 +136,7 @@
             let key = key.as_deref().unwrap_or_default();
             caller.book(&address, &id, attempt, key).await
         } else {
-            caller.chat(&address, &id, attempt, chat).await
+            caller.chat(&address, &id, attempt, chat, asked).await
         };
         if matches!(last, Outcome::Unsent(_)) {
             caller.drop_address(chat, &address);
@@ -203,6 +184,10 @@
         round: u32,
         key: &mut Option<String>,
     ) -> Option<String> {
+        if self.args.direct {
+            let engine = chat as usize % self.args.engines.len();
+            return self.args.engines.get(engine).cloned();
+        }
         let kept = self.addresses.lock().unwrap().get(&chat).cloned();
         let fresh = kept.filter(|(_, until)| *until > Instant::now());
         let needs_key = booking && key.is_none();
@@ -251,7 +236,14 @@
             .unwrap_or_default()
     }
 
-    async fn chat(&self, address: &str, id: &str, attempt: u32, chat: u64) -> Outcome {
+    async fn chat(
+        &self,
+        address: &str,
+        id: &str,
+        attempt: u32,
+        chat: u64,
+        asked: Instant,
+    ) -> Outcome {
         let hint = self.hint(chat);
         let (attempt, name) = (attempt.to_string(), format!("chat-{chat}"));
         let headers = [
@@ -285,7 +277,7 @@
                 return Outcome::Broken("broken off".into());
             };
             if text.is_empty() {
-                self.first_token(started);
+                self.report.lock().unwrap().first_token(asked, started);
             }
             text += &String::from_utf8_lossy(frame.data_ref().unwrap_or(&bytes::Bytes::new()));
         }
@@ -295,12 +287,6 @@
         self.check_answer(id, &text, !hint.is_empty())
     }
 
-    fn first_token(&self, started: Instant) {
-        let micros = started.elapsed().as_micros() as u64;
-        let mut report = self.report.lock().unwrap();
-        report.first_token_us.saturating_record(micros);
-    }
-
     /// Checks that the answer has all tokens of this request, once each and in order.
     fn check_answer(&self, id: &str, text: &str, returned: bool) -> Outcome {
         let expected: String = (0..self.args.tokens)
@@ -348,10 +334,7 @@
         };
         let started = Instant::now();
         let answer = web::call(&self.http, "POST", &url, headers, String::new()).await;
-        let micros = started.elapsed().as_micros() as u64;
-        let mut report = self.report.lock().unwrap();
-        report.booking_us.saturating_record(micros);
-        drop(report);
+        self.report.lock().unwrap().booking(started);
         match answer {
             Err(err) => Outcome::from(err),
             Ok((status, _)) if !status.is_success() => Outcome::Refused(status.to_string()),
@@ -364,25 +347,6 @@
             }
         }
     }
-
-    fn summary(&self, doubled: u64) -> Value {
-        let report = self.report.lock().unwrap();
-        let millis = |quantile| report.first_token_us.value_at_quantile(quantile) as f64 / 1_000.0;
-        let booking = |quantile| report.booking_us.value_at_quantile(quantile) as f64 / 1_000.0;
-        let mut skews = self.skews.lock().unwrap().clone();
-        skews.sort_by(f64::total_cmp);
-        let skew = skews.get(skews.len() * 99 / 100).copied().unwrap_or(0.0);
-        let reuse = report.warm as f64 / report.returned.max(1) as f64;
-        json!({
-            "sent": report.sent, "answered": report.answered, "whole": report.whole,
-            "mixed": report.mixed, "doubled": doubled, "refused": report.refused,
-            "broken": report.broken, "reasons": report.reasons,
-            "cache_reuse": (reuse * 1_000.0).round() / 1_000.0,
-            "skew": (skew * 100.0).round() / 100.0,
-            "first_token_ms": { "p50": millis(0.5), "p99": millis(0.99) },
-            "booking_ms": { "p50": booking(0.5), "p99": booking(0.99) },
-        })
-    }
 }
 
 /// Samples the busiest engine over the mean, from the engines' own counts.
--- a/stand-in/src/main.rs
+++ b/stand-in/src/main.rs
@@ -4,6 +4,7 @@
 mod engine;
 mod orders;
 mod platform;
+mod report;
 mod service;
 mod web;
 
--- a/stand-in/src/web.rs
+++ b/stand-in/src/web.rs
@@ -1,8 +1,14 @@
 //! HTTP shared by the stand-ins: serving handlers and sending JSON.
 
 use std::{
-    collections::HashMap, fmt, future::Future, net::SocketAddr, panic::RefUnwindSafe, pin::Pin,
-    sync::Arc, time::Duration,
+    collections::HashMap,
+    fmt,
+    future::{ready, Future, Ready},
+    net::SocketAddr,
+    panic::RefUnwindSafe,
+    pin::Pin,
+    sync::Arc,
+    time::Duration,
 };
 
 use bytes::Bytes;
@@ -20,6 +26,7 @@
 };
 use serde::{de::DeserializeOwned, Serialize};
 use serde_json::Value;
+use tokio::net::{TcpListener, TcpStream};
 
 /// An answer that refuses a request.
 pub type Refusal = Box<Response<Body>>;
@@ -115,10 +122,17 @@
     H: Fn(Arc<S>, Req) -> F + Copy + Send + Sync + 'static,
     F: Future<Output = Response<Body>> + Send + 'static,
 {
-    if let Err(err) = gotham::init_server(address, App { state, handler }).await {
+    let listener = TcpListener::bind(address).await.unwrap_or_else(|err| {
         eprintln!("stand-in: cannot serve {address}: {err}");
         std::process::exit(1);
-    }
+    });
+    gotham::bind_server(listener, App { state, handler }, without_delay).await;
+}
+
+/// Lets small parts of an answer go at once, as servers that stream do.
+fn without_delay(stream: TcpStream) -> Ready<Result<TcpStream, ()>> {
+    let set = stream.set_nodelay(true).map_err(|_| ());
+    ready(set.map(|()| stream))
 }
 
 /// Builds a JSON answer.
