--- a/scripts/relay-cost.sh
+++ b/scripts/relay-cost.sh
@@ -2,6 +2,7 @@
 # Measures what a router adds to a first token: the same chats sent to one engine directly
 # and through three routers, at RATE requests a second for 5 s each. The engine answers
 # after 2 ms and its pool's bound is out of reach, so that no request waits for a slot.
+# Long answers at a fifth of the rate give the routers' processor time for each token.
 # Usage: scripts/relay-cost.sh [RATE]
 set -euo pipefail
 cd "$(dirname "$0")/.."
@@ -15,17 +16,31 @@
 request POST "$platform/v1/log/config" "{\"entries\": [{\"record\": \"change\", \"id\": \"bound\",
     \"operator\": \"cost\", \"at\": 0, \"base\": 1, \"ops\": [$pool]}]}" >/dev/null
 sleep 2
-load() { # ARGUMENTS...
-    "$bin/stand-in" caller --engines "$(address 11)" --rate "$rate" --seconds 5 \
-        --bookings 0 --tokens 2 "$@"
+load() { # TOKENS ARGUMENTS...
+    "$bin/stand-in" caller --engines "$(address 11)" --seconds 5 --bookings 0 --tokens "$@"
 }
-direct=$(load --direct)
-relayed=$(load --routers "$(addresses 31 3)")
-python3 - "$rate" "$direct" "$relayed" <<'PY'
+cpu() { # ticks of all routers
+    cat "/proc/$pid_router1/stat" "/proc/$pid_router2/stat" "/proc/$pid_router3/stat" |
+        awk '{sum += $14 + $15} END {print sum}'
+}
+routers=(--routers "$(addresses 31 3)")
+direct=$(load 2 --rate "$rate" --direct)
+start=$(cpu)
+relayed=$(load 2 --rate "$rate" "${routers[@]}")
+short=$(($(cpu) - start))
+start=$(cpu)
+load 102 --rate "$((rate / 5))" "${routers[@]}" >/dev/null
+long=$(($(cpu) - start))
+python3 - "$rate" "$direct" "$relayed" "$short" "$long" "$(getconf CLK_TCK)" <<'PY'
 import json, sys
-rate, direct, relayed = sys.argv[1], json.loads(sys.argv[2]), json.loads(sys.argv[3])
+rate, direct, relayed = int(sys.argv[1]), json.loads(sys.argv[2]), json.loads(sys.argv[3])
+short, long, hertz = (int(arg) for arg in sys.argv[4:])
 times = [report["attempt_first_token_ms"] for report in (direct, relayed)]
 added = {q: round(times[1][q] - times[0][q], 2) for q in times[0]}
-print(json.dumps({"rate": int(rate), "direct_ms": times[0], "relayed_ms": times[1],
-                  "added_ms": added, "answered": [direct["answered"], relayed["answered"]]}))
+short_us = 1e6 * short / hertz / (rate * 5)
+long_us = 1e6 * long / hertz / (rate // 5 * 5)
+print(json.dumps({"rate": rate, "direct_ms": times[0], "relayed_ms": times[1],
+                  "added_ms": added, "answered": [direct["answered"], relayed["answered"]],
+                  "cpu_us": {"request_of_2_tokens": round(short_us),
+                             "further_token": round((long_us - short_us) / 100, 1)}}))
 PY
