--- a/stand-in/src/caller.rs
+++ b/stand-in/src/caller.rs
@@ -188,14 +188,26 @@
             let engine = chat as usize % self.args.engines.len();
             return self.args.engines.get(engine).cloned();
         }
-        let kept = self.addresses.lock().unwrap().get(&chat).cloned();
-        let fresh = kept.filter(|(_, until)| *until > Instant::now());
         let needs_key = booking && key.is_none();
-        if let (Some((addresses, _)), false) = (fresh, needs_key) {
-            if let Some(first) = addresses.first() {
-                return Some(first.clone());
-            }
+        match self.kept_address(chat) {
+            Some(address) if !needs_key => return Some(address),
+            _ => {}
+        }
+        let answer = self.ask_router(chat, booking, round).await?;
+        if needs_key {
+            *key = answer["ticket"].as_str().map(str::to_string);
         }
+        self.keep(chat, &answer)
+    }
+
+    fn kept_address(&self, chat: u64) -> Option<String> {
+        let kept = self.addresses.lock().unwrap();
+        let fresh = kept.get(&chat).filter(|(_, until)| *until > Instant::now());
+        fresh.and_then(|(addresses, _)| addresses.first().cloned())
+    }
+
+    /// Asks any router where to connect, another one in each round.
+    async fn ask_router(&self, chat: u64, booking: bool, round: u32) -> Option<Value> {
         let count = self.args.routers.len();
         let router = &self.args.routers[(chat as usize + round as usize) % count];
         let service = if booking {
@@ -213,14 +225,15 @@
         let call = tokio::time::timeout(Duration::from_secs(2), call)
             .await
             .ok()?;
-        let (_, answer) = call.ok()?;
+        Some(call.ok()?.1)
+    }
+
+    /// Keeps the addresses of an answer while they are valid, and returns the first one.
+    fn keep(&self, chat: u64, answer: &Value) -> Option<String> {
         let addresses = answer["addresses"].as_array()?.iter();
         let addresses = addresses.filter_map(|address| address["address"].as_str());
         let addresses: Vec<_> = addresses.map(str::to_string).collect();
         let valid = Duration::from_secs(answer["valid_seconds"].as_u64()?);
-        if needs_key {
-            *key = answer["ticket"].as_str().map(str::to_string);
-        }
         let first = addresses.first().cloned();
         let entry = (addresses, Instant::now() + valid);
         self.addresses.lock().unwrap().insert(chat, entry);
