--- a/src/peer/client.rs
+++ b/src/peer/client.rs
@@ -159,7 +159,7 @@
     let mut waiting: Slab<oneshot::Sender<Reply>> = Slab::new();
     let mut progress = Instant::now();
     loop {
-        let patience = if waiting.is_empty() {
+        let limit = if waiting.is_empty() {
             IDLE_TIMEOUT
         } else {
             CALL_TIMEOUT
@@ -182,7 +182,7 @@
                 let _ = waiter.map(|tx| tx.send(reply.body));
             }
             // The next call opens a new connection instead of waiting on a silent one.
-            () = sleep_until(progress + patience) => {
+            () = sleep_until(progress + limit) => {
                 return if waiting.is_empty() { Ok(()) } else { Err(io::ErrorKind::TimedOut.into()) };
             }
         }
