Test owners of a partition that die or freeze between claim and answer

Three processes: the owner is killed, or stopped for 12 s, while it appends the claim of another router through a log that answers after 1 s; then the other routers get further attempts. A third test waits until each router holds the keys that it owns and no others.

--- a/tests/once/main.rs
+++ b/tests/once/main.rs
@@ -3,6 +3,7 @@
 mod asks;
 mod fuzz;
 mod ledger;
+mod owners;
 mod processes;
 mod spec;
 #[path = "../support/mod.rs"]
--- /dev/null
+++ b/tests/once/owners.rs
@@ -0,0 +1,92 @@
+//! Owners of partitions across real processes.
+
+use std::thread;
+
+use ebonyspur::{
+    once::{stream, Key},
+    placement, CallKey, ServiceName, TeamName,
+};
+use expect_test::expect;
+use rustix::process::Signal;
+use serde_json::json;
+
+use crate::{
+    processes::{book, fleet, headers, key, runs, show, PAUSE},
+    support::{self, dump, http, Fleet},
+};
+
+/// Returns the number of the router that owns the partition of a key.
+fn owner(fleet: &Fleet, key: &str) -> usize {
+    let key = Key {
+        team: TeamName::new("kerb").unwrap(),
+        service: ServiceName::new("trade").unwrap(),
+        call: CallKey::new(key).unwrap(),
+    };
+    let names = fleet.routers.iter().map(|router| router.name.as_str());
+    let first = placement::first(&stream(key.partition()), names).expect("a router");
+    let is_first = |router: &support::RouterProcess| router.name == first;
+    fleet.routers.iter().position(is_first).expect("a router")
+}
+
+/// Signals the owner of a key while it appends the claim for another router, and tries on.
+fn break_owner(signal: Signal) -> String {
+    let fleet = fleet(3);
+    let key = std::iter::repeat_with(key).find(|key| owner(&fleet, key) == 1);
+    let key = key.expect("a key of that owner");
+    fleet.faults(&json!({ "log_delay_ms": 1_000 }));
+    let path = "/v1/services/trade/bookings";
+    let (asker, owner) = (&fleet.routers[0], &fleet.routers[1]);
+    let pending = http::send(asker.callers, "POST", path, &headers(&key, "1"), "");
+    thread::sleep(std::time::Duration::from_millis(300));
+    owner.process.signal(signal);
+    fleet.faults(&json!({}));
+    let first = http::read(pending.expect("a connection"));
+    let second = book(&fleet, 2, &key, 2, "");
+    let mut answers = vec![first, second];
+    if signal == Signal::STOP {
+        thread::sleep(PAUSE);
+        owner.process.signal(Signal::CONT);
+        answers.push(book(&fleet, 1, &key, 3, ""));
+    }
+    answers.push(book(&fleet, 0, &key, 4, ""));
+    let runs = runs(&fleet, &key);
+    let shown: Vec<_> = answers.iter().map(show).collect();
+    println!("{}, runs {runs}", shown.join(", "));
+    let untrue = answers.iter().any(|answer| match answer.verdict() {
+        "not-run" => runs > 0,
+        "ran" => runs == 0,
+        _ => false,
+    });
+    format!("doubled: {}, untrue: {untrue}", runs > 1)
+}
+
+#[test]
+fn an_owner_that_dies_between_claim_and_answer_doubles_nothing() {
+    expect!["doubled: false, untrue: false"].assert_eq(&break_owner(Signal::KILL));
+}
+
+#[test]
+fn an_owner_that_is_frozen_between_claim_and_answer_doubles_nothing() {
+    expect!["doubled: false, untrue: false"].assert_eq(&break_owner(Signal::STOP));
+}
+
+/// Keys booked at all routers in turn.
+const BOOKINGS: usize = 12;
+
+#[test]
+fn each_key_is_held_by_its_owner_alone() {
+    let fleet = fleet(3);
+    let mut owned = vec![0; 3];
+    for number in 0..BOOKINGS {
+        let key = key();
+        owned[owner(&fleet, &key)] += 1;
+        assert_eq!(show(&book(&fleet, number % 3, &key, 1, "")), "200 none ran");
+    }
+    support::wait_until("each key is held by its owner", || {
+        let routers = fleet.routers.iter();
+        let held = routers.map(|router| dump(router).expect("a dump")["keys_held"].as_u64());
+        let held: Vec<_> = held.map(|held| held.expect("a number")).collect();
+        println!("owned {owned:?}, held {held:?}");
+        held == owned
+    });
+}
--- a/tests/once/processes.rs
+++ b/tests/once/processes.rs
@@ -20,9 +20,9 @@
 const LIMITS: &str = "limits: {progress_ms: 2000}\n";
 
 /// Longer than any timeout on the path of a booking.
-const PAUSE: Duration = Duration::from_secs(12);
+pub(super) const PAUSE: Duration = Duration::from_secs(12);
 
-fn fleet(routers: usize) -> Fleet {
+pub(super) fn fleet(routers: usize) -> Fleet {
     let mut fleet = Fleet::platform_only(&[]);
     fleet.publish("first", &support::base_ops());
     fleet.add_server();
@@ -33,11 +33,11 @@
     fleet
 }
 
-fn key() -> String {
+pub(super) fn key() -> String {
     Uuid::now_v7().to_string()
 }
 
-fn headers<'a>(key: &'a str, attempt: &'a str) -> [(&'a str, &'a str); 4] {
+pub(super) fn headers<'a>(key: &'a str, attempt: &'a str) -> [(&'a str, &'a str); 4] {
     [
         ("ebonyspur-team", "kerb"),
         ("ebonyspur-attempt", attempt),
@@ -47,7 +47,7 @@
 }
 
 /// Sends one attempt of a booking to a router, numbered from 0.
-fn book(fleet: &Fleet, router: usize, key: &str, attempt: u32, query: &str) -> Answer {
+pub(super) fn book(fleet: &Fleet, router: usize, key: &str, attempt: u32, query: &str) -> Answer {
     let address = fleet.routers[router].callers;
     let path = format!("/v1/services/trade/bookings{query}");
     exchange(
@@ -60,12 +60,12 @@
 }
 
 /// Returns how often the service ran the booking.
-fn runs(fleet: &Fleet, key: &str) -> u64 {
+pub(super) fn runs(fleet: &Fleet, key: &str) -> u64 {
     let url = format!("http://{}/runs", fleet.servers[0].address);
     get(&url).expect("counts")[key].as_u64().unwrap_or(0)
 }
 
-fn show(answer: &Answer) -> String {
+pub(super) fn show(answer: &Answer) -> String {
     let replayed = answer.headers.contains_key("ebonyspur-replayed");
     let suffix = if replayed { " replayed" } else { "" };
     format!(
