Bench the decisions as a router runs them

The bench timed parts: the order of engines without the list of open ones, a lookup on a bare view, and the book without the bound and the check of who counts the engine. It now goes through one router that knows 380 others and counts its share of 600 engines.

--- a/benches/decisions.rs
+++ b/benches/decisions.rs
@@ -1,18 +1,25 @@
-//! Time of a decision: lookup, place and grant.
+//! Time of a decision as a router runs it: lookup, place and grant.
 
-use std::{hint::black_box, sync::Arc};
+use std::{collections::BTreeSet, hint::black_box, sync::Arc};
 
 use criterion::{criterion_group, criterion_main, BenchmarkId, Criterion};
 use ebonyspur::{
     config::{Service, ServiceKind},
-    lookup::{Address, Answer},
-    membership::{Engine, PoolLoad, View},
-    placement::{preferred, Hint, Preference, Spill, MAX_RANKS},
+    lookup::Answer,
+    membership::Engine,
+    placement::Hint,
     platform::{Instance, InstanceChanges, InstanceKind, InstanceState},
-    steward::{cautious_factor, load_bound, GrantId, HandOver, Holder, Steward},
-    ChatId, DomainName, Incarnation, Instant, PoolName, RouterName, ServiceName,
+    steward::{GrantId, GrantReply, GrantRequest, HandOver, Limit},
+    ChatId, DomainName, Incarnation, Instant, PoolName, Router, RouterName, ServiceName, Settings,
 };
 
+const SETTINGS: &str = "
+router: {name: router-0, failure_domain: d0}
+listen: {callers: '127.0.0.1:1', peers: '127.0.0.1:2', operators: '127.0.0.1:3'}
+platform: {url: 'http://127.0.0.1:4'}
+peers: {keys: [key-of-the-bench-fleet]}
+";
+
 /// Numbers of engines, with the routers before them.
 const SIZES: [(usize, usize); 3] = [(16, 19), (150, 95), (600, 380)];
 
@@ -33,101 +40,113 @@
     }
 }
 
-fn view(engines: usize, routers: usize) -> View {
-    let mut view = View::new(RouterName::new("router-0").unwrap());
+fn pool() -> PoolName {
+    PoolName::new("planners").unwrap()
+}
+
+/// Returns a router that knows all instances and counts its share of the engines.
+fn router(engines: usize, routers: usize) -> Arc<Router> {
+    let cx = Router::new(Settings::from_yaml(SETTINGS).unwrap());
     let engines = (0..engines).map(|n| instance(InstanceKind::Engine, n));
-    let routers = (1..routers).map(|n| instance(InstanceKind::Router, n));
-    view.apply_instances(InstanceChanges {
+    let routers = (0..routers).map(|n| instance(InstanceKind::Router, n));
+    cx.membership.apply_instances(InstanceChanges {
         version: 1,
         full: true,
         instances: engines.chain(routers).collect(),
         gone: Vec::new(),
     });
-    view
+    own_engines(&cx)
+        .iter()
+        .for_each(|engine| settle(&cx, engine));
+    cx
+}
+
+fn own_engines(cx: &Router) -> Vec<Arc<Engine>> {
+    let all: Vec<_> = cx.membership.view().all_engines().cloned().collect();
+    let own = |engine: &Arc<Engine>| cx.steward_of(&engine.name).is_none();
+    all.into_iter().filter(own).collect()
+}
+
+fn settle(cx: &Router, engine: &Engine) {
+    let now = Instant::from_millis(0);
+    cx.steward.take_over(engine, now);
+    let book = HandOver {
+        incarnation: engine.incarnation,
+        holders: Vec::new(),
+        unattributed: 0,
+        complete: true,
+    };
+    cx.steward.accept(&engine.name, book, now);
+}
+
+fn chat() -> (ChatId, Hint) {
+    let hint = "engine-7@7,engine-3@3,engine-5@5";
+    (ChatId::new("chat-1").unwrap(), hint.parse().unwrap())
 }
 
 fn lookup(c: &mut Criterion) {
     let mut group = c.benchmark_group("lookup");
+    let service = Service {
+        name: ServiceName::new("planner").unwrap(),
+        kind: ServiceKind::Chat,
+        pool: pool(),
+    };
+    let (chat, hint) = chat();
     for (engines, routers) in SIZES {
-        let view = view(engines, routers);
-        let me = Address {
-            router: RouterName::new("router-0").unwrap(),
-            address: ([127, 0, 0, 1], 1).into(),
-            domain: DomainName::new("d1").unwrap(),
-        };
-        let service = Service {
-            name: ServiceName::new("planner").unwrap(),
-            kind: ServiceKind::Chat,
-            pool: PoolName::new("planners").unwrap(),
-        };
-        let chat = ChatId::new("chat-1").unwrap();
-        let hint: Hint = "engine-7@7,engine-3@3,engine-5@5".parse().unwrap();
+        let cx = router(engines, routers);
+        let me = cx.address();
         group.bench_function(BenchmarkId::from_parameter(engines), |b| {
-            b.iter(|| Answer::new(&view, &me, &service, black_box(&chat), &hint).unwrap());
+            b.iter(|| {
+                let view = cx.membership.view();
+                Answer::new(&view, &me, &service, black_box(&chat), &hint).unwrap()
+            });
         });
     }
 }
 
 fn place(c: &mut Criterion) {
     let mut group = c.benchmark_group("place");
+    let (chat, hint) = chat();
+    let (pool, failed) = (pool(), BTreeSet::new());
     for (engines, routers) in SIZES {
-        let view = view(engines, routers);
-        let pool = PoolName::new("planners").unwrap();
-        let hint: Hint = "engine-7@7,engine-3@3,engine-5@5".parse().unwrap();
-        let pref = Preference {
-            ranks: MAX_RANKS,
-            spill: Spill::NextRank,
-            load: &|_| None,
-        };
+        let cx = router(engines, routers);
         group.bench_function(BenchmarkId::from_parameter(engines), |b| {
-            b.iter(|| preferred(black_box("chat-1"), &hint, view.engines(&pool), &pref));
+            b.iter(|| {
+                let open = cx.open_engines(&pool, &failed);
+                cx.candidates(black_box(&chat), &hint, &open)
+            });
         });
     }
 }
 
+/// The steward's part: the answer to another router, and the slot given back.
 fn grant(c: &mut Criterion) {
     let mut group = c.benchmark_group("grant");
-    for (engines, _) in SIZES {
-        let view = view(engines, 2);
-        let steward = Steward::default();
-        let all: Vec<Arc<Engine>> = view.all_engines().cloned().collect();
-        for engine in &all {
-            settle(&steward, engine);
-        }
-        let router = RouterName::new("router-1").unwrap();
-        let now = Instant::from_millis(1);
-        let load = PoolLoad::new(7 * engines as u32, engines as u32);
+    let asking = RouterName::new("router-1").unwrap();
+    for (engines, routers) in SIZES {
+        let cx = router(engines, routers);
+        let own = own_engines(&cx);
         let mut number = 0;
         group.bench_function(BenchmarkId::from_parameter(engines), |b| {
             b.iter(|| {
                 number += 1;
-                let engine = &all[number as usize % all.len()];
-                let lowest = steward.lowest_load(&engine.pool, load, now);
-                let bound = load_bound(lowest, cautious_factor(lowest, 1.25));
-                let holder = Holder {
-                    router: router.clone(),
-                    incarnation: Incarnation(1),
-                    grant: GrantId(number),
-                };
-                steward.grant(engine, holder, bound, now);
+                let engine = &own[number as usize % own.len()];
                 let (grant, life) = (GrantId(number), Incarnation(1));
-                steward.release(&engine.name, &router, life, grant, now);
+                let req = GrantRequest {
+                    engine: engine.name.clone(),
+                    incarnation: engine.incarnation,
+                    grant,
+                    waiting: 0,
+                    limit: Limit::Bound,
+                };
+                let reply = cx.answer_grant(&asking, life, &req);
+                assert_eq!(reply, GrantReply::Granted);
+                let now = cx.clock.now();
+                cx.steward.release(&engine.name, &asking, life, grant, now);
             });
         });
     }
 }
 
-fn settle(steward: &Steward, engine: &Engine) {
-    let now = Instant::from_millis(0);
-    steward.take_over(engine, now);
-    let book = HandOver {
-        incarnation: engine.incarnation,
-        holders: Vec::new(),
-        unattributed: 0,
-        complete: true,
-    };
-    steward.accept(&engine.name, book, now);
-}
-
 criterion_group!(decisions, lookup, place, grant);
 criterion_main!(decisions);
