Count each waiting request of the steward when another router asks

Cause: the bound took one off the requests that wait at the steward, for the one that asks. That is right only when the steward itself asks: another router leaves the asking request out of the count it sends. The bound was one request too low for each such grant while something waited here.

Change: the answer to a grant takes the count of the asking side for its own requests, and the whole count otherwise. The test asks for the fifth slot of an engine at the edge of the bound from both sides; seen before the change: "Full" instead of "Granted" for another router.

The bound also asks the books for one pool, where it summed up all engines by pool and copied the counts of all pools to use one.

Conclusion: the two sides of a grant now count the same requests.

--- a/src/inspect/explain.rs
+++ b/src/inspect/explain.rs
@@ -5,8 +5,12 @@
 use serde::Serialize;
 
 use crate::{
-    config::State, lookup, membership::Engine, placement::Hint, steward::Limit, Category, ChatId,
-    DomainName, EngineName, Result, Router, RouterName, ServiceName, TeamName,
+    config::State,
+    lookup,
+    membership::Engine,
+    placement::Hint,
+    steward::{Limit, Waiting},
+    Category, ChatId, DomainName, EngineName, Result, Router, RouterName, ServiceName, TeamName,
 };
 
 /// What a request of a team for a chat would meet at this router.
@@ -72,7 +76,10 @@
     let ranked = cx.candidates(chat, hint, open);
     let routers = lookup::Answer::new(&cx.membership.view(), &cx.address(), service, chat, hint)?;
     let waiting = cx.admission.lines.waiting();
-    let seekers = cx.admission.seekers.count(pool);
+    let seekers = Waiting {
+        here: cx.admission.seekers.count(pool),
+        asking: 0,
+    };
     Ok(Explanation {
         team: team.clone(),
         service: service.name.clone(),
--- a/src/steward/answer.rs
+++ b/src/steward/answer.rs
@@ -12,6 +12,15 @@
     placement, EngineName, Incarnation, PoolName, Router, RouterName,
 };
 
+/// Requests that wait for a slot of a pool, without the one that asks.
+#[derive(Debug, Clone, Copy, Default)]
+pub struct Waiting {
+    /// Those at this router.
+    pub here: u32,
+    /// Those at the router that asks.
+    pub asking: u32,
+}
+
 impl Router {
     /// Returns the steward of `engine`, or `None` when it is this router.
     pub fn steward_of(&self, engine: &EngineName) -> Option<Arc<Peer>> {
@@ -32,9 +41,8 @@
         view.peer(name).cloned()
     }
 
-    /// Returns the load bound of the engines of `pool` up to `limit`, with `waiting`
-    /// requests that look for a slot.
-    pub fn bound(&self, pool: &PoolName, limit: Limit, waiting: u32) -> u32 {
+    /// Returns the load bound of the engines of `pool` up to `limit`.
+    pub fn bound(&self, pool: &PoolName, limit: Limit, waiting: Waiting) -> u32 {
         let state = self.config.current();
         let factor = state.pools.get(pool).map(|pool| pool.load_factor);
         let factor = factor.unwrap_or(DEFAULT_LOAD_FACTOR);
@@ -42,16 +50,26 @@
             Limit::Mean => factor.min(FRESH_FACTOR),
             Limit::Bound => factor,
         };
-        let own = self.counted_loads();
-        let mut own = own.get(pool).copied().unwrap_or_default();
-        // The request that asks is not one that waits.
-        own.waiting = own.waiting.saturating_sub(1);
+        let mut own = self.steward.load(pool);
+        own.waiting = waiting.here;
         let load = known_load(&self.membership.view(), pool, own);
         let lowest = self.steward.lowest_load(pool, load, self.clock.now());
-        let load = with_waiting(lowest, waiting);
+        let load = with_waiting(lowest, waiting.asking);
         load_bound(load, cautious_factor(load, factor))
     }
 
+    /// Returns the requests of `pool` that wait while one of `router` asks for a slot.
+    fn waiting_beside(&self, router: &RouterName, asking: u32, pool: &PoolName) -> Waiting {
+        let is_own = *router == self.settings.name;
+        // What asks leaves itself out already.
+        let here = if is_own {
+            asking
+        } else {
+            self.admission.seekers.count(pool)
+        };
+        Waiting { here, asking }
+    }
+
     /// Returns the load of the engines counted here and the requests waiting here, by pool.
     pub(crate) fn counted_loads(&self) -> BTreeMap<PoolName, PoolLoad> {
         let mut loads = self.steward.loads();
@@ -83,7 +101,8 @@
             incarnation,
             grant: req.grant,
         };
-        let bound = self.bound(&engine.pool, req.limit, req.waiting);
+        let waiting = self.waiting_beside(router, req.waiting, &engine.pool);
+        let bound = self.bound(&engine.pool, req.limit, waiting);
         self.steward.grant(&engine, holder, bound, self.clock.now())
     }
 
--- a/src/steward/mod.rs
+++ b/src/steward/mod.rs
@@ -15,6 +15,7 @@
 mod task;
 
 pub use self::{
+    answer::Waiting,
     book::{Book, GrantId, Held, Holder, DISPATCH_TIME, HOLDER_TIMEOUT, REPORT_LAG},
     bound::{cautious_factor, load_bound, with_waiting, LoadFloor, FLOOR_WINDOW, FRESH_FACTOR},
     held::HeldGrants,
--- a/src/steward/state.rs
+++ b/src/steward/state.rs
@@ -42,6 +42,15 @@
         self.stage.as_mut().expect("a stage between steps")
     }
 
+    /// Returns whether it is counted here and takes work.
+    fn is_open(&self) -> bool {
+        !self.closed && self.stage().is_granting()
+    }
+
+    fn load(&self) -> PoolLoad {
+        PoolLoad::new(self.stage().book().occupied(), 1)
+    }
+
     fn advance(&mut self, step: impl FnOnce(Stage) -> Stage) {
         self.stage = self.stage.take().map(step);
     }
@@ -216,15 +225,24 @@
     pub fn loads(&self) -> BTreeMap<PoolName, PoolLoad> {
         let mut loads = BTreeMap::<_, PoolLoad>::new();
         let inner = lock(&self.inner);
-        let counted = |entry: &&Entry| !entry.closed && entry.stage().is_granting();
-        for entry in inner.entries.values().filter(counted) {
+        for entry in inner.entries.values().filter(|entry| entry.is_open()) {
             let load = loads.entry(entry.pool.clone()).or_default();
-            load.in_flight += entry.stage().book().occupied();
-            load.engines += 1;
+            load.add(entry.load());
         }
         loads
     }
 
+    /// Returns the load of the engines of `pool` counted here that take work.
+    pub fn load(&self, pool: &PoolName) -> PoolLoad {
+        let mut load = PoolLoad::default();
+        let inner = lock(&self.inner);
+        let open = inner.entries.values().filter(|entry| entry.is_open());
+        for entry in open.filter(|entry| entry.pool == *pool) {
+            load.add(entry.load());
+        }
+        load
+    }
+
     /// Returns the slots in use by engine.
     pub fn in_flight(&self) -> BTreeMap<EngineName, u32> {
         let inner = lock(&self.inner);
--- a/tests/steward/main.rs
+++ b/tests/steward/main.rs
@@ -4,4 +4,5 @@
 mod support;
 mod surge;
 mod takeover;
+mod waiting;
 mod window;
