Keep the engines of a pool and the routers on duty as lists

Cause: each decision filtered all engines by the name of their pool, and looked up the standing of each router to find those on duty: a grant did so for the steward and once more for the number of engines.

Change: the view draws both lists when an instance or a belief changes. The loads of the view move to a file of their own, unchanged.

--- a/src/inspect/explain.rs
+++ b/src/inspect/explain.rs
@@ -69,7 +69,7 @@
     state.team(team)?;
     let service = state.service(service)?;
     let pool = &service.pool;
-    let engines: Vec<_> = cx.membership.view().engines(pool).cloned().collect();
+    let engines = cx.membership.view().engines(pool).to_vec();
     let open = engines
         .iter()
         .filter(|engine| why_shut(&state, engine).is_none());
--- a/src/lookup/answer.rs
+++ b/src/lookup/answer.rs
@@ -1,10 +1,10 @@
 //! The addresses for a caller.
 
-use std::{cmp::Reverse, net::SocketAddr, sync::Arc, time::Duration};
+use std::{cmp::Reverse, net::SocketAddr, time::Duration};
 
 use crate::{
     config::Service,
-    membership::{Peer, View},
+    membership::View,
     placement::{self, Preference, Spill},
     Category, ChatId, DomainName, Error, Result, RouterName,
 };
@@ -49,7 +49,10 @@
         chat: &ChatId,
         hint: &placement::Hint,
     ) -> Result<Answer> {
-        let open = view.engines(&service.pool).filter(|engine| !engine.leaving);
+        let open = view
+            .engines(&service.pool)
+            .iter()
+            .filter(|engine| !engine.leaving);
         let pref = Preference {
             ranks: 1,
             spill: Spill::NextRank,
@@ -86,10 +89,9 @@
 }
 
 fn routers<'a>(key: &'a str, view: &'a View, me: &'a Address) -> impl Iterator<Item = Choice<'a>> {
-    let live = |peer: &&Arc<Peer>| !peer.leaving && !view.is_dead(&peer.name);
     let others = view
-        .peers()
-        .filter(live)
+        .duty_peers()
+        .iter()
         .map(|peer| (&peer.name, peer.address, &peer.domain));
     let mine = std::iter::once((&me.router, me.address, &me.domain));
     others
--- /dev/null
+++ b/src/membership/index.rs
@@ -0,0 +1,53 @@
+//! Lists drawn from the view, for the decisions on each request.
+
+use std::{collections::BTreeMap, sync::Arc};
+
+use super::{Engine, Peer};
+use crate::PoolName;
+
+/// The engines of one pool, by name.
+#[derive(Debug, Default)]
+struct Pool {
+    engines: Vec<Arc<Engine>>,
+    /// How many of them take new work.
+    open: u32,
+}
+
+/// The engines by pool, and the routers on duty.
+#[derive(Debug, Default)]
+pub(super) struct Index {
+    pools: BTreeMap<PoolName, Pool>,
+    on_duty: Vec<Arc<Peer>>,
+}
+
+impl Index {
+    /// Replaces the engines.
+    pub(super) fn set_engines<'a>(&mut self, engines: impl Iterator<Item = &'a Arc<Engine>>) {
+        self.pools.clear();
+        for engine in engines {
+            let pool = self.pools.entry(engine.pool.clone()).or_default();
+            pool.engines.push(engine.clone());
+            pool.open += u32::from(!engine.leaving);
+        }
+    }
+
+    /// Replaces the other routers on duty.
+    pub(super) fn set_on_duty<'a>(&mut self, peers: impl Iterator<Item = &'a Arc<Peer>>) {
+        self.on_duty = peers.cloned().collect();
+    }
+
+    /// Returns the engines of `pool`, by name.
+    pub(super) fn engines(&self, pool: &PoolName) -> &[Arc<Engine>] {
+        self.pools.get(pool).map_or(&[], |pool| &pool.engines)
+    }
+
+    /// Returns how many engines of `pool` take new work.
+    pub(super) fn open_engines(&self, pool: &PoolName) -> u32 {
+        self.pools.get(pool).map_or(0, |pool| pool.open)
+    }
+
+    /// Returns the other routers on duty, by name.
+    pub(super) fn on_duty(&self) -> &[Arc<Peer>] {
+        &self.on_duty
+    }
+}
--- a/src/membership/mod.rs
+++ b/src/membership/mod.rs
@@ -11,6 +11,7 @@
 
 mod budget;
 mod gossip;
+mod index;
 mod life;
 mod load;
 mod message;
--- a/src/membership/reach.rs
+++ b/src/membership/reach.rs
@@ -65,7 +65,7 @@
             let shut = engine.leaving || state.drained.contains(&engine.name);
             !shut && !failed.contains(&engine.name)
         };
-        let open = view.engines(pool).filter(is_open).cloned().collect();
+        let open = view.engines(pool).iter().filter(is_open).cloned().collect();
         self.membership.refusing.avoid(open, self.clock.now())
     }
 }
--- a/src/membership/view.rs
+++ b/src/membership/view.rs
@@ -1,14 +1,11 @@
 //! What this router believes about the others.
 
-use std::{
-    collections::{BTreeMap, BTreeSet},
-    net::SocketAddr,
-    sync::Arc,
-};
+mod loads;
+
+use std::{collections::BTreeMap, net::SocketAddr, sync::Arc};
 
-use super::{Epoch, Health, LoadSum, LoadSums, PoolLoad, Rumour, Standing, Standings};
+use super::{index::Index, Epoch, Health, LoadSums, PoolLoad, Rumour, Standing, Standings};
 use crate::{
-    placement,
     platform::{Instance, InstanceChanges, InstanceKind, InstanceState},
     DomainName, EngineName, Incarnation, Instant, Offset, PoolName, RouterName,
 };
@@ -55,6 +52,8 @@
     listed: bool,
     engines: BTreeMap<EngineName, Arc<Engine>>,
     peers: BTreeMap<RouterName, Arc<Peer>>,
+    /// Follows the engines, the peers and what is believed of them.
+    index: Index,
     standings: Standings,
     /// Lives of engines that were said to leave, also of those not listed yet.
     left_engines: BTreeMap<EngineName, Incarnation>,
@@ -81,6 +80,7 @@
             listed: false,
             engines: BTreeMap::new(),
             peers: BTreeMap::new(),
+            index: Index::default(),
             standings: Standings::default(),
             left_engines: BTreeMap::new(),
             loads: LoadSums::default(),
@@ -104,6 +104,15 @@
         for instance in changes.instances {
             self.put(instance);
         }
+        self.index.set_engines(self.engines.values());
+        self.index_peers();
+    }
+
+    fn index_peers(&mut self) {
+        let (me, standings) = (&self.me, &self.standings);
+        let dead = |peer: &Peer| standings.get(&peer.name).health == Health::Dead;
+        let on_duty = |peer: &&Arc<Peer>| peer.name != *me && !peer.leaving && !dead(peer);
+        self.index.set_on_duty(self.peers.values().filter(on_duty));
     }
 
     fn retain_listed(&mut self, instances: &[Instance]) {
@@ -184,10 +193,6 @@
         }
     }
 
-    fn apply_load(&mut self, sum: &LoadSum, now: Instant) -> bool {
-        sum.router != self.me && self.sums_up(&sum.router) && self.loads.merge(sum, now)
-    }
-
     /// Merges what is said of the health of a listed router; returns whether that was news.
     pub fn apply_health(
         &mut self,
@@ -217,6 +222,7 @@
         if peer.leaving != leaving {
             Arc::make_mut(peer).leaving = leaving;
         }
+        self.index_peers();
     }
 
     /// Marks one life of an engine as leaving; returns whether that was news.
@@ -232,6 +238,7 @@
         let engine = self.engines.get_mut(name);
         if let Some(engine) = engine.filter(|engine| engine.incarnation == incarnation) {
             Arc::make_mut(engine).leaving = true;
+            self.index.set_engines(self.engines.values());
         }
         true
     }
@@ -255,74 +262,18 @@
     /// Returns the routers that are dead from now on.
     pub fn age(&mut self, now: Instant) -> Vec<(RouterName, Epoch)> {
         let dead = self.standings.bury(now);
-        let sums = std::mem::take(&mut self.loads);
-        self.loads = self.without_stale(sums, now);
-        let members = self.domain_members();
-        self.reports.expire(now, |name| members.contains(name));
-        self.summing = self.own_summing_router().map(|peer| peer.name.clone());
+        if !dead.is_empty() {
+            self.index_peers();
+        }
+        self.age_loads(now);
         dead
     }
 
-    fn without_stale(&self, mut sums: LoadSums, now: Instant) -> LoadSums {
-        sums.expire(now, |name| self.sums_up(name));
-        sums
-    }
-
     /// Gives all suspects their time again, after this router has been paused.
     pub fn restart_suspicions(&mut self, now: Instant) {
         self.standings.restart_suspicions(now);
     }
 
-    /// Returns whether `name` is the router that sums up the load of its failure domain.
-    fn sums_up(&self, name: &RouterName) -> bool {
-        let domain = self.peers.get(name).map(|peer| &peer.domain);
-        domain.is_some_and(|domain| self.summing_router(domain) == Some(name))
-    }
-
-    fn summing_router(&self, domain: &DomainName) -> Option<&RouterName> {
-        let within = |name: &&RouterName| {
-            let peer = self.peers.get(*name);
-            peer.is_some_and(|peer| peer.domain == *domain)
-        };
-        placement::first(domain.as_str(), self.duty_routers().filter(within))
-    }
-
-    /// Returns the routers on duty in the failure domain of this one, itself included.
-    pub fn domain_members(&self) -> BTreeSet<RouterName> {
-        let Some(me) = self.peers.get(&self.me) else {
-            return BTreeSet::new();
-        };
-        let peers = self.duty_routers().filter_map(|name| self.peers.get(name));
-        let within = peers.filter(|peer| peer.domain == me.domain);
-        within.map(|peer| peer.name.clone()).collect()
-    }
-
-    /// Returns the router that sums up this domain, `None` when this router does.
-    pub fn own_summing_router(&self) -> Option<&Arc<Peer>> {
-        let me = self.peers.get(&self.me)?;
-        let name = self.summing_router(&me.domain)?;
-        self.peers.get(name).filter(|peer| peer.name != self.me)
-    }
-
-    /// Takes the report of a router whose domain this one sums up.
-    pub fn apply_report(&mut self, sum: &LoadSum, now: Instant) -> bool {
-        sum.router != self.me && self.reports.merge(sum, now)
-    }
-
-    /// Notes which own load has been reported for the sum of the domain.
-    pub fn set_reported(&mut self, pools: BTreeMap<PoolName, PoolLoad>) {
-        self.reported = pools;
-    }
-
-    /// Returns the load of this domain: `own` and what was reported.
-    pub fn domain_load(
-        &self,
-        mut own: BTreeMap<PoolName, PoolLoad>,
-    ) -> BTreeMap<PoolName, PoolLoad> {
-        self.reports.add_to(&mut own);
-        own
-    }
-
     /// Returns the version of the instance list that is merged.
     pub fn version(&self) -> u64 {
         self.version
@@ -334,10 +285,13 @@
     }
 
     /// Returns the engines of `pool`, by name, also the leaving ones.
-    pub fn engines<'a>(&'a self, pool: &'a PoolName) -> impl Iterator<Item = &'a Arc<Engine>> {
-        self.engines
-            .values()
-            .filter(move |engine| engine.pool == *pool)
+    pub fn engines(&self, pool: &PoolName) -> &[Arc<Engine>] {
+        self.index.engines(pool)
+    }
+
+    /// Returns how many engines of `pool` take new work.
+    pub fn open_engines(&self, pool: &PoolName) -> u32 {
+        self.index.open_engines(pool)
     }
 
     /// Returns all engines by name.
@@ -362,32 +316,20 @@
 
     /// Returns the names of the routers that share the duties: live ones and this one.
     pub fn duty_routers(&self) -> impl Iterator<Item = &RouterName> {
-        let on_duty = |peer: &&Arc<Peer>| !peer.leaving && !self.is_dead(&peer.name);
-        let others = self.peers().filter(on_duty).map(|peer| &peer.name);
+        let others = self.duty_peers().iter().map(|peer| &peer.name);
         others.chain(std::iter::once(&self.me))
     }
 
+    /// Returns the other routers that share the duties.
+    pub fn duty_peers(&self) -> &[Arc<Peer>] {
+        self.index.on_duty()
+    }
+
     /// Returns whether a router is believed to have failed.
     pub fn is_dead(&self, name: &RouterName) -> bool {
         self.standings.get(name).health == Health::Dead
     }
 
-    /// Returns the load of `pool` at the other routers, as last reported.
-    pub fn reported_load(&self, pool: &PoolName) -> PoolLoad {
-        let mut total = self.loads.total(pool);
-        total.add(self.reports.total(pool));
-        let summing = self.summing.as_ref();
-        if summing.is_some_and(|name| self.loads.contains(name)) {
-            total.subtract(self.reported.get(pool).copied().unwrap_or_default());
-        }
-        total
-    }
-
-    /// Returns the load sums of the failure domains as they are sent on, the youngest first.
-    pub fn recent_loads(&self, now: Instant) -> Vec<LoadSum> {
-        self.loads.recent(now)
-    }
-
     /// Returns the highest configuration offset heard of.
     pub fn config_head(&self) -> Offset {
         self.config_head
--- a/src/orders/task.rs
+++ b/src/orders/task.rs
@@ -139,7 +139,7 @@
 
 fn live_engines(cx: &Router, pool: &PoolName) -> Vec<Arc<Engine>> {
     let view = cx.membership.view();
-    let live = view.engines(pool).filter(|engine| !engine.leaving);
+    let live = view.engines(pool).iter().filter(|engine| !engine.leaving);
     live.cloned().collect()
 }
 
--- a/src/steward/answer.rs
+++ b/src/steward/answer.rs
@@ -132,9 +132,8 @@
 
 /// Adds up the load counted here and the load reported by other routers.
 fn known_load(view: &View, pool: &PoolName, own: PoolLoad) -> PoolLoad {
-    let open = view.engines(pool).filter(|engine| !engine.leaving);
     let mut load = view.reported_load(pool);
     load.add(own);
-    load.engines = open.count() as u32;
+    load.engines = view.open_engines(pool);
     load
 }
