Rank the engines of a chat without copying the list of open ones

Cause: a request copied the list of all open engines, locked the engines to avoid once for each, and ranked the copy. The order by load, which only the policy bench used, took a closure and a sort with it.

Change: one pass over the view's engines, which keeps the first ranks. The explanation of a choice now leaves out engines that lately refused work, as a request does.

--- a/benches/decisions.rs
+++ b/benches/decisions.rs
@@ -111,10 +111,7 @@
     for (engines, routers) in SIZES {
         let cx = router(engines, routers);
         group.bench_function(BenchmarkId::from_parameter(engines), |b| {
-            b.iter(|| {
-                let open = cx.open_engines(&pool, &failed);
-                cx.candidates(black_box(&chat), &hint, &open)
-            });
+            b.iter(|| cx.candidates(&pool, black_box(&chat), &hint, &failed));
         });
     }
 }
--- a/examples/policy/policy.rs
+++ b/examples/policy/policy.rs
@@ -1,9 +1,6 @@
 //! The policies that the bench compares.
 
-use ebonyspur::{
-    placement::{Spill, MAX_RANKS},
-    steward::FRESH_FACTOR,
-};
+use ebonyspur::{placement::MAX_RANKS, steward::FRESH_FACTOR};
 
 use super::world::FACTOR;
 
@@ -18,6 +15,17 @@
     Directory,
 }
 
+/// Order in which engines that the hint does not name are tried.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Spill {
+    /// By rendezvous rank, as the library orders them.
+    NextRank,
+    /// The first rank, then the others by load.
+    RankThenLoad,
+    /// By load; rank decides between equal loads.
+    LeastLoaded,
+}
+
 /// Where a router takes the load of engines from.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Source {
--- a/examples/policy/world/choose.rs
+++ b/examples/policy/world/choose.rs
@@ -4,7 +4,7 @@
 
 use ebonyspur::{
     membership::Engine,
-    placement::{self, Hint, Preference, Spill},
+    placement::{self, Hint},
     EngineName,
 };
 use rand::RngExt;
@@ -12,7 +12,7 @@
 use super::{
     super::{
         engines::Sim,
-        policy::{Choice, Memory, Source},
+        policy::{Choice, Memory, Source, Spill},
         trace::SECOND,
     },
     chat_id, World, FAILURE_MEMORY, ROUTERS, STALE,
@@ -86,17 +86,22 @@
                 .map(|load| load + penalty)
                 .or((penalty > 0).then_some(penalty))
         };
-        let pref = Preference {
-            ranks: self.policy.ranks,
-            spill,
-            load: &load,
-        };
         let hint = self.hint(chat);
         let engines: Vec<Arc<Engine>> = seen
             .iter()
             .map(|at| self.sims[*at].engine.clone())
             .collect();
-        let ordered = placement::preferred(chat_id(chat).as_str(), &hint, &engines, &pref);
+        let ranks = self.policy.ranks;
+        let mut ordered = placement::preferred(chat_id(chat).as_str(), &hint, &engines, ranks);
+        let named = |engine: &&Arc<Engine>| hint.position(engine).is_some();
+        let warm = ordered.iter().filter(named).count();
+        let kept = match spill {
+            Spill::NextRank => ordered.len(),
+            Spill::RankThenLoad => ordered.len().min(warm + 1),
+            Spill::LeastLoaded => warm,
+        };
+        // An engine of unknown load comes before one that is known to be busy.
+        ordered[kept..].sort_by_key(|engine| load(engine).unwrap_or(0));
         ordered.iter().map(|engine| self.find(engine)).collect()
     }
 
--- a/src/inspect/explain.rs
+++ b/src/inspect/explain.rs
@@ -1,6 +1,6 @@
 //! Where a chat would go, and why.
 
-use std::sync::Arc;
+use std::{collections::BTreeSet, sync::Arc};
 
 use serde::Serialize;
 
@@ -70,10 +70,7 @@
     let service = state.service(service)?;
     let pool = &service.pool;
     let engines = cx.membership.view().engines(pool).to_vec();
-    let open = engines
-        .iter()
-        .filter(|engine| why_shut(&state, engine).is_none());
-    let ranked = cx.candidates(chat, hint, open);
+    let ranked = cx.candidates(pool, chat, hint, &BTreeSet::new());
     let routers = lookup::Answer::new(&cx.membership.view(), &cx.address(), service, chat, hint)?;
     let waiting = cx.admission.lines.waiting();
     let seekers = Waiting {
--- a/src/lookup/answer.rs
+++ b/src/lookup/answer.rs
@@ -3,10 +3,8 @@
 use std::{cmp::Reverse, net::SocketAddr, time::Duration};
 
 use crate::{
-    config::Service,
-    membership::View,
-    placement::{self, Preference, Spill},
-    Category, ChatId, DomainName, Error, Result, RouterName,
+    config::Service, membership::View, placement, Category, ChatId, DomainName, Error, Result,
+    RouterName,
 };
 
 /// How long a caller may use an answer.
@@ -53,12 +51,7 @@
             .engines(&service.pool)
             .iter()
             .filter(|engine| !engine.leaving);
-        let pref = Preference {
-            ranks: 1,
-            spill: Spill::NextRank,
-            load: &|_| None,
-        };
-        let engines = placement::preferred(chat.as_str(), hint, open, &pref);
+        let engines = placement::preferred(chat.as_str(), hint, open, 1);
         let engine = engines.first();
         let key = engine.map_or(chat.as_str(), |engine| engine.name.as_str());
         let addresses = spread(key, view, me);
--- a/src/membership/reach.rs
+++ b/src/membership/reach.rs
@@ -8,7 +8,10 @@
 
 use super::Engine;
 use crate::{
-    sync::lock, Category, EngineName, Error, Incarnation, Instant, PoolName, Router, Verdict,
+    config::State,
+    placement::{self, Hint, MAX_RANKS},
+    sync::lock,
+    Category, ChatId, EngineName, Error, Incarnation, Instant, PoolName, Router, Verdict,
 };
 
 /// How long an engine is avoided after it refused work.
@@ -45,27 +48,72 @@
 
     /// Drops the engines to avoid from `engines`, unless no other is left.
     pub fn avoid(&self, engines: Vec<Arc<Engine>>, now: Instant) -> Vec<Arc<Engine>> {
+        let avoided = self.at(now);
         let (avoided, usable): (Vec<_>, Vec<_>) = engines
             .into_iter()
-            .partition(|engine| self.contains(engine, now));
+            .partition(|engine| is_among(&avoided, engine));
         if usable.is_empty() {
             avoided
         } else {
             usable
         }
     }
+
+    /// Returns the lives of engines to avoid at `now`.
+    fn at(&self, now: Instant) -> Vec<Life> {
+        let engines = lock(&self.engines);
+        let lately = engines
+            .iter()
+            .filter(|(_, (_, at))| now.since(*at) < AVOIDANCE);
+        let life = |(name, (incarnation, _)): (&EngineName, &_)| (name.clone(), *incarnation);
+        lately.map(life).collect()
+    }
+}
+
+/// One life of an engine.
+type Life = (EngineName, Incarnation);
+
+fn is_among(lives: &[Life], engine: &Engine) -> bool {
+    lives
+        .iter()
+        .any(|(name, incarnation)| *incarnation == engine.incarnation && *name == engine.name)
 }
 
 impl Router {
-    /// Returns the engines or servers of `pool` that may take new work, without `failed`.
-    pub fn open_engines(&self, pool: &PoolName, failed: &BTreeSet<EngineName>) -> Vec<Arc<Engine>> {
+    /// Returns the engines or servers of `pool` that may take new work.
+    pub fn open_engines(&self, pool: &PoolName) -> Vec<Arc<Engine>> {
         let state = self.config.current();
         let view = self.membership.view();
-        let is_open = |engine: &&Arc<Engine>| {
-            let shut = engine.leaving || state.drained.contains(&engine.name);
-            !shut && !failed.contains(&engine.name)
-        };
+        let is_open = |engine: &&Arc<Engine>| is_open(&state, engine);
         let open = view.engines(pool).iter().filter(is_open).cloned().collect();
         self.membership.refusing.avoid(open, self.clock.now())
     }
+
+    /// Returns the engines of `pool` to try for `chat`, the best first, without `failed`.
+    ///
+    /// Engines that lately refused work are left out, unless there is no other.
+    pub fn candidates(
+        &self,
+        pool: &PoolName,
+        chat: &ChatId,
+        hint: &Hint,
+        failed: &BTreeSet<EngineName>,
+    ) -> Vec<Arc<Engine>> {
+        let state = self.config.current();
+        let avoided = self.membership.refusing.at(self.clock.now());
+        let view = self.membership.view();
+        let may_run =
+            |engine: &&Arc<Engine>| is_open(&state, engine) && !failed.contains(&engine.name);
+        let open = || view.engines(pool).iter().filter(may_run);
+        let usable = open().filter(|engine| !is_among(&avoided, engine));
+        let ranked = placement::preferred(chat.as_str(), hint, usable, MAX_RANKS);
+        if ranked.is_empty() && !avoided.is_empty() {
+            return placement::preferred(chat.as_str(), hint, open(), MAX_RANKS);
+        }
+        ranked
+    }
+}
+
+fn is_open(state: &State, engine: &Engine) -> bool {
+    !engine.leaving && !state.drained.contains(&engine.name)
 }
--- a/src/placement/mod.rs
+++ b/src/placement/mod.rs
@@ -9,7 +9,7 @@
 pub use self::{
     directory::Directory,
     hint::{Hint, HintEntry, MAX_HINT_ENTRIES},
-    preferred::{preferred, Preference, Spill, MAX_RANKS},
+    preferred::{preferred, MAX_RANKS},
     rank::{first, order, score},
 };
 
--- a/src/placement/preferred.rs
+++ b/src/placement/preferred.rs
@@ -1,6 +1,6 @@
 //! The engines to try for a chat.
 
-use std::{cmp::Reverse, sync::Arc};
+use std::sync::Arc;
 
 use super::{score, Hint};
 use crate::membership::Engine;
@@ -8,41 +8,19 @@
 /// Most engines tried by rank for one request.
 pub const MAX_RANKS: usize = 8;
 
-/// Order in which engines that the hint does not name are tried.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum Spill {
-    /// By rendezvous rank.
-    NextRank,
-    /// The first rank, then the others by load.
-    RankThenLoad,
-    /// By load; rank decides between equal loads.
-    LeastLoaded,
-}
-
-/// How the engines for a chat are ordered.
-#[derive(Clone, Copy)]
-pub struct Preference<'a> {
-    /// Engines considered by rank, at most [`MAX_RANKS`].
-    pub ranks: usize,
-    /// Order of the engines that the hint does not name.
-    pub spill: Spill,
-    /// Last known load of an engine, `None` when unknown.
-    pub load: &'a dyn Fn(&Engine) -> Option<u32>,
-}
-
 /// Returns the engines to try for `chat`, the best first.
 ///
 /// Engines named by the hint come first while the same life of them is among
 /// `engines`, so that a joining engine does not move a warm chat. The others are the
-/// first ranks in rendezvous order, arranged as `pref` says.
+/// first `ranks` in rendezvous order.
 pub fn preferred<'a>(
     chat: &str,
     hint: &Hint,
     engines: impl IntoIterator<Item = &'a Arc<Engine>>,
-    pref: &Preference<'_>,
+    ranks: usize,
 ) -> Vec<Arc<Engine>> {
     let mut warm = Vec::new();
-    let mut ranked = Ranked::new(pref.ranks.min(MAX_RANKS));
+    let mut ranked = Ranked::new(ranks);
     let hash = score::key(chat);
     for engine in engines {
         match hint.position(engine) {
@@ -52,7 +30,8 @@
     }
     warm.sort_by_key(|(position, _)| *position);
     let warm = warm.into_iter().map(|(_, engine)| engine);
-    warm.chain(ranked.arrange(pref)).cloned().collect()
+    let ranked = ranked.best.into_iter().map(|(_, engine)| engine);
+    warm.chain(ranked).cloned().collect()
 }
 
 /// The engines with the highest scores, the highest first.
@@ -78,17 +57,4 @@
         self.best.insert(at, (score, engine));
         self.best.truncate(self.limit);
     }
-
-    fn arrange(mut self, pref: &Preference<'_>) -> impl Iterator<Item = &'a Arc<Engine>> {
-        let kept = match pref.spill {
-            Spill::NextRank => self.best.len(),
-            Spill::RankThenLoad => self.best.len().min(1),
-            Spill::LeastLoaded => 0,
-        };
-        // An engine of unknown load comes before one that is known to be busy.
-        self.best[kept..].sort_by_cached_key(|(score, engine)| {
-            ((pref.load)(engine).unwrap_or(0), Reverse(*score))
-        });
-        self.best.into_iter().map(|(_, engine)| engine)
-    }
 }
--- a/src/relay/request.rs
+++ b/src/relay/request.rs
@@ -197,8 +197,10 @@
 
     /// Returns the engines that the request may use, the best first.
     fn candidates(&self, cx: &Router) -> Result<Vec<Arc<Engine>>> {
-        let engines = cx.open_engines(&self.head.pool, &self.stage.failed);
-        let ranked = cx.candidates(&self.head.chat, &self.head.hint, &engines);
+        let Head {
+            pool, chat, hint, ..
+        } = &self.head;
+        let ranked = cx.candidates(pool, chat, hint, &self.stage.failed);
         if ranked.is_empty() {
             return Err(Error::not_run(Category::Unavailable, "no engine is live"));
         }
--- a/src/relay/service.rs
+++ b/src/relay/service.rs
@@ -1,6 +1,6 @@
 //! One call of a plain service.
 
-use std::{collections::BTreeSet, sync::Arc};
+use std::sync::Arc;
 
 use bytes::Bytes;
 use http::{header::CONTENT_TYPE, HeaderName, Method, Response};
@@ -116,7 +116,7 @@
 
 /// Returns the servers that may take the call, the preferred one first.
 pub(super) fn servers(cx: &Router, call: &ServiceCall) -> Vec<Arc<Engine>> {
-    let servers = cx.open_engines(&call.pool, &BTreeSet::new());
+    let servers = cx.open_engines(&call.pool);
     placement::candidates(call.id.as_str(), &Hint::default(), &servers)
 }
 
--- a/src/router.rs
+++ b/src/router.rs
@@ -22,15 +22,14 @@
     inspect::{Metrics, Refusals},
     lease::{self, Leases},
     lookup::{Address, Ticket},
-    membership::{self, Engine, Membership},
+    membership::{self, Membership},
     once::{self, Once},
     orders::{self, Orders},
     peer::{self, Peers, Purpose, Sealer},
-    placement::{self, Hint, Preference, Spill, MAX_RANKS},
     platform::Platform,
     relay::Backends,
     steward::{self, HeldGrants, Steward},
-    Category, ChatId, Clock, Error, Incarnation, RequestId, Result,
+    Category, Clock, Error, Incarnation, RequestId, Result,
 };
 
 /// Delay proposed to a caller of a router that does not serve.
@@ -195,21 +194,6 @@
         Err(err.with_retry_after(NOT_SERVING_DELAY))
     }
 
-    /// Returns the engines to try for `chat`, the best first.
-    pub fn candidates<'a>(
-        &self,
-        chat: &ChatId,
-        hint: &Hint,
-        engines: impl IntoIterator<Item = &'a Arc<Engine>>,
-    ) -> Vec<Arc<Engine>> {
-        let pref = Preference {
-            ranks: MAX_RANKS,
-            spill: Spill::NextRank,
-            load: &|_| None,
-        };
-        placement::preferred(chat.as_str(), hint, engines, &pref)
-    }
-
     /// Returns the number for the next claim of this life.
     pub fn next_nonce(&self) -> u64 {
         self.next_number.fetch_add(1, Ordering::Relaxed)
