Look up the engines of a hint by name, and routers by failure domain

Cause: a lookup ranked all engines also when the hint named one, and compared the failure domain of each router with those of all firsts. A request that waits for a warm engine ranked all engines for each try.

Change: engines that the hint names are looked up; the routers on duty are kept by failure domain, so that each domain is one run.

--- a/benches/decisions.rs
+++ b/benches/decisions.rs
@@ -85,20 +85,26 @@
 }
 
 fn lookup(c: &mut Criterion) {
-    let mut group = c.benchmark_group("lookup");
+    let (_, hint) = chat();
+    lookup_with(c, "lookup", &hint);
+    lookup_with(c, "lookup_new_chat", &Hint::default());
+}
+
+fn lookup_with(c: &mut Criterion, name: &str, hint: &Hint) {
+    let mut group = c.benchmark_group(name);
     let service = Service {
         name: ServiceName::new("planner").unwrap(),
         kind: ServiceKind::Chat,
         pool: pool(),
     };
-    let (chat, hint) = chat();
+    let (chat, _) = chat();
     for (engines, routers) in SIZES {
         let cx = router(engines, routers);
         let me = cx.address();
         group.bench_function(BenchmarkId::from_parameter(engines), |b| {
             b.iter(|| {
                 let view = cx.membership.view();
-                Answer::new(&view, &me, &service, black_box(&chat), &hint).unwrap()
+                Answer::new(&view, &me, &service, black_box(&chat), hint).unwrap()
             });
         });
     }
--- a/src/lookup/answer.rs
+++ b/src/lookup/answer.rs
@@ -1,10 +1,11 @@
 //! The addresses for a caller.
 
-use std::{cmp::Reverse, net::SocketAddr, time::Duration};
+use std::{cmp::Reverse, net::SocketAddr, sync::Arc, time::Duration};
 
 use crate::{
-    config::Service, membership::View, placement, Category, ChatId, DomainName, Error, Result,
-    RouterName,
+    config::Service,
+    membership::{Engine, Peer, View},
+    placement, Category, ChatId, DomainName, Error, Result, RouterName,
 };
 
 /// How long a caller may use an answer.
@@ -47,12 +48,7 @@
         chat: &ChatId,
         hint: &placement::Hint,
     ) -> Result<Answer> {
-        let open = view
-            .engines(&service.pool)
-            .iter()
-            .filter(|engine| !engine.leaving);
-        let engines = placement::preferred(chat.as_str(), hint, open, 1);
-        let engine = engines.first();
+        let engine = engine_for(view, service, chat, hint);
         let key = engine.map_or(chat.as_str(), |engine| engine.name.as_str());
         let addresses = spread(key, view, me);
         if addresses.is_empty() {
@@ -62,6 +58,27 @@
     }
 }
 
+/// Returns the engine that the chat would get if it were below its bound.
+fn engine_for<'a>(
+    view: &'a View,
+    service: &Service,
+    chat: &ChatId,
+    hint: &placement::Hint,
+) -> Option<&'a Arc<Engine>> {
+    let pool = &service.pool;
+    let open = |engine: &&Arc<Engine>| !engine.leaving;
+    let mut named = hint
+        .entries()
+        .iter()
+        .filter_map(|entry| view.named(pool, entry));
+    let first = || {
+        let others = view.engines(pool).iter().filter(open);
+        let name = placement::first(chat.as_str(), others.map(|engine| &engine.name))?;
+        view.engine(name)
+    };
+    named.find(open).or_else(first)
+}
+
 /// A router in the choice, this one or another.
 #[derive(Clone, Copy)]
 struct Choice<'a> {
@@ -71,7 +88,25 @@
     domain: &'a DomainName,
 }
 
-impl Choice<'_> {
+impl<'a> Choice<'a> {
+    fn other(key: &str, peer: &'a Peer) -> Self {
+        Choice {
+            score: placement::score(key, peer.name.as_str()),
+            router: &peer.name,
+            address: peer.address,
+            domain: &peer.domain,
+        }
+    }
+
+    fn own(key: &str, me: &'a Address) -> Self {
+        Choice {
+            score: placement::score(key, me.router.as_str()),
+            router: &me.router,
+            address: me.address,
+            domain: &me.domain,
+        }
+    }
+
     fn to_address(self) -> Address {
         Address {
             router: self.router.clone(),
@@ -81,46 +116,41 @@
     }
 }
 
-fn routers<'a>(key: &'a str, view: &'a View, me: &'a Address) -> impl Iterator<Item = Choice<'a>> {
-    let others = view
-        .duty_peers()
-        .iter()
-        .map(|peer| (&peer.name, peer.address, &peer.domain));
-    let mine = std::iter::once((&me.router, me.address, &me.domain));
-    others
-        .chain(mine)
-        .map(move |(router, address, domain)| Choice {
-            score: placement::score(key, router.as_str()),
-            router,
-            address,
-            domain,
-        })
-}
-
 /// Returns the first routers of different failure domains, and fills up with others when
 /// there are fewer domains than addresses in an answer.
 fn spread(key: &str, view: &View, me: &Address) -> Vec<Address> {
-    let mut firsts: Vec<Choice<'_>> = Vec::new();
-    let mut others: Vec<Choice<'_>> = Vec::new();
-    for mut choice in routers(key, view, me) {
-        let same = firsts
-            .iter_mut()
-            .find(|first| first.domain == choice.domain);
-        let Some(first) = same else {
-            firsts.push(choice);
-            continue;
-        };
-        if choice.score > first.score {
-            std::mem::swap(first, &mut choice);
-        }
-        others.push(choice);
-    }
     let by_score = |choice: &Choice<'_>| Reverse(choice.score);
-    firsts.sort_unstable_by_key(by_score);
-    if firsts.len() < MAX_ADDRESSES {
+    let mut chosen = firsts(key, view, me);
+    chosen.sort_unstable_by_key(by_score);
+    if chosen.len() < MAX_ADDRESSES {
+        let mut others = all(key, view, me);
+        others.retain(|other| chosen.iter().all(|first| first.router != other.router));
         others.sort_unstable_by_key(by_score);
-        firsts.extend(others);
+        chosen.extend(others);
     }
-    let chosen = firsts.into_iter().take(MAX_ADDRESSES);
+    let chosen = chosen.into_iter().take(MAX_ADDRESSES);
     chosen.map(Choice::to_address).collect()
 }
+
+/// Returns the first router of each failure domain.
+fn firsts<'a>(key: &str, view: &'a View, me: &'a Address) -> Vec<Choice<'a>> {
+    let domains = view.duty_peers().chunk_by(|a, b| a.domain == b.domain);
+    let others = domains.filter_map(|peers| {
+        let choices = peers.iter().map(|peer| Choice::other(key, peer));
+        choices.max_by_key(|choice| choice.score)
+    });
+    let mut firsts: Vec<_> = others.collect();
+    let own = Choice::own(key, me);
+    match firsts.iter_mut().find(|first| first.domain == own.domain) {
+        Some(first) if own.score > first.score => *first = own,
+        Some(_) => {}
+        None => firsts.push(own),
+    }
+    firsts
+}
+
+fn all<'a>(key: &str, view: &'a View, me: &'a Address) -> Vec<Choice<'a>> {
+    let others = view.duty_peers().iter();
+    let others = others.map(|peer| Choice::other(key, peer));
+    others.chain([Choice::own(key, me)]).collect()
+}
--- a/src/membership/index.rs
+++ b/src/membership/index.rs
@@ -17,6 +17,7 @@
 #[derive(Debug, Default)]
 pub(super) struct Index {
     pools: BTreeMap<PoolName, Pool>,
+    /// By failure domain.
     on_duty: Vec<Arc<Peer>>,
 }
 
@@ -34,6 +35,7 @@
     /// Replaces the other routers on duty.
     pub(super) fn set_on_duty<'a>(&mut self, peers: impl Iterator<Item = &'a Arc<Peer>>) {
         self.on_duty = peers.cloned().collect();
+        self.on_duty.sort_by(|a, b| a.domain.cmp(&b.domain));
     }
 
     /// Returns the engines of `pool`, by name.
@@ -46,7 +48,7 @@
         self.pools.get(pool).map_or(0, |pool| pool.open)
     }
 
-    /// Returns the other routers on duty, by name.
+    /// Returns the other routers on duty, by failure domain.
     pub(super) fn on_duty(&self) -> &[Arc<Peer>] {
         &self.on_duty
     }
--- a/src/membership/reach.rs
+++ b/src/membership/reach.rs
@@ -89,6 +89,26 @@
         self.membership.refusing.avoid(open, self.clock.now())
     }
 
+    /// Returns the engines of `pool` that `hint` names and that may take new work, the
+    /// newest first, without `failed`.
+    pub fn warm_engines(
+        &self,
+        pool: &PoolName,
+        hint: &Hint,
+        failed: &BTreeSet<EngineName>,
+    ) -> Vec<Arc<Engine>> {
+        let state = self.config.current();
+        let avoided = self.membership.refusing.at(self.clock.now());
+        let view = self.membership.view();
+        let may_run = |engine: &&Arc<Engine>| {
+            let open = is_open(&state, engine) && !failed.contains(&engine.name);
+            open && !is_among(&avoided, engine)
+        };
+        let named = hint.entries().iter();
+        let named = named.filter_map(|entry| view.named(pool, entry));
+        named.filter(may_run).cloned().collect()
+    }
+
     /// Returns the engines of `pool` to try for `chat`, the best first, without `failed`.
     ///
     /// Engines that lately refused work are left out, unless there is no other.
--- a/src/membership/view.rs
+++ b/src/membership/view.rs
@@ -6,6 +6,7 @@
 
 use super::{index::Index, Epoch, Health, LoadSums, PoolLoad, Rumour, Standing, Standings};
 use crate::{
+    placement::HintEntry,
     platform::{Instance, InstanceChanges, InstanceKind, InstanceState},
     DomainName, EngineName, Incarnation, Instant, Offset, PoolName, RouterName,
 };
@@ -289,6 +290,13 @@
         self.index.engines(pool)
     }
 
+    /// Returns the life of an engine of `pool` that `entry` names, if it is the present one.
+    pub fn named(&self, pool: &PoolName, entry: &HintEntry) -> Option<&Arc<Engine>> {
+        let engine = self.engines.get(&entry.engine)?;
+        let same = engine.incarnation == entry.incarnation && engine.pool == *pool;
+        same.then_some(engine)
+    }
+
     /// Returns how many engines of `pool` take new work.
     pub fn open_engines(&self, pool: &PoolName) -> u32 {
         self.index.open_engines(pool)
@@ -320,7 +328,7 @@
         others.chain(std::iter::once(&self.me))
     }
 
-    /// Returns the other routers that share the duties.
+    /// Returns the other routers that share the duties, by failure domain.
     pub fn duty_peers(&self) -> &[Arc<Peer>] {
         self.index.on_duty()
     }
--- a/src/relay/request.rs
+++ b/src/relay/request.rs
@@ -132,7 +132,7 @@
     pub async fn place(self, cx: &Arc<Router>) -> Result<Request<Placed>> {
         let _seeker = cx.admission.seekers.enter(&self.head.pool);
         if !cx.admission.lines.is_waiting(&self.head.pool) {
-            if let Some(place) = self.wait_for_warm(cx).await? {
+            if let Some(place) = self.wait_for_warm(cx).await {
                 return Ok(self.at_slot(place));
             }
             match self.try_engines(cx, &self.candidates(cx)?).await {
@@ -144,18 +144,18 @@
     }
 
     /// Waits a little for an engine that caches the chat, while it is at its bound.
-    async fn wait_for_warm(&self, cx: &Arc<Router>) -> Result<Option<Place>> {
+    async fn wait_for_warm(&self, cx: &Arc<Router>) -> Option<Place> {
         let deadline = cx.clock.now() + WARM_WAIT;
         loop {
-            let mut warm = self.candidates(cx)?;
-            warm.retain(|engine| self.head.hint.position(engine).is_some());
+            let Head { pool, hint, .. } = &self.head;
+            let warm = cx.warm_engines(pool, hint, &self.stage.failed);
             if warm.is_empty() {
-                return Ok(None);
+                return None;
             }
             match self.try_below(cx, &warm, Limit::Bound).await {
-                Ok(place) => return Ok(Some(place)),
-                Err(err) if err.classify() != Category::Overloaded => return Ok(None),
-                Err(_) if cx.clock.now() >= deadline => return Ok(None),
+                Ok(place) => return Some(place),
+                Err(err) if err.classify() != Category::Overloaded => return None,
+                Err(_) if cx.clock.now() >= deadline => return None,
                 Err(_) => tokio::time::sleep(WARM_RETRY).await,
             }
         }
