--- a/examples/policy/engines.rs
+++ b/examples/policy/engines.rs
@@ -23,6 +23,8 @@
     pub in_flight: u32,
     /// When it stopped taking work.
     pub left: Option<u64>,
+    /// Whether it has stood above the bound since a request was placed on it at the bound.
+    pub overfilled: bool,
     joined: u64,
     cache: VecDeque<u32>,
     history: Vec<u32>,
@@ -44,6 +46,7 @@
             engine: Arc::new(engine),
             in_flight: 0,
             left: None,
+            overfilled: false,
             joined,
             cache: VecDeque::new(),
             history: Vec::new(),
--- a/examples/policy/main.rs
+++ b/examples/policy/main.rs
@@ -96,7 +96,7 @@
     let oracle = reports.iter().find(|r| r.name == "oracle");
     let best = oracle.map_or(1.0, |r| r.reuse);
     println!(
-        "{:<22} {:>6} {:>9} {:>8} {:>8} {:>10} {:>10} {:>11} {:>7} {:>6} {:>8} {:>9} {:>7}",
+        "{:<22} {:>6} {:>9} {:>8} {:>8} {:>10} {:>10} {:>11} {:>11} {:>12} {:>7} {:>6} {:>8} {:>9} {:>7}",
         "policy",
         "reuse",
         "of oracle",
@@ -104,7 +104,9 @@
         "skew_p99",
         "over_bound",
         "over_split",
+        "over_fallen",
         "above_bound",
+        "above_fallen",
         "refused",
         "moved",
         "wait_p99",
@@ -113,9 +115,9 @@
     );
     for r in reports {
         println!(
-            "{:<22} {:>6.3} {:>9.3} {:>8.2} {:>8.2} {:>10} {:>10} {:>11.4} {:>7} {:>6.3} {:>8} {:>9} {:>7.2}",
+            "{:<22} {:>6.3} {:>9.3} {:>8.2} {:>8.2} {:>10} {:>10} {:>11} {:>11.4} {:>12.4} {:>7} {:>6.3} {:>8} {:>9} {:>7.2}",
             r.name, r.reuse, r.reuse / best, r.skew_max, r.skew_p99, r.over_bound,
-            r.over_split, r.above_bound,
+            r.over_split, r.over_fallen, r.above_bound, r.above_fallen,
             r.refused, r.moved, r.wait_p99_ms, r.control_bytes_per_s, r.goodput
         );
     }
--- a/examples/policy/report.rs
+++ b/examples/policy/report.rs
@@ -29,8 +29,12 @@
     pub over_bound: u64,
     /// Those of them placed while routers hold different lists of engines.
     pub over_split: u64,
+    /// Those of them below the bound of the moment whose loads gossip has brought.
+    pub over_fallen: u64,
     /// Share of samples in which an engine stands above the bound of that moment.
     pub above_bound: f64,
+    /// Share of samples in which engines do so only since the mean fell.
+    pub above_fallen: f64,
     /// Requests that found no engine.
     pub refused: u64,
     /// Share of the returning requests that changed their engine.
@@ -52,6 +56,7 @@
     moved: u64,
     samples: u64,
     above: u64,
+    above_fallen: u64,
     skews: Vec<f64>,
     waits: Vec<u64>,
 }
@@ -79,12 +84,15 @@
         self.counts.waits.push(wait / 1_000);
     }
 
-    /// Takes the loads of the live engines at one moment.
-    pub fn sample(&mut self, loads: &[u32], factor: f64) {
+    /// Takes the loads of the live engines at one moment; `overfilled` says whether one
+    /// stands above `bound` since a request was placed on it at the bound.
+    pub fn sample(&mut self, loads: &[u32], bound: u32, overfilled: bool) {
         let mean = f64::from(loads.iter().sum::<u32>()) / loads.len() as f64;
         let most = f64::from(loads.iter().copied().max().unwrap_or(0));
         self.counts.samples += 1;
-        self.counts.above += u64::from(most > (factor * mean).ceil().max(1.0));
+        let above = most > f64::from(bound);
+        self.counts.above += u64::from(above);
+        self.counts.above_fallen += u64::from(above && !overfilled);
         // Below one request an engine the ratio says nothing.
         if mean >= 1.0 {
             self.counts.skews.push(most / mean);
@@ -99,6 +107,7 @@
         self.reuse = share(counts.warm, counts.returning);
         self.moved = share(counts.moved, counts.returning);
         self.above_bound = share(counts.above, counts.samples);
+        self.above_fallen = share(counts.above_fallen, counts.samples);
         counts.skews.sort_by(f64::total_cmp);
         self.skew_max = round(counts.skews.last().copied().unwrap_or(0.0));
         self.skew_p99 = round(percentile(&counts.skews, 0.99));
--- /dev/null
+++ b/examples/policy/world/bound.rs
@@ -0,0 +1,77 @@
+//! The bound as a steward knows it, and as the engines count it.
+
+use ebonyspur::{
+    membership::PoolLoad,
+    steward::{cautious_factor, load_bound, with_waiting},
+    Instant,
+};
+
+use super::{
+    super::{engines::SAMPLE, policy::Mean},
+    World, FACTOR, ROUTERS,
+};
+
+impl World<'_> {
+    /// Returns the bound as `steward` knows it when `asking` wants a slot.
+    pub(super) fn bound(&mut self, steward: usize, asking: usize, factor: f64) -> u32 {
+        let pool = self.known_load(steward, asking);
+        let now = Instant::from_micros(self.now);
+        let lowest = self.floors[steward].observe(pool, now);
+        let waiting = self.seekers.count(asking) - 1;
+        let heard = with_waiting(pool, waiting);
+        let lowest = with_waiting(lowest, waiting);
+        let cautious = cautious_factor(lowest, factor);
+        let (load, factor) = match self.policy.mean {
+            Mean::Heard => (heard, factor),
+            Mean::Floor => (lowest, factor),
+            Mean::Cautious => (lowest, cautious),
+            Mean::CautiousAndOne => {
+                let engines = lowest.engines + 1;
+                (PoolLoad { engines, ..lowest }, cautious)
+            }
+        };
+        load_bound(load, factor)
+    }
+
+    /// Returns the load of the pool: what `steward` counts, the rest as gossip tells it.
+    fn known_load(&self, steward: usize, asking: usize) -> PoolLoad {
+        let mut pool = PoolLoad::default();
+        for (at, sim) in self.sims.iter().enumerate() {
+            if !sim.is_seen(steward, self.now) {
+                continue;
+            }
+            let own = self.steward_of(at) == steward;
+            let in_flight = if own {
+                sim.in_flight
+            } else {
+                sim.load_at(self.heard())
+            };
+            pool.add(PoolLoad::new(in_flight, 1));
+        }
+        for router in 0..ROUTERS {
+            pool.waiting += match router {
+                _ if router == steward => self.waiting_beside(router, asking),
+                _ => self.seekers.count_at(router, self.heard()),
+            };
+        }
+        pool
+    }
+
+    /// Returns the requests at `router` that wait, without one that asks there.
+    fn waiting_beside(&self, router: usize, asking: usize) -> u32 {
+        self.seekers.count(router) - u32::from(router == asking)
+    }
+
+    /// Returns the bound as the engines count it now.
+    pub(super) fn true_bound(&self) -> u32 {
+        let loads = self.live();
+        let total = loads.iter().map(|at| self.sims[*at].in_flight).sum();
+        load_bound(PoolLoad::new(total, loads.len() as u32), FACTOR)
+    }
+
+    /// Returns the bound as it was when the loads were counted that gossip has brought.
+    pub(super) fn bound_heard(&self) -> u32 {
+        let at = (self.heard() / SAMPLE) as usize;
+        self.bounds.get(at).copied().unwrap_or(1)
+    }
+}
--- a/examples/policy/world/choose.rs
+++ b/examples/policy/world/choose.rs
@@ -15,9 +15,15 @@
         policy::{Choice, Memory, Source, Spill},
         trace::SECOND,
     },
-    chat_id, World, FAILURE_MEMORY, ROUTERS, STALE,
+    chat_id, World, ROUTERS,
 };
 
+/// How long a failure counts against an engine.
+const FAILURE_MEMORY: u64 = 180 * SECOND;
+
+/// Share of requests that come by an address that is out of date.
+const STALE: f64 = 0.1;
+
 impl World<'_> {
     /// Returns the router that the request reaches, and the engines it tries.
     pub(super) fn order(&mut self, chat: u32) -> (usize, Vec<usize>) {
