Take the mean as heard, less one standard deviation, for the bound

Cause: the bound came from the lowest load of 2 s and half a standard deviation. The lowest load lags behind each rise, which costs reuse, and it guards against the past, while what breaks the bound is a mean that falls after it was heard.

Change: the window goes, and the margin is one standard deviation.

--- a/examples/policy/policy.rs
+++ b/examples/policy/policy.rs
@@ -44,10 +44,10 @@
 pub enum Mean {
     /// As last heard.
     Heard,
-    /// The lowest heard within a window.
-    Floor,
-    /// As `Floor`, and the factor less the error of a heard load.
+    /// As `Heard`, and the factor less the error of a heard load.
     Cautious,
+    /// As `Cautious`, with this relative error of one request.
+    Margin(f64),
     /// As `Cautious`, with one engine more than the steward knows.
     CautiousAndOne,
 }
@@ -90,6 +90,8 @@
     pub penalty: u32,
     /// Whether the least loaded of the remembered engines goes first.
     pub warm_by_load: bool,
+    /// Whether a request counts as waiting while it waits for a remembered engine only.
+    pub warm_counts: bool,
 }
 
 const EBONYSPUR: Policy = Policy {
@@ -104,6 +106,7 @@
     mean: Mean::Cautious,
     penalty: 0,
     warm_by_load: false,
+    warm_counts: true,
 };
 
 /// The policy of the product and the baselines.
@@ -224,8 +227,13 @@
         ..EBONYSPUR
     },
     Policy {
-        name: "mean_floor",
-        mean: Mean::Floor,
+        name: "error_0.8",
+        mean: Mean::Margin(0.8),
+        ..EBONYSPUR
+    },
+    Policy {
+        name: "error_1.25",
+        mean: Mean::Margin(1.25),
         ..EBONYSPUR
     },
     Policy {
@@ -238,6 +246,11 @@
         warm_by_load: true,
         ..EBONYSPUR
     },
+    Policy {
+        name: "warm_waits_not",
+        warm_counts: false,
+        ..EBONYSPUR
+    },
     Policy {
         name: "failure_penalty_1",
         spill: Spill::LeastLoaded,
--- a/src/steward/answer.rs
+++ b/src/steward/answer.rs
@@ -53,8 +53,7 @@
         let mut own = self.steward.load(pool);
         own.waiting = waiting.here;
         let load = known_load(&self.membership.view(), pool, own);
-        let lowest = self.steward.lowest_load(pool, load, self.clock.now());
-        let load = with_waiting(lowest, waiting.asking);
+        let load = with_waiting(load, waiting.asking);
         load_bound(load, cautious_factor(load, factor))
     }
 
--- a/src/steward/mod.rs
+++ b/src/steward/mod.rs
@@ -17,7 +17,7 @@
 pub use self::{
     answer::Waiting,
     book::{Book, GrantId, Held, Holder, DISPATCH_TIME, HOLDER_TIMEOUT, REPORT_LAG},
-    bound::{cautious_factor, load_bound, with_waiting, LoadFloor, FLOOR_WINDOW, FRESH_FACTOR},
+    bound::{cautious_factor, load_bound, with_waiting, FRESH_FACTOR},
     held::HeldGrants,
     message::{
         GrantReply, GrantRequest, HandOver, HandOverRequest, Limit, ReleaseRequest, RenewReply,
--- a/src/steward/state.rs
+++ b/src/steward/state.rs
@@ -5,7 +5,7 @@
     sync::Mutex,
 };
 
-use super::{Book, GrantId, GrantReply, HandOver, Held, Holder, LoadFloor, Stage, Stewardship};
+use super::{Book, GrantId, GrantReply, HandOver, Held, Holder, Stage, Stewardship};
 use crate::{
     membership::{Engine, PoolLoad},
     sync::lock,
@@ -61,7 +61,6 @@
     entries: BTreeMap<EngineName, Entry>,
     /// Latest life of each router that has asked.
     lives: HashMap<RouterName, Incarnation>,
-    floors: BTreeMap<PoolName, LoadFloor>,
 }
 
 impl Inner {
@@ -214,13 +213,6 @@
         lock(&self.inner).entries.retain(|name, _| listed(name));
     }
 
-    /// Returns the lowest load of `pool` lately, given its present `load`.
-    pub fn lowest_load(&self, pool: &PoolName, load: PoolLoad, now: Instant) -> PoolLoad {
-        let mut inner = lock(&self.inner);
-        let floor = inner.floors.entry(pool.clone()).or_default();
-        floor.observe(load, now)
-    }
-
     /// Returns the load of the engines counted here that take work, by pool.
     pub fn loads(&self) -> BTreeMap<PoolName, PoolLoad> {
         let mut loads = BTreeMap::<_, PoolLoad>::new();
