Model in the policy bench how loads reach a steward

Cause: the bench took all loads as 1 s old, and each steward counted the engines of its own list only, whoever counts them.

Change: each router sends what it knows to one other each 200 ms, and reports to the router that sums up its failure domain each 400 ms, as the library does; the mean age of the loads is reported. A sum holds the engines that its own steward sees. Ways to make the loads younger are rounds, and so is a count of engines from the sums. The option for the age goes.

--- a/examples/policy/main.rs
+++ b/examples/policy/main.rs
@@ -18,7 +18,7 @@
     policy::{Choice, Memory, Policy, BASELINES, ROUNDS},
     report::Report,
     trace::SECOND,
-    world::{Scale, World},
+    world::World,
 };
 
 #[derive(Parser)]
@@ -35,9 +35,6 @@
     /// Engines at the start.
     #[arg(long, default_value_t = 12)]
     engines: usize,
-    /// Age of the loads that gossip brings, in milliseconds.
-    #[arg(long, default_value_t = 1_000)]
-    gossip_ms: u64,
     /// Callers return no hints.
     #[arg(long)]
     no_return_hints: bool,
@@ -67,17 +64,13 @@
     if args.rounds {
         policies.extend(ROUNDS);
     }
-    let scale = Scale {
-        engines: args.engines,
-        gossip_ms: args.gossip_ms,
-    };
     let run = |policy: Policy| {
         let policy = if args.no_return_hints {
             without_hints(policy)
         } else {
             policy
         };
-        World::new(policy, scale, args.seed, &turns, &churn).run(args.seconds * SECOND)
+        World::new(policy, args.engines, args.seed, &turns, &churn).run(args.seconds * SECOND)
     };
     policies.into_iter().map(run).collect()
 }
@@ -96,7 +89,7 @@
     let oracle = reports.iter().find(|r| r.name == "oracle");
     let best = oracle.map_or(1.0, |r| r.reuse);
     println!(
-        "{:<22} {:>6} {:>9} {:>8} {:>8} {:>10} {:>10} {:>11} {:>11} {:>12} {:>7} {:>6} {:>8} {:>9} {:>7}",
+        "{:<22} {:>6} {:>9} {:>8} {:>8} {:>10} {:>10} {:>11} {:>11} {:>12} {:>7} {:>6} {:>8} {:>6} {:>9} {:>7}",
         "policy",
         "reuse",
         "of oracle",
@@ -110,15 +103,16 @@
         "refused",
         "moved",
         "wait_p99",
+        "age_ms",
         "control_B",
         "goodput"
     );
     for r in reports {
         println!(
-            "{:<22} {:>6.3} {:>9.3} {:>8.2} {:>8.2} {:>10} {:>10} {:>11} {:>11.4} {:>12.4} {:>7} {:>6.3} {:>8} {:>9} {:>7.2}",
+            "{:<22} {:>6.3} {:>9.3} {:>8.2} {:>8.2} {:>10} {:>10} {:>11} {:>11.4} {:>12.4} {:>7} {:>6.3} {:>8} {:>6} {:>9} {:>7.2}",
             r.name, r.reuse, r.reuse / best, r.skew_max, r.skew_p99, r.over_bound,
             r.over_split, r.over_fallen, r.above_bound, r.above_fallen,
-            r.refused, r.moved, r.wait_p99_ms, r.control_bytes_per_s, r.goodput
+            r.refused, r.moved, r.wait_p99_ms, r.age_ms, r.control_bytes_per_s, r.goodput
         );
     }
 }
--- a/examples/policy/policy.rs
+++ b/examples/policy/policy.rs
@@ -2,7 +2,10 @@
 
 use ebonyspur::{placement::MAX_RANKS, steward::FRESH_FACTOR};
 
-use super::world::FACTOR;
+use super::{
+    trace::SECOND,
+    world::{Spread, FACTOR, SPREAD},
+};
 
 /// Where the last engines of a chat are remembered.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -52,6 +55,15 @@
     CautiousAndOne,
 }
 
+/// How many engines share the load, to a steward.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Count {
+    /// Those of its own list.
+    Listed,
+    /// Those of its own list or those in the sums, whichever are more.
+    Most,
+}
+
 /// How the engine is chosen.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Choice {
@@ -92,6 +104,10 @@
     pub warm_by_load: bool,
     /// Whether a request counts as waiting while it waits for a remembered engine only.
     pub warm_counts: bool,
+    /// How many engines share the load.
+    pub count: Count,
+    /// How loads spread.
+    pub spread: Spread,
 }
 
 const EBONYSPUR: Policy = Policy {
@@ -107,6 +123,8 @@
     penalty: 0,
     warm_by_load: false,
     warm_counts: true,
+    count: Count::Listed,
+    spread: SPREAD,
 };
 
 /// The policy of the product and the baselines.
@@ -251,6 +269,45 @@
         warm_counts: false,
         ..EBONYSPUR
     },
+    Policy {
+        name: "most_engines",
+        count: Count::Most,
+        ..EBONYSPUR
+    },
+    Policy {
+        name: "sums_on_calls",
+        spread: Spread {
+            calls: true,
+            ..SPREAD
+        },
+        ..EBONYSPUR
+    },
+    Policy {
+        name: "report_200_ms",
+        spread: Spread {
+            report: SECOND / 5,
+            ..SPREAD
+        },
+        ..EBONYSPUR
+    },
+    Policy {
+        name: "gossip_100_ms",
+        spread: Spread {
+            tick: SECOND / 10,
+            report: SECOND / 5,
+            ..SPREAD
+        },
+        ..EBONYSPUR
+    },
+    Policy {
+        name: "gossip_50_ms",
+        spread: Spread {
+            tick: SECOND / 20,
+            report: SECOND / 10,
+            ..SPREAD
+        },
+        ..EBONYSPUR
+    },
     Policy {
         name: "failure_penalty_1",
         spill: Spill::LeastLoaded,
--- a/examples/policy/report.rs
+++ b/examples/policy/report.rs
@@ -29,7 +29,7 @@
     pub over_bound: u64,
     /// Those of them placed while routers hold different lists of engines.
     pub over_split: u64,
-    /// Those of them below the bound of the moment whose loads gossip has brought.
+    /// Those of them below the bound of a second before.
     pub over_fallen: u64,
     /// Share of samples in which an engine stands above the bound of that moment.
     pub above_bound: f64,
@@ -39,6 +39,8 @@
     pub refused: u64,
     /// Share of the returning requests that changed their engine.
     pub moved: f64,
+    /// Mean age of the loads that routers know of others, in milliseconds.
+    pub age_ms: u64,
     /// 99th percentile of the wait for an engine, in milliseconds.
     pub wait_p99_ms: u64,
     #[serde(skip)]
--- a/examples/policy/world.rs
+++ b/examples/policy/world.rs
@@ -3,6 +3,7 @@
 mod bound;
 mod choose;
 mod churn;
+mod news;
 mod place;
 mod seekers;
 
@@ -19,7 +20,8 @@
 use rand::SeedableRng;
 use rand_pcg::Pcg64Mcg;
 
-use self::seekers::Seekers;
+pub use self::news::{Spread, SPREAD};
+use self::{news::News, seekers::Seekers};
 use super::{
     engines::{Sim, SAMPLE},
     known::KnownLoads,
@@ -31,15 +33,6 @@
 /// Routers of the fleet.
 pub const ROUTERS: usize = 19;
 
-/// Size of the fleet.
-#[derive(Debug, Clone, Copy)]
-pub struct Scale {
-    /// Engines at the start.
-    pub engines: usize,
-    /// How old the loads of other engines are when a router uses them, in milliseconds.
-    pub gossip_ms: u64,
-}
-
 /// Bound as a multiple of the mean.
 pub const FACTOR: f64 = 1.25;
 
@@ -52,13 +45,13 @@
     Churn(usize),
     Return(usize),
     Sample,
+    Gossip,
     Arrive { turn: usize, since: u64 },
 }
 
 /// The state of one run.
 pub struct World<'a> {
     policy: Policy,
-    scale: Scale,
     turns: &'a [Turn],
     churn: &'a [(u64, Churn)],
     now: u64,
@@ -71,9 +64,11 @@
     failures: HashMap<EngineName, Vec<u64>>,
     served: HashMap<u32, usize>,
     rng: Pcg64Mcg,
+    gossip_rng: Pcg64Mcg,
     next: u64,
     names: Vec<RouterName>,
     seekers: Seekers,
+    news: News,
     /// The bound as the engines counted it, each [`SAMPLE`].
     bounds: Vec<u32>,
     report: Report,
@@ -83,7 +78,7 @@
     /// Creates the world before its first event.
     pub fn new(
         policy: Policy,
-        scale: Scale,
+        engines: usize,
         seed: u64,
         turns: &'a [Turn],
         churn: &'a [(u64, Churn)],
@@ -91,14 +86,11 @@
         let name = |number| RouterName::new(&format!("router-{number}")).expect("a name");
         let mut world = World {
             policy,
-            scale,
             turns,
             churn,
             now: 0,
             events: BinaryHeap::new(),
-            sims: (0..scale.engines)
-                .map(|number| Sim::new(number, 0, 0))
-                .collect(),
+            sims: (0..engines).map(|number| Sim::new(number, 0, 0)).collect(),
             steward: Steward::default(),
             known: (0..ROUTERS).map(|_| KnownLoads::default()).collect(),
             memory: HashMap::new(),
@@ -108,8 +100,10 @@
             failures: HashMap::new(),
             served: HashMap::new(),
             rng: Pcg64Mcg::seed_from_u64(seed),
+            gossip_rng: Pcg64Mcg::seed_from_u64(seed + 1),
             next: 0,
             seekers: Seekers::new(ROUTERS),
+            news: News::new(ROUTERS),
             bounds: Vec::new(),
             names: (0..ROUTERS).map(name).collect(),
             report: Report::new(policy.name),
@@ -122,6 +116,7 @@
             world.schedule(*at, Event::Churn(number));
         }
         world.schedule(0, Event::Sample);
+        world.schedule(0, Event::Gossip);
         world
     }
 
@@ -134,6 +129,7 @@
             self.now = now;
             self.handle(event);
         }
+        self.report.age_ms = self.news.mean_age_ms();
         self.report.finish(end);
         self.report
     }
@@ -150,9 +146,16 @@
             Event::Churn(number) => self.change(self.churn[number].1),
             Event::Return(number) => self.join(number),
             Event::Sample => self.sample(),
+            Event::Gossip => self.gossip(),
         }
     }
 
+    fn gossip(&mut self) {
+        let spread = self.policy.spread;
+        self.news.tick(spread, self.now, &mut self.gossip_rng);
+        self.schedule(self.now + spread.tick, Event::Gossip);
+    }
+
     fn sample(&mut self) {
         let now = self.now;
         self.sims.iter_mut().for_each(|sim| sim.record(now));
--- a/examples/policy/world/bound.rs
+++ b/examples/policy/world/bound.rs
@@ -6,7 +6,11 @@
 };
 
 use super::{
-    super::{engines::SAMPLE, policy::Mean},
+    super::{
+        engines::SAMPLE,
+        policy::{Count, Mean},
+        trace::SECOND,
+    },
     World, FACTOR, ROUTERS,
 };
 
@@ -30,25 +34,27 @@
         load_bound(load, factor)
     }
 
-    /// Returns the load of the pool: what `steward` counts, the rest as gossip tells it.
+    /// Returns the load of the pool: what `steward` counts, the rest as others told it.
     fn known_load(&self, steward: usize, asking: usize) -> PoolLoad {
         let mut pool = PoolLoad::default();
-        for (at, sim) in self.sims.iter().enumerate() {
-            if !sim.is_seen(steward, self.now) {
-                continue;
-            }
-            let own = self.steward_of(at) == steward;
-            let in_flight = if own {
-                sim.in_flight
-            } else {
-                sim.load_at(self.heard())
-            };
-            pool.add(PoolLoad::new(in_flight, 1));
+        for at in 0..self.sims.len() {
+            pool.add(self.counted(steward, at));
         }
+        let seen = self
+            .sims
+            .iter()
+            .filter(|sim| sim.is_seen(steward, self.now));
+        let seen = seen.count() as u32;
+        pool.engines = match self.policy.count {
+            Count::Listed => seen,
+            Count::Most => seen.max(pool.engines),
+        };
         for router in 0..ROUTERS {
             pool.waiting += match router {
                 _ if router == steward => self.waiting_beside(router, asking),
-                _ => self.seekers.count_at(router, self.heard()),
+                _ => self
+                    .seekers
+                    .count_at(router, self.news.heard(steward, router)),
             };
         }
         pool
@@ -68,9 +74,28 @@
         load_bound(PoolLoad::new(total, loads.len() as u32), FACTOR)
     }
 
-    /// Returns the bound as it was when the loads were counted that gossip has brought.
-    pub(super) fn bound_heard(&self) -> u32 {
-        let at = (self.heard() / SAMPLE) as usize;
+    /// Returns the load of an engine in the sums that `router` knows, if it is in them.
+    fn counted(&self, router: usize, at: usize) -> PoolLoad {
+        let (counting, sim) = (self.steward_of(at), &self.sims[at]);
+        if counting == router && sim.is_seen(router, self.now) {
+            return PoolLoad::new(sim.in_flight, 1);
+        }
+        let then = self.news.heard(router, counting);
+        if counting != router && sim.is_seen(counting, then) {
+            return PoolLoad::new(sim.load_at(then), 1);
+        }
+        PoolLoad::default()
+    }
+
+    /// Returns the load of an engine as `router` has heard it.
+    pub(super) fn heard_load(&self, router: usize, at: usize) -> u32 {
+        let counted = self.news.heard(router, self.steward_of(at));
+        self.sims[at].load_at(counted)
+    }
+
+    /// Returns the bound as it was a second ago.
+    pub(super) fn bound_before(&self) -> u32 {
+        let at = (self.now.saturating_sub(SECOND) / SAMPLE) as usize;
         self.bounds.get(at).copied().unwrap_or(1)
     }
 }
--- a/examples/policy/world/choose.rs
+++ b/examples/policy/world/choose.rs
@@ -52,7 +52,7 @@
         let seen = |at: &usize| self.sims[*at].is_seen(router, self.now);
         let seen: Vec<usize> = (0..self.sims.len()).filter(seen).collect();
         match self.policy.choice {
-            Choice::LeastLoaded => self.by_key(seen, |at| self.sims[at].load_at(self.heard())),
+            Choice::LeastLoaded => self.by_key(seen, |at| self.heard_load(router, at)),
             Choice::Oracle => {
                 let live = self.live();
                 self.by_key(live, |at| {
@@ -82,8 +82,8 @@
         let known = &self.known[router];
         let heard = |engine: &Engine| match self.policy.source {
             Source::Replies => known.get(engine, self.now),
-            Source::Sums => Some(self.sum_of_steward(self.find(engine), seen)),
-            Source::Gossip => Some(self.sims[self.find(engine)].load_at(self.heard())),
+            Source::Sums => Some(self.sum_of_steward(router, self.find(engine), seen)),
+            Source::Gossip => Some(self.heard_load(router, self.find(engine))),
             Source::Exact => Some(self.sims[self.find(engine)].in_flight),
         };
         let load = |engine: &Engine| {
@@ -136,25 +136,16 @@
     }
 
     /// Returns the load that the steward of an engine gossips, over the engines it counts.
-    pub(super) fn sum_of_steward(&self, at: usize, seen: &[usize]) -> u32 {
+    pub(super) fn sum_of_steward(&self, router: usize, at: usize, seen: &[usize]) -> u32 {
         let steward = self.steward_of(at);
         let counted: Vec<_> = seen
             .iter()
             .filter(|at| self.steward_of(**at) == steward)
             .collect();
-        let sum: u32 = counted
-            .iter()
-            .map(|at| self.sims[**at].load_at(self.heard()))
-            .sum();
+        let sum: u32 = counted.iter().map(|at| self.heard_load(router, **at)).sum();
         sum / counted.len().max(1) as u32
     }
 
-    /// Returns the time of the loads that gossip has brought.
-    pub(super) fn heard(&self) -> u64 {
-        self.now
-            .saturating_sub(self.scale.gossip_ms * SECOND / 1_000)
-    }
-
     pub(super) fn find(&self, engine: &Engine) -> usize {
         let same = |sim: &Sim| {
             sim.engine.incarnation == engine.incarnation && sim.engine.name == engine.name
--- a/examples/policy/world/place.rs
+++ b/examples/policy/world/place.rs
@@ -101,6 +101,9 @@
         }
         if steward != router {
             self.report.calls += 1;
+            if self.policy.spread.calls {
+                self.news.exchange(router, steward, self.now);
+            }
         }
         let bound = self.bound(steward, router, factor);
         let now = Instant::from_micros(self.now);
@@ -135,7 +138,7 @@
         let warm = self.sims[at].start(chat);
         let before = self.served.insert(chat, at);
         self.report.over_split += u64::from(over && self.is_split());
-        self.report.over_fallen += u64::from(over && in_flight < self.bound_heard());
+        self.report.over_fallen += u64::from(over && in_flight < self.bound_before());
         self.report
             .place(before.map(|before| before == at), warm, over);
         let took = work + if warm { 0 } else { COLD };
