Share the load among the engines that are counted or listed, whichever are more

Cause: a steward divided the heard load by the engines of its own list. One that had not heard of a new engine yet took the mean too high, while the sums of others counted that engine already.

Change: the larger of the two numbers counts. The test gives a router that lists four engines the sum of one that counts five; seen before the change: a bound of 11 instead of 9.

--- a/examples/policy/policy.rs
+++ b/examples/policy/policy.rs
@@ -123,7 +123,7 @@
     penalty: 0,
     warm_by_load: false,
     warm_counts: true,
-    count: Count::Listed,
+    count: Count::Most,
     spread: SPREAD,
 };
 
@@ -270,8 +270,8 @@
         ..EBONYSPUR
     },
     Policy {
-        name: "most_engines",
-        count: Count::Most,
+        name: "listed_engines",
+        count: Count::Listed,
         ..EBONYSPUR
     },
     Policy {
--- a/src/steward/answer.rs
+++ b/src/steward/answer.rs
@@ -130,9 +130,12 @@
 }
 
 /// Adds up the load counted here and the load reported by other routers.
+///
+/// Lists of engines differ for some seconds. The load is shared by those listed here or by
+/// those that are counted, whichever are more, so that the mean is not taken too high.
 fn known_load(view: &View, pool: &PoolName, own: PoolLoad) -> PoolLoad {
     let mut load = view.reported_load(pool);
     load.add(own);
-    load.engines = view.open_engines(pool);
+    load.engines = load.engines.max(view.open_engines(pool));
     load
 }
--- /dev/null
+++ b/tests/steward/listed.rs
@@ -0,0 +1,35 @@
+//! Which engines share the load while lists of engines differ.
+
+use ebonyspur::{
+    membership::{LoadSum, PoolLoad, Rumour},
+    steward::{Limit, Waiting},
+    Incarnation,
+};
+use expect_test::expect;
+
+use crate::support::{engine, instance, router, router_with};
+
+/// Returns the bound of a router that lists `listed` engines, while another says that 40
+/// requests are in flight on `counted` engines.
+fn bound(listed: usize, counted: u32) -> u32 {
+    let engines = (0..listed).map(|number| instance(&format!("engine-{number}")));
+    let cx = router_with(engines.chain([instance("router-2")]).collect());
+    let pool = engine().pool;
+    let sum = LoadSum {
+        router: router(2),
+        incarnation: Incarnation(1),
+        sequence: 1,
+        age_ms: 0,
+        pools: [(pool.clone(), PoolLoad::new(40, counted))].into(),
+    };
+    let now = cx.clock.now();
+    assert!(cx.membership.view().apply_rumour(&Rumour::Load(sum), now));
+    cx.bound(&pool, Limit::Bound, Waiting::default())
+}
+
+/// A steward that has not heard of a new engine must not take the mean too high for it.
+#[test]
+fn engines_that_others_count_share_the_load() {
+    let bounds = [bound(4, 4), bound(4, 5), bound(5, 4)];
+    expect!["[11, 9, 9]"].assert_eq(&format!("{bounds:?}"));
+}
--- a/tests/steward/main.rs
+++ b/tests/steward/main.rs
@@ -1,5 +1,6 @@
 //! The steward's decisions.
 
+mod listed;
 mod model;
 mod support;
 mod surge;
--- a/tests/steward/support.rs
+++ b/tests/steward/support.rs
@@ -1,11 +1,52 @@
 //! One engine and its holders.
 
+use std::sync::Arc;
+
 use ebonyspur::{
     membership::Engine,
+    platform::{Instance, InstanceChanges, InstanceKind, InstanceState},
     steward::{GrantId, GrantReply, HandOver, Held, Holder, Steward},
-    DomainName, EngineName, Incarnation, Instant, PoolName, RouterName,
+    DomainName, EngineName, Incarnation, Instant, PoolName, Router, RouterName, Settings,
 };
 
+const SETTINGS: &str = "
+router: {name: router-1, failure_domain: d1}
+listen: {callers: '127.0.0.1:1', peers: '127.0.0.1:2', operators: '127.0.0.1:3'}
+platform: {url: 'http://127.0.0.1:4'}
+peers: {keys: [key-of-the-test-fleet]}
+";
+
+/// Returns `router-1`, which has the listed instances.
+pub fn router_with(instances: Vec<Instance>) -> Arc<Router> {
+    let cx = Router::new(Settings::from_yaml(SETTINGS).expect("sound settings"));
+    cx.membership.apply_instances(InstanceChanges {
+        version: 1,
+        full: true,
+        instances,
+        gone: Vec::new(),
+    });
+    cx
+}
+
+/// Returns an engine, or a router when `name` starts so.
+pub fn instance(name: &str) -> Instance {
+    let is_router = name.starts_with("router");
+    Instance {
+        name: name.to_string(),
+        kind: if is_router {
+            InstanceKind::Router
+        } else {
+            InstanceKind::Engine
+        },
+        pool: (!is_router).then(|| "planners".parse().expect("a name")),
+        address: ([127, 0, 0, 1], 1).into(),
+        peer_address: is_router.then(|| ([127, 0, 0, 1], 2).into()),
+        failure_domain: "d2".parse().expect("a name"),
+        state: InstanceState::Live,
+        incarnation: Incarnation(1),
+    }
+}
+
 /// Returns the engine of the tests.
 pub fn engine() -> Engine {
     Engine {
--- a/tests/steward/waiting.rs
+++ b/tests/steward/waiting.rs
@@ -1,42 +1,17 @@
 //! Which waiting requests count when a slot is asked for.
 
 use ebonyspur::{
-    platform::{Instance, InstanceChanges, InstanceKind, InstanceState},
     steward::{GrantId, GrantRequest, HandOver, Limit},
-    Incarnation, Instant, Router, RouterName, Settings,
+    Incarnation, Instant, RouterName,
 };
 use expect_test::expect;
 
-const SETTINGS: &str = "
-router: {name: router-1, failure_domain: d1}
-listen: {callers: '127.0.0.1:1', peers: '127.0.0.1:2', operators: '127.0.0.1:3'}
-platform: {url: 'http://127.0.0.1:4'}
-peers: {keys: [key-of-the-test-fleet]}
-";
-
-fn instance(number: u64) -> Instance {
-    Instance {
-        name: format!("engine-{number}"),
-        kind: InstanceKind::Engine,
-        pool: Some("planners".parse().expect("a name")),
-        address: ([127, 0, 0, 1], 1).into(),
-        peer_address: None,
-        failure_domain: "d1".parse().expect("a name"),
-        state: InstanceState::Live,
-        incarnation: Incarnation(1),
-    }
-}
+use crate::support::{instance, router_with};
 
 /// Says what `asking` is told that wants the fifth slot of one of two engines, while
 /// four requests look for a slot at the steward and `waiting` others where it asks.
 fn answer(asking: &str, waiting: u32) -> String {
-    let cx = Router::new(Settings::from_yaml(SETTINGS).expect("sound settings"));
-    cx.membership.apply_instances(InstanceChanges {
-        version: 1,
-        full: true,
-        instances: vec![instance(1), instance(2)],
-        gone: Vec::new(),
-    });
+    let cx = router_with(vec![instance("engine-1"), instance("engine-2")]);
     let name = "engine-1".parse().expect("a name");
     let engine = cx.membership.view().engine(&name).cloned().expect("listed");
     let now = Instant::from_millis(0);
