Count a request as waiting once it would take any engine

Cause: a request that waits for the engine that caches its chat counted as load of the pool for up to 1.5 s, and raised the bound of all engines above what is in flight on them.

Change: it counts from when it tries all engines. What it asks for before that leaves no request out of the count, as it is not in it. The room that this gives goes to a smaller margin of 0.7 standard deviations. The test asks how many count beside an engine that grants nothing; seen with the request counted from the start: 1 instead of 0 for one with a hint.

--- a/examples/policy/world/seekers.rs
+++ b/examples/policy/world/seekers.rs
@@ -7,6 +7,8 @@
 /// Requests that look for a slot, now and as gossip tells of them.
 pub(super) struct Seekers {
     counts: Vec<u32>,
+    /// Whether the request that asks counts.
+    asks: bool,
     /// Where each request is, and whether it counts.
     at: HashMap<usize, (usize, bool)>,
     history: Vec<Vec<u32>>,
@@ -17,6 +19,7 @@
     pub(super) fn new(routers: usize) -> Self {
         Seekers {
             counts: vec![0; routers],
+            asks: false,
             at: HashMap::new(),
             history: Vec::new(),
         }
@@ -26,6 +29,7 @@
     pub(super) fn enter(&mut self, turn: usize, router: usize, counts: bool) {
         self.leave(turn);
         self.at.insert(turn, (router, counts));
+        self.asks = counts;
         self.counts[router] += u32::from(counts);
     }
 
@@ -41,9 +45,9 @@
         }
     }
 
-    /// Returns the requests at `router` that count now.
-    pub(super) fn count(&self, router: usize) -> u32 {
-        self.counts[router]
+    /// Returns the requests that count at `router`, without the one that asks at `asking`.
+    pub(super) fn beside(&self, router: usize, asking: usize) -> u32 {
+        self.counts[router] - u32::from(self.asks && router == asking)
     }
 
     /// Records the counts; called each [`SAMPLE`].
--- a/src/admission/seeker.rs
+++ b/src/admission/seeker.rs
@@ -41,6 +41,13 @@
     pool: PoolName,
 }
 
+impl Seeker {
+    /// Returns the number of other requests that look for a slot of the pool.
+    pub fn others(&self) -> u32 {
+        self.seekers.count(&self.pool).saturating_sub(1)
+    }
+}
+
 impl Drop for Seeker {
     fn drop(&mut self) {
         let mut pools = lock(&self.seekers.pools);
--- a/src/relay/request.rs
+++ b/src/relay/request.rs
@@ -6,7 +6,7 @@
 
 use super::{AnswerStream, ChatAnswer, Opening, Sent};
 use crate::{
-    admission::{Applicant, Class, Entry, Fingerprint, Permit, Waiter},
+    admission::{Applicant, Class, Entry, Fingerprint, Permit, Seeker, Waiter},
     membership::Engine,
     placement::Hint,
     steward::{Limit, Slot},
@@ -130,17 +130,20 @@
     /// Returns [`Category::Overloaded`] when no slot is free in time and
     /// [`Category::Unavailable`] when no engine is live.
     pub async fn place(self, cx: &Arc<Router>) -> Result<Request<Placed>> {
-        let _seeker = cx.admission.seekers.enter(&self.head.pool);
         if !cx.admission.lines.is_waiting(&self.head.pool) {
             if let Some(place) = self.wait_for_warm(cx).await {
                 return Ok(self.at_slot(place));
             }
-            match self.try_engines(cx, &self.candidates(cx)?).await {
+        }
+        // What waits for one engine is no load that the others could have.
+        let seeker = cx.admission.seekers.enter(&self.head.pool);
+        if !cx.admission.lines.is_waiting(&self.head.pool) {
+            match self.try_engines(cx, &seeker, &self.candidates(cx)?).await {
                 Ok(place) => return Ok(self.at_slot(place)),
                 Err(err) => log::debug!("request={} waits error=\"{err}\"", self.head.id),
             }
         }
-        self.wait_for_slot(cx).await
+        self.wait_for_slot(cx, &seeker).await
     }
 
     /// Waits a little for an engine that caches the chat, while it is at its bound.
@@ -152,7 +155,7 @@
             if warm.is_empty() {
                 return None;
             }
-            match self.try_below(cx, &warm, Limit::Bound).await {
+            match self.try_below(cx, None, &warm, Limit::Bound).await {
                 Ok(place) => return Some(place),
                 Err(err) if err.classify() != Category::Overloaded => return None,
                 Err(_) if cx.clock.now() >= deadline => return None,
@@ -161,14 +164,14 @@
         }
     }
 
-    async fn wait_for_slot(self, cx: &Arc<Router>) -> Result<Request<Placed>> {
+    async fn wait_for_slot(self, cx: &Arc<Router>, seeker: &Seeker) -> Result<Request<Placed>> {
         let waiter = self.enqueue(cx)?;
         let mut round = 0;
         loop {
             let freed = waiter.turn().await?;
             let engines = some_of(&self.candidates(cx)?, &freed, round);
             round += 1;
-            match self.try_engines(cx, &engines).await {
+            match self.try_engines(cx, seeker, &engines).await {
                 Ok(place) => {
                     waiter.placed();
                     return Ok(self.at_slot(place));
@@ -208,10 +211,18 @@
     }
 
     /// Takes a slot on the first of `engines` below the mean, else on the first below its bound.
-    async fn try_engines(&self, cx: &Arc<Router>, engines: &[Arc<Engine>]) -> Result<Place> {
-        match self.try_below(cx, engines, Limit::Mean).await {
+    async fn try_engines(
+        &self,
+        cx: &Arc<Router>,
+        seeker: &Seeker,
+        engines: &[Arc<Engine>],
+    ) -> Result<Place> {
+        match self.try_below(cx, Some(seeker), engines, Limit::Mean).await {
             Ok(place) => Ok(place),
-            Err(_) => self.try_below(cx, engines, Limit::Bound).await,
+            Err(_) => {
+                self.try_below(cx, Some(seeker), engines, Limit::Bound)
+                    .await
+            }
         }
     }
 
@@ -219,6 +230,7 @@
     async fn try_below(
         &self,
         cx: &Arc<Router>,
+        seeker: Option<&Seeker>,
         engines: &[Arc<Engine>],
         limit: Limit,
     ) -> Result<Place> {
@@ -231,7 +243,11 @@
             let Some(entry) = entry else {
                 continue;
             };
-            match Slot::acquire(cx, engine, limit).await {
+            let waiting = match seeker {
+                Some(seeker) => seeker.others(),
+                None => cx.admission.seekers.count(&self.head.pool),
+            };
+            match Slot::acquire(cx, engine, limit, waiting).await {
                 Ok(slot) => return Ok((entry, slot)),
                 Err(err) => refusal = err,
             }
--- a/src/steward/bound.rs
+++ b/src/steward/bound.rs
@@ -6,7 +6,7 @@
 pub const FRESH_FACTOR: f64 = 1.0;
 
 /// Relative error of a heard load of one request; that of `n` is by `sqrt(n)` smaller.
-const HEARD_ERROR: f64 = 1.0;
+const HEARD_ERROR: f64 = 0.7;
 
 /// Least part by which the bound stands above the heard mean, so that load can grow.
 const MIN_HEADROOM: f64 = 0.05;
--- a/src/steward/slot.rs
+++ b/src/steward/slot.rs
@@ -18,14 +18,20 @@
 }
 
 impl Slot {
-    /// Asks the steward of `engine` for a slot below `limit`.
+    /// Asks the steward of `engine` for a slot below `limit`, while `waiting` other
+    /// requests look for one here.
     ///
     /// # Errors
     ///
     /// Returns [`Category::Overloaded`] when the engine is at its bound and
     /// [`Category::Unavailable`] when it leaves or its steward cannot be asked. The
     /// request has not run in any of these cases.
-    pub async fn acquire(cx: &Arc<Router>, engine: &Arc<Engine>, limit: Limit) -> Result<Slot> {
+    pub async fn acquire(
+        cx: &Arc<Router>,
+        engine: &Arc<Engine>,
+        limit: Limit,
+        waiting: u32,
+    ) -> Result<Slot> {
         let steward = cx.steward_of(&engine.name);
         let name = steward
             .as_ref()
@@ -38,7 +44,7 @@
             granted: false,
         };
         let refused = |category| Err(Error::not_run(category, engine.name.to_string()));
-        let reply = match slot.ask(steward.as_deref(), limit).await {
+        let reply = match slot.ask(steward.as_deref(), limit, waiting).await {
             Ok(reply) => reply,
             // The unknown grant is given back when the slot drops.
             Err(_) => return refused(Category::Unavailable),
@@ -55,14 +61,13 @@
         }
     }
 
-    async fn ask(&self, steward: Option<&Peer>, limit: Limit) -> Result<GrantReply> {
+    async fn ask(&self, steward: Option<&Peer>, limit: Limit, waiting: u32) -> Result<GrantReply> {
         let cx = &self.cx;
-        let seekers = cx.admission.seekers.count(&self.engine.pool);
         let req = GrantRequest {
             engine: self.engine.name.clone(),
             incarnation: self.engine.incarnation,
             grant: self.grant,
-            waiting: seekers.saturating_sub(1),
+            waiting,
             limit,
         };
         match steward {
--- a/tests/steward/main.rs
+++ b/tests/steward/main.rs
@@ -2,6 +2,7 @@
 
 mod listed;
 mod model;
+mod seeking;
 mod support;
 mod surge;
 mod takeover;
--- /dev/null
+++ b/tests/steward/seeking.rs
@@ -0,0 +1,44 @@
+//! Which requests count as waiting.
+
+use std::{future::ready, pin::pin};
+
+use ebonyspur::{
+    admission::{Class, Fingerprint},
+    relay::{Head, Request},
+};
+use expect_test::expect;
+
+use crate::support::{at, engine, instance, router_with};
+
+/// Returns how many requests count as waiting after one with this hint has met an engine
+/// that has no slot for it.
+async fn counted(hint: &str) -> u32 {
+    let cx = router_with(vec![instance("engine-1")]);
+    // Not settled, so that it grants nothing.
+    cx.steward.take_over(&engine(), at(0));
+    let req = Request::new(Head {
+        id: cx.fresh_request_id(),
+        team: "team-1".parse().expect("a name"),
+        pool: engine().pool,
+        chat: "chat-1".parse().expect("a name"),
+        hint: hint.parse().expect("a hint"),
+        attempt: 1,
+        class: Class::Interactive,
+        fingerprint: Fingerprint(1),
+    });
+    let admitted = req.admit(&cx).expect("room for one request");
+    let mut placed = pin!(admitted.place(&cx));
+    tokio::select! {
+        biased;
+        _ = &mut placed => panic!("no slot is free"),
+        () = ready(()) => {}
+    }
+    cx.admission.seekers.count(&engine().pool)
+}
+
+/// What waits for its warm engine is no load that the others could have.
+#[tokio::test]
+async fn only_requests_that_would_take_any_engine_count() {
+    let counts = [counted("").await, counted("engine-1@1").await];
+    expect!["[1, 0]"].assert_eq(&format!("{counts:?}"));
+}
