--- a/examples/policy/world/choose.rs
+++ b/examples/policy/world/choose.rs
@@ -4,7 +4,7 @@
 
 use ebonyspur::{
     membership::Engine,
-    placement::{self, Hint, Preference, Spill},
+    placement::{self, Hint},
     EngineName,
 };
 use rand::RngExt;
@@ -12,12 +12,18 @@
 use super::{
     super::{
         engines::Sim,
-        policy::{Choice, Memory, Source},
+        policy::{Choice, Memory, Source, Spill},
         trace::SECOND,
     },
-    chat_id, World, FAILURE_MEMORY, ROUTERS, STALE,
+    chat_id, World, ROUTERS,
 };
 
+/// How long a failure counts against an engine.
+const FAILURE_MEMORY: u64 = 180 * SECOND;
+
+/// Share of requests that come by an address that is out of date.
+const STALE: f64 = 0.1;
+
 impl World<'_> {
     /// Returns the router that the request reaches, and the engines it tries.
     pub(super) fn order(&mut self, chat: u32) -> (usize, Vec<usize>) {
@@ -46,7 +52,7 @@
         let seen = |at: &usize| self.sims[*at].is_seen(router, self.now);
         let seen: Vec<usize> = (0..self.sims.len()).filter(seen).collect();
         match self.policy.choice {
-            Choice::LeastLoaded => self.by_key(seen, |at| self.sims[at].load_at(self.heard())),
+            Choice::LeastLoaded => self.by_key(seen, |at| self.heard_load(router, at)),
             Choice::Oracle => {
                 let live = self.live();
                 self.by_key(live, |at| {
@@ -76,8 +82,8 @@
         let known = &self.known[router];
         let heard = |engine: &Engine| match self.policy.source {
             Source::Replies => known.get(engine, self.now),
-            Source::Sums => Some(self.sum_of_steward(self.find(engine), seen)),
-            Source::Gossip => Some(self.sims[self.find(engine)].load_at(self.heard())),
+            Source::Sums => Some(self.sum_of_steward(router, self.find(engine), seen)),
+            Source::Gossip => Some(self.heard_load(router, self.find(engine))),
             Source::Exact => Some(self.sims[self.find(engine)].in_flight),
         };
         let load = |engine: &Engine| {
@@ -86,17 +92,22 @@
                 .map(|load| load + penalty)
                 .or((penalty > 0).then_some(penalty))
         };
-        let pref = Preference {
-            ranks: self.policy.ranks,
-            spill,
-            load: &load,
-        };
         let hint = self.hint(chat);
         let engines: Vec<Arc<Engine>> = seen
             .iter()
             .map(|at| self.sims[*at].engine.clone())
             .collect();
-        let ordered = placement::preferred(chat_id(chat).as_str(), &hint, &engines, &pref);
+        let ranks = self.policy.ranks;
+        let mut ordered = placement::preferred(chat_id(chat).as_str(), &hint, &engines, ranks);
+        let named = |engine: &&Arc<Engine>| hint.position(engine).is_some();
+        let warm = ordered.iter().filter(named).count();
+        let kept = match spill {
+            Spill::NextRank => ordered.len(),
+            Spill::RankThenLoad => ordered.len().min(warm + 1),
+            Spill::LeastLoaded => warm,
+        };
+        // An engine of unknown load comes before one that is known to be busy.
+        ordered[kept..].sort_by_key(|engine| load(engine).unwrap_or(0));
         ordered.iter().map(|engine| self.find(engine)).collect()
     }
 
@@ -125,25 +136,16 @@
     }
 
     /// Returns the load that the steward of an engine gossips, over the engines it counts.
-    pub(super) fn sum_of_steward(&self, at: usize, seen: &[usize]) -> u32 {
+    pub(super) fn sum_of_steward(&self, router: usize, at: usize, seen: &[usize]) -> u32 {
         let steward = self.steward_of(at);
         let counted: Vec<_> = seen
             .iter()
             .filter(|at| self.steward_of(**at) == steward)
             .collect();
-        let sum: u32 = counted
-            .iter()
-            .map(|at| self.sims[**at].load_at(self.heard()))
-            .sum();
+        let sum: u32 = counted.iter().map(|at| self.heard_load(router, **at)).sum();
         sum / counted.len().max(1) as u32
     }
 
-    /// Returns the time of the loads that gossip has brought.
-    pub(super) fn heard(&self) -> u64 {
-        self.now
-            .saturating_sub(self.scale.gossip_ms * SECOND / 1_000)
-    }
-
     pub(super) fn find(&self, engine: &Engine) -> usize {
         let same = |sim: &Sim| {
             sim.engine.incarnation == engine.incarnation && sim.engine.name == engine.name
--- a/src/inspect/explain.rs
+++ b/src/inspect/explain.rs
@@ -1,12 +1,16 @@
 //! Where a chat would go, and why.
 
-use std::sync::Arc;
+use std::{collections::BTreeSet, sync::Arc};
 
 use serde::Serialize;
 
 use crate::{
-    config::State, lookup, membership::Engine, placement::Hint, steward::Limit, Category, ChatId,
-    DomainName, EngineName, Result, Router, RouterName, ServiceName, TeamName,
+    config::State,
+    lookup,
+    membership::Engine,
+    placement::Hint,
+    steward::{Limit, Waiting},
+    Category, ChatId, DomainName, EngineName, Result, Router, RouterName, ServiceName, TeamName,
 };
 
 /// What a request of a team for a chat would meet at this router.
@@ -65,14 +69,14 @@
     state.team(team)?;
     let service = state.service(service)?;
     let pool = &service.pool;
-    let engines: Vec<_> = cx.membership.view().engines(pool).cloned().collect();
-    let open = engines
-        .iter()
-        .filter(|engine| why_shut(&state, engine).is_none());
-    let ranked = cx.candidates(chat, hint, open);
+    let engines = cx.membership.view().engines(pool).to_vec();
+    let ranked = cx.candidates(pool, chat, hint, &BTreeSet::new());
     let routers = lookup::Answer::new(&cx.membership.view(), &cx.address(), service, chat, hint)?;
     let waiting = cx.admission.lines.waiting();
-    let seekers = cx.admission.seekers.count(pool);
+    let seekers = Waiting {
+        here: cx.admission.seekers.count(pool),
+        asking: 0,
+    };
     Ok(Explanation {
         team: team.clone(),
         service: service.name.clone(),
--- a/tests/steward/main.rs
+++ b/tests/steward/main.rs
@@ -1,7 +1,10 @@
 //! The steward's decisions.
 
+mod listed;
 mod model;
+mod seeking;
 mod support;
 mod surge;
 mod takeover;
+mod waiting;
 mod window;
