--- a/src/config/spread.rs
+++ b/src/config/spread.rs
@@ -43,8 +43,11 @@
 
     /// Returns whether requests of `team` may go to `engine`.
     pub fn serves(&self, team: &TeamName, engine: &Engine) -> bool {
+        let Some(spread) = self.spreads.get(&engine.pool) else {
+            return true;
+        };
         let version = self.teams.get(team).and_then(|team| team.version.as_ref());
-        version.is_none_or(|version| self.carries(&engine.pool, &engine.name, version))
+        version.is_none_or(|version| spread.carries(&engine.name, version))
     }
 
     /// Wants the versions of `pool` to be spread so.
--- a/src/orders/decide.rs
+++ b/src/orders/decide.rs
@@ -36,8 +36,8 @@
 ///
 /// At most `free_loads` loads start. Versions are loaded and warmed on every engine
 /// before any engine unloads one, and none is unloaded before each router knows that it
-/// serves no team. A failed load is tried again as `retries` allow; until
-/// it succeeds no other engine loads its version and none unloads one.
+/// serves no team. A failed load is tried again as `retries` allow; until it succeeds no
+/// other engine loads its version and none unloads one.
 pub fn decide(
     wanted: &Wanted,
     reports: &BTreeMap<EngineName, Report>,
@@ -47,43 +47,26 @@
     now: Instant,
 ) -> Decision {
     let stops = stops(wanted, reports, retries);
-    let halted = wanted.halts.keys();
-    let held_back: BTreeSet<_> = halted.chain(retries.failing()).collect();
-    let may_retry = |engine: &EngineName, version: &VersionName| {
-        let is_stopped = stops.iter().any(|stop| stop.version == *version);
-        !is_stopped && retries.is_due(engine, version, now)
-    };
-    let ready = |(engine, report): (&EngineName, &Report)| {
-        let mut versions = wanted.versions_of(engine);
-        versions.all(|version| is_warm(report, version))
-    };
-    let are_ready = stops.is_empty() && reports.iter().all(ready);
+    let held_back: BTreeSet<_> = wanted.halts.keys().chain(retries.failing()).collect();
+    let is_ready = |(engine, report): (&EngineName, &Report)| is_ready(wanted, engine, report);
+    let are_ready = stops.is_empty() && reports.iter().all(is_ready);
     let may_unload = wanted.is_known_everywhere && are_ready;
     let mut orders = BTreeMap::new();
     let mut behind = 0;
     for (engine, report) in reports {
         let extra = surplus(wanted, engine, report);
-        let role = wanted.role(engine);
-        let order =
-            if report.role != role || is_unfenced(report, fence) {
-                Some(Order::SetRole { role })
-            } else if let Some(order) = next_step(
-                wanted,
-                engine,
-                report,
-                &mut free_loads,
-                |version| match report.versions.get(version) {
-                    Some(VersionState::Failed { .. }) => may_retry(engine, version),
-                    Some(_) => false,
-                    None => !held_back.contains(version),
-                },
-            ) {
-                Some(order)
-            } else {
-                let version = extra.filter(|_| may_unload).cloned();
-                version.map(|version| Order::Unload { version })
-            };
-        if order.is_some() || extra.is_some() || !ready((engine, report)) {
+        let may_load = |version: &VersionName| match report.versions.get(version) {
+            Some(VersionState::Failed { .. }) => {
+                let is_stopped = stops.iter().any(|stop| stop.version == *version);
+                !is_stopped && retries.is_due(engine, version, now)
+            }
+            Some(_) => false,
+            None => !held_back.contains(version),
+        };
+        let order = role_step(wanted, engine, report, fence)
+            .or_else(|| next_step(wanted, engine, report, &mut free_loads, may_load))
+            .or_else(|| unload_step(extra.filter(|_| may_unload)));
+        if order.is_some() || extra.is_some() || !is_ready((engine, report)) {
             behind += 1;
         }
         orders.extend(order.map(|order| (engine.clone(), order)));
@@ -95,6 +78,27 @@
     }
 }
 
+fn is_ready(wanted: &Wanted, engine: &EngineName, report: &Report) -> bool {
+    let mut versions = wanted.versions_of(engine);
+    versions.all(|version| is_warm(report, version))
+}
+
+fn role_step(
+    wanted: &Wanted,
+    engine: &EngineName,
+    report: &Report,
+    fence: Offset,
+) -> Option<Order> {
+    let role = wanted.role(engine);
+    let is_due = report.role != role || is_unfenced(report, fence);
+    is_due.then_some(Order::SetRole { role })
+}
+
+fn unload_step(version: Option<&VersionName>) -> Option<Order> {
+    let version = version?.clone();
+    Some(Order::Unload { version })
+}
+
 fn is_unfenced(report: &Report, fence: Offset) -> bool {
     report.checks_fencing && report.fence < fence
 }
--- a/tests/support/mod.rs
+++ b/tests/support/mod.rs
@@ -3,17 +3,18 @@
 #![allow(dead_code)]
 
 pub mod http;
+mod port;
 pub mod spec;
 
 use std::{
     fs::File,
-    net::{SocketAddr, TcpListener, UdpSocket},
+    net::SocketAddr,
     path::{Path, PathBuf},
     process::{Child, Command, Output, Stdio},
-    sync::atomic::{AtomicU32, Ordering},
     time::{Duration, Instant},
 };
 
+pub use port::free_address;
 use rustix::process::{kill_process, Pid, Signal};
 use serde_json::{json, Value};
 
@@ -36,25 +37,6 @@
     }
 }
 
-/// First port given out, below the range from which the system picks ports by itself.
-const FIRST_PORT: u16 = 10_000;
-
-/// Number of ports given out.
-const PORTS: u32 = 20_000;
-
-/// Returns a free address on loopback that no other test of this process gets.
-pub fn free_address() -> SocketAddr {
-    static NEXT: AtomicU32 = AtomicU32::new(0);
-    loop {
-        let number = NEXT.fetch_add(1, Ordering::Relaxed) + std::process::id() * 100;
-        let port = FIRST_PORT + (number % PORTS) as u16;
-        let address = SocketAddr::from(([127, 0, 0, 1], port));
-        if TcpListener::bind(address).is_ok() && UdpSocket::bind(address).is_ok() {
-            return address;
-        }
-    }
-}
-
 /// Returns a built program of this workspace.
 pub fn program(name: &str) -> PathBuf {
     let daemon = Path::new(env!("CARGO_BIN_EXE_ebonyspurd"));
@@ -91,6 +73,12 @@
         kill_process(pid, signal).expect("a running process");
     }
 
+    /// Kills the process and waits until it has ended, so that its ports are closed.
+    pub fn kill(&mut self) {
+        self.signal(Signal::KILL);
+        self.child.wait().expect("a child");
+    }
+
     /// Returns whether the process has ended.
     pub fn has_ended(&mut self) -> bool {
         self.child.try_wait().expect("a child").is_some()
@@ -287,9 +275,7 @@
 
     /// Kills a router.
     pub fn kill_router(&mut self, index: usize) {
-        let process = &mut self.routers[index].process;
-        process.signal(Signal::KILL);
-        wait_until("the router has ended", || process.has_ended());
+        self.routers[index].process.kill();
     }
 
     /// Starts a router again, which is killed first if it runs.
