--- a/benches/decisions.rs
+++ b/benches/decisions.rs
@@ -114,10 +114,11 @@
     let mut group = c.benchmark_group("place");
     let (chat, hint) = chat();
     let (pool, failed) = (pool(), BTreeSet::new());
+    let team = "kerb".parse().expect("a name");
     for (engines, routers) in SIZES {
         let cx = router(engines, routers);
         group.bench_function(BenchmarkId::from_parameter(engines), |b| {
-            b.iter(|| cx.candidates(&pool, black_box(&chat), &hint, &failed));
+            b.iter(|| cx.candidates(&pool, &team, black_box(&chat), &hint, &failed));
         });
     }
 }
--- a/src/intent/draft.rs
+++ b/src/intent/draft.rs
@@ -3,12 +3,12 @@
 use std::collections::BTreeSet;
 
 use super::{
-    capacity::changed_pools, ColdChats, Drafted, Fleet, Intent, Plan, PlanDocument, PoolCapacity,
-    Step,
+    capacity::changed_pools, rebalance, ColdChats, Drafted, Fleet, Intent, Plan, PlanDocument,
+    PoolCapacity, Step, VersionCapacity,
 };
 use crate::{
     config::{Model, Op, Pool, State},
-    Category, EngineName, Error, Result, TeamName, UnixMillis, VersionName,
+    Category, EngineName, Error, PoolName, Result, TeamName, UnixMillis, VersionName,
 };
 
 /// Makes the plan `id` of `intent`.
@@ -26,14 +26,16 @@
     now: UnixMillis,
 ) -> Result<Plan<Drafted>> {
     check_names(state, fleet, intent)?;
-    let ops = ops(state, intent)?;
+    let ops = ops(state, fleet, intent)?;
     let mut after = state.clone();
     after
         .apply_ops(&ops)
         .map_err(|err| refused(err.to_string()))?;
     let has_effect = (&after.teams, &after.services, &after.pools, &after.models)
         != (&state.teams, &state.services, &state.pools, &state.models)
-        || (&after.drained, &after.roles) != (&state.drained, &state.roles);
+        || (&after.drained, &after.roles) != (&state.drained, &state.roles)
+        || (&after.moves, &after.halts, &after.spreads)
+            != (&state.moves, &state.halts, &state.spreads);
     if !has_effect {
         let message = "nothing to change: the configuration is so already";
         return Err(Error::not_run(Category::BadInput, message));
@@ -42,16 +44,25 @@
     if let Some(reason) = capacity.iter().find_map(PoolCapacity::refusal) {
         return Err(refused(reason));
     }
-    let cold = cold_chats(state, &after, fleet, &capacity, &ops);
+    let versions = rebalance::capacities(state, fleet, &ops);
+    if let Some(reason) = versions.iter().find_map(VersionCapacity::refusal) {
+        return Err(refused(reason));
+    }
+    let mut cold = cold_chats(state, &after, fleet, &capacity, &ops);
+    cold.in_flight += versions.iter().map(VersionCapacity::cold).sum::<u32>();
+    let spread = versions
+        .first()
+        .map(|version| format!("capacity/{}", version.pool));
     Ok(Plan::new(PlanDocument {
         id: id.into(),
         intent: intent.clone(),
         base: state.applied,
         drafted_at: now,
-        steps: ops.iter().map(Step::new).collect(),
-        relies_on: capacity.iter().map(capacity_key).collect(),
+        steps: ops.iter().flat_map(Step::all).collect(),
+        relies_on: capacity.iter().map(capacity_key).chain(spread).collect(),
         ops,
         capacity,
+        versions,
         cold,
     }))
 }
@@ -81,8 +92,11 @@
     }
 }
 
-fn ops(state: &State, intent: &Intent) -> Result<Vec<Op>> {
+fn ops(state: &State, fleet: &Fleet, intent: &Intent) -> Result<Vec<Op>> {
     match intent {
+        Intent::Rebalance { pool, copies } => {
+            Ok(vec![rebalance::spread(state, fleet, pool, *copies)?])
+        }
         Intent::MoveTeam { team, to } => move_team(state, team, to),
         Intent::Apply { objects } => Ok(objects.ops(state)),
         other => Ok(other.single_op().into_iter().collect()),
@@ -116,13 +130,54 @@
         version: to.clone(),
     };
     let mut ops: Vec<_> = pools.into_iter().map(load).collect();
+    ops.extend(retries(state, to));
     ops.push(Op::MoveTeam {
         team: team.clone(),
         to: to.clone(),
     });
+    ops.extend(unloads(state, team, to));
     Ok(ops)
 }
 
+/// Tries again where `version` could not be loaded.
+fn retries<'a>(state: &'a State, version: &'a VersionName) -> impl Iterator<Item = Op> + 'a {
+    let halted = state.halts.iter();
+    let halted = halted.filter(move |(_, halts)| halts.contains_key(version));
+    halted.map(|(pool, _)| Op::Retry { pool: pool.clone() })
+}
+
+/// Unloads the versions that the team leaves, unless another team may need them.
+fn unloads(state: &State, team: &TeamName, to: &VersionName) -> Vec<Op> {
+    let current = state.teams.get(team).and_then(|team| team.version.as_ref());
+    let next = state.moves.get(team).map(|moving| &moving.to);
+    let left = [current, next].into_iter().flatten();
+    let left: BTreeSet<_> = left.filter(|version| *version != to).collect();
+    let others = state.teams.keys().filter(|other| *other != team);
+    let needed: Vec<_> = others.map(|other| wanted_version(state, other)).collect();
+    let is_left = |version: &VersionName| {
+        let may_need =
+            |needed: &Option<&VersionName>| needed.is_none_or(|needed| needed == version);
+        left.contains(version) && !needed.iter().any(may_need)
+    };
+    let loaded = state.pools.values().flat_map(|pool| {
+        let versions = pool.versions.iter();
+        versions.map(move |version| (&pool.name, version))
+    });
+    let loaded = loaded.filter(|(_, version)| is_left(version));
+    let unload = |(pool, version): (&PoolName, &VersionName)| Op::Unload {
+        pool: pool.clone(),
+        version: version.clone(),
+    };
+    loaded.map(unload).collect()
+}
+
+/// Returns the version that `team` has or moves to.
+fn wanted_version<'a>(state: &'a State, team: &TeamName) -> Option<&'a VersionName> {
+    let current = state.teams.get(team).and_then(|team| team.version.as_ref());
+    let next = state.moves.get(team).map(|moving| &moving.to);
+    next.or(current)
+}
+
 fn loads_any(pool: &Pool, model: &Model) -> bool {
     pool.versions.iter().any(|version| model.has(version))
 }
@@ -154,11 +209,10 @@
 }
 
 fn moved_teams<'a>(before: &State, after: &State, ops: &'a [Op]) -> BTreeSet<&'a TeamName> {
-    let version = |state: &State, team| state.teams.get(team).and_then(|t| t.version.clone());
     let teams = ops.iter().filter_map(Op::team);
     teams
         .filter(|team| before.teams.contains_key(*team))
-        .filter(|team| version(before, *team) != version(after, *team))
+        .filter(|team| wanted_version(before, team) != wanted_version(after, team))
         .collect()
 }
 
--- a/src/membership/reach.rs
+++ b/src/membership/reach.rs
@@ -11,7 +11,7 @@
     config::State,
     placement::{self, Hint, MAX_RANKS},
     sync::lock,
-    Category, ChatId, EngineName, Error, Incarnation, Instant, PoolName, Router, Verdict,
+    Category, ChatId, EngineName, Error, Incarnation, Instant, PoolName, Router, TeamName, Verdict,
 };
 
 /// How long an engine is avoided after it refused work.
@@ -89,11 +89,12 @@
         self.membership.refusing.avoid(open, self.clock.now())
     }
 
-    /// Returns the engines of `pool` that `hint` names and that may take new work, the
-    /// newest first, without `failed`.
+    /// Returns the engines of `pool` that `hint` names and that may take new work of
+    /// `team`, the newest first, without `failed`.
     pub fn warm_engines(
         &self,
         pool: &PoolName,
+        team: &TeamName,
         hint: &Hint,
         failed: &BTreeSet<EngineName>,
     ) -> Vec<Arc<Engine>> {
@@ -101,20 +102,22 @@
         let avoided = self.membership.refusing.at(self.clock.now());
         let view = self.membership.view();
         let may_run = |engine: &&Arc<Engine>| {
-            let open = is_open(&state, engine) && !failed.contains(&engine.name);
-            open && !is_among(&avoided, engine)
+            let open = is_open(&state, engine) && state.serves(team, engine);
+            open && !failed.contains(&engine.name) && !is_among(&avoided, engine)
         };
         let named = hint.entries().iter();
         let named = named.filter_map(|entry| view.named(pool, entry));
         named.filter(may_run).cloned().collect()
     }
 
-    /// Returns the engines of `pool` to try for `chat`, the best first, without `failed`.
+    /// Returns the engines of `pool` to try for `chat` of `team`, the best first, without
+    /// `failed`.
     ///
     /// Engines that lately refused work are left out, unless there is no other.
     pub fn candidates(
         &self,
         pool: &PoolName,
+        team: &TeamName,
         chat: &ChatId,
         hint: &Hint,
         failed: &BTreeSet<EngineName>,
@@ -122,8 +125,10 @@
         let state = self.config.current();
         let avoided = self.membership.refusing.at(self.clock.now());
         let view = self.membership.view();
-        let may_run =
-            |engine: &&Arc<Engine>| is_open(&state, engine) && !failed.contains(&engine.name);
+        let may_run = |engine: &&Arc<Engine>| {
+            let open = is_open(&state, engine) && state.serves(team, engine);
+            open && !failed.contains(&engine.name)
+        };
         let open = || view.engines(pool).iter().filter(may_run);
         let usable = open().filter(|engine| !is_among(&avoided, engine));
         let ranked = placement::preferred(chat.as_str(), hint, usable, MAX_RANKS);
--- a/src/relay/request.rs
+++ b/src/relay/request.rs
@@ -150,8 +150,10 @@
     async fn wait_for_warm(&self, cx: &Arc<Router>) -> Option<Place> {
         let deadline = cx.clock.now() + WARM_WAIT;
         loop {
-            let Head { pool, hint, .. } = &self.head;
-            let warm = cx.warm_engines(pool, hint, &self.stage.failed);
+            let Head {
+                pool, team, hint, ..
+            } = &self.head;
+            let warm = cx.warm_engines(pool, team, hint, &self.stage.failed);
             if warm.is_empty() {
                 return None;
             }
@@ -201,9 +203,13 @@
     /// Returns the engines that the request may use, the best first.
     fn candidates(&self, cx: &Router) -> Result<Vec<Arc<Engine>>> {
         let Head {
-            pool, chat, hint, ..
+            pool,
+            team,
+            chat,
+            hint,
+            ..
         } = &self.head;
-        let ranked = cx.candidates(pool, chat, hint, &self.stage.failed);
+        let ranked = cx.candidates(pool, team, chat, hint, &self.stage.failed);
         if ranked.is_empty() {
             return Err(Error::not_run(Category::Unavailable, "no engine is live"));
         }
@@ -292,7 +298,7 @@
         body: Bytes,
     ) -> std::result::Result<Request<Dispatched>, Box<Failed>> {
         let engine = self.stage.slot.engine().clone();
-        let sent = Sent::new(self.head.clone(), body, engine);
+        let sent = Sent::new(cx, self.head.clone(), body, engine);
         // After a failure, a connection that was idle is not trusted.
         let fresh = !self.stage.admitted.failed.is_empty();
         match self.open(cx, &sent, fresh).await {
--- a/tests/cli/main.rs
+++ b/tests/cli/main.rs
@@ -5,6 +5,8 @@
 
 mod confirm;
 mod drain;
+mod explain;
 mod look;
+mod rebalance;
 mod settings;
 mod tool;
