Append results along with claims, or one append at a time

A result that the owner had queued for 400 ms was also appended a second time by its sender.

Ruled out: fewer partitions, as 16 would bring the limit of 5,000 bytes/s back at some 55 bookings/s of the fleet (worked out); results that wait for a fixed time, which delays the recorded answer when the log is idle.

Change: a result goes along with the next claims of its partition, or alone in the one append of results that a router has under way. The owner holds its answer to a result for 800 ms, below the 1 s after which a peer is given up.

--- a/src/once/answer.rs
+++ b/src/once/answer.rs
@@ -13,6 +13,9 @@
 /// Longest time that an answer is held back; shorter than callers of a peer wait.
 pub(super) const HOLD: Duration = Duration::from_millis(400);
 
+/// Longest time that the answer to a result is held back, while the log is busy.
+const RECORD_HOLD: Duration = Duration::from_millis(800);
+
 /// Answers a call of another router.
 pub async fn answer(cx: &Router, from: &Hello, req: KeyRequest) -> KeyReply {
     match req {
@@ -82,6 +85,6 @@
 async fn answer_record(cx: &Router, result: ResultRecord) -> bool {
     let partition = result.claim.key.partition();
     let record = Record::Result(result);
-    let appended = timeout(HOLD, cx.once.append(partition, &record)).await;
+    let appended = timeout(RECORD_HOLD, cx.once.append(partition, &record)).await;
     matches!(appended, Ok(Ok(_)))
 }
--- a/src/once/mod.rs
+++ b/src/once/mod.rs
@@ -23,7 +23,7 @@
 
 pub use self::{
     answer::answer,
-    append::append_batches,
+    append::{append_claims, append_results},
     asking::{Asking, Step},
     claim::{Claim, Lost, Pending, Settled, Unknown, Won},
     follow::{follow, keep_owned},
--- a/src/once/state.rs
+++ b/src/once/state.rs
@@ -6,7 +6,7 @@
 };
 
 use serde_json::Value;
-use tokio::sync::{mpsc, oneshot, watch};
+use tokio::sync::{mpsc, oneshot, watch, Notify};
 
 use super::{ClaimId, Key, Ledger, Outcome, Record, Shown, Standing, PARTITIONS};
 use crate::{sync::lock, Category, Error, Instant, Offset, Result, UnixMillis};
@@ -24,8 +24,9 @@
 }
 
 pub(super) struct Partition {
-    tx: mpsc::Sender<Append>,
-    rx: Mutex<Option<mpsc::Receiver<Append>>>,
+    claims: mpsc::Sender<Append>,
+    claims_rx: Mutex<Option<mpsc::Receiver<Append>>>,
+    results: Mutex<Vec<Append>>,
     /// Changes after each page that is applied.
     applied: watch::Sender<Offset>,
     wanted_until: watch::Sender<Instant>,
@@ -33,10 +34,11 @@
 
 impl Partition {
     fn new() -> Self {
-        let (tx, rx) = mpsc::channel(QUEUE_LEN);
+        let (claims, rx) = mpsc::channel(QUEUE_LEN);
         Partition {
-            tx,
-            rx: Mutex::new(Some(rx)),
+            claims,
+            claims_rx: Mutex::new(Some(rx)),
+            results: Mutex::default(),
             applied: watch::Sender::new(Offset(0)),
             wanted_until: watch::Sender::new(Instant::default()),
         }
@@ -48,6 +50,7 @@
     ledger: Mutex<Ledger>,
     open_calls: watch::Sender<u32>,
     partitions: Box<[Partition]>,
+    results_queued: Notify,
 }
 
 impl Once {
@@ -57,6 +60,7 @@
             ledger: Mutex::new(Ledger::new()),
             open_calls: watch::Sender::new(0),
             partitions: (0..PARTITIONS).map(|_| Partition::new()).collect(),
+            results_queued: Notify::new(),
         }
     }
 
@@ -98,8 +102,20 @@
         self.partitions[partition].wanted_until.subscribe()
     }
 
-    pub(super) fn take_queue(&self, partition: usize) -> Option<mpsc::Receiver<Append>> {
-        lock(&self.partitions[partition].rx).take()
+    pub(super) fn take_claims(&self, partition: usize) -> Option<mpsc::Receiver<Append>> {
+        lock(&self.partitions[partition].claims_rx).take()
+    }
+
+    /// Takes at most `max` results that wait for an append.
+    pub(super) fn take_results(&self, partition: usize, max: usize) -> Vec<Append> {
+        let mut results = lock(&self.partitions[partition].results);
+        let count = max.min(results.len());
+        results.drain(..count).collect()
+    }
+
+    /// Waits until a result has been queued since the last wait.
+    pub(super) async fn results_queued(&self) {
+        self.results_queued.notified().await;
     }
 
     /// Wakes those who wait for `partition`; the ledger must not be locked meanwhile.
@@ -111,17 +127,31 @@
     /// Appends `record`, also when the caller does not wait for the end.
     pub(super) async fn append(&self, partition: usize, record: &Record) -> Result<Offset> {
         let (tx, rx) = oneshot::channel();
-        let record = serde_json::to_value(record)
+        let value = serde_json::to_value(record)
             .map_err(|err| Error::not_run(Category::BadInput, err.to_string()))?;
-        let full = |_| Error::not_run(Category::Overloaded, "too many claims wait for the log");
-        self.partitions[partition]
-            .tx
-            .try_send(Append { record, tx })
-            .map_err(full)?;
+        let append = Append { record: value, tx };
+        let queued = match record {
+            Record::Claim(_) => self.partitions[partition].claims.try_send(append).is_ok(),
+            Record::Result(_) => self.queue_result(partition, append),
+        };
+        if !queued {
+            let message = "too many claims wait for the log";
+            return Err(Error::not_run(Category::Overloaded, message));
+        }
         let gone = |_| Error::may_have_run(Category::LogUnavailable, "append abandoned");
         rx.await.map_err(gone)?
     }
 
+    fn queue_result(&self, partition: usize, append: Append) -> bool {
+        let mut results = lock(&self.partitions[partition].results);
+        if results.len() >= QUEUE_LEN {
+            return false;
+        }
+        results.push(append);
+        self.results_queued.notify_one();
+        true
+    }
+
     /// Waits until `partition` has been read to the end of the log.
     pub(super) async fn read(&self, partition: usize) {
         let read = |ledger: &Ledger| ledger.is_read(partition).then_some(());
--- a/src/router.rs
+++ b/src/router.rs
@@ -166,8 +166,9 @@
         tasks.spawn(steward::keep_engines(self.clone()));
         tasks.spawn(steward::renew_grants(self.clone()));
         tasks.spawn(once::keep_owned(self.clone()));
+        tasks.spawn(once::append_results(self.clone()));
         for partition in 0..once::PARTITIONS {
-            tasks.spawn(once::append_batches(self.clone(), partition));
+            tasks.spawn(once::append_claims(self.clone(), partition));
             tasks.spawn(once::follow(self.clone(), partition));
         }
         for group in 0..lease::GROUPS {
