Specify claims that are asked of one owner after the other

Cause: a claim may now be in the log more than once, as a router that does not answer may have appended it before its successor does.

Change: AskAgain appends the claim of a sent attempt once more. To an asking router a lost answer of an owner is the same as a lost answer of the log, so no guard changes. A paused owner that appends after its asking router has given up is a record in `late`.

The mutants keep their counterexamples.

--- a/spec/Claims.tla
+++ b/spec/Claims.tla
@@ -9,10 +9,11 @@
 (* is fuzzed on the ledger itself.                                           *)
 (*                                                                           *)
 (*   Send(a)       relay::call_service                                       *)
-(*   Refuse(a)     once::claim: Once::append answers "not run"               *)
-(*   AppendClaim   once::claim: LogService::append                           *)
+(*   Refuse(a)     Asking::answered: the owner has appended nothing          *)
+(*   AppendClaim   once::claim: the owner appends, Asking::request           *)
+(*   AskAgain      Asking::unanswered: another owner appends it once more    *)
 (*   Arrive(r)     an append that takes effect late                          *)
-(*   Settle(a)     Claim::settle                                             *)
+(*   Settle(a)     Ledger::shown at an owner, Claim::settle                  *)
 (*   Dispatch(a)   relay::keyed::dispatch                                    *)
 (*   Record(a)     once::record_result                                       *)
 (*   GiveUp(a)     Claim<Unknown>::give_up, Claim<Won>::finish(NotRun)       *)
@@ -22,6 +23,7 @@
 
 CONSTANTS
     Attempts,         \* 1..n
+    Few,              \* attempts in a run in which claims are repeated, a bound on the states
     ReadBack,         \* a claim is settled by reading the log
     NoTakeOver,       \* a claim that another attempt holds is left alone
     ProvedNotRun      \* "not run" needs a first attempt and no append, or a record
@@ -40,6 +42,10 @@
 First == Claims[1][2]
 Holds(r) == \E i \in 1..Len(log) : log[i] = r
 
+Copies(a) ==
+    Cardinality({i \in 1..Len(log) : log[i] = <<"claim", a>>})
+        + (IF <<"claim", a>> \in late THEN 1 ELSE 0)
+
 Init ==
     /\ log = <<>>
     /\ late = {}
@@ -53,6 +59,7 @@
 Send(a) ==
     /\ stage[a] = "unsent"
     /\ a = 1 \/ (a - 1 \in Attempts /\ stage[a - 1] # "unsent")
+    /\ a <= Few \/ \A b \in Attempts : Copies(b) < 2
     /\ Move(a, "new")
     /\ UNCHANGED <<log, late, said, ran>>
 
@@ -73,6 +80,16 @@
     /\ Move(a, "sent")
     /\ UNCHANGED <<said, ran>>
 
+\* The owner that was asked has not answered: another one appends the same claim.  Only one of
+\* the two records need be late, as they are alike.
+AskAgain(a) ==
+    /\ a <= Few
+    /\ \A b \in Attempts : b > Few => stage[b] = "unsent"
+    /\ stage[a] = "sent"
+    /\ Copies(a) < 2
+    /\ log' = Append(log, <<"claim", a>>)
+    /\ UNCHANGED <<late, stage, said, ran>>
+
 Arrive(r) ==
     /\ late' = late \ {r}
     /\ log' = Append(log, r)
@@ -127,7 +144,7 @@
 
 Next ==
     \/ \E a \in Attempts :
-        \/ Send(a) \/ Refuse(a) \/ AppendClaim(a) \/ Settle(a) \/ Dispatch(a)
+        \/ Send(a) \/ Refuse(a) \/ AppendClaim(a) \/ AskAgain(a) \/ Settle(a) \/ Dispatch(a)
         \/ Record(a) \/ GiveUp(a) \/ Replay(a) \/ Crash(a)
     \/ \E r \in late : Arrive(r)
 
--- a/tests/once/spec.rs
+++ b/tests/once/spec.rs
@@ -13,7 +13,7 @@
 fn the_specification_holds_and_each_guard_is_needed() {
     let table = CLAIMS.table(&["ReadBack", "NoTakeOver", "ProvedNotRun"]);
     expect![[r#"
-        all guards: holds, states=37452 depth=16
+        all guards: holds, states=42653 depth=16
         without ReadBack: AtMostOnce broken by Send Send AppendClaim AppendClaim Settle Settle Dispatch Dispatch
         without NoTakeOver: AtMostOnce broken by Send Send AppendClaim AppendClaim Settle Settle Dispatch Dispatch
         without ProvedNotRun: NotRunIsTrue broken by Send Send AppendClaim AppendClaim Settle Settle Dispatch
