--- a/tests/peer/server.rs
+++ b/tests/peer/server.rs
@@ -4,9 +4,11 @@
 
 use ebonyspur::{
     config::Secret,
+    once::{ClaimRequest, Key},
     peer::{serve, Peers, Purpose, Sealer, MAX_HALF_OPEN},
     steward::{GrantId, GrantReply, GrantRequest, Limit},
-    EngineName, Incarnation, Router, RouterName, Settings,
+    CallKey, EngineName, Incarnation, Router, RouterName, ServiceName, Settings, TeamName,
+    UnixMillis,
 };
 use tokio::{
     io::{AsyncReadExt, AsyncWriteExt},
@@ -28,19 +30,28 @@
     (cx, address)
 }
 
-async fn call(address: SocketAddr, key: &str) -> Option<GrantReply> {
+fn peers(key: &str) -> Peers {
     let sealer = Sealer::new(&[Secret::new(key)], Purpose::Frame);
     let caller = RouterName::new("router-2").expect("a valid name");
-    let peers = Peers::new(caller, Incarnation(1), sealer);
-    let req = GrantRequest {
+    Peers::new(caller, Incarnation(1), sealer)
+}
+
+fn grant() -> GrantRequest {
+    GrantRequest {
         engine: EngineName::new("engine-1").expect("a valid name"),
         incarnation: Incarnation(1),
         grant: GrantId(1),
         waiting: 0,
         limit: Limit::Bound,
-    };
-    let server = RouterName::new("router-1").expect("a valid name");
-    peers.call(&server, address, req).await.ok()
+    }
+}
+
+fn server() -> RouterName {
+    RouterName::new("router-1").expect("a valid name")
+}
+
+async fn call(address: SocketAddr, key: &str) -> Option<GrantReply> {
+    peers(key).call(&server(), address, grant()).await.ok()
 }
 
 /// Waits until the other end has closed the connection.
@@ -146,3 +157,27 @@
     let len = from.read(&mut buf).await?;
     to.write_all(&buf[..len]).await
 }
+
+#[tokio::test]
+async fn an_answer_that_is_held_back_holds_up_no_call_behind_it() {
+    let (_cx, address) = start().await;
+    let (peers, server) = (peers("key-of-the-test-fleet"), server());
+    let key = Key {
+        team: TeamName::new("kerb").expect("a valid name"),
+        service: ServiceName::new("trade").expect("a valid name"),
+        call: CallKey::new("a").expect("a valid name"),
+    };
+    let claim = ClaimRequest {
+        key,
+        issued: UnixMillis(0),
+        nonce: 1,
+        append: true,
+    };
+    // Nothing follows the log here, so the answer to the claim is held back to the last.
+    let first = tokio::select! {
+        biased;
+        _ = peers.call(&server, address, claim) => "claim",
+        _ = peers.call(&server, address, grant()) => "grant",
+    };
+    assert_eq!(first, "grant");
+}
