Test that a connection with an unread answer is never used again

Cause: the promise rested on the HTTP library and on a comment; nothing looked at the connections as a server sees them.

Change: a server of the test notes on which connection each request came and whether the router closed it. Three cases: an answer that is late after its head and a refusal whose body never ends, for plain calls; a chat whose caller goes away in the middle of the stream, and a chat refused with an unfinished body; connections used again while idle, and gone while idle.

Ruled out: a mutant that sends a second request on a connection with an answer outstanding. The library offers no such call, so it is listed as not shown.

Seen failing first, with changed copies (trials): the late body read on in the background, and the refusal's body read on in the background: the connection stays open, 1 of 3 tests fails each; no idle connections kept: 1 of 3 fails. The idle connection that is gone was not seen failing.

--- a/tests/relay/main.rs
+++ b/tests/relay/main.rs
@@ -2,6 +2,7 @@
 
 mod quarantine;
 mod resume;
+mod reuse;
 mod sequence;
 mod silence;
 #[path = "../support/mod.rs"]
--- /dev/null
+++ b/tests/relay/reuse.rs
@@ -0,0 +1,260 @@
+//! Connections to servers are used again only after a whole answer.
+
+use std::{
+    io::{Read, Write},
+    net::{Shutdown, SocketAddr, TcpListener, TcpStream},
+    sync::{Arc, Mutex},
+    time::Duration,
+};
+
+use expect_test::expect;
+use serde_json::json;
+
+use crate::support::{
+    self, free_address,
+    http::{exchange, send, Answer},
+    wait_until, Fleet,
+};
+
+/// Silence of the server before a late answer, longer than a router bears.
+const LATE: Duration = Duration::from_millis(2_000);
+
+/// What a server saw on its connections.
+#[derive(Debug, Default)]
+struct Seen {
+    /// Connection on which the request with this id came.
+    requests: Vec<(String, usize)>,
+    /// Connections that the router closed while an answer was outstanding.
+    closed: Vec<usize>,
+    /// Connections that this server closed while they were idle.
+    dropped: Vec<usize>,
+}
+
+impl Seen {
+    fn connection(&self, id: &str) -> Option<usize> {
+        let mut requests = self.requests.iter().rev();
+        requests.find(|(seen, _)| seen == id).map(|(_, at)| *at)
+    }
+}
+
+#[derive(Clone, Default)]
+struct Server(Arc<Mutex<Seen>>);
+
+impl Server {
+    /// Puts a server of `pool` on the instance list and lets it answer.
+    fn start(fleet: &Fleet, kind: &str, pool: &str) -> Self {
+        let address = free_address();
+        let listener = TcpListener::bind(address).expect("a listener");
+        let server = Server::default();
+        let accepting = server.clone();
+        std::thread::spawn(move || {
+            for (at, stream) in listener.incoming().flatten().enumerate() {
+                let server = accepting.clone();
+                std::thread::spawn(move || server.converse(at, stream));
+            }
+        });
+        let instance = json!({
+            "kind": kind, "pool": pool, "address": address,
+            "failure_domain": "d9", "state": "live", "incarnation": 1,
+        });
+        let url = fleet.platform_url(&format!("/v1/instances/{kind}-9"));
+        support::call("PUT", &url, &instance).expect("an instance");
+        server
+    }
+
+    fn seen<T>(&self, look: impl FnOnce(&mut Seen) -> T) -> T {
+        look(&mut self.0.lock().expect("what was seen"))
+    }
+
+    fn converse(&self, at: usize, mut stream: TcpStream) {
+        while let Some(request) = read_request(&mut stream) {
+            if request.starts_with("GET /load") {
+                reply(&mut stream, 200, "{\"in_flight\":0}");
+                continue;
+            }
+            let id = header(&request, "x-request-id");
+            let lines = (request.lines().next(), request.lines().last());
+            let asked = format!("{lines:?}");
+            self.seen(|seen| seen.requests.push((id.clone(), at)));
+            if asked.contains("slow") {
+                self.hold(at, &mut stream, "content-length: 4\r\n\r\n", LATE);
+                let _ = stream.write_all(b"late");
+            } else if asked.contains("half") {
+                let head = "content-type: text/event-stream\r\ntransfer-encoding: chunked\r\n\r\n";
+                let event = format!("id: 0\ndata: {{\"id\":\"chatcmpl-{id}\"}}\n\n");
+                let part = format!("{head}{:x}\r\n{event}\r\n", event.len());
+                self.hold(at, &mut stream, &part, support::DEADLINE);
+            } else if asked.contains("refuse") {
+                let head = "HTTP/1.1 503 Busy\r\ncontent-length: 1000\r\n\r\nbusy";
+                let _ = stream.write_all(head.as_bytes());
+                self.await_close(at, &mut stream, support::DEADLINE);
+            } else {
+                reply(&mut stream, 200, &format!("own {id}"));
+            }
+            if asked.contains("last") {
+                self.seen(|seen| seen.dropped.push(at));
+                let _ = stream.shutdown(Shutdown::Both);
+            }
+        }
+    }
+
+    /// Begins an answer, and sends no more for `time`.
+    fn hold(&self, at: usize, stream: &mut TcpStream, part: &str, time: Duration) {
+        let _ = stream.write_all(format!("HTTP/1.1 200 OK\r\n{part}").as_bytes());
+        self.await_close(at, stream, time);
+    }
+
+    fn await_close(&self, at: usize, stream: &mut TcpStream, time: Duration) {
+        stream.set_read_timeout(Some(time)).expect("a timeout");
+        match stream.peek(&mut [0]) {
+            // Bytes here would be a request on a connection with an answer outstanding.
+            Ok(1..) => {}
+            Err(err) if err.kind() == std::io::ErrorKind::WouldBlock => {}
+            _ => self.seen(|seen| seen.closed.push(at)),
+        }
+        stream.set_read_timeout(None).expect("no timeout");
+    }
+}
+
+fn read_request(stream: &mut TcpStream) -> Option<String> {
+    let mut text = String::new();
+    let mut buf = [0; 4_096];
+    loop {
+        if let Some((head, body)) = text.split_once("\r\n\r\n") {
+            let len = header(head, "content-length").parse().unwrap_or(0);
+            if body.len() >= len {
+                return Some(text);
+            }
+        }
+        let len = stream.read(&mut buf).ok().filter(|len| *len > 0)?;
+        text += &String::from_utf8_lossy(&buf[..len]);
+    }
+}
+
+fn header(request: &str, key: &str) -> String {
+    let mut lines = request.lines().filter_map(|line| line.split_once(": "));
+    let found = lines.find(|(found, _)| found.eq_ignore_ascii_case(key));
+    found.map_or(String::new(), |(_, value)| value.to_string())
+}
+
+fn reply(stream: &mut TcpStream, status: u16, body: &str) {
+    let head = format!("HTTP/1.1 {status} OK\r\ncontent-length: {}", body.len());
+    let _ = stream.write_all(format!("{head}\r\n\r\n{body}").as_bytes());
+}
+
+/// Starts one router in front of one server.
+fn start(kind: &str, pool: &str) -> (Fleet, Server) {
+    let mut fleet = Fleet::platform_only(&[]);
+    fleet.publish("first", &support::base_ops());
+    let server = Server::start(&fleet, kind, pool);
+    fleet.add_router("limits: {progress_ms: 500}\n");
+    wait_until("the router knows the server", || {
+        support::dump(&fleet.routers[0]).is_some_and(|state| {
+            state["phase"] == "serving" && state["engines"].as_array().is_some_and(|e| e.len() == 1)
+        })
+    });
+    (fleet, server)
+}
+
+fn get(router: SocketAddr, id: &str, path: &str) -> Answer {
+    let headers = [("ebonyspur-team", "kerb"), ("x-request-id", id)];
+    let path = format!("/v1/services/trade/{path}");
+    exchange(router, "GET", &path, &headers, "")
+}
+
+fn chat(router: SocketAddr, id: &str, prompt: &str) -> Option<TcpStream> {
+    let headers = [("ebonyspur-team", "kerb"), ("x-request-id", id)];
+    let body = json!({
+        "model": "planner", "stream": true, "messages": [{ "role": "user", "content": prompt }],
+    });
+    let path = "/v1/chat/completions";
+    send(router, "POST", path, &headers, &body.to_string())
+}
+
+/// Tells whether `next` came on another connection than `first`, which was closed.
+fn kept_apart(server: &Server, first: &str, next: &str) -> String {
+    let at = server
+        .seen(|seen| seen.connection(first))
+        .expect("a request");
+    wait_until("the connection is closed", || {
+        server.seen(|seen| seen.closed.contains(&at))
+    });
+    let next = server.seen(|seen| seen.connection(next));
+    format!(
+        "{first}: closed, next on another {}\n",
+        next.is_some_and(|next| next != at)
+    )
+}
+
+#[test]
+fn a_call_never_comes_on_a_connection_with_an_answer_outstanding() {
+    let (fleet, server) = start("server", "trades");
+    let router = fleet.routers[0].callers;
+    let mut table = String::new();
+    for id in ["slow", "refuse"] {
+        // The pool holds a connection, so that the call would use it again.
+        assert_eq!(get(router, "before", "quick").status, 200);
+        let broken = get(router, id, id);
+        let after = format!("after-{id}");
+        let own = get(router, &after, "quick").body;
+        let verdict = broken.verdict();
+        table += &format!("{} {verdict} then {own}; ", broken.status);
+        table += &kept_apart(&server, id, &after);
+    }
+    expect![[r#"
+        504 may-have-run then own after-slow; slow: closed, next on another true
+        504 may-have-run then own after-refuse; refuse: closed, next on another true
+    "#]].assert_eq(&table);
+}
+
+#[test]
+fn a_chat_that_its_caller_left_is_ended_at_the_engine() {
+    let (fleet, server) = start("engine", "planners");
+    let router = fleet.routers[0].callers;
+    let mut table = String::new();
+    for (id, prompt) in [("half-1", "half"), ("refuse-1", "refuse")] {
+        let mut caller = chat(router, id, prompt).expect("a connection");
+        let _ = caller.read(&mut [0; 64]);
+        drop(caller);
+        wait_until("the engine has the chat", || {
+            server.seen(|seen| seen.connection(id)).is_some()
+        });
+        let after = format!("after-{id}");
+        let next = chat(router, &after, "quick");
+        let _ = next.expect("a connection").read(&mut [0; 64]);
+        table += &kept_apart(&server, id, &after);
+    }
+    expect![[r#"
+        half-1: closed, next on another true
+        refuse-1: closed, next on another true
+    "#]]
+    .assert_eq(&table);
+}
+
+#[test]
+fn an_idle_connection_is_used_again_unless_it_is_gone() {
+    let (fleet, server) = start("server", "trades");
+    let router = fleet.routers[0].callers;
+    let mut number = 0;
+    let mut on = |path: &str| {
+        number += 1;
+        let id = format!("call-{number}");
+        let own = get(router, &id, path).body == format!("own {id}");
+        (own, server.seen(|seen| seen.connection(&id)))
+    };
+    // A pause of the machine may outlast the pool.
+    let reused = (0..20).any(|_| on("quick") == on("quick"));
+    let mut after_gone = Vec::new();
+    for _ in 0..3 {
+        let (_, last) = on("last");
+        wait_until("the connection is gone", || {
+            server.seen(|seen| last.is_some_and(|last| seen.dropped.contains(&last)))
+        });
+        let (own, next) = on("quick");
+        after_gone.push(own && next != last);
+    }
+    expect!["used again: true, own answer on another after it is gone: [true, true, true]"]
+        .assert_eq(&format!(
+            "used again: {reused}, own answer on another after it is gone: {after_gone:?}"
+        ));
+}
