Tell a router that starts of the suspects and convicts of others

Cause: deaths of engines spread as rumours, which are passed on a few times only. A router that started later knew none of them, and a convicted request sent to it cost engines again.

Change: a router that starts asks three others, until one has answered. The answer carries the deaths, what a whole answer has cleared, and the time left, as clocks differ; convicts come first, and at most 4,096 deaths are told, so that the answer fits a frame. Deaths that two routers saw apart add up.

Ruled out: records of the log, which would make the quarantine depend on it.

Left: the router may serve before the answer arrives, which is one call to a peer later than the instance list.

--- a/src/admission/mod.rs
+++ b/src/admission/mod.rs
@@ -7,6 +7,7 @@
 
 mod budget;
 mod line;
+mod message;
 mod quarantine;
 mod queue;
 mod seeker;
@@ -16,6 +17,7 @@
 pub use self::{
     budget::{retry_delay, RetryBudget},
     line::{Lines, Waiter},
+    message::{SuspectRecord, SuspectsRequest},
     quarantine::{Crash, Fingerprint, Quarantine, Suspects, Trust, MAX_SUSPECTS},
     queue::{Applicant, Enqueued, Queue, QueueFull, WaitId, MAX_WAITING, MAX_WAITING_PER_TEAM},
     seeker::{Seeker, Seekers},
--- a/src/admission/quarantine.rs
+++ b/src/admission/quarantine.rs
@@ -14,7 +14,7 @@
 use serde::{Deserialize, Serialize};
 use xxhash_rust::xxh3::xxh3_64;
 
-use super::{Watched, WATCH_TIME};
+use super::{SuspectRecord, Watched, WATCH_TIME};
 use crate::{sync::lock, Category, EngineName, Error, Incarnation, Instant, Result};
 
 /// How long a request stays under suspicion.
@@ -29,6 +29,9 @@
 /// Most suspects and convicts held; those that expire first are forgotten first.
 pub const MAX_SUSPECTS: usize = 4_096;
 
+/// Most deaths that are told to a router that starts, so that they fit one frame.
+const MAX_TOLD_DEATHS: usize = 4_096;
+
 /// Identifies requests with the same content.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
 #[serde(transparent)]
@@ -76,6 +79,14 @@
     fn is_convicted(&self) -> bool {
         self.counted() >= CONVICTING_DEATHS
     }
+
+    /// Adds what another router knows, unless some of it was cleared there.
+    fn merge(&mut self, other: Suspect) {
+        if other.cleared == 0 {
+            self.deaths.extend(other.deaths);
+            self.until = self.until.max(other.until);
+        }
+    }
 }
 
 /// Suspects and convicts, bounded in number and time.
@@ -180,6 +191,44 @@
         suspect.filter(|suspect| suspect.until > now)
     }
 
+    /// Returns what another router needs to know, the convicts first.
+    pub fn records(&self, now: Instant) -> Vec<SuspectRecord> {
+        let known = self.known.iter();
+        let live = known.filter(|(_, one)| one.until > now && one.counted() > 0);
+        let mut live: Vec<_> = live.collect();
+        live.sort_by_key(|(_, one)| std::cmp::Reverse((one.is_convicted(), one.until)));
+        let mut told = 0;
+        let fits = |(_, one): &(_, &Suspect)| {
+            told += one.deaths.len();
+            told <= MAX_TOLD_DEATHS
+        };
+        let fitting = live.into_iter().take_while(fits);
+        let record = |(fingerprint, one): (&Fingerprint, &Suspect)| SuspectRecord {
+            fingerprint: *fingerprint,
+            deaths: one.deaths.iter().cloned().collect(),
+            cleared: one.cleared as u32,
+            left_ms: one.until.since(now).as_millis() as u32,
+        };
+        fitting.map(record).collect()
+    }
+
+    /// Adds what another router knows.
+    pub fn adopt(&mut self, records: Vec<SuspectRecord>, now: Instant) {
+        for record in records {
+            let left = Duration::from_millis(record.left_ms.into());
+            let suspect = Suspect {
+                cleared: record.deaths.len().min(record.cleared as usize),
+                deaths: record.deaths.into_iter().collect(),
+                until: now + left.min(CONVICTION_TIME),
+            };
+            match self.known.get_mut(&record.fingerprint) {
+                Some(known) => known.merge(suspect),
+                None => drop(self.known.insert(record.fingerprint, suspect)),
+            }
+            self.limit();
+        }
+    }
+
     /// Returns the number of suspects and convicts held.
     pub fn len(&self) -> usize {
         self.known.len()
@@ -238,6 +287,16 @@
         lock(&self.suspects).clear(fingerprint);
     }
 
+    /// Returns what another router needs to know, the convicts first.
+    pub fn records(&self, now: Instant) -> Vec<SuspectRecord> {
+        lock(&self.suspects).records(now)
+    }
+
+    /// Takes over what another router knows.
+    pub fn adopt(&self, records: Vec<SuspectRecord>, now: Instant) {
+        lock(&self.suspects).adopt(records, now);
+    }
+
     /// Returns how far a request is trusted.
     pub fn trust(&self, fingerprint: Fingerprint, now: Instant) -> Trust {
         lock(&self.suspects).trust(fingerprint, now)
--- a/src/membership/mod.rs
+++ b/src/membership/mod.rs
@@ -19,6 +19,7 @@
 mod rumours;
 mod standing;
 mod state;
+mod suspects;
 mod task;
 mod view;
 
@@ -33,6 +34,7 @@
     rumours::{RumourQueue, MAX_RUMOURS},
     standing::{Standing, Standings, SUSPICION_TIMEOUT},
     state::{Membership, ISOLATION_TIMEOUT},
+    suspects::learn_suspects,
     task::{follow_instances, gossip, receive},
     view::{Engine, Peer, View},
 };
--- a/src/peer/message.rs
+++ b/src/peer/message.rs
@@ -3,6 +3,7 @@
 use serde::{Deserialize, Serialize};
 
 use crate::{
+    admission::SuspectRecord,
     config::{ConfigHead, ConfigPart, ConfigSince},
     steward::{
         GrantReply, GrantRequest, HandOver, HandOverRequest, ReleaseRequest, RenewReply,
@@ -37,6 +38,8 @@
     Renew(RenewRequest),
     /// Asks for the book of an engine.
     HandOver(HandOverRequest),
+    /// Asks for the suspects known.
+    Suspects,
 }
 
 /// The answer to a [`Request`] as carried on the wire.
@@ -56,6 +59,8 @@
     Renew(RenewReply),
     /// Answer to [`Request::HandOver`].
     HandOver(Option<HandOver>),
+    /// Answer to [`Request::Suspects`].
+    Suspects(Vec<SuspectRecord>),
 }
 
 /// A typed call: what it asks and what it is answered with.
--- a/src/peer/server.rs
+++ b/src/peer/server.rs
@@ -125,6 +125,7 @@
         Request::HandOver(req) => {
             Reply::HandOver(cx.steward.hand_over(&req.engine, cx.clock.now()))
         }
+        Request::Suspects => Reply::Suspects(cx.quarantine.records(cx.clock.now())),
     }
 }
 
--- a/src/router.rs
+++ b/src/router.rs
@@ -163,6 +163,7 @@
         tasks.spawn(config::follow_peers(self.clone()));
         tasks.spawn(config::write_checkpoints(self.clone()));
         tasks.spawn(membership::follow_instances(self.clone()));
+        tasks.spawn(membership::learn_suspects(self.clone()));
         tasks.spawn(steward::keep_engines(self.clone()));
         tasks.spawn(steward::renew_grants(self.clone()));
         for partition in 0..once::PARTITIONS {
--- a/tests/relay/quarantine.rs
+++ b/tests/relay/quarantine.rs
@@ -10,8 +10,9 @@
 use serde_json::json;
 
 use crate::support::{
+    dump,
     http::{exchange, Answer},
-    Fleet,
+    wait_until, Backend, Fleet,
 };
 
 fn crash(fingerprint: u64, engine: &str, incarnation: u64) -> Crash {
@@ -78,6 +79,48 @@
     expect!["4096"].assert_eq(&suspects.len().to_string());
 }
 
+#[test]
+fn a_router_that_starts_later_learns_of_suspects_and_for_how_long() {
+    let seconds = |secs: u64| Instant::from_millis(secs * 1_000);
+    let mut old = Suspects::new();
+    for (number, engine) in [(1, "a"), (1, "b"), (2, "a"), (3, "a")] {
+        old.accuse(&crash(number, engine, 1), seconds(0));
+    }
+    old.clear(Fingerprint(3));
+    // The clocks of two routers do not agree.
+    let mut new = Suspects::new();
+    new.adopt(old.records(seconds(100)), seconds(1_000));
+    new.adopt(old.records(seconds(100)), seconds(1_000));
+    let all = |new: &Suspects, secs| {
+        [1, 2, 3]
+            .map(|number| standing(new, number, seconds(secs)))
+            .join(" ")
+    };
+    let mut table = format!("learnt: {}\n", all(&new, 1_000));
+    table += &format!("after 8 min: {}\n", all(&new, 1_499));
+    table += &format!("after 9 min: {}\n", all(&new, 1_501));
+    let mut other = Suspects::new();
+    other.accuse(&crash(2, "b", 1), seconds(0));
+    new.adopt(other.records(seconds(1)), seconds(1_001));
+    table += &format!("another router saw 2 kill: {}\n", all(&new, 1_002));
+    for number in 0..2 * MAX_SUSPECTS as u64 {
+        old.accuse(&crash(number, "c", 1), seconds(100));
+    }
+    let records = old.records(seconds(100));
+    table += &format!(
+        "told of {}, first {:?}",
+        records.len(),
+        records[0].fingerprint
+    );
+    expect![[r#"
+        learnt: convicted suspect clear
+        after 8 min: convicted suspect clear
+        after 9 min: convicted clear clear
+        another router saw 2 kill: convicted convicted clear
+        told of 4093, first Fingerprint(2)"#]]
+    .assert_eq(&table);
+}
+
 fn chat(fleet: &Fleet, router: usize, id: &str, attempt: usize, prompt: &str) -> Answer {
     let body = json!({
         "model": "planner", "stream": true, "max_tokens": 40,
@@ -160,3 +203,29 @@
             refusals.last().map_or("none", String::as_str)
         ));
 }
+
+#[test]
+fn a_router_that_starts_later_refuses_what_was_convicted_before() {
+    let mut fleet = Fleet::start(4, 2);
+    let refusals = crasher(&fleet);
+    // The others have stopped to pass the news on.
+    thread::sleep(Duration::from_secs(4));
+    fleet.add_router("");
+    wait_until("the new router serves", || {
+        dump(&fleet.routers[2]).is_some_and(|state| state["phase"] == "serving")
+    });
+    thread::sleep(Duration::from_secs(1));
+    let late = chat(&fleet, 2, "late", 1, "CRASH");
+    let ended = |engine: &mut Backend| engine.process.has_ended();
+    let lost = fleet
+        .engines
+        .iter_mut()
+        .filter_map(|e| ended(e).then_some(()));
+    println!("refusals {refusals:?}");
+    expect!["engines lost: 2, at the new router: 422 quarantined"].assert_eq(&format!(
+        "engines lost: {}, at the new router: {} {}",
+        lost.count(),
+        late.status,
+        late.reason()
+    ));
+}
