Let copies of a request that might crash engines run one at a time

Cause: copies of a crashing request sent at the same moment, or again before the news of a death had come, each cost an engine.

Change: a body that was not answered whole lately goes without leave only to the first engine of its chat, or of its content when it names no chat. The steward of that engine admits one copy and answers Copied to another one. A copy that is held up there, leaves its first engine, waits in line, is sent again, or has another copy at its router asks the keeper, the first router by rendezvous of the content, and runs as the only one on trial. It asks once more when it has its slot. A death is told to the keeper before the slot is given back, and the keeper's answer carries the deaths, so that no news is waited for. A whole answer frees the copies. Trials, proven requests and copies are bounded in number; a trial holds others up for 10 s, or until its router is gone. The part of a request's life that finds its engine moved to relay/place.rs.

Ruled out: asking the keeper for each request, which would be one more call for all that are answered at their first engine.

The steward's Copied was not seen failing across processes, only in steward::suspects.

--- a/src/admission/mod.rs
+++ b/src/admission/mod.rs
@@ -12,15 +12,20 @@
 mod queue;
 mod seeker;
 mod state;
+mod trial;
 mod watch;
 
 pub use self::{
     budget::{retry_delay, RetryBudget},
     line::{Lines, Waiter},
-    message::{SuspectRecord, SuspectsRequest},
+    message::{AccuseRequest, BeginTrial, EndTrial, SuspectRecord, SuspectsRequest, TrialAnswer},
     quarantine::{Crash, Fingerprint, Quarantine, Suspects, Trust, MAX_SUSPECTS},
     queue::{Applicant, Enqueued, Queue, QueueFull, WaitId, MAX_WAITING, MAX_WAITING_PER_TEAM},
     seeker::{Seeker, Seekers},
     state::{Admission, Class, Permit, MAX_TEAMS},
+    trial::{
+        Copies, OneCopy, Proven, TrialHolder, TrialReply, Trials, MAX_PROVEN, MAX_TRIALS,
+        TRIAL_TIME,
+    },
     watch::{Watched, MAX_WATCHED, WATCH_TIME},
 };
--- a/src/admission/quarantine.rs
+++ b/src/admission/quarantine.rs
@@ -7,15 +7,15 @@
 
 use std::{
     collections::{BTreeMap, BTreeSet},
-    sync::Mutex,
+    sync::{Arc, Mutex},
     time::Duration,
 };
 
 use serde::{Deserialize, Serialize};
 use xxhash_rust::xxh3::xxh3_64;
 
-use super::{SuspectRecord, Watched, WATCH_TIME};
-use crate::{sync::lock, Category, EngineName, Error, Incarnation, Instant, Result};
+use super::{Copies, Proven, SuspectRecord, TrialHolder, TrialReply, Trials, Watched, WATCH_TIME};
+use crate::{sync::lock, Category, EngineName, Error, Incarnation, Instant, Result, RouterName};
 
 /// How long a request stays under suspicion.
 const SUSPICION_TIME: Duration = Duration::from_secs(600);
@@ -47,8 +47,10 @@
 /// How far a request is trusted not to crash engines.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, Serialize, Deserialize)]
 pub enum Trust {
-    /// No engine has died with it in flight.
+    /// It was answered whole lately, or runs as the only copy on trial.
     Ordinary,
+    /// It was not answered whole lately; a copy of it on the same engine is waited for.
+    Unproven(Fingerprint),
     /// It may share an engine with no other suspect.
     Suspect(Fingerprint),
 }
@@ -80,6 +82,15 @@
         self.counted() >= CONVICTING_DEATHS
     }
 
+    fn record(&self, fingerprint: Fingerprint, now: Instant) -> SuspectRecord {
+        SuspectRecord {
+            fingerprint,
+            deaths: self.deaths.iter().cloned().collect(),
+            cleared: self.cleared as u32,
+            left_ms: self.until.since(now).as_millis() as u32,
+        }
+    }
+
     /// Adds what another router knows, unless some of it was cleared there.
     fn merge(&mut self, other: Suspect) {
         if other.cleared == 0 {
@@ -95,6 +106,8 @@
     known: BTreeMap<Fingerprint, Suspect>,
     /// Requests that may have crashed engines.
     watched: Watched,
+    /// Requests answered whole lately.
+    proven: Proven,
 }
 
 impl Suspects {
@@ -107,6 +120,7 @@
     pub fn accuse(&mut self, crash: &Crash, now: Instant) -> bool {
         self.expire(now);
         self.watched.forget(crash);
+        self.proven.remove(crash.fingerprint);
         let suspect = self.known.entry(crash.fingerprint).or_insert(Suspect {
             deaths: BTreeSet::new(),
             cleared: 0,
@@ -149,6 +163,7 @@
     /// Clears a request that was answered whole, unless it is convicted.
     pub fn clear(&mut self, fingerprint: Fingerprint) {
         self.watched.clear(fingerprint);
+        self.proven.insert(fingerprint);
         if let Some(suspect) = self.known.get_mut(&fingerprint) {
             if !suspect.is_convicted() {
                 suspect.cleared = suspect.deaths.len();
@@ -181,11 +196,18 @@
     pub fn trust(&self, fingerprint: Fingerprint, now: Instant) -> Trust {
         if self.is_suspect(fingerprint, now) {
             Trust::Suspect(fingerprint)
-        } else {
+        } else if self.is_proven(fingerprint) {
             Trust::Ordinary
+        } else {
+            Trust::Unproven(fingerprint)
         }
     }
 
+    /// Returns whether the request was answered whole lately and no engine died with it since.
+    pub fn is_proven(&self, fingerprint: Fingerprint) -> bool {
+        self.proven.contains(fingerprint)
+    }
+
     fn live(&self, fingerprint: Fingerprint, now: Instant) -> Option<&Suspect> {
         let suspect = self.known.get(&fingerprint);
         suspect.filter(|suspect| suspect.until > now)
@@ -203,13 +225,16 @@
             told <= MAX_TOLD_DEATHS
         };
         let fitting = live.into_iter().take_while(fits);
-        let record = |(fingerprint, one): (&Fingerprint, &Suspect)| SuspectRecord {
-            fingerprint: *fingerprint,
-            deaths: one.deaths.iter().cloned().collect(),
-            cleared: one.cleared as u32,
-            left_ms: one.until.since(now).as_millis() as u32,
-        };
-        fitting.map(record).collect()
+        fitting
+            .map(|(fingerprint, one)| one.record(*fingerprint, now))
+            .collect()
+    }
+
+    /// Returns what another router needs to know of one request.
+    pub fn record(&self, fingerprint: Fingerprint, now: Instant) -> Option<SuspectRecord> {
+        let known = self.live(fingerprint, now);
+        let counted = known.filter(|known| known.counted() > 0);
+        counted.map(|known| known.record(fingerprint, now))
     }
 
     /// Adds what another router knows.
@@ -244,6 +269,9 @@
 #[derive(Debug, Default)]
 pub struct Quarantine {
     suspects: Mutex<Suspects>,
+    trials: Mutex<Trials>,
+    /// Copies of requests on their way through this router.
+    pub copies: Arc<Copies>,
 }
 
 impl Quarantine {
@@ -282,6 +310,38 @@
         lock(&self.suspects).ended(engine, life, now)
     }
 
+    /// Begins the trial of a request of which this router is the keeper.
+    pub fn begin_trial(
+        &self,
+        fingerprint: Fingerprint,
+        holder: TrialHolder,
+        is_live: impl Fn(&RouterName) -> bool,
+        now: Instant,
+    ) -> TrialReply {
+        match self.check(fingerprint, now) {
+            Err(err) if err.classify() == Category::Quarantined => return TrialReply::Convicted,
+            Err(_) => return TrialReply::Wait,
+            Ok(()) if self.is_proven(fingerprint) => return TrialReply::Proven,
+            Ok(()) => {}
+        }
+        lock(&self.trials).begin(fingerprint, holder, is_live, now)
+    }
+
+    /// Ends a trial of which this router is the keeper.
+    pub fn end_trial(&self, fingerprint: Fingerprint, holder: &TrialHolder) {
+        lock(&self.trials).end(fingerprint, holder);
+    }
+
+    /// Notes that a request was answered whole at another router.
+    pub fn prove(&self, fingerprint: Fingerprint) {
+        self.clear(fingerprint);
+    }
+
+    /// Returns whether the request was answered whole lately.
+    pub fn is_proven(&self, fingerprint: Fingerprint) -> bool {
+        lock(&self.suspects).is_proven(fingerprint)
+    }
+
     /// Clears a request that was answered whole.
     pub fn clear(&self, fingerprint: Fingerprint) {
         lock(&self.suspects).clear(fingerprint);
@@ -292,6 +352,11 @@
         lock(&self.suspects).records(now)
     }
 
+    /// Returns what another router needs to know of one request.
+    pub fn record(&self, fingerprint: Fingerprint, now: Instant) -> Option<SuspectRecord> {
+        lock(&self.suspects).record(fingerprint, now)
+    }
+
     /// Takes over what another router knows.
     pub fn adopt(&self, records: Vec<SuspectRecord>, now: Instant) {
         lock(&self.suspects).adopt(records, now);
--- a/src/http/caller.rs
+++ b/src/http/caller.rs
@@ -163,15 +163,16 @@
     let chat = head::header::<ChatId>(&req.headers, "ebonyspur-chat")?;
     let class = head::header::<Class>(&req.headers, "ebonyspur-class")?.unwrap_or_default();
     cx.config.current().team(&sender.team)?.check_class(class)?;
+    let fingerprint = Fingerprint::of(&body);
     let head = Head {
-        chat: chat.unwrap_or_else(|| head::fresh_chat(&sender.id)),
+        chat: chat.unwrap_or_else(|| head::chat_of(fingerprint)),
         hint: head::header(&req.headers, HINT)?.unwrap_or_default(),
         class,
         id: sender.id,
         team: sender.team,
         pool: service.pool,
         attempt: sender.attempt,
-        fingerprint: Fingerprint::of(&body),
+        fingerprint,
     };
     let id = head.id.clone();
     let answer = relay::chat(cx, head, body).await?;
--- a/src/http/head.rs
+++ b/src/http/head.rs
@@ -8,7 +8,9 @@
 use http_body_util::{BodyExt, LengthLimitError, Limited};
 use uuid::Uuid;
 
-use crate::{Category, ChatId, Error, RequestId, Result, TeamName, Verdict};
+use crate::{
+    admission::Fingerprint, Category, ChatId, Error, RequestId, Result, TeamName, Verdict,
+};
 
 /// Returns the parameters of the query.
 ///
@@ -100,6 +102,12 @@
     ChatId::new(id.as_str()).expect("a request id is a valid name")
 }
 
+/// Returns the chat of a request that names none, so that its copies go the same way.
+pub(super) fn chat_of(fingerprint: Fingerprint) -> ChatId {
+    let text = format!("body-{:016x}", fingerprint.0);
+    ChatId::new(&text).expect("a prefix and a number are a valid name")
+}
+
 /// Reads a body of at most `limit` bytes within `timeout`.
 pub(super) async fn read_body(body: Body, limit: usize, timeout: Duration) -> Result<Bytes> {
     let collected = tokio::time::timeout(timeout, Limited::new(body, limit).collect()).await;
--- a/src/peer/message.rs
+++ b/src/peer/message.rs
@@ -3,7 +3,7 @@
 use serde::{Deserialize, Serialize};
 
 use crate::{
-    admission::SuspectRecord,
+    admission::{AccuseRequest, BeginTrial, EndTrial, SuspectRecord, TrialAnswer},
     config::{ConfigHead, ConfigPart, ConfigSince},
     steward::{
         GrantReply, GrantRequest, HandOver, HandOverRequest, ReleaseRequest, RenewReply,
@@ -40,6 +40,12 @@
     HandOver(HandOverRequest),
     /// Asks for the suspects known.
     Suspects,
+    /// Asks to run a request that might crash engines.
+    BeginTrial(BeginTrial),
+    /// Tells that such a run has ended.
+    EndTrial(EndTrial),
+    /// Tells of the death of an engine.
+    Accuse(AccuseRequest),
 }
 
 /// The answer to a [`Request`] as carried on the wire.
@@ -61,6 +67,10 @@
     HandOver(Option<HandOver>),
     /// Answer to [`Request::Suspects`].
     Suspects(Vec<SuspectRecord>),
+    /// Answer to [`Request::BeginTrial`].
+    Trial(TrialAnswer),
+    /// Answer to [`Request::EndTrial`] and [`Request::Accuse`].
+    Noted,
 }
 
 /// A typed call: what it asks and what it is answered with.
--- a/src/peer/server.rs
+++ b/src/peer/server.rs
@@ -125,6 +125,17 @@
         Request::HandOver(req) => {
             Reply::HandOver(cx.steward.hand_over(&req.engine, cx.clock.now()))
         }
+        Request::BeginTrial(req) => {
+            Reply::Trial(cx.answer_trial(&from.router, from.incarnation, &req))
+        }
+        Request::EndTrial(req) => {
+            cx.end_trial(&from.router, from.incarnation, &req);
+            Reply::Noted
+        }
+        Request::Accuse(req) => {
+            cx.engine_crashed(&req.0);
+            Reply::Noted
+        }
         Request::Suspects => Reply::Suspects(cx.quarantine.records(cx.clock.now())),
     }
 }
--- a/src/relay/mod.rs
+++ b/src/relay/mod.rs
@@ -8,12 +8,14 @@
 mod chat;
 mod event;
 mod keyed;
+mod place;
 mod probe;
 mod request;
 mod sent;
 mod sequence;
 mod service;
 mod stream;
+mod trial;
 
 pub use self::{
     answer::Opening,
--- /dev/null
+++ b/src/relay/place.rs
@@ -0,0 +1,247 @@
+//! Finds an engine for a request.
+
+use std::{sync::Arc, time::Duration};
+
+use super::{request::Placed, trial::Trial, Admitted, Request};
+use crate::{
+    admission::{Applicant, Class, Trust, Waiter},
+    membership::Engine,
+    steward::{Limit, Slot},
+    Category, EngineName, Error, Result, Router,
+};
+
+/// How many times longer a draft waits for an engine than an interactive request.
+const DRAFT_PATIENCE: u32 = 4;
+
+/// Longest wait for an engine that caches the chat, when another would have to start cold.
+const WARM_WAIT: Duration = Duration::from_millis(1_500);
+
+/// Time between two tries for an engine that caches the chat.
+const WARM_RETRY: Duration = Duration::from_millis(100);
+
+/// Engines without a freed slot that a waiting request asks in one round.
+const ENGINES_PER_ROUND: usize = 4;
+
+impl Request<Admitted> {
+    /// Takes a slot on an engine below its bound, and waits for one if there is none.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`Category::Overloaded`] when no slot is free in time and
+    /// [`Category::Unavailable`] when no engine is live.
+    pub async fn place(mut self, cx: &Arc<Router>) -> Result<Request<Placed>> {
+        let _seeker = cx.admission.seekers.enter(&self.head.pool);
+        if self.needs_trial(cx) {
+            self.begin_trial(cx).await?;
+        }
+        if !cx.admission.lines.is_waiting(&self.head.pool) {
+            if let Some(slot) = self.wait_for_warm(cx).await? {
+                return Ok(self.at_slot(slot));
+            }
+            match self.try_engines(cx, &self.candidates(cx)?).await {
+                Ok(slot) => return Ok(self.at_slot(slot)),
+                Err(err) if err.classify() == Category::Conflict => {
+                    return self.wait_for_copy(cx).await;
+                }
+                Err(err) if err.classify() == Category::Quarantined => return Err(err),
+                Err(err) => log::debug!("request={} waits error=\"{err}\"", self.head.id),
+            }
+        }
+        self.wait_for_slot(cx).await
+    }
+
+    /// Returns whether the request was sent before, or an engine died with it.
+    fn needs_trial(&self, cx: &Router) -> bool {
+        let trust = self.trust(cx);
+        let again = self.head.attempt > 1 || !self.stage.failed.is_empty();
+        let again = again || !self.stage.copy.is_first();
+        matches!(trust, Trust::Suspect(_)) || again && matches!(trust, Trust::Unproven(_))
+    }
+
+    async fn begin_trial(&mut self, cx: &Arc<Router>) -> Result<()> {
+        match &self.stage.trial {
+            Some(trial) => trial.wait().await?,
+            None => self.stage.trial = Some(Trial::begin(cx, &self.head).await?),
+        }
+        Ok(())
+    }
+
+    /// Returns how far the request is trusted by the steward.
+    ///
+    /// The only copy on trial waits for others only if it has met one: an earlier attempt
+    /// may be left on an engine by a router that died.
+    fn trust(&self, cx: &Router) -> Trust {
+        let trust = cx.quarantine.trust(self.head.fingerprint, cx.clock.now());
+        match trust {
+            Trust::Unproven(_) if self.stage.trial.is_some() && !self.stage.contested => {
+                Trust::Ordinary
+            }
+            trust => trust,
+        }
+    }
+
+    /// Waits until no copy of the request is on the engine where it belongs.
+    async fn wait_for_copy(mut self, cx: &Arc<Router>) -> Result<Request<Placed>> {
+        self.stage.contested = true;
+        self.begin_trial(cx).await?;
+        let deadline = cx.clock.now() + cx.settings.limits.queue;
+        loop {
+            match self.try_engines(cx, &self.candidates(cx)?).await {
+                Ok(slot) => return Ok(self.at_slot(slot)),
+                Err(err) if err.classify() == Category::Quarantined => return Err(err),
+                Err(_) if cx.clock.now() < deadline => tokio::time::sleep(WARM_RETRY).await,
+                Err(_) => {
+                    let message = "a copy of this request has not been answered yet";
+                    let err = Error::not_run(Category::Overloaded, message);
+                    return Err(err.with_retry_after(cx.settings.limits.queue));
+                }
+            }
+        }
+    }
+
+    /// Waits a little for an engine that caches the chat, while it is at its bound.
+    async fn wait_for_warm(&mut self, cx: &Arc<Router>) -> Result<Option<Slot>> {
+        let deadline = cx.clock.now() + WARM_WAIT;
+        loop {
+            let mut warm = self.candidates(cx)?;
+            warm.retain(|engine| self.head.hint.position(engine).is_some());
+            if warm.is_empty() {
+                return Ok(None);
+            }
+            match self.try_below(cx, &warm, Limit::Bound).await {
+                Ok(slot) => return Ok(Some(slot)),
+                Err(err) if err.classify() == Category::Quarantined => return Err(err),
+                Err(err) if err.classify() != Category::Overloaded => return Ok(None),
+                Err(_) if cx.clock.now() >= deadline => return Ok(None),
+                Err(_) => tokio::time::sleep(WARM_RETRY).await,
+            }
+        }
+    }
+
+    async fn wait_for_slot(mut self, cx: &Arc<Router>) -> Result<Request<Placed>> {
+        // Those that wait ask varying engines.
+        self.leave_first_engine(cx).await?;
+        let waiter = self.enqueue(cx)?;
+        let mut round = 0;
+        loop {
+            let freed = waiter.turn().await?;
+            let engines = some_of(&self.candidates(cx)?, &freed, round);
+            round += 1;
+            match self.try_engines(cx, &engines).await {
+                Ok(slot) => {
+                    waiter.placed();
+                    return Ok(self.at_slot(slot));
+                }
+                Err(err) if err.classify() == Category::Quarantined => return Err(err),
+                Err(err) if err.classify() == Category::Conflict => {
+                    drop(waiter);
+                    return self.wait_for_copy(cx).await;
+                }
+                Err(_) => waiter.pause().await,
+            }
+        }
+    }
+
+    fn enqueue(&self, cx: &Router) -> Result<Waiter> {
+        let team = &self.head.team;
+        let share = cx.config.current().teams.get(team).map(|team| team.share);
+        let patience = match self.head.class {
+            Class::Interactive => cx.settings.limits.queue,
+            Class::Draft => cx.settings.limits.queue * DRAFT_PATIENCE,
+        };
+        let applicant = Applicant {
+            team,
+            share: share.unwrap_or(1),
+            class: self.head.class,
+            deadline: cx.clock.now() + patience,
+        };
+        let lines = &cx.admission.lines;
+        lines.enqueue(&self.head.pool, applicant, cx.clock)
+    }
+
+    /// Returns the engines that the request may use, the best first.
+    fn candidates(&self, cx: &Router) -> Result<Vec<Arc<Engine>>> {
+        let engines = cx.open_engines(&self.head.pool, &self.stage.failed);
+        let ranked = cx.candidates(&self.head.chat, &self.head.hint, &engines);
+        if ranked.is_empty() {
+            return Err(Error::not_run(Category::Unavailable, "no engine is live"));
+        }
+        Ok(ranked)
+    }
+
+    /// Takes a slot on the first of `engines` below the mean, else on the first below its bound.
+    async fn try_engines(&mut self, cx: &Arc<Router>, engines: &[Arc<Engine>]) -> Result<Slot> {
+        match self.try_below(cx, engines, Limit::Mean).await {
+            Ok(slot) => Ok(slot),
+            Err(err) if is_of_copies(&err) => Err(err),
+            Err(_) => self.try_below(cx, engines, Limit::Bound).await,
+        }
+    }
+
+    /// Takes a slot on the first of `engines` that has one and that the request may use.
+    async fn try_below(
+        &mut self,
+        cx: &Arc<Router>,
+        engines: &[Arc<Engine>],
+        limit: Limit,
+    ) -> Result<Slot> {
+        let mut refusal = Error::not_run(Category::Overloaded, "each engine is at its bound");
+        for (index, engine) in engines.iter().enumerate() {
+            if index > 0 {
+                self.leave_first_engine(cx).await?;
+            }
+            match Slot::acquire(cx, engine, limit, self.trust(cx)).await {
+                Ok(slot) => return self.confirm(slot).await,
+                Err(err) if is_of_copies(&err) => return Err(err),
+                Err(err) => refusal = err,
+            }
+        }
+        Err(refusal)
+    }
+
+    /// Lets an unproven request beyond its first engine, where its copies meet, only as
+    /// the copy on trial.
+    async fn leave_first_engine(&mut self, cx: &Arc<Router>) -> Result<()> {
+        if self.stage.trial.is_none() && matches!(self.trust(cx), Trust::Unproven(_)) {
+            self.stage.contested = true;
+            self.begin_trial(cx).await?;
+        }
+        Ok(())
+    }
+
+    /// Asks once more whether the copy on trial may run, as engines may have died while it
+    /// waited for its slot.
+    async fn confirm(&self, slot: Slot) -> Result<Slot> {
+        if let Some(trial) = &self.stage.trial {
+            trial.wait().await?;
+        }
+        Ok(slot)
+    }
+
+    fn at_slot(self, slot: Slot) -> Request<Placed> {
+        let stage = Placed {
+            admitted: self.stage,
+            slot,
+        };
+        Request {
+            head: self.head,
+            stage,
+        }
+    }
+}
+
+/// Returns whether other engines make no difference, as copies of the request decide.
+fn is_of_copies(err: &Error) -> bool {
+    matches!(err.classify(), Category::Conflict | Category::Quarantined)
+}
+
+/// Returns the engines that a waiting request asks: those with freed slots and a few
+/// others, which change from round to round.
+fn some_of(ranked: &[Arc<Engine>], freed: &[EngineName], round: usize) -> Vec<Arc<Engine>> {
+    let is_freed = |engine: &&Arc<Engine>| freed.contains(&engine.name);
+    let others = ranked.iter().filter(|engine| !is_freed(engine));
+    let others = others.cycle().skip(round * ENGINES_PER_ROUND);
+    let count = ENGINES_PER_ROUND.min(ranked.len());
+    let first = ranked.iter().filter(is_freed);
+    first.chain(others.take(count)).cloned().collect()
+}
--- a/src/relay/sent.rs
+++ b/src/relay/sent.rs
@@ -105,7 +105,7 @@
         }
         let (id, engine) = (&self.head.id, &self.engine.name);
         log::warn!("engine died engine={engine} request={id}");
-        cx.engine_crashed(&crash);
+        cx.tell_death(&crash).await;
         true
     }
 
--- a/src/steward/book.rs
+++ b/src/steward/book.rs
@@ -110,7 +110,8 @@
         lost.filter(|_| self.unattributed > 0)
     }
 
-    /// Grants a slot when fewer than `bound` are occupied, and to one suspect at a time.
+    /// Grants a slot when fewer than `bound` are occupied, to one suspect at a time, and to
+    /// one copy of an unproven request.
     ///
     /// Asking again with the same holder is answered the same way and counted once.
     pub fn grant(&mut self, holder: Holder, trust: Trust, bound: u32, now: Instant) -> GrantReply {
@@ -120,6 +121,9 @@
         if is_suspect(trust) && self.has_suspect() {
             return GrantReply::Occupied;
         }
+        if matches!(trust, Trust::Unproven(_)) && self.has_copy(trust) {
+            return GrantReply::Copied;
+        }
         if self.occupied() >= bound {
             return GrantReply::Full;
         }
@@ -132,6 +136,10 @@
         granted || self.lost_suspect().is_some()
     }
 
+    fn has_copy(&self, trust: Trust) -> bool {
+        self.grants.values().any(|grant| grant.trust == trust)
+    }
+
     fn put(&mut self, holder: Holder, trust: Trust, now: Instant) {
         let grant = Grant {
             granted: now,
--- a/src/steward/message.rs
+++ b/src/steward/message.rs
@@ -44,6 +44,8 @@
     Full,
     /// The request is a suspect, and another one is on the engine.
     Occupied,
+    /// A copy of the request is on the engine, and it was not answered whole lately.
+    Copied,
     /// The engine leaves or is drained.
     Leaving,
     /// The asked router is not the steward, or knows another life of the engine.
--- a/src/steward/slot.rs
+++ b/src/steward/slot.rs
@@ -24,7 +24,8 @@
     /// # Errors
     ///
     /// Returns [`Category::Overloaded`] when the engine is at its bound, or has a suspect
-    /// and the request is another, and
+    /// and the request is another, [`Category::Conflict`] when a copy of an unproven
+    /// request is there, and
     /// [`Category::Unavailable`] when it leaves or its steward cannot be asked. The
     /// request has not run in any of these cases.
     pub async fn acquire(
@@ -58,6 +59,7 @@
         cx.held.end(&engine.name, slot.grant, true);
         match reply {
             GrantReply::Full | GrantReply::Occupied => refused(Category::Overloaded),
+            GrantReply::Copied => refused(Category::Conflict),
             _ => refused(Category::Unavailable),
         }
     }
--- a/stand-in/src/engine.rs
+++ b/stand-in/src/engine.rs
@@ -132,6 +132,9 @@
     8
 }
 
+/// Time after which a request crashes the engine that is to crash it later.
+const CRASH_MS: u64 = 400;
+
 /// A request under way; dropping it is its end or its cancellation.
 struct Running {
     engine: Arc<Engine>,
@@ -151,6 +154,12 @@
     };
     let prompt = chat.messages.to_string();
     if prompt.contains("CRASH") {
+        let pause = if prompt.contains("LATER") {
+            CRASH_MS
+        } else {
+            0
+        };
+        tokio::time::sleep(Duration::from_millis(pause)).await;
         std::process::exit(101);
     }
     if prompt.contains("REFUSE") {
--- a/tests/admission/main.rs
+++ b/tests/admission/main.rs
@@ -5,4 +5,5 @@
 mod line;
 mod model;
 mod storm;
+mod trial;
 mod watch;
--- a/tests/relay/main.rs
+++ b/tests/relay/main.rs
@@ -1,5 +1,6 @@
 //! Answers: checked part by part, resumed, and never passed off as whole when they are not.
 
+mod copies;
 mod quarantine;
 mod raw;
 mod restart;
--- a/tests/steward/suspects.rs
+++ b/tests/steward/suspects.rs
@@ -50,3 +50,13 @@
     new.accept(&engine().name, book, at(20));
     expect!["[Occupied, Occupied, Granted]"].assert_eq(&replies(&new, 30));
 }
+
+#[test]
+fn copies_of_an_unproven_request_wait_for_each_other_on_an_engine() {
+    let steward = settled();
+    let copy = Trust::Unproven(Fingerprint(1));
+    let other = Trust::Unproven(Fingerprint(2));
+    let asked = [(1, copy), (2, copy), (3, other), (4, Trust::Ordinary)];
+    let replies = asked.map(|(number, trust)| ask_as(&steward, holder(number, 0), trust, 4, 0));
+    expect!["[Granted, Copied, Granted, Granted]"].assert_eq(&format!("{replies:?}"));
+}
