Let requests that crashed nothing go on while their keeper is out of reach

Cause: a request that needs the keeper's leave waited for its patience when the keeper did not answer, and was then refused. After a router died, its callers' second attempts were held up at the others.

Change: when the call fails, a request that no engine died with goes on; a suspect still waits, until another router takes the keeper's place.

--- a/src/relay/trial.rs
+++ b/src/relay/trial.rs
@@ -6,7 +6,7 @@
 use crate::{
     admission::{
         AccuseRequest, BeginTrial, Crash, EndTrial, Fingerprint, TrialAnswer, TrialHolder,
-        TrialReply,
+        TrialReply, Trust,
     },
     membership::Peer,
     placement, Category, Error, Incarnation, Result, Router, RouterName,
@@ -67,6 +67,12 @@
         }
     }
 
+    fn is_suspect(&self) -> bool {
+        let now = self.cx.clock.now();
+        let trust = self.cx.quarantine.trust(self.fingerprint, now);
+        matches!(trust, Trust::Suspect(_))
+    }
+
     async fn ask(&self) -> TrialReply {
         let cx = &self.cx;
         let req = BeginTrial {
@@ -85,7 +91,9 @@
                 cx.quarantine.adopt(known, cx.clock.now());
                 answer.reply
             }
-            Err(_) => TrialReply::Wait,
+            // A keeper out of reach must not hold up what has crashed nothing.
+            Err(_) if self.is_suspect() => TrialReply::Wait,
+            Err(_) => TrialReply::Run,
         }
     }
 }
--- a/tests/relay/copies.rs
+++ b/tests/relay/copies.rs
@@ -3,10 +3,11 @@
 use std::thread;
 
 use expect_test::expect;
+use rustix::process::Signal;
 use serde_json::json;
 
 use crate::support::{
-    dump,
+    self, dump,
     http::{exchange, Answer},
     wait_until, Fleet,
 };
@@ -35,6 +36,22 @@
     exchange(router.callers, "POST", path, &headers, &body.to_string())
 }
 
+/// Sends a request for the second time, which asks the keeper of its content.
+fn again(fleet: &Fleet, number: usize) -> u16 {
+    let id = format!("again-{number}");
+    let body = json!({
+        "model": "planner", "messages": [{ "role": "user", "content": id }],
+    });
+    let headers = [
+        ("ebonyspur-team", "kerb"),
+        ("ebonyspur-attempt", "2"),
+        ("x-request-id", id.as_str()),
+    ];
+    let path = "/v1/chat/completions";
+    let router = &fleet.routers[0];
+    exchange(router.callers, "POST", path, &headers, &body.to_string()).status
+}
+
 /// Sends all copies at the same moment; returns the statuses.
 fn copies(fleet: &Fleet, chat_of: ChatOf, prompt: &str) -> Vec<u16> {
     thread::scope(|scope| {
@@ -136,3 +153,27 @@
     expect!["[200, 200, 200, 200, 200, 200, 200, 200, 200, 200, 200, 200]"]
         .assert_eq(&format!("{statuses:?}"));
 }
+
+#[test]
+fn a_frozen_keeper_holds_up_no_request_that_crashed_nothing() {
+    let mut fleet = Fleet::platform_only(&[]);
+    fleet.publish("first", &support::base_ops());
+    for _ in 0..4 {
+        fleet.add_engine(&[]);
+    }
+    for _ in 0..2 {
+        fleet.add_router("limits: {queue_ms: 3000}\n");
+    }
+    fleet.await_ready();
+    await_settled(&fleet);
+    fleet.routers[1].process.signal(Signal::STOP);
+    let fleet = &fleet;
+    let answered = thread::scope(|scope| {
+        let sent: Vec<_> = (0..6)
+            .map(|number| scope.spawn(move || again(fleet, number)))
+            .collect();
+        let statuses = sent.into_iter().map(|one| one.join().expect("a status"));
+        statuses.filter(|status| *status == 200).count()
+    });
+    expect!["6 of 6 answered"].assert_eq(&format!("{answered} of 6 answered"));
+}
