--- a/benches/decisions.rs
+++ b/benches/decisions.rs
@@ -4,6 +4,7 @@
 
 use criterion::{criterion_group, criterion_main, BenchmarkId, Criterion};
 use ebonyspur::{
+    admission::Trust,
     config::{Service, ServiceKind},
     lookup::Answer,
     membership::Engine,
@@ -142,6 +143,7 @@
                     grant,
                     waiting: 0,
                     limit: Limit::Bound,
+                    trust: Trust::Ordinary,
                 };
                 let reply = cx.answer_grant(&asking, life, &req);
                 assert_eq!(reply, GrantReply::Granted);
--- a/examples/policy/world/place.rs
+++ b/examples/policy/world/place.rs
@@ -1,6 +1,7 @@
 //! The life of a request: it seeks a slot, runs and ends.
 
 use ebonyspur::{
+    admission::Trust,
     steward::{GrantId, GrantReply, HandOver, Holder},
     Incarnation, Instant,
 };
@@ -117,7 +118,10 @@
             };
             self.steward.accept(&engine.name, book, now);
         }
-        let reply = self.steward.grant(&engine, self.holder(grant), bound, now);
+        let trust = Trust::Ordinary;
+        let reply = self
+            .steward
+            .grant(&engine, self.holder(grant), trust, bound, now);
         let in_flight = self.sims[at].in_flight;
         self.known[router].note(&engine.name, in_flight, self.now);
         reply == GrantReply::Granted
--- a/src/peer/message.rs
+++ b/src/peer/message.rs
@@ -3,6 +3,7 @@
 use serde::{Deserialize, Serialize};
 
 use crate::{
+    admission::{AccuseRequest, BeginTrial, EndTrial, SuspectRecord, TrialAnswer},
     config::{ConfigHead, ConfigPart, ConfigSince},
     once::{KeyReply, KeyRequest},
     steward::{
@@ -40,6 +41,14 @@
     HandOver(HandOverRequest),
     /// Asks about a call that must not be repeated.
     Key(KeyRequest),
+    /// Asks for the suspects known.
+    Suspects,
+    /// Asks to run a request that might crash engines.
+    BeginTrial(BeginTrial),
+    /// Tells that such a run has ended.
+    EndTrial(EndTrial),
+    /// Tells of the death of an engine.
+    Accuse(AccuseRequest),
 }
 
 /// The answer to a [`Request`] as carried on the wire.
@@ -61,6 +70,12 @@
     HandOver(Option<HandOver>),
     /// Answer to [`Request::Key`].
     Key(KeyReply),
+    /// Answer to [`Request::Suspects`].
+    Suspects(Vec<SuspectRecord>),
+    /// Answer to [`Request::BeginTrial`].
+    Trial(TrialAnswer),
+    /// Answer to [`Request::EndTrial`] and [`Request::Accuse`].
+    Noted,
 }
 
 /// A typed call: what it asks and what it is answered with.
--- a/src/peer/server.rs
+++ b/src/peer/server.rs
@@ -146,6 +146,18 @@
             Reply::HandOver(cx.steward.hand_over(&req.engine, cx.clock.now()))
         }
         Request::Key(req) => Reply::Key(once::answer(cx, from, req).await),
+        Request::BeginTrial(req) => {
+            Reply::Trial(cx.answer_trial(&from.router, from.incarnation, &req))
+        }
+        Request::EndTrial(req) => {
+            cx.end_trial(&from.router, from.incarnation, &req);
+            Reply::Noted
+        }
+        Request::Accuse(req) => {
+            cx.engine_crashed(&req.0);
+            Reply::Noted
+        }
+        Request::Suspects => Reply::Suspects(cx.quarantine.records(cx.clock.now())),
     }
 }
 
--- a/src/router.rs
+++ b/src/router.rs
@@ -57,7 +57,7 @@
     /// Load of the teams.
     pub admission: Arc<Admission>,
     /// Requests that crashed engines.
-    pub quarantine: Arc<Quarantine>,
+    pub quarantine: Quarantine,
     /// Claims of calls that must not be repeated.
     pub once: Arc<Once>,
     /// Leases to order changes to engines.
@@ -95,7 +95,7 @@
             steward: Steward::default(),
             held: HeldGrants::default(),
             admission: Arc::default(),
-            quarantine: Arc::default(),
+            quarantine: Quarantine::default(),
             once: Arc::default(),
             leases: Leases::new(),
             orders: Orders::default(),
@@ -162,6 +162,7 @@
         tasks.spawn(config::follow_peers(self.clone()));
         tasks.spawn(config::write_checkpoints(self.clone()));
         tasks.spawn(membership::follow_instances(self.clone()));
+        tasks.spawn(membership::learn_suspects(self.clone()));
         tasks.spawn(steward::keep_engines(self.clone()));
         tasks.spawn(steward::renew_grants(self.clone()));
         tasks.spawn(once::keep_owned(self.clone()));
--- a/src/steward/answer.rs
+++ b/src/steward/answer.rs
@@ -102,7 +102,8 @@
         };
         let waiting = self.waiting_beside(router, req.waiting, &engine.pool);
         let bound = self.bound(&engine.pool, req.limit, waiting);
-        self.steward.grant(&engine, holder, bound, self.clock.now())
+        self.steward
+            .grant(&engine, holder, req.trust, bound, self.clock.now())
     }
 
     /// Puts the grants that a router lists on the books of this router's engines.
--- a/src/steward/slot.rs
+++ b/src/steward/slot.rs
@@ -4,6 +4,7 @@
 
 use super::{GrantId, GrantReply, GrantRequest, Limit, ReleaseRequest};
 use crate::{
+    admission::Trust,
     membership::{Engine, Peer},
     Category, Error, Result, Router,
 };
@@ -18,12 +19,14 @@
 }
 
 impl Slot {
-    /// Asks the steward of `engine` for a slot below `limit`, while `waiting` other
-    /// requests look for one here.
+    /// Asks the steward of `engine` for a slot below `limit` for a request of that trust,
+    /// while `waiting` other requests look for one here.
     ///
     /// # Errors
     ///
-    /// Returns [`Category::Overloaded`] when the engine is at its bound and
+    /// Returns [`Category::Overloaded`] when the engine is at its bound, or has a suspect
+    /// and the request is another, [`Category::Conflict`] when a copy of an unproven
+    /// request is there, and
     /// [`Category::Unavailable`] when it leaves or its steward cannot be asked. The
     /// request has not run in any of these cases.
     pub async fn acquire(
@@ -31,6 +34,7 @@
         engine: &Arc<Engine>,
         limit: Limit,
         waiting: u32,
+        trust: Trust,
     ) -> Result<Slot> {
         let steward = cx.steward_of(&engine.name);
         let name = steward
@@ -44,7 +48,7 @@
             granted: false,
         };
         let refused = |category| Err(Error::not_run(category, engine.name.to_string()));
-        let reply = match slot.ask(steward.as_deref(), limit, waiting).await {
+        let reply = match slot.ask(steward.as_deref(), limit, waiting, trust).await {
             Ok(reply) => reply,
             // The unknown grant is given back when the slot drops.
             Err(_) => return refused(Category::Unavailable),
@@ -56,12 +60,19 @@
         slot.held = false;
         cx.held.end(&engine.name, slot.grant, true);
         match reply {
-            GrantReply::Full => refused(Category::Overloaded),
+            GrantReply::Full | GrantReply::Occupied => refused(Category::Overloaded),
+            GrantReply::Copied => refused(Category::Conflict),
             _ => refused(Category::Unavailable),
         }
     }
 
-    async fn ask(&self, steward: Option<&Peer>, limit: Limit, waiting: u32) -> Result<GrantReply> {
+    async fn ask(
+        &self,
+        steward: Option<&Peer>,
+        limit: Limit,
+        waiting: u32,
+        trust: Trust,
+    ) -> Result<GrantReply> {
         let cx = &self.cx;
         let req = GrantRequest {
             engine: self.engine.name.clone(),
@@ -69,6 +80,7 @@
             grant: self.grant,
             waiting,
             limit,
+            trust,
         };
         match steward {
             Some(peer) => cx.peers.call(&peer.name, peer.peer_address, req).await,
--- a/tests/peer/server.rs
+++ b/tests/peer/server.rs
@@ -3,6 +3,7 @@
 use std::{io, net::SocketAddr, sync::Arc, time::Duration};
 
 use ebonyspur::{
+    admission::Trust,
     config::Secret,
     once::{ClaimRequest, Key},
     peer::{serve, Peers, Purpose, Sealer, MAX_HALF_OPEN},
@@ -43,6 +44,7 @@
         grant: GrantId(1),
         waiting: 0,
         limit: Limit::Bound,
+        trust: Trust::Ordinary,
     }
 }
 
@@ -122,6 +124,7 @@
             grant: GrantId(grant),
             waiting: 0,
             limit: Limit::Bound,
+            trust: Trust::Ordinary,
         };
         peers.call(&name, address, req)
     };
--- a/tests/steward/main.rs
+++ b/tests/steward/main.rs
@@ -5,6 +5,7 @@
 mod seeking;
 mod support;
 mod surge;
+mod suspects;
 mod takeover;
 mod waiting;
 mod window;
--- a/tests/steward/waiting.rs
+++ b/tests/steward/waiting.rs
@@ -1,6 +1,7 @@
 //! Which waiting requests count when a slot is asked for.
 
 use ebonyspur::{
+    admission::Trust,
     steward::{GrantId, GrantRequest, HandOver, Limit},
     Incarnation, Instant, RouterName,
 };
@@ -31,6 +32,7 @@
         grant: GrantId(1),
         waiting,
         limit: Limit::Bound,
+        trust: Trust::Ordinary,
     };
     let asking = RouterName::new(asking).expect("a name");
     format!("{:?}", cx.answer_grant(&asking, Incarnation(1), &req))
