--- a/examples/policy/report.rs
+++ b/examples/policy/report.rs
@@ -7,8 +7,8 @@
 /// Bytes of one call between routers with its answer, headers of TCP and IP included.
 const CALL_BYTES: u64 = 260;
 
-/// Bytes a second of the gossip of one router, at five datagrams a second.
-const GOSSIP_BYTES_PER_S: f64 = 1_500.0;
+/// Bytes of one datagram of the gossip, headers included.
+const DATAGRAM_BYTES: f64 = 300.0;
 
 /// Figures of one policy.
 #[derive(Debug, Default, Serialize)]
@@ -44,6 +44,8 @@
     /// 99th percentile of the wait for an engine, in milliseconds.
     pub wait_p99_ms: u64,
     #[serde(skip)]
+    pub datagrams: u64,
+    #[serde(skip)]
     pub calls: u64,
     #[serde(skip)]
     pub finished: u64,
@@ -116,7 +118,8 @@
         counts.waits.sort_unstable();
         self.wait_p99_ms = percentile(&counts.waits, 0.99);
         let calls = (self.calls * CALL_BYTES) as f64 / ROUTERS as f64 / seconds;
-        self.control_bytes_per_s = (calls + GOSSIP_BYTES_PER_S).round();
+        let datagrams = self.datagrams as f64 * DATAGRAM_BYTES / ROUTERS as f64 / seconds;
+        self.control_bytes_per_s = (calls + datagrams).round();
         self.goodput = round(self.finished as f64 / seconds);
     }
 }
--- a/examples/policy/world.rs
+++ b/examples/policy/world.rs
@@ -153,6 +153,7 @@
     fn gossip(&mut self) {
         let spread = self.policy.spread;
         self.news.tick(spread, self.now, &mut self.gossip_rng);
+        self.report.datagrams += ROUTERS as u64;
         self.schedule(self.now + spread.tick, Event::Gossip);
     }
 
