Test which engine's steward a returning caller is sent to

Seen with the first named engine taken whatever its state: the steward of the leaving one instead of engine-1.

--- /dev/null
+++ b/tests/placement/hinted.rs
@@ -0,0 +1,92 @@
+//! The router that a returning caller is sent to.
+
+use ebonyspur::{
+    config::{Service, ServiceKind},
+    lookup::{Address, Answer},
+    membership::View,
+    placement::first,
+    platform::{Instance, InstanceChanges, InstanceKind, InstanceState},
+    Incarnation,
+};
+use expect_test::expect;
+
+use crate::support::peer;
+
+fn router(number: usize) -> Instance {
+    let peer = peer(number, &format!("d{number}"));
+    Instance {
+        name: peer.name.to_string(),
+        kind: InstanceKind::Router,
+        pool: None,
+        address: peer.address,
+        peer_address: Some(peer.peer_address),
+        failure_domain: peer.domain,
+        state: InstanceState::Live,
+        incarnation: Incarnation(1),
+    }
+}
+
+fn engine(name: &str, pool: &str, state: InstanceState) -> Instance {
+    Instance {
+        name: name.to_string(),
+        kind: InstanceKind::Engine,
+        pool: Some(pool.parse().unwrap()),
+        peer_address: None,
+        state,
+        ..router(1)
+    }
+}
+
+/// Names the engines whose steward a caller with this hint is sent to.
+fn sent_to(hint: &str) -> String {
+    let me = peer(0, "d0");
+    let mut view = View::new(me.name.clone());
+    let engines = [
+        engine("leaving", "planners", InstanceState::Leaving),
+        engine("elsewhere", "others", InstanceState::Live),
+        engine("engine-1", "planners", InstanceState::Live),
+        engine("engine-2", "planners", InstanceState::Live),
+    ];
+    view.apply_instances(InstanceChanges {
+        version: 1,
+        full: true,
+        instances: (1..20).map(router).chain(engines).collect(),
+        gone: Vec::new(),
+    });
+    let me = Address {
+        router: me.name,
+        address: me.address,
+        domain: me.domain,
+    };
+    let service = Service {
+        name: "planner".parse().unwrap(),
+        kind: ServiceKind::Chat,
+        pool: "planners".parse().unwrap(),
+    };
+    let chat = "chat-1".parse().unwrap();
+    let hint = hint.parse().unwrap();
+    let answer = Answer::new(&view, &me, &service, &chat, &hint).unwrap();
+    let chosen = Some(&answer.addresses[0].router);
+    let names = view.all_engines().map(|engine| engine.name.as_str());
+    let counted = names.filter(|name| first(name, view.duty_routers()) == chosen);
+    counted.collect::<Vec<_>>().join(" ")
+}
+
+#[test]
+fn the_newest_engine_that_takes_the_chat_decides() {
+    let hints = [
+        "",
+        "engine-1@1",
+        "engine-2@1",
+        "leaving@1,elsewhere@1,engine-1@1",
+        "engine-2@7,engine-1@1",
+    ];
+    let lines = hints.map(|hint| format!("[{hint}] {}", sent_to(hint)));
+    expect![[r#"
+        [] engine-2
+        [engine-1@1] engine-1
+        [engine-2@1] engine-2
+        [leaving@1,elsewhere@1,engine-1@1] engine-1
+        [engine-2@7,engine-1@1] engine-1"#]]
+    .assert_eq(&lines.join("\n"));
+}
--- a/tests/placement/main.rs
+++ b/tests/placement/main.rs
@@ -1,6 +1,7 @@
 //! Placement and lookup.
 
 mod directory;
+mod hinted;
 mod lookup;
 mod preferred;
 mod support;
