--- a/examples/policy/policy.rs
+++ b/examples/policy/policy.rs
@@ -1,11 +1,11 @@
 //! The policies that the bench compares.
 
-use ebonyspur::{
-    placement::{Spill, MAX_RANKS},
-    steward::FRESH_FACTOR,
-};
+use ebonyspur::{placement::MAX_RANKS, steward::FRESH_FACTOR};
 
-use super::world::FACTOR;
+use super::{
+    trace::SECOND,
+    world::{Spread, FACTOR, SPREAD},
+};
 
 /// Where the last engines of a chat are remembered.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -18,6 +18,17 @@
     Directory,
 }
 
+/// Order in which engines that the hint does not name are tried.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Spill {
+    /// By rendezvous rank, as the library orders them.
+    NextRank,
+    /// The first rank, then the others by load.
+    RankThenLoad,
+    /// By load; rank decides between equal loads.
+    LeastLoaded,
+}
+
 /// Where a router takes the load of engines from.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Source {
@@ -36,14 +47,23 @@
 pub enum Mean {
     /// As last heard.
     Heard,
-    /// The lowest heard within a window.
-    Floor,
-    /// As `Floor`, and the factor less the error of a heard load.
+    /// As `Heard`, and the factor less the error of a heard load.
     Cautious,
+    /// As `Cautious`, with this relative error of one request.
+    Margin(f64),
     /// As `Cautious`, with one engine more than the steward knows.
     CautiousAndOne,
 }
 
+/// How many engines share the load, to a steward.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Count {
+    /// Those of its own list.
+    Listed,
+    /// Those of its own list or those in the sums, whichever are more.
+    Most,
+}
+
 /// How the engine is chosen.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Choice {
@@ -82,6 +102,12 @@
     pub penalty: u32,
     /// Whether the least loaded of the remembered engines goes first.
     pub warm_by_load: bool,
+    /// Whether a request counts as waiting while it waits for a remembered engine only.
+    pub warm_counts: bool,
+    /// How many engines share the load.
+    pub count: Count,
+    /// How loads spread.
+    pub spread: Spread,
 }
 
 const EBONYSPUR: Policy = Policy {
@@ -96,6 +122,9 @@
     mean: Mean::Cautious,
     penalty: 0,
     warm_by_load: false,
+    warm_counts: false,
+    count: Count::Most,
+    spread: SPREAD,
 };
 
 /// The policy of the product and the baselines.
@@ -216,8 +245,13 @@
         ..EBONYSPUR
     },
     Policy {
-        name: "mean_floor",
-        mean: Mean::Floor,
+        name: "error_0.5",
+        mean: Mean::Margin(0.5),
+        ..EBONYSPUR
+    },
+    Policy {
+        name: "error_1.0",
+        mean: Mean::Margin(1.0),
         ..EBONYSPUR
     },
     Policy {
@@ -230,6 +264,50 @@
         warm_by_load: true,
         ..EBONYSPUR
     },
+    Policy {
+        name: "warm_waits_count",
+        warm_counts: true,
+        ..EBONYSPUR
+    },
+    Policy {
+        name: "listed_engines",
+        count: Count::Listed,
+        ..EBONYSPUR
+    },
+    Policy {
+        name: "sums_on_calls",
+        spread: Spread {
+            calls: true,
+            ..SPREAD
+        },
+        ..EBONYSPUR
+    },
+    Policy {
+        name: "report_200_ms",
+        spread: Spread {
+            report: SECOND / 5,
+            ..SPREAD
+        },
+        ..EBONYSPUR
+    },
+    Policy {
+        name: "gossip_100_ms",
+        spread: Spread {
+            tick: SECOND / 10,
+            report: SECOND / 5,
+            ..SPREAD
+        },
+        ..EBONYSPUR
+    },
+    Policy {
+        name: "gossip_50_ms",
+        spread: Spread {
+            tick: SECOND / 20,
+            report: SECOND / 10,
+            ..SPREAD
+        },
+        ..EBONYSPUR
+    },
     Policy {
         name: "failure_penalty_1",
         spill: Spill::LeastLoaded,
--- a/src/config/mod.rs
+++ b/src/config/mod.rs
@@ -12,11 +12,13 @@
 mod checkpoint;
 mod decision;
 mod message;
+mod moves;
 mod object;
 mod pull;
 mod record;
 mod settings;
 mod shared;
+mod spread;
 mod state;
 mod task;
 
@@ -24,11 +26,13 @@
     checkpoint::{checkpoint_due, newest_usable},
     decision::{Decision, Outcome, Rejection},
     message::{decode, ConfigHead, ConfigPart, ConfigSince, EncodedRecord},
+    moves::{Halt, Move, MoveStep, StepResult, MAX_REASON_LEN},
     object::{Model, Pool, Role, Service, ServiceKind, Team, DEFAULT_LOAD_FACTOR},
     pull::follow_peers,
     record::{Change, Checkpoint, Op, Record},
     settings::{Limits, Listen, Operator, Secret, Settings},
     shared::Config,
+    spread::{Assignment, Spread},
     state::{CheckpointMark, State, WINDOW},
     task::{follow, write_checkpoints},
 };
--- a/src/intent/plan.rs
+++ b/src/intent/plan.rs
@@ -2,7 +2,7 @@
 
 use serde::{Deserialize, Serialize};
 
-use super::{Intent, PoolCapacity};
+use super::{Intent, PoolCapacity, VersionCapacity};
 use crate::{
     config::{Change, Op, Operator, Rejection, State},
     Category, EngineName, Error, Offset, Result, UnixMillis,
@@ -23,6 +23,9 @@
     pub steps: Vec<Step>,
     /// Pools whose capacity changes.
     pub capacity: Vec<PoolCapacity>,
+    /// Versions whose engines change.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub versions: Vec<VersionCapacity>,
     /// Estimate of the chats that go cold.
     pub cold: ColdChats,
     /// The operations.
@@ -41,17 +44,41 @@
 }
 
 impl Step {
-    /// Describes one operation.
-    pub fn new(op: &Op) -> Self {
+    /// Describes one operation, which has a step for each engine that it names.
+    pub fn all(op: &Op) -> Vec<Self> {
+        let Op::Spread { engines, .. } = op else {
+            return vec![Step::new(op)];
+        };
+        let steps = engines.iter().map(|(engine, versions)| {
+            let versions: Vec<_> = versions.iter().map(|version| version.as_str()).collect();
+            Step {
+                object: format!("engine/{engine}"),
+                action: format!(
+                    "carry {} once all engines have theirs ready",
+                    versions.join(", ")
+                ),
+            }
+        });
+        [Step::new(op)].into_iter().chain(steps).collect()
+    }
+
+    fn new(op: &Op) -> Self {
         let action = match op {
             Op::PutTeam(_) | Op::PutService(_) | Op::PutPool(_) | Op::PutModel(_) => "put".into(),
             Op::RemoveTeam { .. }
             | Op::RemoveService { .. }
             | Op::RemovePool { .. }
             | Op::RemoveModel { .. } => "remove".into(),
-            Op::MoveTeam { to, .. } => format!("move to version {to}"),
+            Op::MoveTeam { to, .. } => format!("move to version {to} once engines have it ready"),
             Op::Load { version, .. } => format!("load version {version}"),
-            Op::Unload { version, .. } => format!("unload version {version}"),
+            Op::Unload { version, .. } => {
+                format!("unload version {version} once no team is served by it")
+            }
+            Op::Spread { engines, .. } if engines.is_empty() => {
+                "carry all versions on each engine".into()
+            }
+            Op::Spread { .. } => "spread versions over engines; others carry all".into(),
+            Op::Retry { .. } => "try failed loads again".into(),
             Op::Drain { .. } => "take no new work; work in flight ends by itself".into(),
             Op::Undrain { .. } => "take new work again".into(),
             Op::SetRole { role, .. } => format!("change role to {role:?}").to_lowercase(),
@@ -133,7 +160,7 @@
     /// Returns [`Category::Unauthorized`] when the plan touches what the operator may
     /// not change.
     pub fn confirm(self, operator: &Operator, now: UnixMillis) -> Result<Plan<Confirmed>> {
-        check_scope(operator, &self.document.ops)?;
+        check_scope(operator, &self.document)?;
         let stage = Confirmed {
             operator: operator.name.clone(),
             at: now,
@@ -145,13 +172,19 @@
     }
 }
 
-/// Checks that `operator` may carry out `ops`.
-fn check_scope(operator: &Operator, ops: &[Op]) -> Result<()> {
+/// Checks that `operator` may carry out `plan`.
+///
+/// A move of an own team may unload the version that it alone needed.
+fn check_scope(operator: &Operator, plan: &PlanDocument) -> Result<()> {
     let Some(teams) = &operator.teams else {
         return Ok(());
     };
-    let is_allowed = |op: &Op| op.team().is_some_and(|team| teams.contains(team));
-    let Some(op) = ops.iter().find(|op| !is_allowed(op)) else {
+    let is_move = matches!(plan.intent, Intent::MoveTeam { .. });
+    let is_allowed = |op: &Op| match op {
+        Op::Unload { .. } => is_move,
+        op => op.team().is_some_and(|team| teams.contains(team)),
+    };
+    let Some(op) = plan.ops.iter().find(|op| !is_allowed(op)) else {
         return Ok(());
     };
     let message = format!("operator {} may not change {}", operator.name, op.object());
--- a/src/peer/message.rs
+++ b/src/peer/message.rs
@@ -5,6 +5,7 @@
 use crate::{
     admission::{AccuseRequest, BeginTrial, EndTrial, SuspectRecord, TrialAnswer},
     config::{ConfigHead, ConfigPart, ConfigSince},
+    once::{KeyReply, KeyRequest},
     steward::{
         GrantReply, GrantRequest, HandOver, HandOverRequest, ReleaseRequest, RenewReply,
         RenewRequest,
@@ -46,6 +47,8 @@
     EndTrial(EndTrial),
     /// Tells of the death of an engine.
     Accuse(AccuseRequest),
+    /// Asks about a call that must not be repeated.
+    Key(KeyRequest),
 }
 
 /// The answer to a [`Request`] as carried on the wire.
@@ -71,6 +74,8 @@
     Trial(TrialAnswer),
     /// Answer to [`Request::EndTrial`] and [`Request::Accuse`].
     Noted,
+    /// Answer to [`Request::Key`].
+    Key(KeyReply),
 }
 
 /// A typed call: what it asks and what it is answered with.
--- a/src/relay/place.rs
+++ b/src/relay/place.rs
@@ -2,9 +2,9 @@
 
 use std::{sync::Arc, time::Duration};
 
-use super::{request::Placed, trial::Trial, Admitted, Request};
+use super::{request::Placed, trial::Trial, Admitted, Head, Request};
 use crate::{
-    admission::{Applicant, Class, Trust, Waiter},
+    admission::{Applicant, Class, Seeker, Trust, Waiter},
     membership::Engine,
     steward::{Limit, Slot},
     Category, EngineName, Error, Result, Router,
@@ -30,7 +30,6 @@
     /// Returns [`Category::Overloaded`] when no slot is free in time and
     /// [`Category::Unavailable`] when no engine is live.
     pub async fn place(mut self, cx: &Arc<Router>) -> Result<Request<Placed>> {
-        let _seeker = cx.admission.seekers.enter(&self.head.pool);
         if self.needs_trial(cx) {
             self.begin_trial(cx).await?;
         }
@@ -38,16 +37,20 @@
             if let Some(slot) = self.wait_for_warm(cx).await? {
                 return Ok(self.at_slot(slot));
             }
-            match self.try_engines(cx, &self.candidates(cx)?).await {
+        }
+        // What waits for one engine is no load that the others could have.
+        let seeker = cx.admission.seekers.enter(&self.head.pool);
+        if !cx.admission.lines.is_waiting(&self.head.pool) {
+            match self.try_engines(cx, &seeker, &self.candidates(cx)?).await {
                 Ok(slot) => return Ok(self.at_slot(slot)),
                 Err(err) if err.classify() == Category::Conflict => {
-                    return self.wait_for_copy(cx).await;
+                    return self.wait_for_copy(cx, &seeker).await;
                 }
                 Err(err) if err.classify() == Category::Quarantined => return Err(err),
                 Err(err) => log::debug!("request={} waits error=\"{err}\"", self.head.id),
             }
         }
-        self.wait_for_slot(cx).await
+        self.wait_for_slot(cx, &seeker).await
     }
 
     /// Returns whether the request was sent before, or an engine died with it.
@@ -81,12 +84,12 @@
     }
 
     /// Waits until no copy of the request is on the engine where it belongs.
-    async fn wait_for_copy(mut self, cx: &Arc<Router>) -> Result<Request<Placed>> {
+    async fn wait_for_copy(mut self, cx: &Arc<Router>, seeker: &Seeker) -> Result<Request<Placed>> {
         self.stage.contested = true;
         self.begin_trial(cx).await?;
         let deadline = cx.clock.now() + cx.settings.limits.queue;
         loop {
-            match self.try_engines(cx, &self.candidates(cx)?).await {
+            match self.try_engines(cx, seeker, &self.candidates(cx)?).await {
                 Ok(slot) => return Ok(self.at_slot(slot)),
                 Err(err) if err.classify() == Category::Quarantined => return Err(err),
                 Err(_) if cx.clock.now() < deadline => tokio::time::sleep(WARM_RETRY).await,
@@ -103,12 +106,14 @@
     async fn wait_for_warm(&mut self, cx: &Arc<Router>) -> Result<Option<Slot>> {
         let deadline = cx.clock.now() + WARM_WAIT;
         loop {
-            let mut warm = self.candidates(cx)?;
-            warm.retain(|engine| self.head.hint.position(engine).is_some());
+            let Head {
+                pool, team, hint, ..
+            } = &self.head;
+            let warm = cx.warm_engines(pool, team, hint, &self.stage.failed);
             if warm.is_empty() {
                 return Ok(None);
             }
-            match self.try_below(cx, &warm, Limit::Bound).await {
+            match self.try_below(cx, None, &warm, Limit::Bound).await {
                 Ok(slot) => return Ok(Some(slot)),
                 Err(err) if err.classify() == Category::Quarantined => return Err(err),
                 Err(err) if err.classify() != Category::Overloaded => return Ok(None),
@@ -118,7 +123,7 @@
         }
     }
 
-    async fn wait_for_slot(mut self, cx: &Arc<Router>) -> Result<Request<Placed>> {
+    async fn wait_for_slot(mut self, cx: &Arc<Router>, seeker: &Seeker) -> Result<Request<Placed>> {
         // Those that wait ask varying engines.
         self.leave_first_engine(cx).await?;
         let waiter = self.enqueue(cx)?;
@@ -127,7 +132,7 @@
             let freed = waiter.turn().await?;
             let engines = some_of(&self.candidates(cx)?, &freed, round);
             round += 1;
-            match self.try_engines(cx, &engines).await {
+            match self.try_engines(cx, seeker, &engines).await {
                 Ok(slot) => {
                     waiter.placed();
                     return Ok(self.at_slot(slot));
@@ -135,7 +140,7 @@
                 Err(err) if err.classify() == Category::Quarantined => return Err(err),
                 Err(err) if err.classify() == Category::Conflict => {
                     drop(waiter);
-                    return self.wait_for_copy(cx).await;
+                    return self.wait_for_copy(cx, seeker).await;
                 }
                 Err(_) => waiter.pause().await,
             }
@@ -161,8 +166,14 @@
 
     /// Returns the engines that the request may use, the best first.
     fn candidates(&self, cx: &Router) -> Result<Vec<Arc<Engine>>> {
-        let engines = cx.open_engines(&self.head.pool, &self.stage.failed);
-        let ranked = cx.candidates(&self.head.chat, &self.head.hint, &engines);
+        let Head {
+            pool,
+            team,
+            chat,
+            hint,
+            ..
+        } = &self.head;
+        let ranked = cx.candidates(pool, team, chat, hint, &self.stage.failed);
         if ranked.is_empty() {
             return Err(Error::not_run(Category::Unavailable, "no engine is live"));
         }
@@ -170,11 +181,19 @@
     }
 
     /// Takes a slot on the first of `engines` below the mean, else on the first below its bound.
-    async fn try_engines(&mut self, cx: &Arc<Router>, engines: &[Arc<Engine>]) -> Result<Slot> {
-        match self.try_below(cx, engines, Limit::Mean).await {
+    async fn try_engines(
+        &mut self,
+        cx: &Arc<Router>,
+        seeker: &Seeker,
+        engines: &[Arc<Engine>],
+    ) -> Result<Slot> {
+        match self.try_below(cx, Some(seeker), engines, Limit::Mean).await {
             Ok(slot) => Ok(slot),
             Err(err) if is_of_copies(&err) => Err(err),
-            Err(_) => self.try_below(cx, engines, Limit::Bound).await,
+            Err(_) => {
+                self.try_below(cx, Some(seeker), engines, Limit::Bound)
+                    .await
+            }
         }
     }
 
@@ -182,6 +201,7 @@
     async fn try_below(
         &mut self,
         cx: &Arc<Router>,
+        seeker: Option<&Seeker>,
         engines: &[Arc<Engine>],
         limit: Limit,
     ) -> Result<Slot> {
@@ -190,7 +210,11 @@
             if index > 0 {
                 self.leave_first_engine(cx).await?;
             }
-            match Slot::acquire(cx, engine, limit, self.trust(cx)).await {
+            let waiting = match seeker {
+                Some(seeker) => seeker.others(),
+                None => cx.admission.seekers.count(&self.head.pool),
+            };
+            match Slot::acquire(cx, engine, limit, waiting, self.trust(cx)).await {
                 Ok(slot) => return self.confirm(slot).await,
                 Err(err) if is_of_copies(&err) => return Err(err),
                 Err(err) => refusal = err,
--- a/src/steward/slot.rs
+++ b/src/steward/slot.rs
@@ -19,7 +19,8 @@
 }
 
 impl Slot {
-    /// Asks the steward of `engine` for a slot below `limit` for a request of that trust.
+    /// Asks the steward of `engine` for a slot below `limit` for a request of that trust,
+    /// while `waiting` other requests look for one here.
     ///
     /// # Errors
     ///
@@ -32,6 +33,7 @@
         cx: &Arc<Router>,
         engine: &Arc<Engine>,
         limit: Limit,
+        waiting: u32,
         trust: Trust,
     ) -> Result<Slot> {
         let steward = cx.steward_of(&engine.name);
@@ -46,7 +48,7 @@
             granted: false,
         };
         let refused = |category| Err(Error::not_run(category, engine.name.to_string()));
-        let reply = match slot.ask(steward.as_deref(), limit, trust).await {
+        let reply = match slot.ask(steward.as_deref(), limit, waiting, trust).await {
             Ok(reply) => reply,
             // The unknown grant is given back when the slot drops.
             Err(_) => return refused(Category::Unavailable),
@@ -64,14 +66,19 @@
         }
     }
 
-    async fn ask(&self, steward: Option<&Peer>, limit: Limit, trust: Trust) -> Result<GrantReply> {
+    async fn ask(
+        &self,
+        steward: Option<&Peer>,
+        limit: Limit,
+        waiting: u32,
+        trust: Trust,
+    ) -> Result<GrantReply> {
         let cx = &self.cx;
-        let seekers = cx.admission.seekers.count(&self.engine.pool);
         let req = GrantRequest {
             engine: self.engine.name.clone(),
             incarnation: self.engine.incarnation,
             grant: self.grant,
-            waiting: seekers.saturating_sub(1),
+            waiting,
             limit,
             trust,
         };
