Try for a warm engine again after 10 ms, then up to 40 ms

Cause: a request that waits for the engine that caches its chat tried again each 100 ms.

Change: 10 ms, doubled up to 40 ms.

--- a/src/relay/place.rs
+++ b/src/relay/place.rs
@@ -11,13 +11,19 @@
 };
 
 /// How many times longer a draft waits for an engine than an interactive request.
-const DRAFT_PATIENCE: u32 = 4;
+const DRAFT_QUEUE_FACTOR: u32 = 4;
 
 /// Longest wait for an engine that caches the chat, when another would have to start cold.
 const WARM_WAIT: Duration = Duration::from_millis(1_500);
 
-/// Time between two tries for an engine that caches the chat.
-const WARM_RETRY: Duration = Duration::from_millis(100);
+/// Time until the second try for an engine that caches the chat; it doubles with each try.
+const MIN_WARM_RETRY: Duration = Duration::from_millis(10);
+
+/// Longest time between two tries for an engine that caches the chat.
+const MAX_WARM_RETRY: Duration = Duration::from_millis(40);
+
+/// Time between two tries of a request that waits for a copy of it.
+const COPY_RETRY: Duration = Duration::from_millis(100);
 
 /// Engines without a freed slot that a waiting request asks in one round.
 const ENGINES_PER_ROUND: usize = 4;
@@ -92,7 +98,7 @@
             match self.try_engines(cx, seeker, &self.candidates(cx)?).await {
                 Ok(slot) => return Ok(self.at_slot(slot)),
                 Err(err) if err.classify() == Category::Quarantined => return Err(err),
-                Err(_) if cx.clock.now() < deadline => tokio::time::sleep(WARM_RETRY).await,
+                Err(_) if cx.clock.now() < deadline => tokio::time::sleep(COPY_RETRY).await,
                 Err(_) => {
                     let message = "a copy of this request has not been answered yet";
                     let err = Error::not_run(Category::Overloaded, message);
@@ -105,6 +111,7 @@
     /// Waits a little for an engine that caches the chat, while it is at its bound.
     async fn wait_for_warm(&mut self, cx: &Arc<Router>) -> Result<Option<Slot>> {
         let deadline = cx.clock.now() + WARM_WAIT;
+        let mut pause = MIN_WARM_RETRY;
         loop {
             let Head {
                 pool, team, hint, ..
@@ -118,8 +125,9 @@
                 Err(err) if err.classify() == Category::Quarantined => return Err(err),
                 Err(err) if err.classify() != Category::Overloaded => return Ok(None),
                 Err(_) if cx.clock.now() >= deadline => return Ok(None),
-                Err(_) => tokio::time::sleep(WARM_RETRY).await,
+                Err(_) => tokio::time::sleep(pause).await,
             }
+            pause = (pause * 2).min(MAX_WARM_RETRY);
         }
     }
 
@@ -150,15 +158,15 @@
     fn enqueue(&self, cx: &Router) -> Result<Waiter> {
         let team = &self.head.team;
         let share = cx.config.current().teams.get(team).map(|team| team.share);
-        let patience = match self.head.class {
+        let wait = match self.head.class {
             Class::Interactive => cx.settings.limits.queue,
-            Class::Draft => cx.settings.limits.queue * DRAFT_PATIENCE,
+            Class::Draft => cx.settings.limits.queue * DRAFT_QUEUE_FACTOR,
         };
         let applicant = Applicant {
             team,
             share: share.unwrap_or(1),
             class: self.head.class,
-            deadline: cx.clock.now() + patience,
+            deadline: cx.clock.now() + wait,
         };
         let lines = &cx.admission.lines;
         lines.enqueue(&self.head.pool, applicant, cx.clock)
