--- a/src/cli/args.rs
+++ b/src/cli/args.rs
@@ -116,9 +116,9 @@
         /// Chat of the request.
         #[arg(long)]
         chat: ChatId,
-        /// Service of the request.
+        /// Service of the request; the only chat service if there is one.
         #[arg(long)]
-        service: ServiceName,
+        service: Option<ServiceName>,
     },
 }
 
--- a/src/cli/mod.rs
+++ b/src/cli/mod.rs
@@ -6,6 +6,7 @@
 mod args;
 mod client;
 mod exit;
+mod out;
 mod plan;
 mod show;
 mod table;
@@ -51,17 +52,12 @@
             command: SettingsCommand::Check { file },
         } => {
             Settings::from_file(&file)?;
-            println!("{}: ok", file.display());
-            Ok(())
+            out::line(format_args!("{}: ok", file.display()))
         }
         Command::Completions { shell } => {
-            clap_complete::generate(
-                shell,
-                &mut Args::command(),
-                "ebonyspur",
-                &mut std::io::stdout(),
-            );
-            Ok(())
+            let mut script = Vec::new();
+            clap_complete::generate(shell, &mut Args::command(), "ebonyspur", &mut script);
+            out::print(String::from_utf8_lossy(&script))
         }
         Command::Plan { command, out } => {
             plan::run(&AdminClient::new(&args.connection)?, command, out, output).await
--- /dev/null
+++ b/src/cli/out.rs
@@ -0,0 +1,25 @@
+//! Writes results to the standard output.
+
+use std::{
+    fmt::Display,
+    io::{self, ErrorKind, Write},
+};
+
+use super::Done;
+use crate::Error;
+
+/// Prints a line.
+///
+/// Ends the process quietly when nobody reads any more, as in `ebonyspur state ROUTER | head`.
+pub(super) fn line(text: impl Display) -> Done {
+    print(format_args!("{text}\n"))
+}
+
+/// Prints text that has its own line ends.
+pub(super) fn print(text: impl Display) -> Done {
+    match write!(io::stdout().lock(), "{text}") {
+        Ok(()) => Ok(()),
+        Err(err) if err.kind() == ErrorKind::BrokenPipe => std::process::exit(0),
+        Err(err) => Err(Error::from(err).into()),
+    }
+}
--- a/src/cli/plan.rs
+++ b/src/cli/plan.rs
@@ -6,7 +6,7 @@
 
 use super::{
     args::{Confirm, Output, PlanCommand},
-    table, wait, AdminClient, Done, Failure,
+    out, table, wait, AdminClient, Done, Failure,
 };
 use crate::{
     intent::{Intent, Objects, PlanDocument, Settled},
@@ -40,26 +40,24 @@
     let token = answer["token"].as_str().unwrap_or_default();
     std::fs::write(&file, format!("{token}\n")).map_err(Error::from)?;
     match output {
-        Output::Json => println!("{}", json!({ "plan": plan, "file": file })),
+        Output::Json => out::line(json!({ "plan": plan, "file": file })),
         Output::Table => {
-            print!("{}", table::plan(&plan));
-            println!(
-                "\nNothing has changed. Confirm with: ebonyspur confirm {}",
-                file.display()
-            );
+            out::print(table::plan(&plan))?;
+            let confirm = format_args!("ebonyspur confirm {}", file.display());
+            out::line(format_args!(
+                "\nNothing has changed. Confirm with: {confirm}"
+            ))
         }
     }
-    Ok(())
 }
 
 async fn show(client: &AdminClient, file: &Path, output: Output) -> Done {
     let body = json!({ "token": read(file)?.trim() });
     let plan = document(&client.post("/v1/plans/show", &body).await?)?;
     match output {
-        Output::Json => println!("{}", json!({ "plan": plan, "file": file })),
-        Output::Table => print!("{}", table::plan(&plan)),
+        Output::Json => out::line(json!({ "plan": plan, "file": file })),
+        Output::Table => out::print(table::plan(&plan)),
     }
-    Ok(())
 }
 
 /// Confirms a plan.
@@ -68,7 +66,7 @@
     let answer = client.post("/v1/plans/confirm", &body).await?;
     let settled: Settled = serde_json::from_value(answer.clone()).map_err(malformed)?;
     if output == Output::Json {
-        println!("{answer}");
+        out::line(&answer)?;
     }
     match settled {
         Settled::Rejected { id, rejection, .. } => {
@@ -76,7 +74,7 @@
         }
         Settled::Accepted { id, offset } => {
             if output == Output::Table {
-                println!("{id} was accepted at offset {offset}");
+                out::line(format_args!("{id} was accepted at offset {offset}"))?;
             }
             match args.wait {
                 true => wait::until_in_force(client, offset, args.timeout).await,
--- a/src/cli/show.rs
+++ b/src/cli/show.rs
@@ -4,9 +4,9 @@
 
 use super::{
     args::{Look, Output},
-    table, AdminClient, Done,
+    out, table, AdminClient, Done,
 };
-use crate::UnixMillis;
+use crate::{Category, Error, Result, UnixMillis};
 
 /// Time that a router holds back an empty list of events, in milliseconds.
 const FOLLOW_WAIT_MS: u64 = 20_000;
@@ -18,61 +18,82 @@
         Look::Events { follow, since } => events(client, since, follow, output).await,
         Look::State { router } => {
             let state = client.get(&format!("/v1/routers/{router}/state")).await?;
-            println!("{state:#}");
-            Ok(())
+            out::line(format_args!("{state:#}"))
         }
         Look::Get { kind } => {
             let objects = client
                 .get(&format!("/v1/objects/{}", kind.as_str()))
                 .await?;
-            print_rows(&objects, output);
-            Ok(())
+            print_rows(&objects, output)
         }
         Look::Explain {
             team,
             chat,
             service,
         } => {
+            let service = match service {
+                Some(service) => service.to_string(),
+                None => only_chat_service(client).await?,
+            };
             let path = format!("/v1/explain?team={team}&chat={chat}&service={service}");
-            println!("{:#}", client.get(&path).await?);
-            Ok(())
+            out::line(format_args!("{:#}", client.get(&path).await?))
         }
     }
 }
 
-fn print_rows(rows: &Value, output: Output) {
+/// Returns the name of the chat service, if there is just one.
+async fn only_chat_service(client: &AdminClient) -> Result<String> {
+    let services = client.get("/v1/objects/services").await?;
+    let services = services.as_array().map_or(&[][..], Vec::as_slice);
+    let chats = services.iter().filter(|service| service["kind"] == "chat");
+    let names: Vec<_> = chats.filter_map(|chat| chat["name"].as_str()).collect();
+    match names[..] {
+        [name] => Ok(name.to_string()),
+        _ => {
+            let message = format!("name one with --service: {}", names.join(", "));
+            Err(Error::not_run(Category::BadInput, message))
+        }
+    }
+}
+
+fn print_rows(rows: &Value, output: Output) -> Done {
     match output {
-        Output::Json => println!("{rows}"),
-        Output::Table => print!(
-            "{}",
-            table::rows(rows.as_array().map_or(&[], Vec::as_slice))
-        ),
+        Output::Json => out::line(rows),
+        Output::Table => {
+            let rows = rows.as_array().map_or(&[][..], Vec::as_slice);
+            out::print(table::rows(rows))
+        }
     }
 }
 
 async fn status(client: &AdminClient, output: Output) -> Done {
     let status = client.get("/v1/status").await?;
     if output == Output::Json {
-        println!("{status}");
-        return Ok(());
+        return out::line(&status);
     }
+    let state = match status["phase"].as_str() {
+        Some("serving") => "live",
+        phase => phase.unwrap_or("?"),
+    };
     let mut rows = vec![json!({
-        "router": status["router"], "state": status["phase"], "applied": status["applied"],
+        "router": status["router"], "state": state, "applied": status["applied"],
     })];
     for (name, router) in status["routers"].as_object().into_iter().flatten() {
         rows.push(json!({
             "router": name, "state": router["state"], "applied": router["applied"],
         }));
     }
-    print!("{}", table::rows(&rows));
+    out::print(table::rows(&rows))?;
     for key in ["moves", "stopped"] {
         let rows = status[key].as_array().map_or(&[][..], Vec::as_slice);
         if !rows.is_empty() {
-            print!("\n{}:\n{}", key.to_uppercase(), table::rows(rows));
+            let title = key.to_uppercase();
+            out::print(format_args!("\n{title}:\n{}", table::rows(rows)))?;
         }
     }
     for pool in status["rebalancing"].as_array().into_iter().flatten() {
-        println!("\nrebalancing pool {}", pool.as_str().unwrap_or("?"));
+        let pool = pool.as_str().unwrap_or("?");
+        out::line(format_args!("\nrebalancing pool {pool}"))?;
     }
     Ok(())
 }
@@ -86,8 +107,8 @@
         let decisions = answer["decisions"].as_array();
         for decision in decisions.into_iter().flatten() {
             match output {
-                Output::Json => println!("{decision}"),
-                Output::Table => println!("{}", event_line(decision)),
+                Output::Json => out::line(decision)?,
+                Output::Table => out::line(event_line(decision))?,
             }
         }
         let is_last = decisions.is_none_or(Vec::is_empty);
--- a/tests/cli/main.rs
+++ b/tests/cli/main.rs
@@ -7,6 +7,7 @@
 mod drain;
 mod explain;
 mod look;
+mod pipe;
 mod rebalance;
 mod settings;
 mod tool;
