Name what decides on trials the arbiter, and give each measured request a text of its own

The load sent the same text in every request; since copies of a text that was never answered run one at a time, 1,000 slow streams ran as one, and the cost of a trial, which each real text needs when it leaves its first engine, was in no figure.

Change: names only in the code; in the load each request has a text of its own.

--- a/src/admission/message.rs
+++ b/src/admission/message.rs
@@ -40,7 +40,7 @@
     }
 }
 
-/// Asks the keeper of a request to let it run.
+/// Asks the arbiter of a request to let it run.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct BeginTrial {
     /// The request.
@@ -54,11 +54,11 @@
 pub struct TrialAnswer {
     /// Whether the request may run.
     pub reply: TrialReply,
-    /// What the keeper knows of it, when engines died with it.
+    /// What the arbiter knows of it, when engines died with it.
     pub known: Option<SuspectRecord>,
 }
 
-/// Tells the keeper of a request that a trial of it has ended.
+/// Tells the arbiter of a request that a trial of it has ended.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct EndTrial {
     /// The request.
@@ -69,7 +69,7 @@
     pub whole: bool,
 }
 
-/// Tells the keeper of a request that an engine died with it in flight.
+/// Tells the arbiter of a request that an engine died with it in flight.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct AccuseRequest(pub Crash);
 
--- a/src/admission/quarantine.rs
+++ b/src/admission/quarantine.rs
@@ -310,7 +310,7 @@
         lock(&self.suspects).ended(engine, life, now)
     }
 
-    /// Begins the trial of a request of which this router is the keeper.
+    /// Begins the trial of a request of which this router is the arbiter.
     pub fn begin_trial(
         &self,
         fingerprint: Fingerprint,
@@ -327,7 +327,7 @@
         lock(&self.trials).begin(fingerprint, holder, is_live, now)
     }
 
-    /// Ends a trial of which this router is the keeper.
+    /// Ends a trial of which this router is the arbiter.
     pub fn end_trial(&self, fingerprint: Fingerprint, holder: &TrialHolder) {
         lock(&self.trials).end(fingerprint, holder);
     }
--- a/src/relay/trial.rs
+++ b/src/relay/trial.rs
@@ -79,7 +79,7 @@
             fingerprint: self.fingerprint,
             number: self.number,
         };
-        let Some(peer) = cx.keeper_of(self.fingerprint) else {
+        let Some(peer) = cx.arbiter_of(self.fingerprint) else {
             return cx
                 .answer_trial(&cx.settings.name, cx.incarnation, &req)
                 .reply;
@@ -91,7 +91,7 @@
                 cx.quarantine.adopt(known, cx.clock.now());
                 answer.reply
             }
-            // A keeper out of reach must not hold up what has crashed nothing.
+            // An arbiter out of reach must not hold up what has crashed nothing.
             Err(_) if self.is_suspect() => TrialReply::Wait,
             Err(_) => TrialReply::Run,
         }
@@ -106,7 +106,7 @@
             number: self.number,
             whole: cx.quarantine.is_proven(fingerprint),
         };
-        let Some(peer) = cx.keeper_of(fingerprint) else {
+        let Some(peer) = cx.arbiter_of(fingerprint) else {
             cx.end_trial(&cx.settings.name, cx.incarnation, &req);
             return;
         };
@@ -117,7 +117,7 @@
 
 impl Router {
     /// Returns the router where copies of a request meet, or `None` when it is this one.
-    fn keeper_of(&self, fingerprint: Fingerprint) -> Option<Arc<Peer>> {
+    fn arbiter_of(&self, fingerprint: Fingerprint) -> Option<Arc<Peer>> {
         let view = self.membership.view();
         let key = format!("request-{:016x}", fingerprint.0);
         let name = placement::first(&key, view.duty_routers())?;
@@ -125,10 +125,10 @@
         peer.filter(|peer| peer.name != self.settings.name)
     }
 
-    /// Counts a death, here and at the keeper of the request, before anyone sends it again.
+    /// Counts a death, here and at the arbiter of the request, before anyone sends it again.
     pub(super) async fn tell_death(&self, crash: &Crash) {
         self.engine_crashed(crash);
-        if let Some(peer) = self.keeper_of(crash.fingerprint) {
+        if let Some(peer) = self.arbiter_of(crash.fingerprint) {
             let req = AccuseRequest(crash.clone());
             let told = self.peers.call(&peer.name, peer.peer_address, req).await;
             if let Err(err) = told {
@@ -137,7 +137,7 @@
         }
     }
 
-    /// Decides on a trial as the keeper of the request.
+    /// Decides on a trial as the arbiter of the request.
     pub fn answer_trial(
         &self,
         router: &RouterName,
@@ -163,7 +163,7 @@
         }
     }
 
-    /// Ends a trial as the keeper of the request.
+    /// Ends a trial as the arbiter of the request.
     pub fn end_trial(&self, router: &RouterName, incarnation: Incarnation, req: &EndTrial) {
         let holder = TrialHolder {
             router: router.clone(),
--- a/src/steward/mod.rs
+++ b/src/steward/mod.rs
@@ -1,7 +1,7 @@
 //! Counts the load of an engine at one router and grants slots on it.
 //!
 //! The steward of an engine is the router that ranks first for the engine's name.
-//! It alone grants slots, so the bound on the engine's load has one keeper. A router
+//! It alone grants slots, so one place holds the engine to its bound. A router
 //! that is not the steward asks it for a slot with a peer call.
 
 mod answer;
--- a/stand-in/src/caller.rs
+++ b/stand-in/src/caller.rs
@@ -269,7 +269,7 @@
         ];
         let body = json!({
             "model": self.args.model, "stream": true, "max_tokens": self.args.tokens,
-            "messages": [{ "role": "user", "content": "a bathroom" }],
+            "messages": [{ "role": "user", "content": format!("a bathroom, {id}") }],
         });
         let url = format!("http://{address}/v1/chat/completions");
         let started = Instant::now();
--- a/tests/admission/trial.rs
+++ b/tests/admission/trial.rs
@@ -43,7 +43,7 @@
 }
 
 #[test]
-fn the_keeper_refuses_what_is_convicted_and_frees_what_was_answered() {
+fn the_arbiter_refuses_what_is_convicted_and_frees_what_was_answered() {
     let quarantine = Quarantine::default();
     let crash = |engine: &str| Crash {
         fingerprint: Fingerprint(1),
--- a/tests/relay/copies.rs
+++ b/tests/relay/copies.rs
@@ -36,7 +36,7 @@
     exchange(router.callers, "POST", path, &headers, &body.to_string())
 }
 
-/// Sends a request for the second time, which asks the keeper of its content.
+/// Sends a request for the second time, which asks the arbiter of its content.
 fn again(fleet: &Fleet, number: usize) -> u16 {
     let id = format!("again-{number}");
     let body = json!({
@@ -155,7 +155,7 @@
 }
 
 #[test]
-fn a_frozen_keeper_holds_up_no_request_that_crashed_nothing() {
+fn a_frozen_arbiter_holds_up_no_request_that_crashed_nothing() {
     let mut fleet = Fleet::platform_only(&[]);
     fleet.publish("first", &support::base_ops());
     for _ in 0..4 {
