Say refusals and set-ups once, and drop what nothing calls

Cause, found on reading the whole change: the refusals of a convicted request and of one whose copy runs on stood twice each; `prove` was another name for `clear`; the rule of an avoided engine stood twice in reach.rs; two methods had no caller left; `next_nonce` spoke of claims, which have random numbers. Two process tests sent a first attempt in the same lines as a third did, and two lookup tests built the same service.

Change: one function each; no behaviour and no assertion changes.

--- a/src/admission/mod.rs
+++ b/src/admission/mod.rs
@@ -15,6 +15,7 @@
 mod trial;
 mod watch;
 
+pub(crate) use self::quarantine::convicted;
 pub use self::{
     budget::{retry_delay, RetryBudget},
     line::{Lines, Waiter},
--- a/src/admission/quarantine.rs
+++ b/src/admission/quarantine.rs
@@ -284,8 +284,7 @@
     pub fn check(&self, fingerprint: Fingerprint, now: Instant) -> Result<()> {
         let suspects = lock(&self.suspects);
         if suspects.is_convicted(fingerprint, now) {
-            let message = "engines died while they ran this request";
-            return Err(Error::not_run(Category::Quarantined, message));
+            return Err(convicted());
         }
         if suspects.is_held(fingerprint, now) {
             let message = "engines may have died while they ran this request";
@@ -332,17 +331,12 @@
         lock(&self.trials).end(fingerprint, holder);
     }
 
-    /// Notes that a request was answered whole at another router.
-    pub fn prove(&self, fingerprint: Fingerprint) {
-        self.clear(fingerprint);
-    }
-
     /// Returns whether the request was answered whole lately.
     pub fn is_proven(&self, fingerprint: Fingerprint) -> bool {
         lock(&self.suspects).is_proven(fingerprint)
     }
 
-    /// Clears a request that was answered whole.
+    /// Clears a request that was answered whole, here or at another router.
     pub fn clear(&self, fingerprint: Fingerprint) {
         lock(&self.suspects).clear(fingerprint);
     }
@@ -377,3 +371,9 @@
         self.len() == 0
     }
 }
+
+/// Returns the refusal of a convicted request.
+pub(crate) fn convicted() -> Error {
+    let message = "engines died while they ran this request";
+    Error::not_run(Category::Quarantined, message)
+}
--- a/src/membership/message.rs
+++ b/src/membership/message.rs
@@ -152,11 +152,6 @@
         }
     }
 
-    /// Returns the requests in flight and waiting.
-    pub fn demand(self) -> u32 {
-        self.in_flight.saturating_add(self.waiting)
-    }
-
     /// Adds another load to this one.
     pub fn add(&mut self, other: PoolLoad) {
         self.in_flight = self.in_flight.saturating_add(other.in_flight);
--- a/src/membership/reach.rs
+++ b/src/membership/reach.rs
@@ -39,11 +39,7 @@
 
     /// Returns whether this life of `engine` is to be avoided at `now`.
     pub fn contains(&self, engine: &Engine, now: Instant) -> bool {
-        let engines = lock(&self.engines);
-        let noted = engines.get(&engine.name);
-        noted.is_some_and(|(incarnation, at)| {
-            *incarnation == engine.incarnation && now.since(*at) < AVOIDANCE
-        })
+        is_among(&self.at(now), engine)
     }
 
     /// Drops the engines to avoid from `engines`, unless no other is left.
--- a/src/membership/state.rs
+++ b/src/membership/state.rs
@@ -93,11 +93,6 @@
         lock(&self.phase).as_ref().map_or("starting", Phase::as_str)
     }
 
-    /// Returns whether the configuration is known.
-    pub fn is_caught_up(&self) -> bool {
-        !matches!(*lock(&self.phase), Some(Phase::Starting(_)))
-    }
-
     /// Returns whether the router has been asked to stop.
     pub fn is_leaving(&self) -> bool {
         matches!(*lock(&self.phase), Some(Phase::Leaving(_)))
--- a/src/relay/place.rs
+++ b/src/relay/place.rs
@@ -2,7 +2,11 @@
 
 use std::{sync::Arc, time::Duration};
 
-use super::{request::Placed, trial::Trial, Admitted, Head, Request};
+use super::{
+    request::Placed,
+    trial::{copy_unanswered, Trial},
+    Admitted, Head, Request,
+};
 use crate::{
     admission::{Applicant, Class, Seeker, Trust, Waiter},
     membership::Engine,
@@ -99,11 +103,7 @@
                 Ok(slot) => return Ok(self.at_slot(slot)),
                 Err(err) if err.classify() == Category::Quarantined => return Err(err),
                 Err(_) if cx.clock.now() < deadline => tokio::time::sleep(COPY_RETRY).await,
-                Err(_) => {
-                    let message = "a copy of this request has not been answered yet";
-                    let err = Error::not_run(Category::Overloaded, message);
-                    return Err(err.with_retry_after(cx.settings.limits.queue));
-                }
+                Err(_) => return Err(copy_unanswered(cx)),
             }
         }
     }
--- a/src/relay/trial.rs
+++ b/src/relay/trial.rs
@@ -5,8 +5,8 @@
 use super::Head;
 use crate::{
     admission::{
-        AccuseRequest, BeginTrial, Crash, EndTrial, Fingerprint, TrialAnswer, TrialHolder,
-        TrialReply, Trust,
+        convicted, AccuseRequest, BeginTrial, Crash, EndTrial, Fingerprint, TrialAnswer,
+        TrialHolder, TrialReply, Trust,
     },
     membership::Peer,
     placement, Category, Error, Incarnation, Result, Router, RouterName,
@@ -33,7 +33,7 @@
         let trial = Trial {
             cx: cx.clone(),
             fingerprint: head.fingerprint,
-            number: cx.next_nonce(),
+            number: cx.next_number(),
         };
         trial.wait().await?;
         Ok(trial)
@@ -50,17 +50,12 @@
             match self.ask().await {
                 TrialReply::Run => return Ok(()),
                 TrialReply::Proven => {
-                    self.cx.quarantine.prove(self.fingerprint);
+                    self.cx.quarantine.clear(self.fingerprint);
                     return Ok(());
                 }
-                TrialReply::Convicted => {
-                    let message = "engines died while they ran this request";
-                    return Err(Error::not_run(Category::Quarantined, message));
-                }
+                TrialReply::Convicted => return Err(convicted()),
                 TrialReply::Wait if self.cx.clock.now() >= deadline => {
-                    let message = "a copy of this request has not been answered yet";
-                    let err = Error::not_run(Category::Overloaded, message);
-                    return Err(err.with_retry_after(self.cx.settings.limits.queue));
+                    return Err(copy_unanswered(&self.cx));
                 }
                 TrialReply::Wait => tokio::time::sleep(TRIAL_RETRY).await,
             }
@@ -115,6 +110,13 @@
     }
 }
 
+/// Returns the refusal of a request whose copy runs for too long.
+pub(super) fn copy_unanswered(cx: &Router) -> Error {
+    let message = "a copy of this request has not been answered yet";
+    let err = Error::not_run(Category::Overloaded, message);
+    err.with_retry_after(cx.settings.limits.queue)
+}
+
 impl Router {
     /// Returns the router where copies of a request meet, or `None` when it is this one.
     fn arbiter_of(&self, fingerprint: Fingerprint) -> Option<Arc<Peer>> {
@@ -172,7 +174,7 @@
         };
         self.quarantine.end_trial(req.fingerprint, &holder);
         if req.whole {
-            self.quarantine.prove(req.fingerprint);
+            self.quarantine.clear(req.fingerprint);
         }
     }
 }
--- a/src/router.rs
+++ b/src/router.rs
@@ -197,8 +197,8 @@
         Err(err.with_retry_after(NOT_SERVING_DELAY))
     }
 
-    /// Returns the number for the next claim of this life.
-    pub fn next_nonce(&self) -> u64 {
+    /// Returns a number that this life of the router gives once.
+    pub fn next_number(&self) -> u64 {
         self.next_number.fetch_add(1, Ordering::Relaxed)
     }
 
--- a/tests/admission/trial.rs
+++ b/tests/admission/trial.rs
@@ -61,7 +61,7 @@
     quarantine.accuse(&crash("b"), at(0));
     replies += &begin(1, 1);
     replies += &begin(2, 1);
-    quarantine.prove(Fingerprint(2));
+    quarantine.clear(Fingerprint(2));
     replies += &begin(2, 2);
     expect!["Run Run Convicted Run Proven "].assert_eq(&replies);
 }
--- a/tests/once/owners.rs
+++ b/tests/once/owners.rs
@@ -11,7 +11,7 @@
 use serde_json::json;
 
 use crate::{
-    processes::{book, fleet, headers, judge, key, runs, show, PAUSE},
+    processes::{begin, book, fleet, judge, key, runs, show, PAUSE},
     support::{self, dump, http, Fleet},
 };
 
@@ -34,9 +34,8 @@
     let key = std::iter::repeat_with(key).find(|key| owner(&fleet, key) == 1);
     let key = key.expect("a key of that owner");
     fleet.faults(&json!({ "log_delay_ms": 1_000 }));
-    let path = "/v1/services/trade/bookings";
-    let (asker, owner) = (&fleet.routers[0], &fleet.routers[1]);
-    let pending = http::send(asker.callers, "POST", path, &headers(&key, "1"), "");
+    let owner = &fleet.routers[1];
+    let pending = begin(&fleet, &key, "");
     thread::sleep(std::time::Duration::from_millis(300));
     owner.process.signal(signal);
     fleet.faults(&json!({}));
--- a/tests/once/processes.rs
+++ b/tests/once/processes.rs
@@ -1,6 +1,7 @@
 //! Bookings across real processes, counted by the service that runs them.
 
 use std::{
+    net::TcpStream,
     thread,
     time::{Duration, Instant},
 };
@@ -59,6 +60,13 @@
     )
 }
 
+/// Sends the first attempt of a booking to the first router; its answer is still to come.
+pub(super) fn begin(fleet: &Fleet, key: &str, query: &str) -> Option<TcpStream> {
+    let address = fleet.routers[0].callers;
+    let path = format!("/v1/services/trade/bookings{query}");
+    send(address, "POST", &path, &headers(key, "1"), "")
+}
+
 /// Returns how often the service ran the booking.
 pub(super) fn runs(fleet: &Fleet, key: &str) -> u64 {
     let url = format!("http://{}/runs", fleet.servers[0].address);
@@ -80,14 +88,7 @@
 fn a_claimer_that_dies_during_the_run_leaves_it_in_doubt() {
     let fleet = fleet(2);
     let key = key();
-    let path = "/v1/services/trade/bookings?delay_ms=20000";
-    let pending = send(
-        fleet.routers[0].callers,
-        "POST",
-        path,
-        &headers(&key, "1"),
-        "",
-    );
+    let pending = begin(&fleet, &key, "?delay_ms=20000");
     support::wait_until("the booking runs", || runs(&fleet, &key) == 1);
     fleet.routers[0].process.signal(Signal::KILL);
     let cut = read(pending.expect("a connection"));
@@ -102,9 +103,8 @@
 
 /// Stops the router of the first attempt when `reached`, and lets it go on after others tried.
 fn pause_claimer(fleet: &Fleet, key: &str, query: &str, reached: impl FnMut() -> bool) -> String {
-    let path = format!("/v1/services/trade/bookings{query}");
     let claimer = &fleet.routers[0];
-    let pending = send(claimer.callers, "POST", &path, &headers(key, "1"), "");
+    let pending = begin(fleet, key, query);
     support::wait_until("the claimer has got that far", reached);
     claimer.process.signal(Signal::STOP);
     let second = book(fleet, 1, key, 2, query);
@@ -240,14 +240,7 @@
 fn a_caller_that_goes_away_finds_its_answer_recorded() {
     let fleet = fleet(2);
     let key = key();
-    let path = "/v1/services/trade/bookings?delay_ms=500";
-    let pending = send(
-        fleet.routers[0].callers,
-        "POST",
-        path,
-        &headers(&key, "1"),
-        "",
-    );
+    let pending = begin(&fleet, &key, "?delay_ms=500");
     support::wait_until("the booking runs", || runs(&fleet, &key) == 1);
     drop(pending);
     let second = book(&fleet, 1, &key, 2, "");
--- a/tests/placement/hinted.rs
+++ b/tests/placement/hinted.rs
@@ -1,8 +1,7 @@
 //! The router that a returning caller is sent to.
 
 use ebonyspur::{
-    config::{Service, ServiceKind},
-    lookup::{Address, Answer},
+    lookup::Answer,
     membership::View,
     placement::first,
     platform::{Instance, InstanceChanges, InstanceKind, InstanceState},
@@ -10,7 +9,7 @@
 };
 use expect_test::expect;
 
-use crate::support::peer;
+use crate::support::{address_of, peer, planner};
 
 fn router(number: usize) -> Instance {
     let peer = peer(number, &format!("d{number}"));
@@ -53,16 +52,7 @@
         instances: (1..20).map(router).chain(engines).collect(),
         gone: Vec::new(),
     });
-    let me = Address {
-        router: me.name,
-        address: me.address,
-        domain: me.domain,
-    };
-    let service = Service {
-        name: "planner".parse().unwrap(),
-        kind: ServiceKind::Chat,
-        pool: "planners".parse().unwrap(),
-    };
+    let (me, service) = (address_of(me), planner());
     let chat = "chat-1".parse().unwrap();
     let hint = hint.parse().unwrap();
     let answer = Answer::new(&view, &me, &service, &chat, &hint).unwrap();
--- a/tests/placement/lookup.rs
+++ b/tests/placement/lookup.rs
@@ -1,16 +1,15 @@
 //! The addresses for a caller.
 
 use ebonyspur::{
-    config::{Service, ServiceKind},
     lookup::{Address, Answer},
     membership::View,
     placement::Hint,
     platform::{Instance, InstanceChanges, InstanceKind, InstanceState},
-    ChatId, Incarnation, PoolName, ServiceName,
+    ChatId, Incarnation,
 };
 use expect_test::expect;
 
-use crate::support::peer;
+use crate::support::{address_of, peer, planner};
 
 fn instance(number: usize, domain: &str, state: InstanceState) -> Instance {
     let peer = peer(number, domain);
@@ -38,16 +37,7 @@
         instances: instances.collect(),
         gone: Vec::new(),
     });
-    let me = Address {
-        router: me.name,
-        address: me.address,
-        domain: me.domain,
-    };
-    let service = Service {
-        name: ServiceName::new("planner").unwrap(),
-        kind: ServiceKind::Chat,
-        pool: PoolName::new("planners").unwrap(),
-    };
+    let (me, service) = (address_of(me), planner());
     let chat = ChatId::new("chat-1").unwrap();
     let answer = Answer::new(&view, &me, &service, &chat, &Hint::default()).unwrap();
     let show = |a: &Address| format!("{}/{}", a.router, a.domain);
--- a/tests/placement/support.rs
+++ b/tests/placement/support.rs
@@ -3,6 +3,8 @@
 use std::sync::Arc;
 
 use ebonyspur::{
+    config::{Service, ServiceKind},
+    lookup::Address,
     membership::{Engine, Peer},
     DomainName, EngineName, Incarnation, PoolName, RouterName,
 };
@@ -28,6 +30,24 @@
     names.join(" ")
 }
 
+/// Returns the service whose chats the engines serve.
+pub fn planner() -> Service {
+    Service {
+        name: "planner".parse().unwrap(),
+        kind: ServiceKind::Chat,
+        pool: "planners".parse().unwrap(),
+    }
+}
+
+/// Returns where callers reach a router.
+pub fn address_of(peer: Peer) -> Address {
+    Address {
+        router: peer.name,
+        address: peer.address,
+        domain: peer.domain,
+    }
+}
+
 pub fn peer(number: usize, domain: &str) -> Peer {
     Peer {
         name: RouterName::new(&format!("router-{number}")).unwrap(),
