Name the clients of the surrounding services infra

Cause: the adapter for the users' platform gets the folder platform/, and one thing is to have that name. The module that holds the clients of the log service, the instance list and the weight store was called platform. Change: src/platform is src/infra, Platform is Infra. Settings and metrics keep their names, as they are the product's interface.

--- a/benches/decisions.rs
+++ b/benches/decisions.rs
@@ -6,10 +6,10 @@
 use ebonyspur::{
     admission::Trust,
     config::{Service, ServiceKind},
+    infra::{Instance, InstanceChanges, InstanceKind, InstanceState},
     lookup::Answer,
     membership::Engine,
     placement::Hint,
-    platform::{Instance, InstanceChanges, InstanceKind, InstanceState},
     steward::{GrantId, GrantReply, GrantRequest, HandOver, Limit},
     ChatId, DomainName, Incarnation, Instant, PoolName, Router, RouterName, ServiceName, Settings,
 };
--- a/src/config/message.rs
+++ b/src/config/message.rs
@@ -4,8 +4,8 @@
 
 use super::Record;
 use crate::{
+    infra::Entry,
     peer::{Call, Reply, Request},
-    platform::Entry,
     Offset,
 };
 
--- a/src/config/task.rs
+++ b/src/config/task.rs
@@ -52,7 +52,7 @@
     } else {
         Duration::ZERO
     };
-    let page = cx.platform.log.read(STREAM, from, wait).await?;
+    let page = cx.infra.log.read(STREAM, from, wait).await?;
     cx.membership.heard_log(cx.clock.now());
     cx.config.set_log_first(page.first);
     let records: Vec<_> = page.records.iter().map(EncodedRecord::new).collect();
@@ -74,14 +74,14 @@
 async fn skip_expired(cx: &Router) -> Result<()> {
     let sealer = Sealer::new(&cx.settings.peer_keys, Purpose::Checkpoint);
     let bounds = cx
-        .platform
+        .infra
         .log
         .read(STREAM, BEHIND_ALL, Duration::ZERO)
         .await?;
     let mut from = bounds.first;
     let mut newest = None;
     while from < bounds.head {
-        let page = cx.platform.log.read(STREAM, from, Duration::ZERO).await?;
+        let page = cx.infra.log.read(STREAM, from, Duration::ZERO).await?;
         let decoded = page.records.iter().map(EncodedRecord::new);
         let records: Vec<(Offset, Record)> = decoded.map(|r| (r.offset, decode(&r))).collect();
         newest = newest_usable(&records, &sealer).cloned().or(newest);
@@ -124,5 +124,5 @@
     let record = Record::Checkpoint(Checkpoint::new(&state, now, sealer));
     let record = serde_json::to_value(&record)
         .map_err(|err| Error::not_run(Category::BadInput, err.to_string()))?;
-    cx.platform.log.append(STREAM, &[record]).await.map(drop)
+    cx.infra.log.append(STREAM, &[record]).await.map(drop)
 }
--- a/src/platform/mod.rs
+++ b/src/infra/mod.rs
@@ -21,7 +21,7 @@
 
 /// The platform's services as this router reaches them.
 #[derive(Debug)]
-pub struct Platform {
+pub struct Infra {
     /// The log service.
     pub log: LogService,
     /// The instance list.
@@ -30,13 +30,13 @@
     pub weights: WeightStore,
 }
 
-impl Platform {
+impl Infra {
     /// Creates clients for the platform at `base` and its log service at `log`.
     ///
     /// The bytes of paths and bodies are counted in `bytes`.
     pub fn new(base: &http::Uri, log: &http::Uri, bytes: &Counter<u64, AtomicU64>) -> Self {
         let client = |base| JsonClient::new(base).with_counter(bytes.clone());
-        Platform {
+        Infra {
             log: LogService::new(client(log)),
             instances: InstanceList::new(client(base)),
             weights: WeightStore::new(client(base)),
--- a/src/intent/confirm.rs
+++ b/src/intent/confirm.rs
@@ -33,7 +33,7 @@
     let mut last = Error::not_run(Category::LogUnavailable, "not appended");
     for _ in 0..MAX_APPENDS {
         let appended = cx
-            .platform
+            .infra
             .log
             .append(STREAM, std::slice::from_ref(&record))
             .await;
--- a/src/lease/task.rs
+++ b/src/lease/task.rs
@@ -8,9 +8,8 @@
 
 use super::{Candidate, Held, Holder, Lapsed, Lease, LeaseRecord, Phase, Terms, GROUPS};
 use crate::{
-    placement,
-    platform::{Entry, Page},
-    Category, Instant, Offset, Result, Router,
+    infra::{Entry, Page},
+    placement, Category, Instant, Offset, Result, Router,
 };
 
 /// Number of routers that follow the stream of one group.
@@ -244,7 +243,7 @@
     let Ok(entry) = serde_json::to_value(record) else {
         return;
     };
-    if let Err(err) = cx.platform.log.append(&stream(group), &[entry]).await {
+    if let Err(err) = cx.infra.log.append(&stream(group), &[entry]).await {
         log::warn!("lease record not confirmed group={group} error=\"{err}\"");
     }
 }
@@ -262,10 +261,10 @@
 
 async fn read_page(cx: &Router, group: usize, from: Offset, wait: Duration) -> Result<Page> {
     let stream = stream(group);
-    match cx.platform.log.read(&stream, from, wait).await {
+    match cx.infra.log.read(&stream, from, wait).await {
         Err(err) if err.classify() == Category::KeyExpired => {
             let head = Offset(u64::MAX);
-            cx.platform.log.read(&stream, head, Duration::ZERO).await
+            cx.infra.log.read(&stream, head, Duration::ZERO).await
         }
         page => page,
     }
--- a/src/membership/state.rs
+++ b/src/membership/state.rs
@@ -6,7 +6,7 @@
 };
 
 use super::{Gossip, Life, Phase, Refusing, View};
-use crate::{platform::InstanceChanges, sync::lock, Incarnation, Instant, RouterName};
+use crate::{infra::InstanceChanges, sync::lock, Incarnation, Instant, RouterName};
 
 /// Time without word from any other router and from the log, after which a router that
 /// has heard of others takes no new work.
--- a/src/membership/task.rs
+++ b/src/membership/task.rs
@@ -9,8 +9,8 @@
 use super::{Datagram, Moment, OwnState, Rumour, Sending, MAX_DATAGRAM, TICK};
 use crate::{
     admission::Crash,
+    infra::{Instance, InstanceKind, InstanceState},
     peer::{Purpose, Replays, Sealer},
-    platform::{Instance, InstanceKind, InstanceState},
     EngineName, Incarnation, Result, Router,
 };
 
@@ -39,7 +39,7 @@
         (view.version(), view.is_listed())
     };
     let wait = if listed { POLL_WAIT } else { Duration::ZERO };
-    let changes = cx.platform.instances.changes(since, wait).await?;
+    let changes = cx.infra.instances.changes(since, wait).await?;
     let leaving = |instance: &&Instance| {
         instance.kind != InstanceKind::Router && instance.state == InstanceState::Leaving
     };
--- a/src/membership/view.rs
+++ b/src/membership/view.rs
@@ -6,8 +6,8 @@
 
 use super::{index::Index, Epoch, Health, LoadSums, PoolLoad, Rumour, Standing, Standings};
 use crate::{
+    infra::{Instance, InstanceChanges, InstanceKind, InstanceState},
     placement::HintEntry,
-    platform::{Instance, InstanceChanges, InstanceKind, InstanceState},
     DomainName, EngineName, Incarnation, Instant, Offset, PoolName, RouterName,
 };
 
--- a/src/once/append.rs
+++ b/src/once/append.rs
@@ -52,7 +52,7 @@
         .into_iter()
         .map(|append| (append.record, append.tx))
         .unzip();
-    let appended = cx.platform.log.append(&stream(partition), &records).await;
+    let appended = cx.infra.log.append(&stream(partition), &records).await;
     for (index, tx) in waiters.into_iter().enumerate() {
         let answer = match &appended {
             Ok(offsets) => offsets.get(index).copied().ok_or_else(short_answer),
--- a/src/once/follow.rs
+++ b/src/once/follow.rs
@@ -3,7 +3,7 @@
 use std::{sync::Arc, time::Duration};
 
 use super::{partition::stream, PARTITIONS};
-use crate::{platform::Page, Category, Offset, Result, Router};
+use crate::{infra::Page, Category, Offset, Result, Router};
 
 /// Longest time the log may hold back an empty answer.
 const POLL_WAIT: Duration = Duration::from_secs(10);
@@ -54,7 +54,7 @@
     };
     let wait = if read { POLL_WAIT } else { Duration::ZERO };
     let stream = stream(partition);
-    let page = match cx.platform.log.read(&stream, from, wait).await {
+    let page = match cx.infra.log.read(&stream, from, wait).await {
         Err(err) if err.classify() == Category::KeyExpired => {
             return skip_to_first(cx, partition).await;
         }
@@ -68,7 +68,7 @@
 async fn skip_to_first(cx: &Router, partition: usize) -> Result<()> {
     let head = Offset(u64::MAX);
     let page = cx
-        .platform
+        .infra
         .log
         .read(&stream(partition), head, Duration::ZERO)
         .await?;
--- a/src/orders/task.rs
+++ b/src/orders/task.rs
@@ -14,9 +14,9 @@
 };
 use crate::{
     config::{MoveStep, Record, State, STREAM},
+    infra::JsonClient,
     lease::{group_of, Tenure},
     membership::{Engine, ISOLATION_TIMEOUT},
-    platform::JsonClient,
     EngineName, Error, Instant, Offset, PoolName, Result, Router,
 };
 
@@ -201,7 +201,7 @@
         return 0;
     }
     let loading = reports.values().filter(|report| is_loading(report)).count();
-    match cx.platform.weights.usage().await {
+    match cx.infra.weights.usage().await {
         Ok(usage) => usage.free(loading),
         Err(err) => {
             log::warn!("weight store unreadable error=\"{err}\"");
@@ -244,7 +244,7 @@
     if !tenure.permits(cx.clock.now()) {
         return;
     }
-    if let Err(err) = cx.platform.log.append(STREAM, &[entry]).await {
+    if let Err(err) = cx.infra.log.append(STREAM, &[entry]).await {
         log::warn!("step not confirmed pool={pool} error=\"{err}\"");
     }
 }
--- a/src/router.rs
+++ b/src/router.rs
@@ -19,6 +19,7 @@
     admission::{Admission, Quarantine},
     config::{self, Config, Settings},
     http,
+    infra::Infra,
     inspect::{Metrics, Refusals},
     lease::{self, Leases},
     lookup::{Address, Ticket},
@@ -26,7 +27,6 @@
     once::{self, Once},
     orders::{self, Orders},
     peer::{self, Peers, Purpose, Sealer},
-    platform::Platform,
     relay::Backends,
     steward::{self, HeldGrants, Steward},
     Category, Clock, Error, Incarnation, RequestId, Result,
@@ -65,7 +65,7 @@
     /// Progress of the pools that this router drives.
     pub orders: Orders,
     /// Clients of the platform.
-    pub platform: Platform,
+    pub infra: Infra,
     /// Clients of the backend servers.
     pub backends: Backends,
     /// Connections to other routers.
@@ -99,7 +99,7 @@
             once: Arc::default(),
             leases: Leases::new(),
             orders: Orders::default(),
-            platform: Platform::new(
+            infra: Infra::new(
                 &settings.platform,
                 settings.log.as_ref().unwrap_or(&settings.platform),
                 &metrics.platform_exchanged,
--- a/tests/inspect/main.rs
+++ b/tests/inspect/main.rs
@@ -2,9 +2,9 @@
 
 use ebonyspur::{
     config::{Change, EncodedRecord, Op, Record},
+    infra::InstanceChanges,
     inspect::{explain, Dump, Refusals},
     placement::Hint,
-    platform::InstanceChanges,
     Category, ChatId, Error, Offset, RequestId, Router, ServiceName, Settings, TeamName,
     UnixMillis,
 };
--- a/tests/membership/isolation.rs
+++ b/tests/membership/isolation.rs
@@ -1,8 +1,8 @@
 //! A router that is cut off from the log and from all others.
 
 use ebonyspur::{
+    infra::InstanceChanges,
     membership::{Membership, ISOLATION_TIMEOUT},
-    platform::InstanceChanges,
     Incarnation, Instant,
 };
 
--- a/tests/membership/network.rs
+++ b/tests/membership/network.rs
@@ -7,11 +7,11 @@
 };
 
 use ebonyspur::{
+    infra::{Instance, InstanceChanges, InstanceKind, InstanceState},
     membership::{
         Datagram, Gossip, Moment, OwnState, PoolLoad, Sending, View, DATAGRAM_BYTES_PER_SECOND,
         MAX_BURST_BYTES, MAX_DATAGRAM, OVERHEAD_BYTES, TICK,
     },
-    platform::{Instance, InstanceChanges, InstanceKind, InstanceState},
     DomainName, EngineName, Incarnation, Instant, PoolName, RouterName, UnixMillis,
 };
 use rand::{RngExt, SeedableRng};
--- a/tests/orders/decide.rs
+++ b/tests/orders/decide.rs
@@ -4,8 +4,8 @@
 
 use ebonyspur::{
     config::Role,
+    infra::WeightUse,
     orders::{decide, Order, Report, Retries, VersionState, Wanted},
-    platform::WeightUse,
     EngineName, Instant, Offset, VersionName,
 };
 use expect_test::expect;
--- a/tests/placement/hinted.rs
+++ b/tests/placement/hinted.rs
@@ -1,10 +1,10 @@
 //! The router that a returning caller is sent to.
 
 use ebonyspur::{
+    infra::{Instance, InstanceChanges, InstanceKind, InstanceState},
     lookup::Answer,
     membership::View,
     placement::first,
-    platform::{Instance, InstanceChanges, InstanceKind, InstanceState},
     Incarnation,
 };
 use expect_test::expect;
--- a/tests/placement/lookup.rs
+++ b/tests/placement/lookup.rs
@@ -1,10 +1,10 @@
 //! The addresses for a caller.
 
 use ebonyspur::{
+    infra::{Instance, InstanceChanges, InstanceKind, InstanceState},
     lookup::{Address, Answer},
     membership::View,
     placement::Hint,
-    platform::{Instance, InstanceChanges, InstanceKind, InstanceState},
     ChatId, Incarnation,
 };
 use expect_test::expect;
--- a/tests/steward/support.rs
+++ b/tests/steward/support.rs
@@ -4,8 +4,8 @@
 
 use ebonyspur::{
     admission::Trust,
+    infra::{Instance, InstanceChanges, InstanceKind, InstanceState},
     membership::Engine,
-    platform::{Instance, InstanceChanges, InstanceKind, InstanceState},
     steward::{GrantId, GrantReply, HandOver, Held, Holder, Steward},
     DomainName, EngineName, Incarnation, Instant, PoolName, Router, RouterName, Settings,
 };
