--- a/src/admission/mod.rs
+++ b/src/admission/mod.rs
@@ -11,6 +11,7 @@
 mod quarantine;
 mod queue;
 mod seeker;
+mod shared;
 mod state;
 mod trial;
 mod watch;
@@ -23,6 +24,7 @@
     quarantine::{Crash, Fingerprint, Quarantine, Suspects, Trust, MAX_SUSPECTS},
     queue::{Applicant, Enqueued, Queue, QueueFull, WaitId, MAX_WAITING, MAX_WAITING_PER_TEAM},
     seeker::{Seeker, Seekers},
+    shared::{RetryAllowance, SharedRetries, ASSUMED_ROUTERS},
     state::{Admission, Class, Permit, MAX_TEAMS},
     trial::{
         Copies, OneCopy, Proven, TrialHolder, TrialReply, Trials, MAX_PROVEN, MAX_TRIALS,
--- /dev/null
+++ b/src/catalog/keeper.rs
@@ -0,0 +1,101 @@
+//! Turns what the list says into the servers that are believed to be there.
+
+use std::{collections::BTreeMap, time::Duration};
+
+use super::Server;
+use crate::{EngineName, Instant};
+
+/// Time after an outage of the list within which servers that live are listed again.
+///
+/// The platform states about two seconds.
+pub const REGISTER_AGAIN: Duration = Duration::from_millis(2_200);
+
+/// Time without an answer of the list that counts as an outage, in which entries may lapse.
+///
+/// Shorter than the three missed heartbeats after which the list drops an entry.
+const OUTAGE: Duration = Duration::from_millis(1_500);
+
+/// What the list says of one name.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum Listed {
+    /// The server is there.
+    Present(Server),
+    /// There is no readable entry under this name.
+    Absent(EngineName),
+}
+
+/// The servers as followed through changes and outages of the list.
+#[derive(Debug, Default)]
+pub struct Keeper {
+    servers: BTreeMap<EngineName, Server>,
+    /// Servers not listed since an outage, which may be back until `settled`.
+    missing: BTreeMap<EngineName, ()>,
+    answered: Option<Instant>,
+    settled: Instant,
+}
+
+impl Keeper {
+    /// Creates a keeper that knows `servers` from another router.
+    pub fn with_servers(servers: impl IntoIterator<Item = Server>) -> Self {
+        let servers = servers.into_iter().map(|s| (s.name.clone(), s)).collect();
+        Keeper {
+            servers,
+            ..Keeper::default()
+        }
+    }
+
+    /// Notes that the list failed to answer at `now`.
+    pub fn failed(&mut self, now: Instant) {
+        self.answered.get_or_insert(now);
+    }
+
+    /// Takes over changes that the list answered at `now`; returns whether anything changed.
+    ///
+    /// With `whole`, names that are not among the changes are absent.
+    pub fn apply(&mut self, changes: Vec<Listed>, whole: bool, now: Instant) -> bool {
+        self.note_answer(now);
+        let before = self.servers.clone();
+        if whole {
+            self.mark_unlisted(&changes);
+        }
+        for change in changes {
+            match change {
+                Listed::Present(server) => {
+                    self.missing.remove(&server.name);
+                    self.servers.insert(server.name.clone(), server);
+                }
+                Listed::Absent(name) => {
+                    self.missing.insert(name, ());
+                }
+            }
+        }
+        if now >= self.settled {
+            for name in std::mem::take(&mut self.missing).into_keys() {
+                self.servers.remove(&name);
+            }
+        }
+        before != self.servers
+    }
+
+    /// Returns the servers believed to be there.
+    pub fn servers(&self) -> impl Iterator<Item = &Server> {
+        self.servers.values()
+    }
+
+    fn note_answer(&mut self, now: Instant) {
+        if self.answered.is_some_and(|last| now.since(last) > OUTAGE) {
+            self.settled = now + REGISTER_AGAIN;
+        }
+        self.answered = Some(now);
+    }
+
+    fn mark_unlisted(&mut self, changes: &[Listed]) {
+        let listed = |name: &EngineName| {
+            let mut present = changes.iter();
+            present.any(|change| matches!(change, Listed::Present(s) if s.name == *name))
+        };
+        let names = self.servers.keys().filter(|name| !listed(name));
+        let unlisted: Vec<_> = names.cloned().map(|name| (name, ())).collect();
+        self.missing.extend(unlisted);
+    }
+}
--- /dev/null
+++ b/src/catalog/server.rs
@@ -0,0 +1,47 @@
+//! One backend server.
+
+use std::net::SocketAddr;
+
+use serde::{Deserialize, Serialize};
+use xxhash_rust::xxh3::xxh3_64_with_seed;
+
+use crate::{DomainName, EngineName, Incarnation, PoolName};
+
+/// Short name of one life of a server, by which routers tell each other its load.
+///
+/// Two servers of a fleet of 600 share a key with a probability of 1 in 20,000; their
+/// loads are then added up, which only makes both look busier.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize, Deserialize)]
+#[serde(transparent)]
+pub struct ServerKey(pub u32);
+
+/// An engine or a plain backend server.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Server {
+    /// Its name.
+    pub name: EngineName,
+    /// Its pool.
+    pub pool: PoolName,
+    /// Address for requests.
+    pub address: SocketAddr,
+    /// Its failure domain.
+    pub domain: DomainName,
+    /// Which life of it this is.
+    pub life: Incarnation,
+    /// Requests that it works on at once.
+    pub slots: u32,
+    /// Whether it takes no new work.
+    pub leaving: bool,
+}
+
+impl Server {
+    /// Returns the short name of this life of the server.
+    pub fn key(&self) -> ServerKey {
+        ServerKey(xxh3_64_with_seed(self.name.as_str().as_bytes(), self.life.0) as u32)
+    }
+
+    /// Returns whether `self` is another life of the server `other`, or elsewhere.
+    pub fn differs_in_life(&self, other: &Server) -> bool {
+        self.life != other.life || self.address != other.address || self.pool != other.pool
+    }
+}
--- /dev/null
+++ b/src/catalog/state.rs
@@ -0,0 +1,63 @@
+//! The servers that requests are placed by.
+
+use std::{
+    collections::BTreeMap,
+    sync::{Arc, Mutex},
+};
+
+use super::Server;
+use crate::{sync::lock, PoolName};
+
+/// The servers of one pool; shared with the requests that choose among them.
+type Pool = Arc<Vec<Arc<Server>>>;
+
+/// The servers known to this router, by pool.
+#[derive(Debug, Default)]
+pub struct Catalog {
+    inner: Mutex<Inner>,
+}
+
+#[derive(Debug, Default)]
+struct Inner {
+    known: bool,
+    pools: BTreeMap<PoolName, Pool>,
+}
+
+impl Catalog {
+    /// Returns whether the servers were heard of at all.
+    pub fn is_known(&self) -> bool {
+        lock(&self.inner).known
+    }
+
+    /// Returns the servers of `pool`, those that leave included.
+    pub fn pool(&self, pool: &PoolName) -> Pool {
+        lock(&self.inner)
+            .pools
+            .get(pool)
+            .cloned()
+            .unwrap_or_default()
+    }
+
+    /// Returns all servers.
+    pub fn servers(&self) -> Vec<Arc<Server>> {
+        let inner = lock(&self.inner);
+        inner
+            .pools
+            .values()
+            .flat_map(|pool| pool.iter().cloned())
+            .collect()
+    }
+
+    /// Replaces the servers.
+    pub fn replace<'a>(&self, servers: impl IntoIterator<Item = &'a Server>) {
+        let mut pools: BTreeMap<PoolName, Vec<Arc<Server>>> = BTreeMap::new();
+        for server in servers {
+            let pool = pools.entry(server.pool.clone()).or_default();
+            pool.push(Arc::new(server.clone()));
+        }
+        let shared = pools.into_iter().map(|(name, pool)| (name, Arc::new(pool)));
+        let mut inner = lock(&self.inner);
+        inner.pools = shared.collect();
+        inner.known = true;
+    }
+}
--- /dev/null
+++ b/src/feed/follow.rs
@@ -0,0 +1,129 @@
+//! The tasks that read the store.
+
+use std::{net::SocketAddr, sync::Arc, time::Duration};
+
+use super::{Feed, Role, Store};
+use crate::{presence::Presence, Clock};
+
+/// Time between two reads of the list of servers by a follower.
+///
+/// A quarter of the two seconds within which a server that leaves must get no new work.
+const READ_PERIOD: Duration = Duration::from_millis(450);
+
+/// Time between two looks at whether this router should read.
+const ROLE_PERIOD: Duration = Duration::from_millis(250);
+
+/// Time between two tries of a store that fails.
+const RETRY_PERIOD: Duration = Duration::from_millis(1_000);
+
+/// Time between two tries of a store that fails while another router feeds this one.
+const FED_RETRY_PERIOD: Duration = Duration::from_secs(3);
+
+/// Longest wait for a newer route table in one read.
+///
+/// Bounds how long a connection that went silent stays unnoticed.
+const ROUTES_WAIT: Duration = Duration::from_secs(4);
+
+/// Leaves word of this router in the store and seeks the routers that have left word.
+///
+/// Tries until the store answers.
+pub async fn start<S: Store>(
+    store: Arc<S>,
+    feed: Arc<Feed>,
+    presence: Arc<Presence>,
+    own: SocketAddr,
+    clock: Clock,
+) {
+    loop {
+        let others = store.introduce(own).await;
+        feed.note_call("introduce", &others, clock.now());
+        if let Ok(others) = others {
+            return presence.seek(others, clock.now());
+        }
+        tokio::time::sleep(RETRY_PERIOD).await;
+    }
+}
+
+/// Reads the list of servers while this router follows the store or nobody feeds it.
+pub async fn follow_servers<S: Store>(
+    store: Arc<S>,
+    feed: Arc<Feed>,
+    presence: Arc<Presence>,
+    clock: Clock,
+) {
+    let mut cursor = None;
+    loop {
+        if !should_read(&feed, &presence, &clock) {
+            // Another router's list takes the place of what this one has read.
+            cursor = None;
+            tokio::time::sleep(ROLE_PERIOD).await;
+            continue;
+        }
+        let asked = clock.now();
+        let read = store.read_servers(cursor.as_ref()).await;
+        let now = clock.now();
+        feed.note_call("read_servers", &read, now);
+        match read {
+            Ok(read) => {
+                feed.apply_listed(read.changes, read.whole, now);
+                cursor = Some(read.cursor);
+                tokio::time::sleep(READ_PERIOD.saturating_sub(now.since(asked))).await;
+            }
+            Err(_) => {
+                let fed = feed.is_fed(now) && !feed.is_able(now);
+                let pause = if fed { FED_RETRY_PERIOD } else { RETRY_PERIOD };
+                tokio::time::sleep(pause.saturating_sub(now.since(asked))).await;
+            }
+        }
+    }
+}
+
+/// Reads the route table while this router follows the store or nobody feeds it.
+pub async fn follow_routes<S: Store>(
+    store: Arc<S>,
+    feed: Arc<Feed>,
+    presence: Arc<Presence>,
+    clock: Clock,
+) {
+    let mut cursor = None;
+    loop {
+        let role = feed.role(&presence, clock.now());
+        // Reads of the list of servers find out when the store answers again.
+        let able = feed.is_able(clock.now());
+        if !able || !should_read(&feed, &presence, &clock) {
+            cursor = None;
+            tokio::time::sleep(ROLE_PERIOD).await;
+            continue;
+        }
+        // A router that is about to be fed does not hold a read open.
+        let wait = match role {
+            Role::Follower => ROUTES_WAIT,
+            Role::Fed => Duration::ZERO,
+        };
+        let asked = clock.now();
+        let read = store.read_routes(cursor.as_ref(), wait).await;
+        let now = clock.now();
+        feed.note_call("read_routes", &read, now);
+        match read {
+            Ok(read) => {
+                if let Some(table) = read.table {
+                    feed.offer_routes(table, "store");
+                }
+                cursor = Some(read.cursor);
+                if wait.is_zero() {
+                    tokio::time::sleep(READ_PERIOD).await;
+                }
+            }
+            Err(_) => {
+                cursor = None;
+                tokio::time::sleep(RETRY_PERIOD.saturating_sub(now.since(asked))).await;
+            }
+        }
+    }
+}
+
+fn should_read(feed: &Feed, presence: &Presence, clock: &Clock) -> bool {
+    let now = clock.now();
+    let unable = !feed.is_able(now);
+    feed.role(presence, now) == Role::Follower || !feed.is_fed(now) || unable
+}
--- /dev/null
+++ b/src/feed/role.rs
@@ -0,0 +1,44 @@
+//! Decides which routers follow the store.
+
+use crate::{
+    placement::score,
+    presence::{Peer, Reading},
+    RouterName,
+};
+
+/// Routers that follow the store at once.
+///
+/// Two, so that the end of one leaves no gap while the others notice it.
+pub const FOLLOWERS: usize = 2;
+
+/// Key that ranks the routers, the same at each of them.
+const RANKED_FOR: &str = "followers";
+
+/// Where a router has the contents of the store from.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Role {
+    /// It reads the store and feeds others.
+    Follower,
+    /// Another router feeds it.
+    Fed,
+}
+
+impl Role {
+    /// Returns the role of router `me`, which hears the routers `live`.
+    ///
+    /// The first routers in rendezvous order follow. One that the store does not answer
+    /// is passed over, so that another one takes its place.
+    pub fn decide(me: &RouterName, able: bool, live: &[Peer]) -> Role {
+        if !able {
+            return Role::Fed;
+        }
+        let rank = score(RANKED_FOR, me.as_str());
+        let able = live.iter().filter(|p| p.digest.reading != Reading::Unable);
+        let before = able.filter(|p| score(RANKED_FOR, p.digest.from.as_str()) > rank);
+        if before.count() < FOLLOWERS {
+            Role::Follower
+        } else {
+            Role::Fed
+        }
+    }
+}
--- /dev/null
+++ b/src/feed/serve.rs
@@ -0,0 +1,82 @@
+//! Feeds other routers.
+
+use std::{io, sync::Arc, time::Duration};
+
+use tokio::{
+    io::AsyncReadExt,
+    net::{TcpListener, TcpStream},
+    sync::Semaphore,
+};
+
+use super::{frame, Feed, Update};
+use crate::{Clock, Instant};
+
+/// Time between two messages on a connection on which nothing changes.
+const BEAT: Duration = Duration::from_millis(400);
+
+/// Longest time to write one message.
+const WRITE_TIMEOUT: Duration = Duration::from_secs(2);
+
+/// Most routers fed at once; the others find another follower.
+const MAX_FED: usize = 512;
+
+/// Pause after a failed accept, such as when file descriptors have run out.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(100);
+
+/// Feeds the routers that connect, one task for each.
+pub async fn serve(feed: Arc<Feed>, listener: TcpListener, clock: Clock) {
+    let slots = Arc::new(Semaphore::new(MAX_FED));
+    loop {
+        let slot = slots.clone().acquire_owned().await.expect("never closed");
+        let (stream, from) = match listener.accept().await {
+            Ok(accepted) => accepted,
+            Err(err) => {
+                log::warn!("routers not accepted error=\"{err}\"");
+                tokio::time::sleep(ACCEPT_PAUSE).await;
+                continue;
+            }
+        };
+        let feed = feed.clone();
+        tokio::spawn(async move {
+            if let Err(err) = feed_one(&feed, stream, &clock).await {
+                log::debug!("router no longer fed from={from} error=\"{err}\"");
+            }
+            drop(slot);
+        });
+    }
+}
+
+async fn feed_one(feed: &Feed, mut stream: TcpStream, clock: &Clock) -> io::Result<()> {
+    stream.set_nodelay(true)?;
+    let mut told_version = tokio::time::timeout(WRITE_TIMEOUT, stream.read_u64()).await??;
+    let mut changes = feed.changes();
+    let mut servers_told = None;
+    loop {
+        let revision = *changes.borrow_and_update();
+        if let Some((version, bytes)) = feed.encoded_routes() {
+            if version > told_version {
+                send(&mut stream, &Update::Routes(bytes.to_vec())).await?;
+                told_version = version;
+            }
+        }
+        if feed.catalog.is_known() && servers_told != Some(revision) {
+            let servers = feed.catalog.servers();
+            let servers = servers.iter().map(|server| (**server).clone()).collect();
+            send(&mut stream, &Update::Servers(servers)).await?;
+            servers_told = Some(revision);
+        }
+        if let Some(age) = age_millis(feed, clock.now()) {
+            send(&mut stream, &Update::Current(age)).await?;
+        }
+        // A change and the end of the pause both call for the next round.
+        let _ = tokio::time::timeout(BEAT, changes.changed()).await;
+    }
+}
+
+fn age_millis(feed: &Feed, now: Instant) -> Option<u64> {
+    feed.age(now).map(|age| age.as_millis() as u64)
+}
+
+async fn send(stream: &mut TcpStream, update: &Update) -> io::Result<()> {
+    tokio::time::timeout(WRITE_TIMEOUT, frame::write(stream, update)).await?
+}
--- /dev/null
+++ b/src/feed/state.rs
@@ -0,0 +1,190 @@
+//! What this router knows of the store's contents, and how current that is.
+
+use std::{
+    sync::{Arc, Mutex, Weak},
+    time::Duration,
+};
+
+use tokio::sync::watch;
+
+use super::Role;
+use crate::{
+    catalog::{Catalog, Keeper, Listed, Server},
+    presence::{Presence, Reading},
+    routes::{RouteTable, Routes},
+    sync::lock,
+    Instant, Result, RouterName,
+};
+
+/// Age of the last answer of the store above which a router reads the store itself.
+///
+/// Under the two seconds within which a server that leaves must get no new work.
+pub const FED_WITHIN: Duration = Duration::from_millis(1_200);
+
+/// Time without an answer after which a router lets others follow the store.
+const UNABLE_AFTER: Duration = Duration::from_millis(700);
+
+/// The contents of the store as known to this router.
+#[derive(Debug)]
+pub struct Feed {
+    /// Routes in force.
+    pub routes: Routes,
+    /// Servers known.
+    pub catalog: Catalog,
+    me: RouterName,
+    keeper: Mutex<Keeper>,
+    standing: Mutex<Standing>,
+    encoded: Mutex<(u64, Weak<Vec<u8>>)>,
+    revision: watch::Sender<u64>,
+}
+
+/// How the store answers this router, and how current its knowledge is.
+#[derive(Debug, Default)]
+struct Standing {
+    /// Time at which the knowledge was current.
+    current: Option<Instant>,
+    /// First failure since the last answer.
+    failing: Option<Instant>,
+}
+
+impl Feed {
+    /// Creates the feed of router `me`, which knows nothing yet.
+    pub fn new(me: RouterName) -> Self {
+        Feed {
+            routes: Routes::default(),
+            catalog: Catalog::default(),
+            me,
+            keeper: Mutex::default(),
+            standing: Mutex::default(),
+            encoded: Mutex::default(),
+            revision: watch::Sender::new(0),
+        }
+    }
+
+    /// Returns whether requests can be decided on.
+    pub fn is_known(&self) -> bool {
+        self.routes.current().is_some() && self.catalog.is_known()
+    }
+
+    /// Returns a receiver that is notified of each change.
+    pub fn changes(&self) -> watch::Receiver<u64> {
+        self.revision.subscribe()
+    }
+
+    /// Returns the age of the knowledge, if there is any.
+    pub fn age(&self, now: Instant) -> Option<Duration> {
+        lock(&self.standing).current.map(|at| now.since(at))
+    }
+
+    /// Returns whether the knowledge is current, from the store or from another router.
+    pub fn is_fed(&self, now: Instant) -> bool {
+        self.age(now).is_some_and(|age| age < FED_WITHIN) && self.is_known()
+    }
+
+    /// Returns whether the store answers this router, as far as it has tried.
+    pub fn is_able(&self, now: Instant) -> bool {
+        let failing = lock(&self.standing).failing;
+        failing.is_none_or(|since| now.since(since) < UNABLE_AFTER)
+    }
+
+    /// Returns where this router should have its knowledge from.
+    pub fn role(&self, presence: &Presence, now: Instant) -> Role {
+        Role::decide(&self.me, self.is_able(now), &presence.live(now))
+    }
+
+    /// Returns what the digest says of this router and the store.
+    pub fn reading(&self, presence: &Presence, now: Instant) -> Reading {
+        if !self.is_able(now) {
+            return Reading::Unable;
+        }
+        match self.role(presence, now) {
+            Role::Follower if self.is_fed(now) => Reading::Following,
+            _ => Reading::Able,
+        }
+    }
+
+    /// Notes the outcome of a call to the store at `now`.
+    pub fn note_call<T>(&self, what: &str, outcome: &Result<T>, now: Instant) {
+        let mut standing = lock(&self.standing);
+        match outcome {
+            Ok(_) if standing.failing.take().is_some() => {
+                log::info!("store regained call={what}");
+            }
+            Ok(_) => {}
+            Err(err) => {
+                if standing.failing.is_none() {
+                    log::warn!("store lost call={what} error=\"{err}\"");
+                }
+                standing.failing.get_or_insert(now);
+                lock(&self.keeper).failed(now);
+            }
+        }
+    }
+
+    /// Puts a newer table in force.
+    pub fn offer_routes(&self, table: RouteTable, source: &str) {
+        let (version, len) = (table.version(), table.len());
+        if self.routes.offer(table) {
+            log::info!("routes in force version={version} routes={len} source={source}");
+            self.bump();
+        }
+    }
+
+    /// Takes over what the list of servers said at `now`.
+    pub fn apply_listed(&self, changes: Vec<Listed>, whole: bool, now: Instant) {
+        let mut keeper = lock(&self.keeper);
+        let changed = keeper.apply(changes, whole, now);
+        if changed || !self.catalog.is_known() {
+            self.publish(&keeper, "store");
+        }
+        drop(keeper);
+        self.note_current(now);
+    }
+
+    /// Takes over the servers as another router knows them.
+    pub fn replace_servers(&self, servers: Vec<Server>) {
+        let mut keeper = lock(&self.keeper);
+        *keeper = Keeper::with_servers(servers);
+        self.publish(&keeper, "router");
+    }
+
+    /// Notes that the knowledge was current at `at`.
+    pub fn note_current(&self, at: Instant) {
+        let mut standing = lock(&self.standing);
+        standing.current = standing.current.max(Some(at));
+    }
+
+    /// Returns the encoded table in force, shared by all who send it at the moment.
+    pub(super) fn encoded_routes(&self) -> Option<(u64, Arc<Vec<u8>>)> {
+        let table = self.routes.current()?;
+        let mut encoded = lock(&self.encoded);
+        if encoded.0 == table.version() {
+            if let Some(bytes) = encoded.1.upgrade() {
+                return Some((table.version(), bytes));
+            }
+        }
+        match postcard::to_stdvec(&*table) {
+            Ok(bytes) => {
+                let bytes = Arc::new(bytes);
+                *encoded = (table.version(), Arc::downgrade(&bytes));
+                Some((table.version(), bytes))
+            }
+            Err(err) => {
+                log::error!("routes not encoded error=\"{err}\"");
+                None
+            }
+        }
+    }
+
+    fn publish(&self, keeper: &Keeper, source: &str) {
+        self.catalog.replace(keeper.servers());
+        let count = keeper.servers().count();
+        let leaving = keeper.servers().filter(|s| s.leaving).count();
+        log::info!("servers known count={count} leaving={leaving} source={source}");
+        self.bump();
+    }
+
+    fn bump(&self) {
+        self.revision.send_modify(|revision| *revision += 1);
+    }
+}
--- /dev/null
+++ b/src/feed/subscribe.rs
@@ -0,0 +1,71 @@
+//! Takes over what a follower tells.
+
+use std::{io, net::SocketAddr, sync::Arc, time::Duration};
+
+use tokio::{io::AsyncWriteExt, net::TcpStream};
+
+use super::{frame, Feed, Role, Update, FED_WITHIN};
+use crate::{presence::Presence, Clock};
+
+/// Longest time to open a connection to a follower.
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
+
+/// Time between two looks at whether this router should be fed.
+const ROLE_PERIOD: Duration = Duration::from_millis(250);
+
+/// Keeps this router fed by one of the followers, unless it follows the store itself.
+pub async fn subscribe(feed: Arc<Feed>, presence: Arc<Presence>, clock: Clock) {
+    loop {
+        let now = clock.now();
+        let followers = match feed.role(&presence, now) {
+            Role::Follower => Vec::new(),
+            Role::Fed => presence.followers(now),
+        };
+        for (address, _) in followers {
+            if let Err(err) = be_fed(&feed, &presence, address, &clock).await {
+                log::info!("feed lost follower={address} error=\"{err}\"");
+            }
+        }
+        tokio::time::sleep(ROLE_PERIOD).await;
+    }
+}
+
+/// Takes over updates until the follower fails or this router is to follow the store.
+async fn be_fed(
+    feed: &Feed,
+    presence: &Presence,
+    follower: SocketAddr,
+    clock: &Clock,
+) -> io::Result<()> {
+    let connect = TcpStream::connect(follower);
+    let mut stream = tokio::time::timeout(CONNECT_TIMEOUT, connect).await??;
+    stream.set_nodelay(true)?;
+    stream.write_u64(feed.routes.version()).await?;
+    log::info!("feed begins follower={follower}");
+    let mut buf = Vec::new();
+    loop {
+        tokio::time::timeout(FED_WITHIN, frame::read(&mut stream, &mut buf)).await??;
+        let update = postcard::from_bytes(&buf).map_err(io::Error::other)?;
+        buf = Vec::new();
+        apply(feed, update, clock)?;
+        let now = clock.now();
+        if feed.role(presence, now) == Role::Follower {
+            return Ok(());
+        }
+        if feed.is_known() && !feed.is_fed(now) {
+            return Err(io::Error::other("the follower is out of date"));
+        }
+    }
+}
+
+fn apply(feed: &Feed, update: Update, clock: &Clock) -> io::Result<()> {
+    match update {
+        Update::Routes(bytes) => {
+            let table = postcard::from_bytes(&bytes).map_err(io::Error::other)?;
+            feed.offer_routes(table, "router");
+        }
+        Update::Servers(servers) => feed.replace_servers(servers),
+        Update::Current(age) => feed.note_current(clock.now() - Duration::from_millis(age)),
+    }
+    Ok(())
+}
--- /dev/null
+++ b/src/forward/drain.rs
@@ -0,0 +1,74 @@
+//! How a router that was told to end lets go of its callers.
+
+use std::time::Duration;
+
+use crate::Instant;
+
+/// Part of the grace kept for the last answers to leave.
+const MARGIN: Duration = Duration::from_millis(400);
+
+/// Time after the signal in which requests are taken whatever they need.
+///
+/// Callers keep an answer to their question for addresses that long.
+const TAKE_ALL: Duration = Duration::from_millis(2_800);
+
+/// Longest time that callers keep connections open after their question for addresses
+/// no longer names this router.
+const KEEP_IDLE: Duration = Duration::from_secs(6);
+
+/// Where a router stands between the signal and its end.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Stage {
+    /// No signal has come.
+    Serving,
+    /// Requests are taken if they can be answered in time.
+    Draining,
+    /// Connections without a request are closed, and no new ones are accepted.
+    Closing,
+    /// The process has to end.
+    Ended,
+}
+
+/// When the signal came and how much time there is.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Drain {
+    began: Instant,
+    grace: Duration,
+}
+
+impl Drain {
+    /// Creates the drain that began at `began`; the process is killed after `grace`.
+    pub fn new(began: Instant, grace: Duration) -> Self {
+        Drain { began, grace }
+    }
+
+    /// Returns the time by which the process has to have ended.
+    pub fn end(&self) -> Instant {
+        self.began + self.grace.saturating_sub(MARGIN)
+    }
+
+    /// Returns when connections without a request are closed.
+    pub fn closing(&self) -> Instant {
+        let keep = KEEP_IDLE.min(self.grace.mul_f64(0.7));
+        self.began + keep
+    }
+
+    /// Returns the stage at `now`.
+    pub fn stage(&self, now: Instant) -> Stage {
+        if now >= self.end() {
+            Stage::Ended
+        } else if now >= self.closing() {
+            Stage::Closing
+        } else {
+            Stage::Draining
+        }
+    }
+
+    /// Returns whether a request that takes up to `longest` is taken at `now`.
+    pub fn takes(&self, longest: Option<Duration>, now: Instant) -> bool {
+        if now.since(self.began) < TAKE_ALL.min(self.grace / 3) {
+            return true;
+        }
+        longest.is_some_and(|longest| now + longest <= self.end())
+    }
+}
--- /dev/null
+++ b/src/forward/mod.rs
@@ -0,0 +1,29 @@
+//! Carries a request of a caller to a backend server and the whole answer back.
+//!
+//! The front end and the servers may speak any dialect of HTTP: a [`Wire`] reads and
+//! writes its heads, and everything else is decided here.
+
+mod answer;
+mod body;
+mod drain;
+mod exchange;
+mod health;
+mod link;
+mod listener;
+mod load;
+mod request;
+mod state;
+mod stream;
+mod wire;
+
+pub use self::{
+    body::{text, whole, Body},
+    drain::{Drain, Stage},
+    health::{Health, Note},
+    link::{open, Link, Links, Sent},
+    listener::{serve, Service},
+    load::{Flight, Flights},
+    request::{Received, Request, Routed},
+    state::{Forwarder, Policy},
+    wire::{AnswerHead, CallHead, Load, Outcome, Passing, Wire},
+};
--- /dev/null
+++ b/src/forward/state.rs
@@ -0,0 +1,188 @@
+//! What the requests of a router share.
+
+use std::{
+    collections::BTreeMap,
+    sync::{Arc, Mutex},
+    time::Duration,
+};
+
+use rand::{RngExt, SeedableRng};
+use rand_pcg::Pcg64Mcg;
+
+use super::{link::SharedLinks, Drain, Flights, Health, Stage, Wire};
+use crate::{
+    admission::{RetryAllowance, SharedRetries},
+    catalog::{Server, ServerKey},
+    feed::Feed,
+    inspect::Traffic,
+    placement::{self, Candidate, LoadBound},
+    presence::{Phase, Presence},
+    routes::PoolSettings,
+    sync::lock,
+    Clock, Instant, PoolName,
+};
+
+/// Settings of forwarding that may change while the process runs.
+#[derive(Debug, Clone, Copy)]
+pub struct Policy {
+    /// Retry budget of the fleet.
+    pub retries: RetryAllowance,
+    /// Load above which an engine gets no request that can go elsewhere.
+    pub bound: LoadBound,
+    /// Time between the signal to end and the kill.
+    pub grace: Duration,
+}
+
+/// Weight of the share of failed answers against one request in flight.
+const FAILED_WEIGHT: f64 = 8.0;
+
+/// The state that requests share.
+pub struct Forwarder<W> {
+    /// Reads and writes heads.
+    pub wire: W,
+    /// Routes and servers.
+    pub feed: Arc<Feed>,
+    /// The other routers.
+    pub presence: Arc<Presence>,
+    /// Source of the time.
+    pub clock: Clock,
+    /// Requests in flight here.
+    pub flights: Flights,
+    /// What this router saw of the servers.
+    pub health: Health,
+    /// Connections to servers.
+    pub links: SharedLinks,
+    /// Metrics.
+    pub traffic: Traffic,
+    pub(super) retries: SharedRetries,
+    policy: Mutex<Policy>,
+    drain: Mutex<Option<Drain>>,
+    rng: Mutex<Pcg64Mcg>,
+}
+
+impl<W: Wire> Forwarder<W> {
+    /// Creates the state; `seed` is the start of its random choices.
+    pub fn new(
+        wire: W,
+        feed: Arc<Feed>,
+        presence: Arc<Presence>,
+        clock: Clock,
+        policy: Policy,
+        seed: u64,
+    ) -> Self {
+        Forwarder {
+            wire,
+            feed,
+            presence,
+            clock,
+            flights: Flights::default(),
+            health: Health::default(),
+            links: SharedLinks::default(),
+            traffic: Traffic::new(),
+            retries: SharedRetries::default(),
+            policy: Mutex::new(policy),
+            drain: Mutex::default(),
+            rng: Mutex::new(Pcg64Mcg::seed_from_u64(seed)),
+        }
+    }
+
+    /// Returns the settings in force.
+    pub fn policy(&self) -> Policy {
+        *lock(&self.policy)
+    }
+
+    /// Replaces the settings.
+    pub fn set_policy(&self, policy: Policy) {
+        *lock(&self.policy) = policy;
+    }
+
+    /// Starts to let go of the callers.
+    pub fn begin_drain(&self, now: Instant) -> Drain {
+        let drain = Drain::new(now, self.policy().grace);
+        *lock(&self.drain).get_or_insert(drain)
+    }
+
+    /// Returns the drain under way.
+    pub fn drain(&self) -> Option<Drain> {
+        *lock(&self.drain)
+    }
+
+    /// Returns where the router stands between its start and its end.
+    pub fn stage(&self, now: Instant) -> Stage {
+        self.drain()
+            .map_or(Stage::Serving, |drain| drain.stage(now))
+    }
+
+    /// Returns whether callers should come here.
+    pub fn phase(&self) -> Phase {
+        if self.drain().is_some() {
+            Phase::Leaving
+        } else if self.feed.is_known() {
+            Phase::Serving
+        } else {
+            Phase::Starting
+        }
+    }
+
+    /// Returns a random number.
+    pub(super) fn random(&self) -> u64 {
+        lock(&self.rng).random()
+    }
+
+    /// Returns a delay between half and one and a half times `mean`.
+    pub(super) fn spread(&self, mean: Duration) -> Duration {
+        crate::admission::retry_delay(mean, &mut *lock(&self.rng))
+    }
+
+    /// Chooses a server of `pool` that is not among `tried`.
+    pub(super) fn choose(
+        &self,
+        pool: &PoolName,
+        settings: PoolSettings,
+        session: Option<u64>,
+        tried: &[ServerKey],
+        now: Instant,
+    ) -> Option<Arc<Server>> {
+        let all = self.feed.catalog.pool(pool);
+        let open = |s: &&Arc<Server>| !s.leaving && !tried.contains(&s.key());
+        let servers: Vec<_> = all.iter().filter(open).collect();
+        let loads = self.presence.loads(now);
+        let load = |key| self.flights.at(key) + loads.get(&key).copied().unwrap_or_default();
+        let candidate = |server: &&Arc<Server>| (server.key(), load(server.key()));
+        let known: BTreeMap<ServerKey, u32> = servers.iter().map(candidate).collect();
+        let mut candidates: Vec<_> = servers
+            .iter()
+            .map(|server| Candidate {
+                server,
+                load: known[&server.key()],
+                avoided: self.health.is_avoided(server.key(), now),
+            })
+            .collect();
+        let at = match session.filter(|_| settings.engines) {
+            Some(session) => {
+                let limit = self.policy().bound.limit(known.values().copied());
+                placement::by_session(session, &candidates, limit)
+            }
+            None => {
+                self.weigh_failures(&mut candidates);
+                let (first, second) = (self.random(), self.random());
+                let small = |number| (number >> 33) as usize;
+                placement::by_two_choices(&candidates, small(first), small(second))
+            }
+        };
+        at.map(|at| servers[at].clone())
+    }
+
+    /// Makes servers that fail more often than the others look busier.
+    fn weigh_failures(&self, candidates: &mut [Candidate<'_>]) {
+        let shares = candidates
+            .iter()
+            .map(|c| self.health.failed_share(c.server.key()));
+        let shares: Vec<f64> = shares.collect();
+        let mean = shares.iter().sum::<f64>() / shares.len().max(1) as f64;
+        for (candidate, share) in candidates.iter_mut().zip(shares) {
+            candidate.load += (share * FAILED_WEIGHT) as u32;
+            candidate.avoided |= Health::is_grey(share, mean);
+        }
+    }
+}
--- /dev/null
+++ b/src/forward/wire.rs
@@ -0,0 +1,96 @@
+//! The port to the dialect that callers and backend servers speak.
+
+use std::time::Duration;
+
+use http::{request, HeaderMap, Response, StatusCode};
+
+use super::Body;
+use crate::{catalog::Server, placement::Part, Error, RequestId, Result, TeamName};
+
+/// What the head of a caller's request says.
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
+pub struct CallHead {
+    /// Names this attempt of the caller.
+    pub attempt: Option<RequestId>,
+    /// Proves the caller's team.
+    pub key: Option<Box<str>>,
+    /// Time that the caller waits from now on.
+    pub patience: Option<Duration>,
+    /// Parts of the prompt, in order.
+    pub prompt: Vec<Part>,
+    /// Number of the last event that the caller has of a stream.
+    pub last_event: Option<u64>,
+}
+
+/// What a backend server is told besides what the caller sent.
+#[derive(Debug)]
+pub struct Passing<'a> {
+    /// The server that must run the request, or none.
+    pub server: &'a Server,
+    /// Team of the caller.
+    pub team: Option<&'a TeamName>,
+    /// Time that is left.
+    pub left: Option<Duration>,
+    /// Number of the last event that the caller has of a stream.
+    pub last_event: Option<u64>,
+}
+
+/// How busy a server says it is.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Load {
+    /// Requests it works on.
+    pub running: u32,
+    /// Requests that wait.
+    pub waiting: u32,
+}
+
+/// What became of a request at a server.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Outcome {
+    /// The server ran it.
+    Ran,
+    /// The server did not run it and will not.
+    NotRun,
+    /// Another server has the address; it did not run the request.
+    OtherServer,
+    /// The answer belongs to another request.
+    OtherRequest,
+}
+
+/// What the head of a server's answer says.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct AnswerHead {
+    /// What became of the request.
+    pub outcome: Outcome,
+    /// How busy the server is.
+    pub load: Option<Load>,
+    /// Time that the server keeps the connection open without a request.
+    pub keep_alive: Option<Duration>,
+}
+
+/// Reads and writes the heads of requests and answers.
+pub trait Wire: Send + Sync + 'static {
+    /// Reads the head of a caller's request.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`Category::BadInput`](crate::Category::BadInput) for a malformed head.
+    fn read_call(&self, head: &request::Parts) -> Result<CallHead>;
+
+    /// Returns the headers for a server.
+    fn call_headers(&self, from_caller: &HeaderMap, passing: &Passing<'_>) -> HeaderMap;
+
+    /// Reads the head of a server's answer to the attempt.
+    fn read_answer(
+        &self,
+        status: StatusCode,
+        headers: &HeaderMap,
+        attempt: Option<&RequestId>,
+    ) -> AnswerHead;
+
+    /// Returns the headers of a server's answer that the caller gets.
+    fn answer_headers(&self, from_server: HeaderMap) -> HeaderMap;
+
+    /// Returns the answer to a caller whose request was refused or has failed.
+    fn refuse(&self, err: &Error, attempt: Option<&RequestId>) -> Response<Body>;
+}
--- a/src/inspect/mod.rs
+++ b/src/inspect/mod.rs
@@ -5,10 +5,12 @@
 mod gauges;
 mod metrics;
 mod refusals;
+mod traffic;
 
 pub use self::{
     dump::Dump,
     explain::{explain, Explanation},
     metrics::Metrics,
     refusals::{Refusal, Refusals},
+    traffic::Traffic,
 };
--- /dev/null
+++ b/src/inspect/traffic.rs
@@ -0,0 +1,101 @@
+//! Metrics of the requests that a router forwards.
+
+use std::{sync::atomic::AtomicU64, time::Duration};
+
+use prometheus_client::{
+    encoding::{text::encode, EncodeLabelSet},
+    metrics::{counter::Counter, family::Family, histogram::Histogram},
+    registry::{Registry, Unit},
+};
+
+use crate::Error;
+
+/// Bounds of the buckets for answer times, in seconds; they include the usual goals.
+const ANSWER_BUCKETS: [f64; 9] = [0.01, 0.03, 0.1, 0.3, 0.8, 1.5, 3.0, 6.0, 15.0];
+
+/// Labels of the counter of failures.
+#[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct FailureLabels {
+    reason: &'static str,
+    verdict: &'static str,
+}
+
+/// Labels of the counter of retries.
+#[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct RetryLabels {
+    granted: &'static str,
+}
+
+/// Counters and histograms of forwarded requests.
+#[derive(Debug)]
+pub struct Traffic {
+    registry: Registry,
+    answer_seconds: Histogram,
+    failures: Family<FailureLabels, Counter<u64, AtomicU64>>,
+    retries: Family<RetryLabels, Counter<u64, AtomicU64>>,
+    /// Connections opened to servers.
+    pub connections: Counter<u64, AtomicU64>,
+}
+
+impl Traffic {
+    /// Creates the metrics with all counts at zero.
+    pub fn new() -> Self {
+        let mut registry = Registry::with_prefix("ebonyspur");
+        let traffic = Traffic {
+            answer_seconds: Histogram::new(ANSWER_BUCKETS),
+            failures: Family::default(),
+            retries: Family::default(),
+            connections: Counter::default(),
+            registry: Registry::default(),
+        };
+        registry.register_with_unit(
+            "forwarded",
+            "Time to the answer or its first event",
+            Unit::Seconds,
+            traffic.answer_seconds.clone(),
+        );
+        let help = "Requests refused or failed, by reason and verdict";
+        registry.register("failed", help, traffic.failures.clone());
+        let help = "Retries that the budget granted or refused";
+        registry.register("retries", help, traffic.retries.clone());
+        let help = "Connections opened to servers";
+        registry.register("server_connections", help, traffic.connections.clone());
+        Traffic {
+            registry,
+            ..traffic
+        }
+    }
+
+    /// Counts a request that was refused or has failed.
+    pub fn failed(&self, err: &Error) {
+        let labels = FailureLabels {
+            reason: err.classify().as_str(),
+            verdict: err.verdict().as_str(),
+        };
+        self.failures.get_or_create(&labels).inc();
+    }
+
+    /// Counts a request that was answered after `took`.
+    pub fn answered(&self, took: Duration) {
+        self.answer_seconds.observe(took.as_secs_f64());
+    }
+
+    /// Counts a retry that the budget granted or refused.
+    pub fn retried(&self, granted: bool) {
+        let granted = if granted { "yes" } else { "no" };
+        self.retries.get_or_create(&RetryLabels { granted }).inc();
+    }
+
+    /// Encodes all metrics as text.
+    pub fn encode(&self) -> String {
+        let mut text = String::new();
+        encode(&mut text, &self.registry).expect("a string takes any text");
+        text
+    }
+}
+
+impl Default for Traffic {
+    fn default() -> Self {
+        Traffic::new()
+    }
+}
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -8,6 +8,11 @@
 //! other and of the engines by [`membership`], and share the configuration as a fold of
 //! a log stream ([`config`]).
 //!
+//! On a platform with protocols of its own, an adapter decodes them and uses the slices
+//! that do not depend on the product's: [`forward`] carries requests, [`routes`] and
+//! [`catalog`] hold what the platform's store says, [`feed`] spreads it, and [`presence`]
+//! keeps the routers in touch.
+//!
 //! Every decision is a plain function of its arguments, the time included, so that it
 //! can be tested without a network. Tasks read sockets and clocks and call the
 //! decisions.
@@ -26,9 +31,12 @@
 #![warn(missing_docs)]
 
 pub mod admission;
+pub mod catalog;
 pub mod cli;
 pub mod config;
 mod error;
+pub mod feed;
+pub mod forward;
 mod http;
 mod id;
 pub mod infra;
@@ -41,8 +49,10 @@
 pub mod orders;
 pub mod peer;
 pub mod placement;
+pub mod presence;
 pub mod relay;
 mod router;
+pub mod routes;
 pub mod steward;
 mod sync;
 mod time;
--- a/src/placement/mod.rs
+++ b/src/placement/mod.rs
@@ -1,8 +1,9 @@
-//! Chooses the engine for a chat: hints first, then the first ranks.
+//! Chooses the engine for a chat: hints first, then the first ranks, or by the prompt.
 
 mod directory;
 mod hint;
 mod preferred;
+mod prompt;
 mod rank;
 mod score;
 
@@ -10,6 +11,7 @@
     directory::Directory,
     hint::{Hint, HintEntry, MAX_HINT_ENTRIES},
     preferred::{preferred, MAX_RANKS},
+    prompt::{by_session, by_two_choices, session, Candidate, LoadBound, Part},
     rank::{first, order, score},
 };
 
--- /dev/null
+++ b/src/presence/digest.rs
@@ -0,0 +1,57 @@
+//! What a router says of itself.
+
+use std::net::SocketAddr;
+
+use serde::{Deserialize, Serialize};
+
+use crate::{catalog::ServerKey, DomainName, Incarnation, RouterName};
+
+/// Largest datagram, in bytes; it fits into one packet of the usual networks.
+pub const MAX_DIGEST: usize = 1_400;
+
+/// Whether a router takes callers.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Phase {
+    /// It does not know the routes and servers yet.
+    Starting,
+    /// It takes callers.
+    Serving,
+    /// It finishes what it has.
+    Leaving,
+}
+
+/// How a router stands to the platform's store.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Reading {
+    /// It has no reason to think that the store would not answer it.
+    Able,
+    /// It follows the store and feeds others.
+    Following,
+    /// The store does not answer it.
+    Unable,
+}
+
+/// One datagram.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Digest {
+    /// Router that sent it.
+    pub from: RouterName,
+    /// Life of that router.
+    pub life: Incarnation,
+    /// Number of the datagram within that life.
+    pub number: u64,
+    /// Address for callers.
+    pub address: SocketAddr,
+    /// Address for routers.
+    pub peer_address: SocketAddr,
+    /// Failure domain.
+    pub domain: DomainName,
+    /// Whether it takes callers.
+    pub phase: Phase,
+    /// How it stands to the store.
+    pub reading: Reading,
+    /// Requests that it has in flight, by server.
+    pub loads: Vec<(ServerKey, u32)>,
+    /// Addresses of some other routers that it hears.
+    pub known: Vec<SocketAddr>,
+}
--- /dev/null
+++ b/src/presence/state.rs
@@ -0,0 +1,257 @@
+//! The routers known, and how long ago they were heard.
+
+use std::{
+    collections::BTreeMap,
+    net::SocketAddr,
+    sync::{Mutex, MutexGuard},
+    time::Duration,
+};
+
+use super::{Digest, Phase, Reading};
+use crate::{catalog::ServerKey, sync::lock, Incarnation, Instant, RouterName};
+
+/// Time between two digests.
+///
+/// A caller that opens a connection to a dead router waits up to a second; at this
+/// period a router counts as silent before callers ask for addresses again.
+pub const PERIOD: Duration = Duration::from_millis(300);
+
+/// Silence after which a router is not named to callers and its load does not count.
+///
+/// Five digests, so that a link that loses one packet in ten hides a router for a
+/// moment once in a day and not once in a minute.
+pub const SILENT_AFTER: Duration = Duration::from_millis(1_500);
+
+/// Silence after which a router is no longer told anything.
+pub const FORGET_AFTER: Duration = Duration::from_secs(20);
+
+/// Time between two attempts to reach an address that has not answered.
+const SEEK_PERIOD: Duration = Duration::from_secs(1);
+
+/// Longest time that an address which never answered is tried.
+const SEEK_FOR: Duration = Duration::from_secs(10);
+
+/// Most addresses that are tried at once.
+const MAX_SOUGHT: usize = 512;
+
+/// Most addresses of other routers in a digest.
+const MAX_KNOWN: usize = 4;
+
+/// Another router, as heard last.
+#[derive(Debug, Clone)]
+pub struct Peer {
+    /// What it said.
+    pub digest: Digest,
+    /// When it was heard.
+    pub heard: Instant,
+}
+
+impl Peer {
+    /// Returns whether it was heard lately.
+    pub fn is_live(&self, now: Instant) -> bool {
+        now.since(self.heard) < SILENT_AFTER
+    }
+}
+
+/// An address that may be a router's.
+#[derive(Debug)]
+struct Sought {
+    since: Instant,
+    tried: Option<Instant>,
+}
+
+/// The routers known to this one.
+#[derive(Debug)]
+pub struct Presence {
+    me: RouterName,
+    own_address: SocketAddr,
+    inner: Mutex<Inner>,
+}
+
+#[derive(Debug, Default)]
+struct Inner {
+    peers: BTreeMap<RouterName, Peer>,
+    sought: BTreeMap<SocketAddr, Sought>,
+    number: u64,
+    /// Position from which the next addresses for other routers are taken.
+    introduced: usize,
+}
+
+impl Presence {
+    /// Creates the presence of router `me`, reached by routers at `own_address`.
+    pub fn new(me: RouterName, own_address: SocketAddr) -> Self {
+        Presence {
+            me,
+            own_address,
+            inner: Mutex::default(),
+        }
+    }
+
+    /// Adds addresses at which routers may be found.
+    pub fn seek(&self, addresses: impl IntoIterator<Item = SocketAddr>, now: Instant) {
+        let mut inner = self.lock();
+        for address in addresses {
+            inner.seek(address, self.own_address, now);
+        }
+    }
+
+    /// Takes over what another router said; returns whether it was news.
+    pub fn receive(&self, digest: Digest, now: Instant) -> bool {
+        if digest.from == self.me {
+            return false;
+        }
+        let mut inner = self.lock();
+        for address in &digest.known {
+            inner.seek(*address, self.own_address, now);
+        }
+        inner.sought.remove(&digest.peer_address);
+        let order = |digest: &Digest| (digest.life, digest.number);
+        let known = inner.peers.get(&digest.from);
+        if known.is_some_and(|peer| order(&peer.digest) >= order(&digest)) {
+            return false;
+        }
+        if known.is_none_or(|peer| peer.digest.life != digest.life) {
+            log::info!("router heard name={} life={}", digest.from, digest.life.0);
+        }
+        inner
+            .peers
+            .insert(digest.from.clone(), Peer { digest, heard: now });
+        true
+    }
+
+    /// Returns the addresses that the next digest goes to, and some to be named in it.
+    pub fn next_round(&self, now: Instant) -> Round {
+        let mut inner = self.lock();
+        inner.number += 1;
+        inner.forget(now);
+        let mut to: Vec<_> = inner
+            .peers
+            .values()
+            .map(|p| p.digest.peer_address)
+            .collect();
+        to.extend(inner.due(now));
+        let live: Vec<_> = inner.peers.values().filter(|p| p.is_live(now)).collect();
+        let named = live
+            .iter()
+            .cycle()
+            .skip(inner.introduced % live.len().max(1));
+        let known = named.take(MAX_KNOWN.min(live.len()));
+        let known = known.map(|peer| peer.digest.peer_address).collect();
+        inner.introduced += MAX_KNOWN;
+        Round {
+            number: inner.number,
+            to,
+            known,
+        }
+    }
+
+    /// Returns the routers that were heard lately.
+    pub fn live(&self, now: Instant) -> Vec<Peer> {
+        let inner = self.lock();
+        inner
+            .peers
+            .values()
+            .filter(|p| p.is_live(now))
+            .cloned()
+            .collect()
+    }
+
+    /// Returns the number of routers heard within [`FORGET_AFTER`], this one included.
+    pub fn size(&self) -> usize {
+        self.lock().peers.len() + 1
+    }
+
+    /// Returns the addresses for callers of the other routers that take them.
+    pub fn serving(&self, now: Instant) -> Vec<SocketAddr> {
+        let inner = self.lock();
+        let live = inner.peers.values().filter(|p| p.is_live(now));
+        let serving = live.filter(|p| p.digest.phase == Phase::Serving);
+        serving.map(|p| p.digest.address).collect()
+    }
+
+    /// Adds up what the other routers have in flight at each server.
+    pub fn loads(&self, now: Instant) -> BTreeMap<ServerKey, u32> {
+        let mut sum = BTreeMap::new();
+        for peer in self.lock().peers.values().filter(|p| p.is_live(now)) {
+            for (key, load) in &peer.digest.loads {
+                *sum.entry(*key).or_default() += load;
+            }
+        }
+        sum
+    }
+
+    /// Returns the address and life of the routers that follow the store, in the order in
+    /// which this router should ask them.
+    pub fn followers(&self, now: Instant) -> Vec<(SocketAddr, Incarnation)> {
+        let inner = self.lock();
+        let live = inner.peers.values().filter(|p| p.is_live(now));
+        let following = live.filter(|p| p.digest.reading == Reading::Following);
+        let mut followers: Vec<_> = following
+            .map(|p| {
+                (
+                    crate::placement::score(self.me.as_str(), p.digest.from.as_str()),
+                    p,
+                )
+            })
+            .collect();
+        followers.sort_by_key(|(score, _)| std::cmp::Reverse(*score));
+        let place = |p: &Peer| (p.digest.peer_address, p.digest.life);
+        followers.into_iter().map(|(_, p)| place(p)).collect()
+    }
+
+    fn lock(&self) -> MutexGuard<'_, Inner> {
+        lock(&self.inner)
+    }
+}
+
+/// Who gets the next digest.
+#[derive(Debug, Default, PartialEq, Eq)]
+pub struct Round {
+    /// Number of the digest.
+    pub number: u64,
+    /// Where it goes.
+    pub to: Vec<SocketAddr>,
+    /// Routers to be named in it.
+    pub known: Vec<SocketAddr>,
+}
+
+impl Inner {
+    fn seek(&mut self, address: SocketAddr, own: SocketAddr, now: Instant) {
+        let mut peers = self.peers.values();
+        let is_known = peers.any(|p| p.digest.peer_address == address);
+        if address == own || is_known || self.sought.len() >= MAX_SOUGHT {
+            return;
+        }
+        let sought = Sought {
+            since: now,
+            tried: None,
+        };
+        self.sought.entry(address).or_insert(sought);
+    }
+
+    fn forget(&mut self, now: Instant) {
+        self.peers.retain(|name, peer| {
+            let keep = now.since(peer.heard) < FORGET_AFTER;
+            if !keep {
+                log::info!("router forgotten name={name} reason=silent");
+            }
+            keep
+        });
+        self.sought
+            .retain(|_, sought| now.since(sought.since) < SEEK_FOR);
+    }
+
+    fn due(&mut self, now: Instant) -> Vec<SocketAddr> {
+        let mut due = Vec::new();
+        for (address, sought) in &mut self.sought {
+            if sought
+                .tried
+                .is_none_or(|last| now.since(last) >= SEEK_PERIOD)
+            {
+                sought.tried = Some(now);
+                due.push(*address);
+            }
+        }
+        due
+    }
+}
--- /dev/null
+++ b/src/presence/task.rs
@@ -0,0 +1,72 @@
+//! The tasks that send and receive digests.
+
+use std::{sync::Arc, time::Duration};
+
+use tokio::{net::UdpSocket, sync::Notify};
+
+use super::{Digest, Presence, MAX_DIGEST, PERIOD};
+use crate::Clock;
+
+/// Pause after a failed read of the socket.
+const RETRY_PAUSE: Duration = Duration::from_millis(100);
+
+/// Tells the other routers what `describe` says, periodically and when `changed` fires.
+pub async fn tell(
+    presence: Arc<Presence>,
+    socket: Arc<UdpSocket>,
+    clock: Clock,
+    changed: Arc<Notify>,
+    describe: impl Fn() -> Digest,
+) {
+    loop {
+        let round = presence.next_round(clock.now());
+        let mut digest = describe();
+        digest.number = round.number;
+        digest.known = round.known;
+        match encode(&mut digest) {
+            Ok(bytes) => {
+                for to in round.to {
+                    if let Err(err) = socket.send_to(&bytes, to).await {
+                        log::debug!("digest not sent to={to} error=\"{err}\"");
+                    }
+                }
+            }
+            Err(err) => log::warn!("digest not encoded error=\"{err}\""),
+        }
+        // Either way the next digest is due.
+        let _ = tokio::time::timeout(PERIOD, changed.notified()).await;
+    }
+}
+
+/// Encodes a digest, leaving out loads that do not fit.
+fn encode(digest: &mut Digest) -> postcard::Result<Vec<u8>> {
+    loop {
+        let bytes = postcard::to_stdvec(digest)?;
+        if bytes.len() <= MAX_DIGEST || digest.loads.is_empty() {
+            return Ok(bytes);
+        }
+        digest
+            .loads
+            .sort_by_key(|(_, load)| std::cmp::Reverse(*load));
+        digest.loads.truncate(digest.loads.len() * 3 / 4);
+    }
+}
+
+/// Receives digests; unreadable ones are dropped.
+pub async fn receive(presence: Arc<Presence>, socket: Arc<UdpSocket>, clock: Clock) {
+    let mut buf = [0; MAX_DIGEST];
+    loop {
+        let (len, from) = match socket.recv_from(&mut buf).await {
+            Ok(received) => received,
+            Err(err) => {
+                log::warn!("digests unreadable error=\"{err}\"");
+                tokio::time::sleep(RETRY_PAUSE).await;
+                continue;
+            }
+        };
+        match postcard::from_bytes::<Digest>(&buf[..len]) {
+            Ok(digest) => drop(presence.receive(digest, clock.now())),
+            Err(err) => log::debug!("digest dropped from={from} error=\"{err}\""),
+        }
+    }
+}
--- a/src/relay/event.rs
+++ b/src/relay/event.rs
@@ -37,6 +37,11 @@
         self.buf.extend_from_slice(bytes);
     }
 
+    /// Returns whether no unfinished event is left.
+    pub fn is_empty(&self) -> bool {
+        self.buf.is_empty()
+    }
+
     /// Takes the next whole event, if there is one.
     ///
     /// # Errors
--- a/src/verdict.rs
+++ b/src/verdict.rs
@@ -8,10 +8,13 @@
 ///
 /// A verdict speaks of the request, not of one attempt at it: [`Verdict::NotRun`]
 /// is given only when no attempt has run and none can still run.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+#[derive(
+    Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize, Default,
+)]
 #[serde(rename_all = "kebab-case")]
 pub enum Verdict {
     /// No attempt has run or can still run.
+    #[default]
     NotRun,
     /// An attempt may have run, or may yet run.
     MayHaveRun,
