Order lists of servers by their position in the store, and remember warm engines

Change: each list carries the offset up to which its changes are in; an earlier one never replaces a later one, and reads go on from that offset whoever told it. Placements of sessions travel in digests, so that sessions stay where their prompts are cached.

--- a/src/catalog/state.rs
+++ b/src/catalog/state.rs
@@ -38,16 +38,6 @@
             .unwrap_or_default()
     }
 
-    /// Returns all servers.
-    pub fn servers(&self) -> Vec<Arc<Server>> {
-        let inner = lock(&self.inner);
-        inner
-            .pools
-            .values()
-            .flat_map(|pool| pool.iter().cloned())
-            .collect()
-    }
-
     /// Replaces the servers.
     pub fn replace<'a>(&self, servers: impl IntoIterator<Item = &'a Server>) {
         let mut pools: BTreeMap<PoolName, Vec<Arc<Server>>> = BTreeMap::new();
--- a/src/feed/follow.rs
+++ b/src/feed/follow.rs
@@ -51,30 +51,24 @@
     presence: Arc<Presence>,
     clock: Clock,
 ) {
-    let mut cursor = None;
     loop {
         if !should_read(&feed, &presence, &clock) {
-            // Another router's list takes the place of what this one has read.
-            cursor = None;
             tokio::time::sleep(ROLE_PERIOD).await;
             continue;
         }
         let asked = clock.now();
-        let read = store.read_servers(cursor.as_ref()).await;
+        let read = store.read_servers(feed.servers_next()).await;
         let now = clock.now();
         feed.note_call("read_servers", &read, now);
-        match read {
+        let pause = match read {
             Ok(read) => {
-                feed.apply_listed(read.changes, read.whole, now);
-                cursor = Some(read.cursor);
-                tokio::time::sleep(READ_PERIOD.saturating_sub(now.since(asked))).await;
+                feed.apply_listed(read, now);
+                READ_PERIOD
             }
-            Err(_) => {
-                let fed = feed.is_fed(now) && !feed.is_able(now);
-                let pause = if fed { FED_RETRY_PERIOD } else { RETRY_PERIOD };
-                tokio::time::sleep(pause.saturating_sub(now.since(asked))).await;
-            }
-        }
+            Err(_) if feed.is_fed(now) && !feed.is_able(now) => FED_RETRY_PERIOD,
+            Err(_) => RETRY_PERIOD,
+        };
+        tokio::time::sleep(pause.saturating_sub(now.since(asked))).await;
     }
 }
 
@@ -101,7 +95,7 @@
             Role::Fed => Duration::ZERO,
         };
         let asked = clock.now();
-        let read = store.read_routes(cursor.as_ref(), wait).await;
+        let read = store.read_routes(cursor, wait).await;
         let now = clock.now();
         feed.note_call("read_routes", &read, now);
         match read {
@@ -109,7 +103,7 @@
                 if let Some(table) = read.table {
                     feed.offer_routes(table, "store");
                 }
-                cursor = Some(read.cursor);
+                cursor = Some(read.next);
                 if wait.is_zero() {
                     tokio::time::sleep(READ_PERIOD).await;
                 }
--- a/src/feed/frame.rs
+++ b/src/feed/frame.rs
@@ -5,7 +5,7 @@
 use serde::{Deserialize, Serialize};
 use tokio::io::{AsyncRead, AsyncReadExt, AsyncWrite, AsyncWriteExt};
 
-use crate::catalog::Server;
+use crate::{catalog::Server, Offset};
 
 /// Largest frame, in bytes: a table of some ten thousand routes.
 pub const MAX_FRAME: usize = 4 << 20;
@@ -16,7 +16,12 @@
     /// An encoded route table.
     Routes(Vec<u8>),
     /// All servers.
-    Servers(Vec<Server>),
+    Servers {
+        /// The servers.
+        servers: Vec<Server>,
+        /// Position in the store up to which changes are in.
+        next: Offset,
+    },
     /// The store confirmed the servers told last, that many milliseconds ago.
     Current(u64),
 }
--- a/src/feed/serve.rs
+++ b/src/feed/serve.rs
@@ -59,11 +59,11 @@
                 told_version = version;
             }
         }
-        if feed.catalog.is_known() && servers_told != Some(revision) {
-            let servers = feed.catalog.servers();
-            let servers = servers.iter().map(|server| (**server).clone()).collect();
-            send(&mut stream, &Update::Servers(servers)).await?;
-            servers_told = Some(revision);
+        if servers_told != Some(revision) {
+            if let Some((servers, next)) = feed.servers() {
+                send(&mut stream, &Update::Servers { servers, next }).await?;
+                servers_told = Some(revision);
+            }
         }
         if let Some(age) = age_millis(feed, clock.now()) {
             send(&mut stream, &Update::Current(age)).await?;
--- a/src/feed/state.rs
+++ b/src/feed/state.rs
@@ -7,13 +7,13 @@
 
 use tokio::sync::watch;
 
-use super::Role;
+use super::{Role, ServersRead};
 use crate::{
-    catalog::{Catalog, Keeper, Listed, Server},
+    catalog::{Catalog, Keeper, Server},
     presence::{Presence, Reading},
     routes::{RouteTable, Routes},
     sync::lock,
-    Instant, Result, RouterName,
+    Instant, Offset, Result, RouterName,
 };
 
 /// Age of the last answer of the store above which a router reads the store itself.
@@ -32,12 +32,20 @@
     /// Servers known.
     pub catalog: Catalog,
     me: RouterName,
-    keeper: Mutex<Keeper>,
+    followed: Mutex<Followed>,
     standing: Mutex<Standing>,
     encoded: Mutex<(u64, Weak<Vec<u8>>)>,
     revision: watch::Sender<u64>,
 }
 
+/// The list of servers, as far as its changes were followed.
+#[derive(Debug, Default)]
+struct Followed {
+    keeper: Keeper,
+    /// Position in the store up to which the changes are in; none before the first read.
+    next: Option<Offset>,
+}
+
 /// How the store answers this router, and how current its knowledge is.
 #[derive(Debug, Default)]
 struct Standing {
@@ -54,7 +62,7 @@
             routes: Routes::default(),
             catalog: Catalog::default(),
             me,
-            keeper: Mutex::default(),
+            followed: Mutex::default(),
             standing: Mutex::default(),
             encoded: Mutex::default(),
             revision: watch::Sender::new(0),
@@ -116,7 +124,7 @@
                     log::warn!("store lost call={what} error=\"{err}\"");
                 }
                 standing.failing.get_or_insert(now);
-                lock(&self.keeper).failed(now);
+                lock(&self.followed).keeper.failed(now);
             }
         }
     }
@@ -130,22 +138,46 @@
         }
     }
 
+    /// Returns where the next read of the list of servers goes on.
+    pub fn servers_next(&self) -> Option<Offset> {
+        lock(&self.followed).next
+    }
+
     /// Takes over what the list of servers said at `now`.
-    pub fn apply_listed(&self, changes: Vec<Listed>, whole: bool, now: Instant) {
-        let mut keeper = lock(&self.keeper);
-        let changed = keeper.apply(changes, whole, now);
-        if changed || !self.catalog.is_known() {
-            self.publish(&keeper, "store");
+    ///
+    /// What was read before another router told of later changes is left out.
+    pub fn apply_listed(&self, read: ServersRead, now: Instant) {
+        let mut followed = lock(&self.followed);
+        if followed.next <= Some(read.next) {
+            followed.next = Some(read.next);
+            let changed = followed.keeper.apply(read.changes, read.whole, now);
+            if changed || !self.catalog.is_known() {
+                self.publish(&followed, "store");
+            }
         }
-        drop(keeper);
+        drop(followed);
         self.note_current(now);
     }
 
-    /// Takes over the servers as another router knows them.
-    pub fn replace_servers(&self, servers: Vec<Server>) {
-        let mut keeper = lock(&self.keeper);
-        *keeper = Keeper::with_servers(servers);
-        self.publish(&keeper, "router");
+    /// Takes over the servers as another router knows them, with all changes before `next`.
+    ///
+    /// Routers read the store at different times; an earlier list does not replace a later
+    /// one.
+    pub fn replace_servers(&self, servers: Vec<Server>, next: Offset) {
+        let mut followed = lock(&self.followed);
+        if followed.next.is_some_and(|own| own >= next) {
+            return;
+        }
+        followed.next = Some(next);
+        followed.keeper = Keeper::with_servers(servers);
+        self.publish(&followed, "router");
+    }
+
+    /// Returns all servers and the position in the store that the list belongs to.
+    pub fn servers(&self) -> Option<(Vec<Server>, Offset)> {
+        let followed = lock(&self.followed);
+        let servers = followed.keeper.servers().cloned().collect();
+        followed.next.map(|next| (servers, next))
     }
 
     /// Notes that the knowledge was current at `at`.
@@ -176,11 +208,13 @@
         }
     }
 
-    fn publish(&self, keeper: &Keeper, source: &str) {
+    fn publish(&self, followed: &Followed, source: &str) {
+        let keeper = &followed.keeper;
         self.catalog.replace(keeper.servers());
         let count = keeper.servers().count();
         let leaving = keeper.servers().filter(|s| s.leaving).count();
-        log::info!("servers known count={count} leaving={leaving} source={source}");
+        let next = followed.next.unwrap_or_default();
+        log::info!("servers known count={count} leaving={leaving} next={next} source={source}");
         self.bump();
     }
 
--- a/src/feed/store.rs
+++ b/src/feed/store.rs
@@ -2,35 +2,32 @@
 
 use std::{future::Future, net::SocketAddr, time::Duration};
 
-use crate::{catalog::Listed, routes::RouteTable, Result};
+use crate::{catalog::Listed, routes::RouteTable, Offset, Result};
 
 /// What a read of the list of servers said.
 #[derive(Debug)]
-pub struct ServersRead<C> {
+pub struct ServersRead {
     /// What is listed.
     pub changes: Vec<Listed>,
     /// Whether names that are not among the changes are absent.
     pub whole: bool,
-    /// Where the next read goes on.
-    pub cursor: C,
+    /// Where the next read goes on; a later read gives a higher one.
+    pub next: Offset,
 }
 
 /// What a read of the route table said.
 #[derive(Debug)]
-pub struct RoutesRead<C> {
+pub struct RoutesRead {
     /// The newest table, if a new one was read.
     pub table: Option<RouteTable>,
-    /// Where the next read goes on.
-    pub cursor: C,
+    /// Where the next read goes on; a later read gives a higher one.
+    pub next: Offset,
 }
 
 /// Reads and writes records in the platform's store.
 ///
 /// Records that cannot be read are logged and left out by the implementation.
 pub trait Store: Send + Sync + 'static {
-    /// Position in one of the store's sequences of records.
-    type Cursor: Clone + Send + Sync;
-
     /// Reads what changed in the list of servers since `from`, or the whole list.
     ///
     /// # Errors
@@ -38,8 +35,8 @@
     /// Fails when the store gives no readable answer in time.
     fn read_servers(
         &self,
-        from: Option<&Self::Cursor>,
-    ) -> impl Future<Output = Result<ServersRead<Self::Cursor>>> + Send;
+        from: Option<Offset>,
+    ) -> impl Future<Output = Result<ServersRead>> + Send;
 
     /// Reads the newest route table; with `from`, waits up to `wait` for a newer one.
     ///
@@ -48,9 +45,9 @@
     /// Fails when the store gives no readable answer in time.
     fn read_routes(
         &self,
-        from: Option<&Self::Cursor>,
+        from: Option<Offset>,
         wait: Duration,
-    ) -> impl Future<Output = Result<RoutesRead<Self::Cursor>>> + Send;
+    ) -> impl Future<Output = Result<RoutesRead>> + Send;
 
     /// Leaves word that a router is reached by others at `own`, and returns where others are.
     ///
--- a/src/feed/subscribe.rs
+++ b/src/feed/subscribe.rs
@@ -64,7 +64,7 @@
             let table = postcard::from_bytes(&bytes).map_err(io::Error::other)?;
             feed.offer_routes(table, "router");
         }
-        Update::Servers(servers) => feed.replace_servers(servers),
+        Update::Servers { servers, next } => feed.replace_servers(servers, next),
         Update::Current(age) => feed.note_current(clock.now() - Duration::from_millis(age)),
     }
     Ok(())
--- a/src/forward/request.rs
+++ b/src/forward/request.rs
@@ -14,7 +14,7 @@
 };
 use crate::{
     catalog::{Server, ServerKey},
-    placement,
+    placement::{self, SessionKey},
     routes::{CallerLimits, PoolSettings, Repeat, RouteTable},
     Category, Error, Instant, PoolName, Result, TeamName, Verdict,
 };
@@ -333,11 +333,26 @@
             now,
         );
         if let Some(server) = &server {
-            tries.servers.push(server.key());
+            self.place(cx, server, tries, now);
         }
         Ok(server)
     }
 
+    /// Notes that the request goes to `server` now.
+    pub(super) fn place<W: Wire>(
+        &self,
+        cx: &Forwarder<W>,
+        server: &Server,
+        tries: &mut Tries,
+        now: Instant,
+    ) {
+        tries.servers.push(server.key());
+        if let Some(session) = self.stage.session {
+            cx.warmth
+                .note((SessionKey::new(session), server.key()), now);
+        }
+    }
+
     async fn try_at<W: Wire>(
         &self,
         cx: &Forwarder<W>,
--- a/src/forward/state.rs
+++ b/src/forward/state.rs
@@ -15,7 +15,7 @@
     catalog::{Server, ServerKey},
     feed::Feed,
     inspect::Traffic,
-    placement::{self, Candidate, LoadBound},
+    placement::{self, Candidate, LoadBound, SessionKey, Warmth},
     presence::{Phase, Presence},
     routes::PoolSettings,
     sync::lock,
@@ -50,6 +50,8 @@
     pub flights: Flights,
     /// What this router saw of the servers.
     pub health: Health,
+    /// Engines that served sessions lately.
+    pub warmth: Warmth,
     /// Connections to servers.
     pub links: SharedLinks,
     /// Metrics.
@@ -77,6 +79,7 @@
             clock,
             flights: Flights::default(),
             health: Health::default(),
+            warmth: Warmth::default(),
             links: SharedLinks::default(),
             traffic: Traffic::new(),
             retries: SharedRetries::default(),
@@ -161,7 +164,8 @@
         let at = match session.filter(|_| settings.engines) {
             Some(session) => {
                 let limit = self.policy().bound.limit(known.values().copied());
-                placement::by_session(session, &candidates, limit)
+                let warm = self.warmth.engines(SessionKey::new(session), now);
+                placement::by_session(session, &candidates, limit, &warm)
             }
             None => {
                 self.weigh_failures(&mut candidates);
--- a/src/forward/stream.rs
+++ b/src/forward/stream.rs
@@ -220,7 +220,7 @@
             let Some(server) = server.filter(|_| self.req.spend(&cx, now)) else {
                 break;
             };
-            self.tries.servers.push(server.key());
+            self.req.place(&cx, &server, &mut self.tries, now);
             log::info!(
                 "stream resumed id={} server={} after={:?} cause=\"{failed}\"",
                 self.req.id(),
--- a/src/placement/mod.rs
+++ b/src/placement/mod.rs
@@ -6,6 +6,7 @@
 mod prompt;
 mod rank;
 mod score;
+mod warm;
 
 pub use self::{
     directory::Directory,
@@ -13,6 +14,7 @@
     preferred::{preferred, MAX_RANKS},
     prompt::{by_session, by_two_choices, session, Candidate, LoadBound, Part},
     rank::{first, order, score},
+    warm::{Placed, SessionKey, Warmth},
 };
 
 use std::sync::Arc;
--- a/src/placement/prompt.rs
+++ b/src/placement/prompt.rs
@@ -6,7 +6,10 @@
 //! next engine in rendezvous order, always the same one.
 
 use super::score;
-use crate::catalog::Server;
+use crate::catalog::{Server, ServerKey};
+
+/// Ranks among which a session without a warm engine gets the least loaded one.
+const FIRST_RANKS: usize = 1;
 
 /// One part of a prompt.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -56,15 +59,36 @@
 
 /// Returns the position of the engine for `session`.
 ///
-/// Engines over `limit` or avoided are passed over while another one is left.
-pub fn by_session(session: u64, candidates: &[Candidate<'_>], limit: f64) -> Option<usize> {
+/// Of the engines that are not avoided and are below `limit`, one that served the session
+/// lately (`warm`, the latest first) goes first. A session that has none gets the least
+/// loaded of its first ranks in rendezvous order, so that joining engines fill up.
+pub fn by_session(
+    session: u64,
+    candidates: &[Candidate<'_>],
+    limit: f64,
+    warm: &[ServerKey],
+) -> Option<usize> {
+    let fits = |c: &Candidate<'_>| !c.avoided && f64::from(c.load) < limit;
+    let of_key = |key: &ServerKey| candidates.iter().position(|c| c.server.key() == *key);
+    let mut known = warm.iter().filter_map(of_key);
+    if let Some(at) = known.find(|at| fits(&candidates[*at])) {
+        return Some(at);
+    }
     let key = score::number(session);
-    let rank = |c: &Candidate<'_>| score::node(key, c.server.name.as_str());
-    let positions = || candidates.iter().enumerate();
-    let fits = positions().filter(|(_, c)| !c.avoided && f64::from(c.load) < limit);
-    let best = fits.max_by_key(|(_, c)| rank(c));
-    let least = || positions().min_by_key(|(_, c)| (c.avoided, c.load, rank(c)));
-    best.or_else(least).map(|(at, _)| at)
+    let rank = |at: &usize| score::node(key, candidates[*at].server.name.as_str());
+    let mut ranked: Vec<_> = (0..candidates.len()).collect();
+    ranked.sort_by_cached_key(|at| std::cmp::Reverse(rank(at)));
+    let first = ranked
+        .iter()
+        .filter(|at| fits(&candidates[**at]))
+        .take(FIRST_RANKS);
+    let best = first.min_by_key(|at| candidates[**at].load);
+    let least = || {
+        ranked
+            .iter()
+            .min_by_key(|at| (candidates[**at].avoided, candidates[**at].load))
+    };
+    best.or_else(least).copied()
 }
 
 /// Returns the less loaded one of two random servers.
--- /dev/null
+++ b/src/placement/warm.rs
@@ -0,0 +1,133 @@
+//! Which engines have served a session lately, as all routers tell each other.
+//!
+//! Rendezvous order alone moves sessions when engines join, though the engines that served
+//! them still hold their prompts. With this memory a session moves only when its engines
+//! leave or are over the bound.
+
+use std::{
+    collections::{BTreeMap, VecDeque},
+    sync::Mutex,
+    time::Duration,
+};
+
+use serde::{Deserialize, Serialize};
+use xxhash_rust::xxh3::xxh3_64;
+
+use crate::{catalog::ServerKey, sync::lock, Instant};
+
+/// Time after its last request for which a session is taken to be cached.
+///
+/// Longer than the time after which a prompt that is read again counts as reused.
+const KEPT_FOR: Duration = Duration::from_secs(60);
+
+/// Most sessions remembered.
+const MAX_SESSIONS: usize = 8_192;
+
+/// Most engines remembered for one session: two that share it and one that it has left.
+const MAX_ENGINES: usize = 3;
+
+/// Digests in which a placement is told, as datagrams may be lost.
+const TOLD: u8 = 2;
+
+/// Most placements in one digest.
+const MAX_TOLD: usize = 64;
+
+/// Time between two sweeps of what is no longer kept.
+const SWEEP_PERIOD: Duration = Duration::from_secs(5);
+
+/// Short name of a session.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+#[serde(transparent)]
+pub struct SessionKey(pub u32);
+
+impl SessionKey {
+    /// Returns the short name for the hash of a session.
+    pub fn new(session: u64) -> Self {
+        SessionKey(xxh3_64(&session.to_le_bytes()) as u32)
+    }
+}
+
+/// A session and an engine that was given a request of it.
+pub type Placed = (SessionKey, ServerKey);
+
+/// Engines by session, and what other routers have not been told yet.
+#[derive(Debug, Default)]
+pub struct Warmth {
+    inner: Mutex<Inner>,
+}
+
+#[derive(Debug, Default)]
+struct Inner {
+    sessions: BTreeMap<SessionKey, Vec<(ServerKey, Instant)>>,
+    news: VecDeque<(Placed, u8)>,
+    swept: Instant,
+}
+
+impl Warmth {
+    /// Returns the engines that served a session lately, the latest first.
+    pub fn engines(&self, session: SessionKey, now: Instant) -> Vec<ServerKey> {
+        let inner = lock(&self.inner);
+        let known = inner.sessions.get(&session).into_iter().flatten();
+        let recent = known.filter(|(_, at)| now.since(*at) < KEPT_FOR);
+        recent.map(|(engine, _)| *engine).collect()
+    }
+
+    /// Notes that this router gave a request of a session to an engine.
+    pub fn note(&self, placed: Placed, now: Instant) {
+        let mut inner = lock(&self.inner);
+        inner.put(placed, now);
+        inner.news.push_back((placed, TOLD));
+        if inner.news.len() > 4 * MAX_TOLD {
+            inner.news.pop_front();
+        }
+    }
+
+    /// Takes over what another router told.
+    pub fn learn(&self, placed: &[Placed], now: Instant) {
+        let mut inner = lock(&self.inner);
+        for placed in placed {
+            inner.put(*placed, now);
+        }
+        inner.sweep(now);
+    }
+
+    /// Returns what is to be told in the next digest.
+    pub fn next_news(&self) -> Vec<Placed> {
+        let mut inner = lock(&self.inner);
+        let count = inner.news.len().min(MAX_TOLD);
+        let mut told = Vec::with_capacity(count);
+        for _ in 0..count {
+            let Some((placed, left)) = inner.news.pop_front() else {
+                break;
+            };
+            told.push(placed);
+            if left > 1 {
+                inner.news.push_back((placed, left - 1));
+            }
+        }
+        told
+    }
+}
+
+impl Inner {
+    fn put(&mut self, (session, engine): Placed, now: Instant) {
+        if self.sessions.len() >= MAX_SESSIONS && !self.sessions.contains_key(&session) {
+            return;
+        }
+        let engines = self.sessions.entry(session).or_default();
+        engines.retain(|(known, _)| *known != engine);
+        engines.insert(0, (engine, now));
+        engines.truncate(MAX_ENGINES);
+    }
+
+    fn sweep(&mut self, now: Instant) {
+        if now.since(self.swept) < SWEEP_PERIOD {
+            return;
+        }
+        self.swept = now;
+        self.sessions.retain(|_, engines| {
+            engines.retain(|(_, at)| now.since(*at) < KEPT_FOR);
+            !engines.is_empty()
+        });
+    }
+}
--- a/src/presence/digest.rs
+++ b/src/presence/digest.rs
@@ -4,7 +4,7 @@
 
 use serde::{Deserialize, Serialize};
 
-use crate::{catalog::ServerKey, DomainName, Incarnation, RouterName};
+use crate::{catalog::ServerKey, placement::Placed, DomainName, Incarnation, RouterName};
 
 /// Largest datagram, in bytes; it fits into one packet of the usual networks.
 pub const MAX_DIGEST: usize = 1_400;
@@ -52,6 +52,8 @@
     pub reading: Reading,
     /// Requests that it has in flight, by server.
     pub loads: Vec<(ServerKey, u32)>,
+    /// Sessions that it placed lately, and the engines they went to.
+    pub placed: Vec<Placed>,
     /// Addresses of some other routers that it hears.
     pub known: Vec<SocketAddr>,
 }
--- a/src/presence/task.rs
+++ b/src/presence/task.rs
@@ -45,6 +45,7 @@
         if bytes.len() <= MAX_DIGEST || digest.loads.is_empty() {
             return Ok(bytes);
         }
+        digest.placed.truncate(digest.placed.len() / 2);
         digest
             .loads
             .sort_by_key(|(_, load)| std::cmp::Reverse(*load));
@@ -52,8 +53,13 @@
     }
 }
 
-/// Receives digests; unreadable ones are dropped.
-pub async fn receive(presence: Arc<Presence>, socket: Arc<UdpSocket>, clock: Clock) {
+/// Receives digests and passes new ones to `heard`; unreadable ones are dropped.
+pub async fn receive(
+    presence: Arc<Presence>,
+    socket: Arc<UdpSocket>,
+    clock: Clock,
+    heard: impl Fn(&Digest),
+) {
     let mut buf = [0; MAX_DIGEST];
     loop {
         let (len, from) = match socket.recv_from(&mut buf).await {
@@ -65,7 +71,10 @@
             }
         };
         match postcard::from_bytes::<Digest>(&buf[..len]) {
-            Ok(digest) => drop(presence.receive(digest, clock.now())),
+            Ok(digest) => {
+                heard(&digest);
+                presence.receive(digest, clock.now());
+            }
             Err(err) => log::debug!("digest dropped from={from} error=\"{err}\""),
         }
     }
--- a/stand-in/src/main.rs
+++ b/stand-in/src/main.rs
@@ -4,8 +4,10 @@
 mod engine;
 mod orders;
 mod platform;
+mod replica;
 mod report;
 mod service;
+mod store;
 mod web;
 
 use clap::{Parser, Subcommand};
@@ -25,6 +27,10 @@
     Engine(engine::Args),
     /// A plain service with bookings.
     Service(service::Args),
+    /// The store of the users' platform.
+    Store(store::Args),
+    /// A backend server of the users' platform.
+    Replica(replica::Args),
     /// Callers with returning chats and bookings; prints one JSON line at the end.
     Caller(caller::Args),
     /// Sends one JSON request and prints the answer.
@@ -49,6 +55,8 @@
         Command::Platform(args) => platform::run(args).await,
         Command::Engine(args) => engine::run(args).await,
         Command::Service(args) => service::run(args).await,
+        Command::Store(args) => store::run(args).await,
+        Command::Replica(args) => replica::run(args).await,
         Command::Caller(args) => caller::run(args).await,
         Command::Request {
             method,
--- /dev/null
+++ b/stand-in/src/store.rs
@@ -0,0 +1,231 @@
+//! The store of the users' platform: topics with records, the newest of each key, faults.
+
+use std::{
+    collections::BTreeMap,
+    net::SocketAddr,
+    sync::{Arc, Mutex},
+    time::Duration,
+};
+
+use base64::{prelude::BASE64_STANDARD, Engine};
+use bytes::Bytes;
+use gotham::helpers::http::Body;
+use http::{Response, StatusCode};
+use http_body_util::{BodyExt, Full};
+use serde::Deserialize;
+use serde_json::json;
+use tokio::sync::Notify;
+
+use crate::web::{self, Req};
+
+/// Time after which an entry of a server that is not renewed is removed.
+const LAPSE: Duration = Duration::from_millis(1_500);
+
+#[derive(clap::Args)]
+pub struct Args {
+    /// Address to listen on.
+    #[arg(long)]
+    listen: SocketAddr,
+}
+
+/// One topic of one partition.
+#[derive(Default)]
+struct Topic {
+    /// Offset of the first record that is kept.
+    first: u64,
+    records: Vec<Bytes>,
+    /// Newest value of each key, and how often it was written.
+    newest: BTreeMap<String, (Bytes, u64)>,
+}
+
+/// Faults that are switched on by `PUT /faults`.
+#[derive(Clone, Copy, Default, Deserialize)]
+#[serde(default)]
+struct Faults {
+    /// Calls are answered with 503.
+    down: bool,
+    /// Calls are never answered.
+    silent: bool,
+    /// Appends take effect and are not answered.
+    lose_answers: bool,
+    /// Each answer takes that much longer.
+    slow_ms: u64,
+}
+
+#[derive(Default)]
+struct Store {
+    topics: Mutex<BTreeMap<String, Topic>>,
+    faults: Mutex<Faults>,
+    calls: Mutex<u64>,
+    appended: Notify,
+}
+
+pub async fn run(args: Args) {
+    web::serve(args.listen, Arc::new(Store::default()), handle).await;
+}
+
+async fn handle(store: Arc<Store>, req: Req) -> Response<Body> {
+    match (req.method.as_str(), req.path().as_slice()) {
+        ("PUT", ["faults"]) => return store.set_faults(&req),
+        ("PUT", ["forget", topic]) => return store.forget(topic),
+        ("PUT", ["record", topic, key]) => return store.put(topic, key, req.body.clone()),
+        ("GET", ["calls"]) => return web::json(StatusCode::OK, &*store.calls.lock().unwrap()),
+        _ => {}
+    }
+    *store.calls.lock().unwrap() += 1;
+    let faults = *store.faults.lock().unwrap();
+    if faults.silent {
+        std::future::pending::<()>().await;
+    }
+    tokio::time::sleep(Duration::from_millis(faults.slow_ms)).await;
+    if faults.down {
+        return web::json(StatusCode::SERVICE_UNAVAILABLE, &"down");
+    }
+    let topic = req.text("topic");
+    match (req.method.as_str(), req.path().as_slice()) {
+        ("POST", ["-", "log-append"]) => {
+            let answer = store.append(&topic, &req.body);
+            if faults.lose_answers {
+                std::future::pending::<()>().await;
+            }
+            answer
+        }
+        ("GET", ["-", "log-read"]) => {
+            let (from, wait) = (req.number("from", 0), req.number("wait_ms", 0));
+            store.read(&topic, from, Duration::from_millis(wait)).await
+        }
+        ("GET", ["-", "log-newest"]) => store.newest(&topic),
+        _ => web::json(StatusCode::NOT_FOUND, &"no such call"),
+    }
+}
+
+impl Store {
+    fn set_faults(&self, req: &Req) -> Response<Body> {
+        match req.json::<Faults>() {
+            Ok(faults) => *self.faults.lock().unwrap() = faults,
+            Err(refusal) => return *refusal,
+        }
+        web::json(StatusCode::OK, &"set")
+    }
+
+    /// Drops the records of a topic; the newest of each key stay.
+    fn forget(&self, topic: &str) -> Response<Body> {
+        if let Some(topic) = self.topics.lock().unwrap().get_mut(topic) {
+            topic.first += topic.records.len() as u64 + 1;
+            topic.records.clear();
+        }
+        web::json(StatusCode::OK, &"forgotten")
+    }
+
+    /// Writes a record as the operator or a server does; an empty one removes the key.
+    fn put(self: &Arc<Self>, topic: &str, key: &str, value: Bytes) -> Response<Body> {
+        let mut record = vec![key.len() as u8];
+        record.extend_from_slice(key.as_bytes());
+        record.extend_from_slice(&value);
+        let writes = self.add(topic, record.into());
+        if topic == "keyed.servers" && !value.is_empty() {
+            let (store, topic, key) = (self.clone(), topic.to_string(), key.to_string());
+            tokio::spawn(async move {
+                tokio::time::sleep(LAPSE).await;
+                store.lapse(&topic, &key, writes);
+            });
+        }
+        web::json(StatusCode::OK, &"written")
+    }
+
+    /// Removes a key that was not written since.
+    fn lapse(&self, topic: &str, key: &str, writes: u64) {
+        let current = {
+            let topics = self.topics.lock().unwrap();
+            topics[topic].newest.get(key).map(|(_, writes)| *writes)
+        };
+        if current == Some(writes) {
+            let mut record = vec![key.len() as u8];
+            record.extend_from_slice(key.as_bytes());
+            self.add(topic, record.into());
+        }
+    }
+
+    fn append(&self, topic: &str, mut body: &[u8]) -> Response<Body> {
+        while let Some((len, rest)) = body.split_first_chunk::<4>() {
+            let len = u32::from_be_bytes(*len) as usize;
+            let Some((record, rest)) = rest.split_at_checked(len) else {
+                return web::json(StatusCode::BAD_REQUEST, &"a record is cut off");
+            };
+            self.add(topic, Bytes::copy_from_slice(record));
+            body = rest;
+        }
+        let topics = self.topics.lock().unwrap();
+        let end = topics.get(topic).map_or(0, Topic::end);
+        web::json(StatusCode::OK, &json!({ "offset": end, "end_offset": end }))
+    }
+
+    fn add(&self, topic: &str, record: Bytes) -> u64 {
+        let mut topics = self.topics.lock().unwrap();
+        let topic = topics.entry(topic.to_string()).or_default();
+        let end = topic.end();
+        let key_len = usize::from(record[0]);
+        let key = String::from_utf8_lossy(&record[1..=key_len]).into_owned();
+        if record.len() == key_len + 1 {
+            topic.newest.remove(&key);
+        } else {
+            topic.newest.insert(key, (record.slice(key_len + 1..), end));
+        }
+        topic.records.push(record);
+        self.appended.notify_waiters();
+        end
+    }
+
+    async fn read(&self, topic: &str, from: u64, wait: Duration) -> Response<Body> {
+        let deadline = tokio::time::Instant::now() + wait;
+        loop {
+            let appended = self.appended.notified();
+            match self.try_read(topic, from) {
+                Some(answer) => return answer,
+                None if tokio::time::Instant::now() >= deadline => return raw(Vec::new(), 0, from),
+                None => drop(tokio::time::timeout_at(deadline, appended).await),
+            }
+        }
+    }
+
+    fn try_read(&self, topic: &str, from: u64) -> Option<Response<Body>> {
+        let topics = self.topics.lock().unwrap();
+        let topic = topics.get(topic)?;
+        if from < topic.first {
+            let answer = json!({ "first_offset": topic.first });
+            return Some(web::json(StatusCode::GONE, &answer));
+        }
+        let records = topic.records.get((from - topic.first) as usize..)?;
+        let mut body = Vec::new();
+        for record in records {
+            body.extend_from_slice(&(record.len() as u32).to_be_bytes());
+            body.extend_from_slice(record);
+        }
+        (!body.is_empty()).then(|| raw(body, topic.first, topic.end()))
+    }
+
+    fn newest(&self, topic: &str) -> Response<Body> {
+        let topics = self.topics.lock().unwrap();
+        let none = Topic::default();
+        let topic = topics.get(topic).unwrap_or(&none);
+        let entry = |(key, (value, offset)): (&String, &(Bytes, u64))| json!({ "key": key, "data": BASE64_STANDARD.encode(value), "offset": offset });
+        let entries: Vec<_> = topic.newest.iter().map(entry).collect();
+        let end = topic.end();
+        let answer = json!({ "entries": entries, "truncated": false, "end_offset": end });
+        web::json(StatusCode::OK, &answer)
+    }
+}
+
+impl Topic {
+    fn end(&self) -> u64 {
+        self.first + self.records.len() as u64
+    }
+}
+
+fn raw(records: Vec<u8>, first: u64, end: u64) -> Response<Body> {
+    let mut body = end.to_be_bytes().to_vec();
+    body.extend_from_slice(&first.to_be_bytes());
+    body.extend_from_slice(&records);
+    let body = Full::new(Bytes::from(body)).map_err(|never| match never {});
+    Response::new(body.boxed_unsync())
+}
--- a/stand-in/src/web.rs
+++ b/stand-in/src/web.rs
@@ -51,12 +51,14 @@
 
     /// Returns a number from the query, or `default`.
     pub fn number(&self, key: &str, default: u64) -> u64 {
+        self.text(key).parse().unwrap_or(default)
+    }
+
+    /// Returns a value from the query, empty when it is not there.
+    pub fn text(&self, key: &str) -> String {
         let pairs = self.uri.query().unwrap_or_default().split('&');
         let query: HashMap<_, _> = pairs.filter_map(|pair| pair.split_once('=')).collect();
-        query
-            .get(key)
-            .and_then(|text| text.parse().ok())
-            .unwrap_or(default)
+        query.get(key).copied().unwrap_or_default().to_string()
     }
 
     /// Returns a header as text.
--- a/tests/support/http.rs
+++ b/tests/support/http.rs
@@ -43,9 +43,21 @@
     path: &str,
     headers: &[(&str, &str)],
     body: &str,
+) -> Option<TcpStream> {
+    send_to_host(address, "router", method, path, headers, body)
+}
+
+/// Sends a request that names `host` on a connection of its own.
+pub fn send_to_host(
+    address: SocketAddr,
+    host: &str,
+    method: &str,
+    path: &str,
+    headers: &[(&str, &str)],
+    body: &str,
 ) -> Option<TcpStream> {
     let mut stream = TcpStream::connect(address).ok()?;
-    let mut head = format!("{method} {path} HTTP/1.1\r\nhost: router\r\nconnection: close\r\n");
+    let mut head = format!("{method} {path} HTTP/1.1\r\nhost: {host}\r\nconnection: close\r\n");
     for (key, value) in headers {
         head += &format!("{key}: {value}\r\n");
     }
@@ -79,6 +91,19 @@
     send(address, method, path, headers, body).map_or_else(Answer::default, read)
 }
 
+/// Sends a request that names `host` and reads its answer.
+pub fn exchange_at(
+    address: SocketAddr,
+    host: &str,
+    method: &str,
+    path: &str,
+    headers: &[(&str, &str)],
+    body: &str,
+) -> Answer {
+    let sent = send_to_host(address, host, method, path, headers, body);
+    sent.map_or_else(Answer::default, read)
+}
+
 fn parse(text: &str) -> Answer {
     let Some((head, rest)) = text.split_once("\r\n\r\n") else {
         return Answer::default();
--- a/tests/support/mod.rs
+++ b/tests/support/mod.rs
@@ -4,94 +4,26 @@
 
 pub mod http;
 mod port;
+mod process;
 pub mod spec;
 
 use std::{
-    fs::File,
     net::SocketAddr,
-    path::{Path, PathBuf},
+    path::PathBuf,
     process::{Child, Command, Output, Stdio},
-    time::{Duration, Instant},
 };
 
 pub use port::free_address;
-use rustix::process::{kill_process, Pid, Signal};
+#[allow(unused_imports)]
+pub use process::{program, wait_until, Process, DEADLINE};
 use serde_json::{json, Value};
 
-/// Longest time for a condition to come true.
-pub const DEADLINE: Duration = Duration::from_secs(60);
-
 /// Token of the operator of every fleet.
 pub const TOKEN: &str = "token-of-the-test-operator";
 
 /// Path whose answer has the first and the next offset of the configuration stream.
 pub const STREAM_BOUNDS: &str = "/v1/log/config?from=9223372036854775807";
 
-/// Waits until `condition` holds.
-#[track_caller]
-pub fn wait_until(what: &str, mut condition: impl FnMut() -> bool) {
-    let deadline = Instant::now() + DEADLINE;
-    while !condition() {
-        assert!(Instant::now() < deadline, "gave up waiting until {what}");
-        std::thread::sleep(Duration::from_millis(50));
-    }
-}
-
-/// Returns a built program of this workspace.
-pub fn program(name: &str) -> PathBuf {
-    let daemon = Path::new(env!("CARGO_BIN_EXE_ebonyspurd"));
-    let path = daemon.with_file_name(name);
-    assert!(
-        path.exists(),
-        "{name} is not built: run cargo test --workspace"
-    );
-    path
-}
-
-/// A started process, killed when dropped.
-pub struct Process {
-    child: Child,
-}
-
-impl Process {
-    /// Starts `name` with its output in `log`.
-    pub fn start(name: &str, args: &[&str], log: &Path) -> Self {
-        let log = File::create(log).expect("a log file");
-        let child = Command::new(program(name))
-            .args(args)
-            .stdin(Stdio::null())
-            .stdout(log.try_clone().expect("a second handle"))
-            .stderr(log)
-            .spawn()
-            .expect("a started process");
-        Process { child }
-    }
-
-    /// Sends a signal.
-    pub fn signal(&self, signal: Signal) {
-        let pid = Pid::from_child(&self.child);
-        kill_process(pid, signal).expect("a running process");
-    }
-
-    /// Kills the process and waits until it has ended, so that its ports are closed.
-    pub fn kill(&mut self) {
-        self.signal(Signal::KILL);
-        self.child.wait().expect("a child");
-    }
-
-    /// Returns whether the process has ended.
-    pub fn has_ended(&mut self) -> bool {
-        self.child.try_wait().expect("a child").is_some()
-    }
-}
-
-impl Drop for Process {
-    fn drop(&mut self) {
-        drop(self.child.kill());
-        drop(self.child.wait());
-    }
-}
-
 /// A router process and its addresses.
 pub struct RouterProcess {
     pub process: Process,
