Copy prompts from the engine that holds them when a session moves

Ruled out: more affinity (the engines are over the bound or leave). Change: an engine that has not served a session is told of a sound one that has, and copies what that one keeps.

--- a/src/forward/request.rs
+++ b/src/forward/request.rs
@@ -1,6 +1,6 @@
 //! One request of a caller, from its arrival to the head of its answer.
 
-use std::{sync::Arc, time::Duration};
+use std::{net::SocketAddr, sync::Arc, time::Duration};
 
 use bytes::Bytes;
 use http::{header, request, HeaderValue, Response, StatusCode};
@@ -79,6 +79,8 @@
     pub(super) verdict: Verdict,
     /// Whether the retry that comes next is already spent.
     prepaid: bool,
+    /// Server from which the one that was chosen last can copy the prompt.
+    prompt_from: Option<SocketAddr>,
 }
 
 /// How a request went at one server.
@@ -348,6 +350,7 @@
     ) {
         tries.servers.push(server.key());
         if let Some(session) = self.stage.session {
+            tries.prompt_from = cx.prompt_source(&self.stage.pool, session, server, now);
             cx.warmth
                 .note((SessionKey::new(session), server.key()), now);
         }
@@ -401,6 +404,7 @@
             team: self.stage.team.as_ref(),
             left,
             last_event,
+            prompt_from: tries.prompt_from,
         };
         let exchange = cx.exchange(&self.call, server, &passing);
         tokio::pin!(exchange);
--- a/src/forward/state.rs
+++ b/src/forward/state.rs
@@ -2,6 +2,7 @@
 
 use std::{
     collections::BTreeMap,
+    net::SocketAddr,
     sync::{Arc, Mutex},
     time::Duration,
 };
@@ -177,6 +178,26 @@
         at.map(|at| servers[at].clone())
     }
 
+    /// Returns the address of an engine that holds the prompt of a session which `server`
+    /// has not served.
+    pub(super) fn prompt_source(
+        &self,
+        pool: &PoolName,
+        session: u64,
+        server: &Server,
+        now: Instant,
+    ) -> Option<SocketAddr> {
+        let warm = self.warmth.engines(SessionKey::new(session), now);
+        if warm.contains(&server.key()) {
+            return None;
+        }
+        let all = self.feed.catalog.pool(pool);
+        let sound = |key: &ServerKey| !self.health.is_avoided(*key, now);
+        let listed = |key: ServerKey| all.iter().find(|server| server.key() == key);
+        let source = warm.into_iter().filter(sound).find_map(listed)?;
+        Some(source.address)
+    }
+
     /// Makes servers that fail more often than the others look busier.
     fn weigh_failures(&self, candidates: &mut [Candidate<'_>]) {
         let shares = candidates
--- a/src/forward/wire.rs
+++ b/src/forward/wire.rs
@@ -1,6 +1,6 @@
 //! The port to the dialect that callers and backend servers speak.
 
-use std::time::Duration;
+use std::{net::SocketAddr, time::Duration};
 
 use http::{request, HeaderMap, Response, StatusCode};
 
@@ -33,6 +33,8 @@
     pub left: Option<Duration>,
     /// Number of the last event that the caller has of a stream.
     pub last_event: Option<u64>,
+    /// Another server that holds the beginning of the prompt, to copy it from.
+    pub prompt_from: Option<SocketAddr>,
 }
 
 /// How busy a server says it is.
