--- a/tests/admission/main.rs
+++ b/tests/admission/main.rs
@@ -4,6 +4,7 @@
 mod fairness;
 mod line;
 mod model;
+mod shared;
 mod storm;
 mod trial;
 mod watch;
--- /dev/null
+++ b/tests/catalog/main.rs
@@ -0,0 +1,107 @@
+//! Servers through changes and outages of the list.
+
+use ebonyspur::{
+    catalog::{Keeper, Listed, Server},
+    DomainName, EngineName, Incarnation, Instant, PoolName,
+};
+use expect_test::expect;
+
+fn server(name: &str, leaving: bool) -> Server {
+    Server {
+        name: EngineName::new(name).unwrap(),
+        pool: PoolName::new("writers").unwrap(),
+        address: ([127, 0, 0, 1], 80).into(),
+        domain: DomainName::new("d1").unwrap(),
+        life: Incarnation(1),
+        slots: 4,
+        leaving,
+    }
+}
+
+fn present(name: &str) -> Listed {
+    Listed::Present(server(name, false))
+}
+
+fn absent(name: &str) -> Listed {
+    Listed::Absent(EngineName::new(name).unwrap())
+}
+
+fn names(keeper: &Keeper) -> String {
+    let name = |s: &Server| format!("{}{}", s.name, if s.leaving { "-leaving" } else { "" });
+    keeper.servers().map(name).collect::<Vec<_>>().join(" ")
+}
+
+/// Answers the keeper each 400 ms from `from` to `to`, with `changes` in the first answer.
+fn answer(keeper: &mut Keeper, from: u64, to: u64, changes: Vec<Listed>) -> String {
+    let mut changes = Some(changes);
+    for at in (from..=to).step_by(400) {
+        let now = Instant::from_millis(at);
+        keeper.apply(changes.take().unwrap_or_default(), false, now);
+    }
+    format!("{to}: {}", names(keeper))
+}
+
+fn started() -> Keeper {
+    let mut keeper = Keeper::default();
+    let all = vec![present("a"), present("b"), present("c")];
+    keeper.apply(all, true, Instant::from_millis(0));
+    keeper
+}
+
+#[test]
+fn servers_come_leave_and_go_at_once_while_the_list_answers() {
+    let mut keeper = started();
+    let lines = [
+        answer(&mut keeper, 400, 400, vec![present("d"), absent("a")]),
+        answer(
+            &mut keeper,
+            800,
+            800,
+            vec![Listed::Present(server("b", true))],
+        ),
+        answer(
+            &mut keeper,
+            1_200,
+            1_200,
+            vec![absent("b"), absent("nobody")],
+        ),
+    ];
+    expect![[r#"
+        400: b c d
+        800: b-leaving c d
+        1200: c d"#]]
+    .assert_eq(&lines.join("\n"));
+}
+
+#[test]
+fn entries_that_lapsed_in_an_outage_count_again_when_their_servers_had_time_to_register() {
+    let mut keeper = started();
+    keeper.failed(Instant::from_millis(500));
+    let lapsed = vec![absent("a"), absent("b"), Listed::Present(server("c", true))];
+    let lines = [
+        answer(&mut keeper, 6_000, 7_200, lapsed),
+        answer(&mut keeper, 7_600, 7_600, vec![present("a")]),
+        // 2.2 s after the first answer what is still missing is gone.
+        answer(&mut keeper, 8_000, 8_400, vec![]),
+    ];
+    expect![[r#"
+        7200: a b c-leaving
+        7600: a b c-leaving
+        8400: a c-leaving"#]]
+    .assert_eq(&lines.join("\n"));
+}
+
+#[test]
+fn a_whole_list_replaces_what_is_not_in_it() {
+    let mut keeper = started();
+    let changed = keeper.apply(vec![present("b")], true, Instant::from_millis(300));
+    assert!(changed);
+    expect!["b"].assert_eq(&names(&keeper));
+    assert!(!keeper.apply(vec![present("b")], true, Instant::from_millis(600)));
+}
+
+#[test]
+fn a_short_gap_is_no_outage() {
+    let mut keeper = started();
+    expect!["1400: b c"].assert_eq(&answer(&mut keeper, 1_400, 1_400, vec![absent("a")]));
+}
--- /dev/null
+++ b/tests/feed/main.rs
@@ -0,0 +1,128 @@
+//! Which routers follow the store, and what they take over from each other.
+
+use ebonyspur::{
+    catalog::{Listed, Server},
+    feed::{Feed, Role, ServersRead, FOLLOWERS},
+    presence::{Digest, Peer, Phase, Reading},
+    Category, DomainName, EngineName, Error, Incarnation, Instant, Offset, PoolName, RouterName,
+};
+use expect_test::expect;
+
+fn name(number: usize) -> RouterName {
+    RouterName::new(&format!("router-{number}")).unwrap()
+}
+
+fn peer(number: usize, reading: Reading) -> Peer {
+    let address = ([10, 0, 0, number as u8], 7340).into();
+    Peer {
+        digest: Digest {
+            from: name(number),
+            life: Incarnation(1),
+            number: 1,
+            address,
+            peer_address: address,
+            domain: DomainName::new("d1").unwrap(),
+            phase: Phase::Serving,
+            reading,
+            loads: Vec::new(),
+            placed: Vec::new(),
+            known: Vec::new(),
+        },
+        heard: Instant::default(),
+    }
+}
+
+/// Returns the routers of a fleet of 19 that follow, when the store refuses `unable`.
+fn followers(unable: &[usize]) -> Vec<usize> {
+    let reading = |number| match unable.contains(&number) {
+        true => Reading::Unable,
+        false => Reading::Able,
+    };
+    let follows = |number: &usize| {
+        let others = (0..19).filter(|other| other != number);
+        let live: Vec<_> = others.map(|other| peer(other, reading(other))).collect();
+        let able = !unable.contains(number);
+        Role::decide(&name(*number), able, &live) == Role::Follower
+    };
+    (0..19).filter(follows).collect()
+}
+
+#[test]
+fn two_routers_follow_and_others_take_the_place_of_those_that_the_store_refuses() {
+    let first = followers(&[]);
+    assert_eq!(first.len(), FOLLOWERS);
+    let second = followers(&first);
+    assert_eq!(second.len(), FOLLOWERS);
+    let one_stays = followers(&first[..1]);
+    let all: Vec<_> = (0..19).collect();
+    expect!["[4, 7]; both refused: [10, 18]; one refused: [7, 10]; all: []"].assert_eq(&format!(
+        "{first:?}; both refused: {second:?}; one refused: {one_stays:?}; all: {:?}",
+        followers(&all)
+    ));
+}
+
+fn server(leaving: bool) -> Server {
+    Server {
+        name: EngineName::new("e-1").unwrap(),
+        pool: PoolName::new("writers").unwrap(),
+        address: ([127, 0, 0, 1], 80).into(),
+        domain: DomainName::new("d1").unwrap(),
+        life: Incarnation(1),
+        slots: 4,
+        leaving,
+    }
+}
+
+fn read(servers: &[Server], next: u64) -> ServersRead {
+    ServersRead {
+        changes: servers.iter().cloned().map(Listed::Present).collect(),
+        whole: false,
+        next: Offset(next),
+    }
+}
+
+fn leaving(feed: &Feed) -> bool {
+    feed.catalog.pool(&PoolName::new("writers").unwrap())[0].leaving
+}
+
+#[test]
+fn a_list_that_another_router_read_earlier_does_not_undo_a_later_one() {
+    let feed = Feed::new(name(1));
+    let now = Instant::from_millis(100);
+    feed.apply_listed(read(&[server(false)], 10), now);
+    feed.apply_listed(read(&[server(true)], 20), now);
+    // A follower that was just cut off from the store tells what it knows.
+    feed.replace_servers(vec![server(false)], Offset(15));
+    assert!(leaving(&feed));
+    assert_eq!(feed.servers_next(), Some(Offset(20)));
+    // A read that began before another router told of later changes.
+    feed.replace_servers(vec![server(true)], Offset(30));
+    feed.apply_listed(read(&[server(false)], 25), now);
+    assert!(leaving(&feed));
+    assert_eq!(feed.servers_next(), Some(Offset(30)));
+}
+
+#[test]
+fn a_router_reads_by_itself_when_what_it_is_fed_grows_old() {
+    let feed = Feed::new(name(1));
+    let at = Instant::from_millis;
+    let failed = Err::<(), _>(Error::not_run(Category::LogUnavailable, "down"));
+    feed.apply_listed(read(&[server(false)], 10), at(1_000));
+    feed.note_call("read_servers", &failed, at(1_500));
+    let state = |ms| {
+        format!(
+            "{ms}: able {} age {:?}",
+            feed.is_able(at(ms)),
+            feed.age(at(ms))
+        )
+    };
+    let lines = [state(1_500), state(2_100), state(2_300)];
+    feed.note_call("read_servers", &Ok(()), at(2_400));
+    feed.note_current(at(2_400));
+    expect![[r#"
+        1500: able true age Some(500ms)
+        2100: able true age Some(1.1s)
+        2300: able false age Some(1.3s)
+        2400: able true age Some(0ns)"#]]
+    .assert_eq(&[lines.join("\n"), state(2_400)].join("\n"));
+}
--- a/tests/placement/main.rs
+++ b/tests/placement/main.rs
@@ -4,4 +4,5 @@
 mod hinted;
 mod lookup;
 mod preferred;
+mod prompt;
 mod support;
--- /dev/null
+++ b/tests/placement/prompt.rs
@@ -0,0 +1,142 @@
+//! Placement by the parts of a prompt.
+
+use ebonyspur::{
+    catalog::{Server, ServerKey},
+    placement::{
+        by_session, by_two_choices, session, Candidate, LoadBound, Part, SessionKey, Warmth,
+    },
+    DomainName, EngineName, Incarnation, Instant, PoolName,
+};
+use expect_test::expect;
+
+fn servers(count: usize) -> Vec<Server> {
+    let server = |number: usize| Server {
+        name: EngineName::new(&format!("e{number}")).unwrap(),
+        pool: PoolName::new("writers").unwrap(),
+        address: ([127, 0, 0, 1], 1).into(),
+        domain: DomainName::new("d1").unwrap(),
+        life: Incarnation(1),
+        slots: 64,
+        leaving: false,
+    };
+    (0..count).map(server).collect()
+}
+
+fn candidates<'a>(servers: &'a [Server], loads: &[u32]) -> Vec<Candidate<'a>> {
+    let candidate = |(server, load): (&'a Server, &u32)| Candidate {
+        server,
+        load: *load,
+        avoided: false,
+    };
+    servers.iter().zip(loads).map(candidate).collect()
+}
+
+#[test]
+fn the_part_before_the_last_names_the_session() {
+    let parts = |ids: &[u64]| {
+        ids.iter()
+            .map(|id| Part { id: *id, tokens: 1 })
+            .collect::<Vec<_>>()
+    };
+    let sessions = [vec![], vec![7], vec![7, 8], vec![7, 8, 9]].map(|ids| session(&parts(&ids)));
+    expect!["[None, Some(7), Some(7), Some(8)]"].assert_eq(&format!("{sessions:?}"));
+}
+
+#[test]
+fn a_joining_engine_moves_no_warm_session_and_a_leaving_one_only_its_own() {
+    let all = servers(13);
+    let loads = [4; 13];
+    let place = |known: usize, session: u64, warm: &[ServerKey]| {
+        let candidates = candidates(&all[..known], &loads);
+        by_session(session, &candidates, 10.0, warm).expect("an engine")
+    };
+    let sessions = 0..500_u64;
+    let before: Vec<_> = sessions
+        .clone()
+        .map(|session| place(12, session, &[]))
+        .collect();
+    let count = |moved: &dyn Fn(u64) -> bool| sessions.clone().filter(|s| moved(*s)).count();
+    let cold = count(&|s| place(13, s, &[]) != before[s as usize]);
+    let warm = count(&|s| place(13, s, &[all[before[s as usize]].key()]) != before[s as usize]);
+    expect!["moved to the new engine: cold 41, warm 0"].assert_eq(&format!(
+        "moved to the new engine: cold {cold}, warm {warm}"
+    ));
+}
+
+#[test]
+fn a_session_over_the_bound_spills_to_the_engine_that_it_spilled_to_before() {
+    let all = servers(6);
+    let home = by_session(9, &candidates(&all, &[1; 6]), 10.0, &[]).expect("an engine");
+    let mut loads = [1; 6];
+    loads[home] = 10;
+    let first = by_session(9, &candidates(&all, &loads), 10.0, &[all[home].key()]);
+    let first = first.expect("an engine");
+    assert_ne!(first, home);
+    // Another engine joins the rendezvous order before it; the warm one is kept.
+    let warm = [all[first].key(), all[home].key()];
+    assert_eq!(
+        by_session(9, &candidates(&all, &loads), 10.0, &warm),
+        Some(first)
+    );
+    loads[home] = 1;
+    assert_eq!(
+        by_session(9, &candidates(&all, &loads), 10.0, &warm),
+        Some(first)
+    );
+}
+
+#[test]
+fn when_all_engines_are_over_the_bound_the_least_loaded_one_serves() {
+    let all = servers(4);
+    let mut candidates = candidates(&all, &[9, 7, 8, 9]);
+    assert_eq!(by_session(1, &candidates, 5.0, &[]), Some(1));
+    candidates[1].avoided = true;
+    assert_eq!(by_session(1, &candidates, 5.0, &[]), Some(2));
+    assert_eq!(by_session(1, &[], 5.0, &[]), None);
+}
+
+#[test]
+fn the_bound_follows_the_mean() {
+    let bound = LoadBound {
+        factor: 1.7,
+        extra: 2.0,
+    };
+    let limits =
+        [vec![], vec![0, 0], vec![10, 20], vec![5; 12]].map(|loads| bound.limit(loads.into_iter()));
+    expect!["[2.0, 2.0, 27.5, 10.5]"].assert_eq(&format!("{limits:?}"));
+}
+
+#[test]
+fn of_two_servers_the_less_loaded_sound_one_serves() {
+    let all = servers(3);
+    let mut candidates = candidates(&all, &[5, 2, 9]);
+    let choices = |candidates: &[Candidate<'_>]| {
+        let mut counts = [0; 3];
+        for first in 0..3 {
+            for second in 0..2 {
+                counts[by_two_choices(candidates, first, second).expect("a server")] += 1;
+            }
+        }
+        counts
+    };
+    let sound = choices(&candidates);
+    candidates[1].avoided = true;
+    expect!["[2, 4, 0] [6, 0, 0]"].assert_eq(&format!("{sound:?} {:?}", choices(&candidates)));
+    assert_eq!(by_two_choices(&candidates[..1], 8, 9), Some(0));
+    assert_eq!(by_two_choices(&[], 8, 9), None);
+}
+
+#[test]
+fn placements_are_told_twice_and_forgotten_after_a_minute() {
+    let (here, there) = (Warmth::default(), Warmth::default());
+    let session = SessionKey::new(7);
+    let at = Instant::from_millis;
+    here.note((session, ServerKey(1)), at(0));
+    here.note((session, ServerKey(2)), at(10));
+    let told = [here.next_news(), here.next_news(), here.next_news()];
+    there.learn(&told[0], at(20));
+    let known = [20, 59_000, 61_000].map(|ms| there.engines(session, at(ms)));
+    expect![[r#"
+        [[(SessionKey(3602224815), ServerKey(1)), (SessionKey(3602224815), ServerKey(2))], [(SessionKey(3602224815), ServerKey(1)), (SessionKey(3602224815), ServerKey(2))], []]
+        [[ServerKey(2), ServerKey(1)], [ServerKey(2), ServerKey(1)], []]"#]].assert_eq(&format!("{told:?}\n{known:?}"));
+}
--- /dev/null
+++ b/tests/routes/main.rs
@@ -0,0 +1,102 @@
+//! The route table.
+
+use std::time::Duration;
+
+use ebonyspur::{
+    routes::{Repeat, Route, RouteTable, Routes, TableBuilder, Target, Team},
+    PoolName, TeamName,
+};
+use expect_test::expect;
+
+fn route(host: &str, prefix: &str, pool: &str) -> Route {
+    Route {
+        host: host.into(),
+        prefix: prefix.into(),
+        repeat: Repeat::Safe,
+        timeout: None,
+        goal: Duration::from_millis(100),
+        priority: 1,
+        targets: [Target {
+            pool: PoolName::new(pool).unwrap(),
+            weight: 1,
+        }]
+        .into(),
+        attempts: 1,
+        anonymous: false,
+        sticky: false,
+    }
+}
+
+fn table(version: u64, routes: &[(&str, &str, &str)]) -> RouteTable {
+    let mut table = TableBuilder::new(version);
+    for (host, prefix, pool) in routes {
+        table.add_route(route(host, prefix, pool));
+    }
+    table.finish().expect("a table")
+}
+
+#[test]
+fn the_longest_prefix_of_the_host_wins() {
+    let table = table(
+        1,
+        &[
+            ("a", "/x/", "short"),
+            ("a", "/x/y/", "long"),
+            ("b", "/", "all"),
+            ("c", "/x/", "other"),
+        ],
+    );
+    let find = |host: &str, path: &str| {
+        let route = table.find(host, path);
+        format!(
+            "{host}{path} -> {}",
+            route.map_or("none", |r| r.targets[0].pool.as_str())
+        )
+    };
+    let lines = [
+        find("a", "/x/1"),
+        find("a", "/x/y/1"),
+        find("a", "/x/y"),
+        find("a", "/x"),
+        find("a", "/z/"),
+        find("b", "/anything"),
+        find("aa", "/x/1"),
+        find("", "/x/1"),
+    ];
+    expect![[r#"
+        a/x/1 -> short
+        a/x/y/1 -> long
+        a/x/y -> short
+        a/x -> none
+        a/z/ -> none
+        b/anything -> all
+        aa/x/1 -> none
+        /x/1 -> none"#]]
+    .assert_eq(&lines.join("\n"));
+}
+
+#[test]
+fn a_version_is_never_replaced_by_an_older_one() {
+    let routes = Routes::default();
+    let offered = [3, 2, 3, 7, 5].map(|version| routes.offer(table(version, &[])));
+    expect!["[true, false, false, true, false] in force 7"]
+        .assert_eq(&format!("{offered:?} in force {}", routes.version()));
+}
+
+#[test]
+fn faults_of_a_table_are_named_together() {
+    let mut table = TableBuilder::new(1);
+    table.add_route(Route {
+        targets: [].into(),
+        ..route("a", "/empty/", "p")
+    });
+    for name in ["one", "two"] {
+        let team = Team {
+            name: TeamName::new(name).unwrap(),
+            priority: None,
+        };
+        table.add_team(team, ["shared"].into_iter());
+    }
+    expect!["bad_input: /empty/: no pool; two: key of two teams"]
+        .assert_eq(&table.finish().expect_err("faults").to_string());
+}
