--- a/src/feed/mod.rs
+++ b/src/feed/mod.rs
@@ -8,6 +8,7 @@
 mod follow;
 mod frame;
 mod role;
+mod save;
 mod serve;
 mod state;
 mod store;
@@ -17,6 +18,7 @@
     follow::{follow_routes, follow_servers, start},
     frame::{Update, MAX_FRAME},
     role::{Role, FOLLOWERS},
+    save::keep_placements,
     serve::serve,
     state::{Feed, FED_WITHIN},
     store::{RoutesRead, ServersRead, Store},
--- a/src/feed/role.rs
+++ b/src/feed/role.rs
@@ -29,16 +29,23 @@
     /// The first routers in rendezvous order follow. One that the store does not answer
     /// is passed over, so that another one takes its place.
     pub fn decide(me: &RouterName, able: bool, live: &[Peer]) -> Role {
-        if !able {
-            return Role::Fed;
-        }
-        let rank = score(RANKED_FOR, me.as_str());
-        let able = live.iter().filter(|p| p.digest.reading != Reading::Unable);
-        let before = able.filter(|p| score(RANKED_FOR, p.digest.from.as_str()) > rank);
-        if before.count() < FOLLOWERS {
+        if able && able_before(me, live) < FOLLOWERS {
             Role::Follower
         } else {
             Role::Fed
         }
     }
+
+    /// Returns whether router `me` is the first of those that follow.
+    pub fn is_first(me: &RouterName, able: bool, live: &[Peer]) -> bool {
+        able && able_before(me, live) == 0
+    }
+}
+
+/// Counts the routers before `me` that the store answers.
+fn able_before(me: &RouterName, live: &[Peer]) -> usize {
+    let rank = score(RANKED_FOR, me.as_str());
+    let able = live.iter().filter(|p| p.digest.reading != Reading::Unable);
+    able.filter(|p| score(RANKED_FOR, p.digest.from.as_str()) > rank)
+        .count()
 }
--- a/src/feed/state.rs
+++ b/src/feed/state.rs
@@ -100,6 +100,11 @@
         Role::decide(&self.me, self.is_able(now), &presence.live(now))
     }
 
+    /// Returns whether this router saves for all what is to outlive the processes.
+    pub fn saves(&self, presence: &Presence, now: Instant) -> bool {
+        Role::is_first(&self.me, self.is_able(now), &presence.live(now))
+    }
+
     /// Returns what the digest says of this router and the store.
     pub fn reading(&self, presence: &Presence, now: Instant) -> Reading {
         if !self.is_able(now) {
--- a/src/feed/store.rs
+++ b/src/feed/store.rs
@@ -2,7 +2,7 @@
 
 use std::{future::Future, net::SocketAddr, time::Duration};
 
-use crate::{catalog::Listed, routes::RouteTable, Offset, Result};
+use crate::{catalog::Listed, placement::Placed, routes::RouteTable, Offset, Result};
 
 /// What a read of the list of servers said.
 #[derive(Debug)]
@@ -55,4 +55,18 @@
     ///
     /// Fails when the store gives no readable answer in time; the word may then be left.
     fn introduce(&self, own: SocketAddr) -> impl Future<Output = Result<Vec<SocketAddr>>> + Send;
+
+    /// Saves where sessions were placed, in place of what was saved before.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the store gives no readable answer in time; it may then be saved.
+    fn save_placements(&self, placed: &[Placed]) -> impl Future<Output = Result<()>> + Send;
+
+    /// Returns where sessions were placed, as saved last.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the store gives no readable answer in time.
+    fn saved_placements(&self) -> impl Future<Output = Result<Vec<Placed>>> + Send;
 }
--- a/src/forward/state.rs
+++ b/src/forward/state.rs
@@ -52,7 +52,7 @@
     /// What this router saw of the servers.
     pub health: Health,
     /// Engines that served sessions lately.
-    pub warmth: Warmth,
+    pub warmth: Arc<Warmth>,
     /// Connections to servers.
     pub links: SharedLinks,
     /// Metrics.
@@ -80,7 +80,7 @@
             clock,
             flights: Flights::default(),
             health: Health::default(),
-            warmth: Warmth::default(),
+            warmth: Arc::default(),
             links: SharedLinks::default(),
             traffic: Traffic::new(),
             retries: SharedRetries::default(),
--- a/src/placement/warm.rs
+++ b/src/placement/warm.rs
@@ -5,7 +5,7 @@
 //! leave or are over the bound.
 
 use std::{
-    collections::{BTreeMap, VecDeque},
+    collections::{BTreeMap, BTreeSet, VecDeque},
     sync::Mutex,
     time::Duration,
 };
@@ -32,6 +32,9 @@
 /// Most placements in one digest.
 const MAX_TOLD: usize = 64;
 
+/// Most placements in a snapshot.
+const MAX_SNAPSHOT: usize = 4_096;
+
 /// Time between two sweeps of what is no longer kept.
 const SWEEP_PERIOD: Duration = Duration::from_secs(5);
 
@@ -91,6 +94,33 @@
         inner.sweep(now);
     }
 
+    /// Takes over what an earlier life of the fleet saved, where nothing later is known.
+    pub fn restore(&self, saved: &[Placed], now: Instant) {
+        let mut inner = lock(&self.inner);
+        let known: BTreeSet<_> = inner.sessions.keys().copied().collect();
+        // The latest engine of a session is saved first, and the one put last comes first.
+        for placed in saved
+            .iter()
+            .rev()
+            .filter(|(session, _)| !known.contains(session))
+        {
+            inner.put(*placed, now);
+        }
+    }
+
+    /// Returns the engines of all sessions, for each session the latest first.
+    pub fn snapshot(&self, now: Instant) -> Vec<Placed> {
+        let inner = lock(&self.inner);
+        let recent = |at: Instant| now.since(at) < KEPT_FOR;
+        let mut placed = Vec::new();
+        for (session, engines) in &inner.sessions {
+            let kept = engines.iter().filter(|(_, at)| recent(*at));
+            placed.extend(kept.map(|(engine, _)| (*session, *engine)));
+        }
+        placed.truncate(MAX_SNAPSHOT);
+        placed
+    }
+
     /// Returns what is to be told in the next digest.
     pub fn next_news(&self) -> Vec<Placed> {
         let mut inner = lock(&self.inner);
