Save addresses of routers and placements together, and settle before following

Change: the first follower saves both in one call while they change; a start reads the record, the servers and the routes; no router follows in its first second.

--- a/src/feed/follow.rs
+++ b/src/feed/follow.rs
@@ -1,6 +1,6 @@
 //! The tasks that read the store.
 
-use std::{net::SocketAddr, sync::Arc, time::Duration};
+use std::{sync::Arc, time::Duration};
 
 use super::{Feed, Role, Store};
 use crate::{presence::Presence, Clock};
@@ -24,26 +24,6 @@
 /// Bounds how long a connection that went silent stays unnoticed.
 const ROUTES_WAIT: Duration = Duration::from_secs(4);
 
-/// Leaves word of this router in the store and seeks the routers that have left word.
-///
-/// Tries until the store answers.
-pub async fn start<S: Store>(
-    store: Arc<S>,
-    feed: Arc<Feed>,
-    presence: Arc<Presence>,
-    own: SocketAddr,
-    clock: Clock,
-) {
-    loop {
-        let others = store.introduce(own).await;
-        feed.note_call("introduce", &others, clock.now());
-        if let Ok(others) = others {
-            return presence.seek(others, clock.now());
-        }
-        tokio::time::sleep(RETRY_PERIOD).await;
-    }
-}
-
 /// Reads the list of servers while this router follows the store or nobody feeds it.
 pub async fn follow_servers<S: Store>(
     store: Arc<S>,
--- a/src/feed/mod.rs
+++ b/src/feed/mod.rs
@@ -15,12 +15,12 @@
 mod subscribe;
 
 pub use self::{
-    follow::{follow_routes, follow_servers, start},
+    follow::{follow_routes, follow_servers},
     frame::{Update, MAX_FRAME},
     role::{Role, FOLLOWERS},
-    save::keep_placements,
+    save::keep_saved,
     serve::serve,
     state::{Feed, FED_WITHIN},
-    store::{RoutesRead, ServersRead, Store},
+    store::{RoutesRead, Saved, ServersRead, Store},
     subscribe::subscribe,
 };
--- a/src/feed/save.rs
+++ b/src/feed/save.rs
@@ -1,13 +1,10 @@
-//! Keeps in the store where sessions were placed, for the lives of the fleet to come.
+//! Keeps in the store what later lives of the fleet start from: where routers are, and
+//! which engines hold the prompts of sessions.
 
-use std::{sync::Arc, time::Duration};
+use std::{net::SocketAddr, sync::Arc, time::Duration};
 
-use super::{Feed, Store};
-use crate::{
-    placement::{Placed, Warmth},
-    presence::Presence,
-    Clock,
-};
+use super::{Feed, Saved, Store};
+use crate::{placement::Warmth, presence::Presence, Clock};
 
 /// Time between two saves.
 ///
@@ -18,48 +15,75 @@
 /// Time between two tries to read what was saved.
 const RETRY_PERIOD: Duration = Duration::from_millis(1_000);
 
-/// Most tries to read what was saved; later on the fleet knows better.
-const MAX_TRIES: u32 = 4;
-
 /// Takes over what was saved, then saves while this router is the first that follows.
-pub async fn keep_placements<S: Store>(
+///
+/// `own` is where other routers reach this one.
+pub async fn keep_saved<S: Store>(
     store: Arc<S>,
     feed: Arc<Feed>,
     presence: Arc<Presence>,
     warmth: Arc<Warmth>,
+    own: SocketAddr,
     clock: Clock,
 ) {
-    restore(&*store, &feed, &warmth, &clock).await;
-    let mut saved = Vec::new();
+    restore(&*store, &feed, &presence, &warmth, &clock).await;
+    let mut last = Saved::default();
     loop {
         tokio::time::sleep(SAVE_PERIOD).await;
-        let placed = warmth.snapshot(clock.now());
-        let ordered = sorted(placed.clone());
-        if ordered == saved || !feed.saves(&presence, clock.now()) {
+        let now = clock.now();
+        let mut saved = Saved {
+            routers: presence
+                .live(now)
+                .iter()
+                .map(|p| p.digest.peer_address)
+                .collect(),
+            placements: warmth.snapshot(now),
+        };
+        saved.routers.push(own);
+        let ordered = ordered(&saved);
+        if ordered == last || !feed.saves(&presence, now) {
             continue;
         }
-        let call = store.save_placements(&placed).await;
-        feed.note_call("save_placements", &call, clock.now());
+        let call = store.save(&saved).await;
+        feed.note_call("save", &call, clock.now());
         if call.is_ok() {
-            saved = ordered;
+            last = ordered;
         }
     }
 }
 
-async fn restore<S: Store>(store: &S, feed: &Feed, warmth: &Warmth, clock: &Clock) {
-    for _ in 0..MAX_TRIES {
-        let saved = store.saved_placements().await;
-        feed.note_call("saved_placements", &saved, clock.now());
-        if let Ok(saved) = saved {
-            log::info!("placements restored count={}", saved.len());
-            return warmth.restore(&saved, clock.now());
+async fn restore<S: Store>(
+    store: &S,
+    feed: &Feed,
+    presence: &Presence,
+    warmth: &Warmth,
+    clock: &Clock,
+) {
+    loop {
+        let saved = store.saved().await;
+        let now = clock.now();
+        feed.note_call("saved", &saved, now);
+        if let Ok(Saved {
+            routers,
+            placements,
+        }) = saved
+        {
+            log::info!(
+                "restored routers={} placements={}",
+                routers.len(),
+                placements.len()
+            );
+            presence.seek(routers, now);
+            return warmth.restore(&placements, now);
         }
         tokio::time::sleep(RETRY_PERIOD).await;
     }
 }
 
-/// Orders placements so that two snapshots compare equal while no session has moved.
-fn sorted(mut placed: Vec<Placed>) -> Vec<Placed> {
-    placed.sort_unstable();
-    placed
+/// Returns `saved` in an order in which it stays equal while nothing has moved.
+fn ordered(saved: &Saved) -> Saved {
+    let mut ordered = saved.clone();
+    ordered.routers.sort_unstable();
+    ordered.placements.sort_unstable();
+    ordered
 }
--- a/src/feed/state.rs
+++ b/src/feed/state.rs
@@ -24,6 +24,11 @@
 /// Time without an answer after which a router lets others follow the store.
 const UNABLE_AFTER: Duration = Duration::from_millis(700);
 
+/// Time after its start within which a router that knows enough waits to be fed.
+///
+/// Until the digests of the others are in, each router would take itself for a follower.
+const SETTLE: Duration = Duration::from_millis(1_000);
+
 /// The contents of the store as known to this router.
 #[derive(Debug)]
 pub struct Feed {
@@ -97,6 +102,9 @@
 
     /// Returns where this router should have its knowledge from.
     pub fn role(&self, presence: &Presence, now: Instant) -> Role {
+        if now < Instant::default() + SETTLE && self.is_known() {
+            return Role::Fed;
+        }
         Role::decide(&self.me, self.is_able(now), &presence.live(now))
     }
 
--- a/src/feed/store.rs
+++ b/src/feed/store.rs
@@ -24,6 +24,15 @@
     pub next: Offset,
 }
 
+/// What outlives the processes of the fleet.
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
+pub struct Saved {
+    /// Where routers reach each other.
+    pub routers: Vec<SocketAddr>,
+    /// Engines that hold the prompts of sessions, for each session the latest first.
+    pub placements: Vec<Placed>,
+}
+
 /// Reads and writes records in the platform's store.
 ///
 /// Records that cannot be read are logged and left out by the implementation.
@@ -49,24 +58,17 @@
         wait: Duration,
     ) -> impl Future<Output = Result<RoutesRead>> + Send;
 
-    /// Leaves word that a router is reached by others at `own`, and returns where others are.
-    ///
-    /// # Errors
-    ///
-    /// Fails when the store gives no readable answer in time; the word may then be left.
-    fn introduce(&self, own: SocketAddr) -> impl Future<Output = Result<Vec<SocketAddr>>> + Send;
-
-    /// Saves where sessions were placed, in place of what was saved before.
+    /// Saves what is to outlive the processes, in place of what was saved before.
     ///
     /// # Errors
     ///
     /// Fails when the store gives no readable answer in time; it may then be saved.
-    fn save_placements(&self, placed: &[Placed]) -> impl Future<Output = Result<()>> + Send;
+    fn save(&self, saved: &Saved) -> impl Future<Output = Result<()>> + Send;
 
-    /// Returns where sessions were placed, as saved last.
+    /// Returns what was saved last.
     ///
     /// # Errors
     ///
     /// Fails when the store gives no readable answer in time.
-    fn saved_placements(&self) -> impl Future<Output = Result<Vec<Placed>>> + Send;
+    fn saved(&self) -> impl Future<Output = Result<Saved>> + Send;
 }
