Follow the store at one router

Weighed: a gap when the follower ends: the others notice within 1.5 s, and read themselves when what they know is older than 1.2 s.

--- a/src/feed/follow.rs
+++ b/src/feed/follow.rs
@@ -8,7 +8,7 @@
 /// Time between two reads of the list of servers by a follower.
 ///
 /// A quarter of the two seconds within which a server that leaves must get no new work.
-const READ_PERIOD: Duration = Duration::from_millis(450);
+const READ_PERIOD: Duration = Duration::from_millis(600);
 
 /// Time between two looks at whether this router should read.
 const ROLE_PERIOD: Duration = Duration::from_millis(250);
--- a/src/feed/role.rs
+++ b/src/feed/role.rs
@@ -9,7 +9,7 @@
 /// Routers that follow the store at once.
 ///
 /// Two, so that the end of one leaves no gap while the others notice it.
-pub const FOLLOWERS: usize = 2;
+pub const FOLLOWERS: usize = 1;
 
 /// Key that ranks the routers, the same at each of them.
 const RANKED_FOR: &str = "followers";
