Tell servers with similar names apart, and let a starting router learn from any other

Cause 1 (found by the adapter's tests, one run in three): faults::a_resumable_stream... and three others failed, as two servers whose names differ in the last digit and that started within 256 ms could have the same key. The short input of the hash and its seed cancel each other: 208 keys of 2,000. Ruled out: load (the logs show answers of the other server). Change: the life goes into the hash as text; a router that knows nothing is fed by any that serves, and what is new is told at once; a router that hears nobody looks for others and leaves word each second.

--- a/src/catalog/server.rs
+++ b/src/catalog/server.rs
@@ -3,7 +3,7 @@
 use std::net::SocketAddr;
 
 use serde::{Deserialize, Serialize};
-use xxhash_rust::xxh3::xxh3_64_with_seed;
+use xxhash_rust::xxh3::Xxh3Default;
 
 use crate::{DomainName, EngineName, Incarnation, PoolName};
 
@@ -37,7 +37,12 @@
 impl Server {
     /// Returns the short name of this life of the server.
     pub fn key(&self) -> ServerKey {
-        ServerKey(xxh3_64_with_seed(self.name.as_str().as_bytes(), self.life.0) as u32)
+        // The hash of a short name changes with its seed in few ways, so that another name
+        // with another seed may have the same one: the seed goes in as text.
+        let mut hash = Xxh3Default::new();
+        hash.update(&self.life.0.to_le_bytes());
+        hash.update(self.name.as_str().as_bytes());
+        ServerKey(hash.digest() as u32)
     }
 
     /// Returns whether `self` is another life of the server `other`, or elsewhere.
--- a/src/feed/save.rs
+++ b/src/feed/save.rs
@@ -12,6 +12,12 @@
 /// routers; each save is a call to the store.
 const SAVE_PERIOD: Duration = Duration::from_millis(3_000);
 
+/// Time between two looks for others while this router hears none.
+const ALONE_PERIOD: Duration = Duration::from_millis(1_000);
+
+/// Most addresses saved: a router that starts needs one that answers.
+const MAX_ROUTERS: usize = 64;
+
 /// Time between two tries to read what was saved.
 const RETRY_PERIOD: Duration = Duration::from_millis(1_000);
 
@@ -26,20 +32,32 @@
     own: SocketAddr,
     clock: Clock,
 ) {
-    restore(&*store, &feed, &presence, &warmth, &clock).await;
+    let mut known = restore(&*store, &feed, &presence, &warmth, &clock).await;
     let mut last = Saved::default();
     loop {
-        tokio::time::sleep(SAVE_PERIOD).await;
+        let alone = presence.size() == 1;
+        tokio::time::sleep(if alone { ALONE_PERIOD } else { SAVE_PERIOD }).await;
+        if presence.size() == 1 {
+            // Others that are alone as well have left word meanwhile.
+            known = restore(&*store, &feed, &presence, &warmth, &clock).await;
+        } else {
+            known.clear();
+        }
         let now = clock.now();
-        let mut saved = Saved {
-            routers: presence
-                .live(now)
-                .iter()
-                .map(|p| p.digest.peer_address)
-                .collect(),
+        let mut routers: Vec<_> = presence
+            .live(now)
+            .iter()
+            .map(|p| p.digest.peer_address)
+            .collect();
+        routers.push(own);
+        routers.extend(&known);
+        routers.sort_unstable();
+        routers.dedup();
+        routers.truncate(MAX_ROUTERS);
+        let saved = Saved {
+            routers,
             placements: warmth.snapshot(now),
         };
-        saved.routers.push(own);
         let ordered = ordered(&saved);
         if ordered == last || !feed.saves(&presence, now) {
             continue;
@@ -52,13 +70,14 @@
     }
 }
 
+/// Takes over what was saved, and returns where routers were.
 async fn restore<S: Store>(
     store: &S,
     feed: &Feed,
     presence: &Presence,
     warmth: &Warmth,
     clock: &Clock,
-) {
+) -> Vec<SocketAddr> {
     loop {
         let saved = store.saved().await;
         let now = clock.now();
@@ -73,8 +92,9 @@
                 routers.len(),
                 placements.len()
             );
-            presence.seek(routers, now);
-            return warmth.restore(&placements, now);
+            presence.seek(routers.iter().copied(), now);
+            warmth.restore(&placements, now);
+            return routers;
         }
         tokio::time::sleep(RETRY_PERIOD).await;
     }
@@ -83,7 +103,6 @@
 /// Returns `saved` in an order in which it stays equal while nothing has moved.
 fn ordered(saved: &Saved) -> Saved {
     let mut ordered = saved.clone();
-    ordered.routers.sort_unstable();
     ordered.placements.sort_unstable();
     ordered
 }
--- a/src/feed/subscribe.rs
+++ b/src/feed/subscribe.rs
@@ -17,11 +17,12 @@
 pub async fn subscribe(feed: Arc<Feed>, presence: Arc<Presence>, clock: Clock) {
     loop {
         let now = clock.now();
-        let followers = match feed.role(&presence, now) {
-            Role::Follower => Vec::new(),
-            Role::Fed => presence.followers(now),
+        let feeders = match feed.role(&presence, now) {
+            Role::Follower if feed.is_known() => Vec::new(),
+            // Until it can serve, a router learns from whoever knows more.
+            _ => presence.feeders(!feed.is_known(), now),
         };
-        for (address, _) in followers {
+        for address in feeders {
             if let Err(err) = be_fed(&feed, &presence, address, &clock).await {
                 log::info!("feed lost follower={address} error=\"{err}\"");
             }
@@ -49,7 +50,7 @@
         buf = Vec::new();
         apply(feed, update, clock)?;
         let now = clock.now();
-        if feed.role(presence, now) == Role::Follower {
+        if feed.is_known() && feed.role(presence, now) == Role::Follower {
             return Ok(());
         }
         if feed.is_known() && !feed.is_fed(now) {
--- a/src/forward/stream.rs
+++ b/src/forward/stream.rs
@@ -217,9 +217,17 @@
             let stage = &self.req.stage;
             let tried = &self.tries.servers;
             let server = cx.choose(&stage.pool, stage.settings, stage.session, tried, now);
-            let Some(server) = server.filter(|_| self.req.spend(&cx, now)) else {
+            let Some(server) = server else {
+                log::info!("stream not resumed id={} reason=no_server", self.req.id());
                 break;
             };
+            if !self.req.spend(&cx, now) {
+                log::info!(
+                    "stream not resumed id={} reason=retry_budget",
+                    self.req.id()
+                );
+                break;
+            }
             self.req.place(&cx, &server, &mut self.tries, now);
             log::info!(
                 "stream resumed id={} server={} after={:?} cause=\"{failed}\"",
--- a/src/presence/state.rs
+++ b/src/presence/state.rs
@@ -8,7 +8,7 @@
 };
 
 use super::{Digest, Phase, Reading};
-use crate::{catalog::ServerKey, sync::lock, Incarnation, Instant, RouterName};
+use crate::{catalog::ServerKey, sync::lock, Instant, RouterName};
 
 /// Time between two digests.
 ///
@@ -180,23 +180,27 @@
         sum
     }
 
-    /// Returns the address and life of the routers that follow the store, in the order in
-    /// which this router should ask them.
-    pub fn followers(&self, now: Instant) -> Vec<(SocketAddr, Incarnation)> {
+    /// Returns the addresses of the routers that can feed this one, the best first.
+    ///
+    /// Those that follow the store go first. With `any`, those that only know enough to
+    /// serve come after them.
+    pub fn feeders(&self, any: bool, now: Instant) -> Vec<SocketAddr> {
         let inner = self.lock();
         let live = inner.peers.values().filter(|p| p.is_live(now));
-        let following = live.filter(|p| p.digest.reading == Reading::Following);
-        let mut followers: Vec<_> = following
+        let follows = |p: &Peer| p.digest.reading == Reading::Following;
+        let serves = |p: &Peer| any && p.digest.phase == Phase::Serving;
+        let feeders = live.filter(|p| follows(p) || serves(p));
+        let score = |p: &Peer| crate::placement::score(self.me.as_str(), p.digest.from.as_str());
+        let mut feeders: Vec<_> = feeders
             .map(|p| {
                 (
-                    crate::placement::score(self.me.as_str(), p.digest.from.as_str()),
-                    p,
+                    std::cmp::Reverse((follows(p), score(p))),
+                    p.digest.peer_address,
                 )
             })
             .collect();
-        followers.sort_by_key(|(score, _)| std::cmp::Reverse(*score));
-        let place = |p: &Peer| (p.digest.peer_address, p.digest.life);
-        followers.into_iter().map(|(_, p)| place(p)).collect()
+        feeders.sort_unstable();
+        feeders.into_iter().map(|(_, address)| address).collect()
     }
 
     fn lock(&self) -> MutexGuard<'_, Inner> {
--- a/tests/catalog/main.rs
+++ b/tests/catalog/main.rs
@@ -105,3 +105,16 @@
     let mut keeper = started();
     expect!["1400: b c"].assert_eq(&answer(&mut keeper, 1_400, 1_400, vec![absent("a")]));
 }
+
+#[test]
+fn servers_with_similar_names_that_start_at_nearly_the_same_time_have_different_keys() {
+    let mut keys = std::collections::BTreeSet::new();
+    for number in 0..10 {
+        for life in 0..200 {
+            let mut server = server(&format!("e-{number}"), false);
+            server.life = Incarnation(1_796_386_714_045 + life);
+            keys.insert(server.key());
+        }
+    }
+    assert_eq!(keys.len(), 2_000);
+}
