--- a/src/feed/follow.rs
+++ b/src/feed/follow.rs
@@ -13,9 +13,15 @@
 /// Time between two looks at whether this router should read.
 const ROLE_PERIOD: Duration = Duration::from_millis(250);
 
+/// Time between two such looks while this router knows nothing and callers wait.
+const STARTING_ROLE_PERIOD: Duration = Duration::from_millis(50);
+
 /// Time between two tries of a store that fails.
 const RETRY_PERIOD: Duration = Duration::from_millis(1_000);
 
+/// Time between two tries of a store that fails while this router knows nothing.
+const STARTING_RETRY_PERIOD: Duration = Duration::from_millis(400);
+
 /// Time between two tries of a store that fails while another router feeds this one.
 const FED_RETRY_PERIOD: Duration = Duration::from_secs(3);
 
@@ -45,6 +51,8 @@
                 feed.apply_listed(read, now);
                 READ_PERIOD
             }
+            // Callers are waiting.
+            Err(_) if !feed.is_known() => STARTING_RETRY_PERIOD,
             Err(_) if feed.is_fed(now) && !feed.is_able(now) => FED_RETRY_PERIOD,
             Err(_) => RETRY_PERIOD,
         };
@@ -66,7 +74,13 @@
         let able = feed.is_able(clock.now());
         if !able || !should_read(&feed, &presence, &clock) {
             cursor = None;
-            tokio::time::sleep(ROLE_PERIOD).await;
+            let starting = !feed.is_known();
+            let pause = if starting {
+                STARTING_ROLE_PERIOD
+            } else {
+                ROLE_PERIOD
+            };
+            tokio::time::sleep(pause).await;
             continue;
         }
         // A router that is about to be fed does not hold a read open.
--- a/src/forward/request.rs
+++ b/src/forward/request.rs
@@ -31,8 +31,13 @@
 /// Mean delay proposed to a caller whose request found no room.
 const FULL_DELAY: Duration = Duration::from_millis(400);
 
-/// Mean delay proposed to a caller of a router that does not serve.
-const NOT_SERVING_DELAY: Duration = Duration::from_millis(150);
+/// Least mean delay proposed to a caller of a router that starts: a start takes some 50 ms.
+const STARTING_DELAY: Duration = Duration::from_millis(150);
+
+/// Largest mean delay proposed to a caller of a router that starts.
+///
+/// Callers wait a third of their time at most, which is a few seconds for long drafts.
+const LONGEST_STARTING_DELAY: Duration = Duration::from_secs(3);
 
 /// Multiple of the goal after which a server that nothing was heard of is given up.
 const SILENT_GOALS: f64 = 1.5;
@@ -152,6 +157,15 @@
     }
 }
 
+/// Returns the mean delay proposed by a router that does not know the routes at `now`.
+///
+/// The longer the store has been silent, the longer it may stay so, and callers have few
+/// retries.
+fn starting_delay(now: Instant) -> Duration {
+    let started = now.since(Instant::default());
+    started.clamp(STARTING_DELAY, LONGEST_STARTING_DELAY)
+}
+
 async fn read_body(body: Incoming, limit: usize, timeout: Duration) -> Result<Bytes> {
     let read = Limited::new(body, limit).collect();
     match tokio::time::timeout(timeout, read).await {
@@ -199,11 +213,8 @@
     ) -> Result<Request<Routed>> {
         let known = table.filter(|_| cx.feed.catalog.is_known());
         let table = known.ok_or_else(|| {
-            cx.refuse_for_now(
-                Category::NotServing,
-                "the routes are not known yet",
-                NOT_SERVING_DELAY,
-            )
+            let delay = starting_delay(cx.clock.now());
+            cx.refuse_for_now(Category::NotServing, "the routes are not known yet", delay)
         })?;
         let host = self
             .call
