--- a/src/forward/request.rs
+++ b/src/forward/request.rs
@@ -104,7 +104,9 @@
         let (parts, body) = req.into_parts();
         let head = self.wire.read_call(&parts);
         let attempt = head.as_ref().ok().and_then(|head| head.attempt.clone());
-        let mut answer = match self.clone().run(parts, body, head, arrived).await {
+        // A connection keeps the memory of its service's future as long as it is open.
+        let run = Box::pin(self.clone().run(parts, body, head, arrived));
+        let mut answer = match run.await {
             Ok(answer) => answer,
             Err(err) => {
                 let id = attempt.as_ref().map_or("-", |id| id.as_str());
--- a/src/forward/stream.rs
+++ b/src/forward/stream.rs
@@ -110,7 +110,8 @@
                 Read::End => Error::may_have_run(Category::Cut, "the answer ends within an event"),
                 Read::Broken(err) => err,
             };
-            if let Err(err) = self.resume(failed).await {
+            // Few streams are resumed; the others need not have room for it.
+            if let Err(err) = Box::pin(self.resume(failed)).await {
                 log::info!("stream broken off id={} error=\"{err}\"", self.req.id());
                 self.cx.traffic.failed(&err);
                 self.exchange = None;
