Go by the configuration at the end of a body, and never pass on a false promise

Causes, found by reading: a request whose body came late was routed by the table that was in force at its head; a 429 or 408 that a server sent for a request that it ran was passed on, and says to callers that nothing has run (only 503 was held back). Change: the table is taken after the body; these statuses become 502 without the server's signature. forward::request is split into the request, its attempts and the serving; what nothing uses (loads of servers in heads, connections of a pool) is gone. The stand-in's store no longer adds a record for each heartbeat, as the platform's does not: feed::a_fleet_at_rest_makes_few_calls saw 48 calls in 4 s (bound 16) since reads wait. Tests: feed::a_request_whose_body_comes_late... seen failing; once-busy and once-late of faults::a_safe_request..., seen failing before the stand-in knew them (200), not against the old passing-on.

--- a/src/forward/link.rs
+++ b/src/forward/link.rs
@@ -1,11 +1,6 @@
 //! Connections to backend servers.
 
-use std::{
-    collections::BTreeMap,
-    net::SocketAddr,
-    sync::{Arc, Mutex},
-    time::Duration,
-};
+use std::{collections::BTreeMap, net::SocketAddr, sync::Mutex, time::Duration};
 
 use bytes::Bytes;
 use http::{Request, Response};
@@ -236,6 +231,3 @@
     socket.set_tcp_keepalive(&probes)?;
     socket.set_tcp_user_timeout(Some(USER_TIMEOUT))
 }
-
-/// Shared connections.
-pub(super) type SharedLinks = Arc<Links>;
--- a/src/forward/mod.rs
+++ b/src/forward/mod.rs
@@ -4,6 +4,7 @@
 //! writes its heads, and everything else is decided here.
 
 mod answer;
+mod attempts;
 mod body;
 mod drain;
 mod exchange;
@@ -12,6 +13,7 @@
 mod listener;
 mod load;
 mod request;
+mod serve;
 mod state;
 mod stream;
 mod wire;
@@ -25,5 +27,5 @@
     load::{Flight, Flights},
     request::{Received, Request, Routed},
     state::{Forwarder, Policy},
-    wire::{AnswerHead, CallHead, Load, Outcome, Passing, Wire},
+    wire::{AnswerHead, CallHead, Outcome, Passing, Wire},
 };
--- /dev/null
+++ b/src/forward/serve.rs
@@ -0,0 +1,96 @@
+//! Serves the requests of callers, from their arrival to the head of the answer.
+
+use std::{sync::Arc, time::Duration};
+
+use bytes::Bytes;
+use http::{header, request, HeaderValue, Response};
+use http_body_util::{BodyExt, LengthLimitError, Limited};
+use hyper::body::Incoming;
+
+use super::{Body, CallHead, Forwarder, Received, Request, Stage, Wire};
+use crate::{routes::CallerLimits, Category, Error, Instant, Result};
+
+/// Longest time to read a body, unless the caller waits less.
+const BODY_TIMEOUT: Duration = Duration::from_secs(10);
+
+impl<W: Wire> Forwarder<W> {
+    /// Serves one request of a caller.
+    pub async fn serve(self: Arc<Self>, req: http::Request<Incoming>) -> Response<Body> {
+        let arrived = self.clock.now();
+        let (parts, body) = req.into_parts();
+        let head = self.wire.read_call(&parts);
+        let attempt = head.as_ref().ok().and_then(|head| head.attempt.clone());
+        // A connection keeps the memory of its service's future as long as it is open.
+        let run = Box::pin(self.clone().run(parts, body, head, arrived));
+        let mut answer = match run.await {
+            Ok(answer) => answer,
+            Err(err) => {
+                let id = attempt.as_ref().map_or("-", |id| id.as_str());
+                let took = self.clock.now().since(arrived).as_millis();
+                log::info!(
+                    "request failed id={id} took_ms={took} verdict={} error=\"{err}\"",
+                    err.verdict().as_str()
+                );
+                self.traffic.failed(&err);
+                self.wire.refuse(&err, attempt.as_ref())
+            }
+        };
+        if self.stage(self.clock.now()) != Stage::Serving {
+            let close = HeaderValue::from_static("close");
+            answer.headers_mut().insert(header::CONNECTION, close);
+        }
+        answer
+    }
+
+    async fn run(
+        self: Arc<Self>,
+        parts: request::Parts,
+        body: Incoming,
+        head: Result<CallHead>,
+        arrived: Instant,
+    ) -> Result<Response<Body>> {
+        let limits = self.limits();
+        let patience = head.as_ref().ok().and_then(|head| head.patience);
+        let timeout = patience.unwrap_or(BODY_TIMEOUT).min(BODY_TIMEOUT);
+        // The body is read even if the request is refused: a connection that is closed
+        // with unread bytes may lose the answer.
+        let body = read_body(body, limits.body_bytes, timeout).await?;
+        let req = Request::<Received>::new(parts, body, head?, arrived);
+        // The body may have come late: what is in force now counts.
+        let table = self.feed.routes.current();
+        let req = req.route(&self, table.as_deref())?;
+        req.answer(&self).await
+    }
+
+    /// Returns the bounds on callers in force.
+    pub fn limits(&self) -> CallerLimits {
+        let table = self.feed.routes.current();
+        table.map_or(CallerLimits::UNTIL_KNOWN, |table| table.limits())
+    }
+
+    /// Refuses for now, with a delay that spreads the callers.
+    pub(super) fn refuse_for_now(
+        &self,
+        category: Category,
+        message: &str,
+        mean: Duration,
+    ) -> Error {
+        Error::not_run(category, message).with_retry_after(self.spread(mean))
+    }
+}
+
+async fn read_body(body: Incoming, limit: usize, timeout: Duration) -> Result<Bytes> {
+    let read = Limited::new(body, limit).collect();
+    match tokio::time::timeout(timeout, read).await {
+        Ok(Ok(body)) => Ok(body.to_bytes()),
+        Ok(Err(err)) if err.is::<LengthLimitError>() => {
+            let message = format!("the body exceeds {limit} bytes");
+            Err(Error::not_run(Category::TooLarge, message))
+        }
+        Ok(Err(err)) => Err(Error::not_run(Category::BadInput, err.to_string())),
+        Err(_) => Err(Error::not_run(
+            Category::Timeout,
+            "the body did not arrive in time",
+        )),
+    }
+}
--- a/src/forward/state.rs
+++ b/src/forward/state.rs
@@ -10,7 +10,7 @@
 use rand::{RngExt, SeedableRng};
 use rand_pcg::Pcg64Mcg;
 
-use super::{link::SharedLinks, Drain, Flights, Health, Stage, Wire};
+use super::{Drain, Flights, Health, Links, Stage, Wire};
 use crate::{
     admission::{RetryAllowance, SharedRetries},
     catalog::{Server, ServerKey},
@@ -54,7 +54,7 @@
     /// Engines that served sessions lately.
     pub warmth: Arc<Warmth>,
     /// Connections to servers.
-    pub links: SharedLinks,
+    pub links: Links,
     /// Metrics.
     pub traffic: Traffic,
     pub(super) retries: SharedRetries,
@@ -81,7 +81,7 @@
             flights: Flights::default(),
             health: Health::default(),
             warmth: Arc::default(),
-            links: SharedLinks::default(),
+            links: Links::default(),
             traffic: Traffic::new(),
             retries: SharedRetries::default(),
             policy: Mutex::new(policy),
--- a/src/forward/stream.rs
+++ b/src/forward/stream.rs
@@ -11,9 +11,7 @@
 use http_body::Frame;
 use http_body_util::{BodyExt, StreamBody};
 
-use super::{
-    exchange::Exchange, request::Routed, request::Tries, Body, Forwarder, Note, Request, Wire,
-};
+use super::{attempts::Tries, exchange::Exchange, Body, Forwarder, Note, Request, Routed, Wire};
 use crate::{relay::EventReader, routes::Repeat, Category, Error, Instant, Result};
 
 /// Time without an event after which a server that nothing else is heard of is given up.
--- a/src/forward/wire.rs
+++ b/src/forward/wire.rs
@@ -37,15 +37,6 @@
     pub prompt_from: Option<SocketAddr>,
 }
 
-/// How busy a server says it is.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub struct Load {
-    /// Requests it works on.
-    pub running: u32,
-    /// Requests that wait.
-    pub waiting: u32,
-}
-
 /// What became of a request at a server.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Outcome {
@@ -64,8 +55,6 @@
 pub struct AnswerHead {
     /// What became of the request.
     pub outcome: Outcome,
-    /// How busy the server is.
-    pub load: Option<Load>,
     /// Time that the server keeps the connection open without a request.
     pub keep_alive: Option<Duration>,
 }
--- a/src/routes/table.rs
+++ b/src/routes/table.rs
@@ -19,8 +19,6 @@
 /// What is known of a pool beside its servers.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct PoolSettings {
-    /// Connections that one server accepts from all routers together.
-    pub connections: Option<u32>,
     /// Whether the servers are model engines, which batch requests and keep prompts.
     pub engines: bool,
 }
--- a/stand-in/src/replica.rs
+++ b/stand-in/src/replica.rs
@@ -152,6 +152,13 @@
                 whole("failed"),
             );
         }
+        // Statuses that say that nothing has run, though it has.
+        "busy" | "late" => {
+            run.done = true;
+            let status = if fault == "busy" { 503 } else { 429 };
+            let status = StatusCode::from_u16(status).expect("a status");
+            return replica.head(&req, status, false, whole("run all the same"));
+        }
         "other-request" => {
             run.done = true;
             let mut answer = replica.head(&req, StatusCode::OK, false, whole("not yours"));
@@ -248,7 +255,7 @@
 fn broken(text: &'static str) -> Body {
     let parts = [
         Ok(Frame::data(Bytes::from_static(text.as_bytes()))),
-        Err(std::io::Error::other("broken off on purpose").into()),
+        Err(std::io::Error::other("broken off on purpose")),
     ];
     StreamBody::new(stream::iter(parts)).boxed_unsync()
 }
@@ -262,7 +269,7 @@
         }
         if cut.is_some_and(|cut| number > cut) {
             let err = std::io::Error::other("broken off on purpose");
-            return Some((Err(err.into()), (run, number)));
+            return Some((Err(err), (run, number)));
         }
         if number > EVENTS {
             run.done = true;
--- a/stand-in/src/store.rs
+++ b/stand-in/src/store.rs
@@ -34,8 +34,10 @@
     /// Offset of the first record that is kept.
     first: u64,
     records: Vec<Bytes>,
-    /// Newest value of each key, and how often it was written.
+    /// Newest value of each key, and its offset.
     newest: BTreeMap<String, (Bytes, u64)>,
+    /// How often a server wrote each key, also when that changed nothing.
+    beats: BTreeMap<String, u64>,
 }
 
 /// Faults that are switched on by `PUT /faults`.
@@ -118,32 +120,43 @@
     }
 
     /// Writes a record as the operator or a server does; an empty one removes the key.
+    ///
+    /// A server's record changes when more than its number changes.
     fn put(self: &Arc<Self>, topic: &str, key: &str, value: Bytes) -> Response<Body> {
-        let mut record = vec![key.len() as u8];
-        record.extend_from_slice(key.as_bytes());
-        record.extend_from_slice(&value);
-        let writes = self.add(topic, record.into());
-        if topic == "keyed.servers" && !value.is_empty() {
+        let registers = topic == "keyed.servers" && !value.is_empty();
+        if !(registers && self.only_renews(topic, key, &value)) {
+            self.add(topic, keyed(key, &value));
+        }
+        if registers {
+            let beats = self.beat(topic, key);
             let (store, topic, key) = (self.clone(), topic.to_string(), key.to_string());
             tokio::spawn(async move {
                 tokio::time::sleep(LAPSE).await;
-                store.lapse(&topic, &key, writes);
+                if store.topics.lock().unwrap()[&topic].beats[&key] == beats {
+                    store.add(&topic, keyed(&key, b""));
+                }
             });
         }
         web::json(StatusCode::OK, &"written")
     }
 
-    /// Removes a key that was not written since.
-    fn lapse(&self, topic: &str, key: &str, writes: u64) {
-        let current = {
-            let topics = self.topics.lock().unwrap();
-            topics[topic].newest.get(key).map(|(_, writes)| *writes)
+    fn only_renews(&self, topic: &str, key: &str, value: &[u8]) -> bool {
+        let unnumbered = |value: &[u8]| {
+            let mut value: serde_json::Value = serde_json::from_slice(value).ok()?;
+            value.as_object_mut()?.remove("sequence");
+            Some(value)
         };
-        if current == Some(writes) {
-            let mut record = vec![key.len() as u8];
-            record.extend_from_slice(key.as_bytes());
-            self.add(topic, record.into());
-        }
+        let topics = self.topics.lock().unwrap();
+        let known = topics.get(topic).and_then(|topic| topic.newest.get(key));
+        known.is_some_and(|(known, _)| unnumbered(known) == unnumbered(value))
+    }
+
+    fn beat(&self, topic: &str, key: &str) -> u64 {
+        let mut topics = self.topics.lock().unwrap();
+        let topic = topics.entry(topic.to_string()).or_default();
+        let beats = topic.beats.entry(key.to_string()).or_default();
+        *beats += 1;
+        *beats
     }
 
     fn append(&self, topic: &str, mut body: &[u8]) -> Response<Body> {
@@ -160,7 +173,7 @@
         web::json(StatusCode::OK, &json!({ "offset": end, "end_offset": end }))
     }
 
-    fn add(&self, topic: &str, record: Bytes) -> u64 {
+    fn add(&self, topic: &str, record: Bytes) {
         let mut topics = self.topics.lock().unwrap();
         let topic = topics.entry(topic.to_string()).or_default();
         let end = topic.end();
@@ -173,7 +186,6 @@
         }
         topic.records.push(record);
         self.appended.notify_waiters();
-        end
     }
 
     async fn read(&self, topic: &str, from: u64, wait: Duration) -> Response<Body> {
@@ -222,6 +234,14 @@
     }
 }
 
+/// Returns the record of a key.
+fn keyed(key: &str, value: &[u8]) -> Bytes {
+    let mut record = vec![key.len() as u8];
+    record.extend_from_slice(key.as_bytes());
+    record.extend_from_slice(value);
+    record.into()
+}
+
 fn raw(records: Vec<u8>, first: u64, end: u64) -> Response<Body> {
     let mut body = end.to_be_bytes().to_vec();
     body.extend_from_slice(&first.to_be_bytes());
--- a/tests/support/http.rs
+++ b/tests/support/http.rs
@@ -88,7 +88,7 @@
     headers: &[(&str, &str)],
     body: &str,
 ) -> Answer {
-    send(address, method, path, headers, body).map_or_else(Answer::default, read)
+    exchange_at(address, "router", method, path, headers, body)
 }
 
 /// Sends a request that names `host` and reads its answer.
--- a/tests/support/mod.rs
+++ b/tests/support/mod.rs
@@ -15,7 +15,7 @@
 
 pub use port::free_address;
 #[allow(unused_imports)]
-pub use process::{program, wait_until, Process, DEADLINE};
+pub use process::{program, show_logs_of_failure, wait_until, Process, DEADLINE};
 use serde_json::{json, Value};
 
 /// Token of the operator of every fleet.
@@ -50,24 +50,9 @@
     platform_process: Process,
 }
 
-/// Lines of each log shown when a test fails.
-const SHOWN_LINES: usize = 12;
-
 impl Drop for Fleet {
     fn drop(&mut self) {
-        if !std::thread::panicking() {
-            return;
-        }
-        for entry in std::fs::read_dir(self.dir.path())
-            .into_iter()
-            .flatten()
-            .flatten()
-        {
-            let text = std::fs::read_to_string(entry.path()).unwrap_or_default();
-            let lines: Vec<_> = text.lines().collect();
-            let shown = &lines[lines.len().saturating_sub(SHOWN_LINES)..];
-            eprintln!("-- {}\n{}", entry.path().display(), shown.join("\n"));
-        }
+        show_logs_of_failure(self.dir.path());
     }
 }
 
--- a/tests/support/process.rs
+++ b/tests/support/process.rs
@@ -22,6 +22,22 @@
     }
 }
 
+/// Lines of each log shown when a test fails.
+const SHOWN_LINES: usize = 15;
+
+/// Shows the ends of the logs in `folder` when the test fails.
+pub fn show_logs_of_failure(folder: &Path) {
+    if !std::thread::panicking() {
+        return;
+    }
+    for entry in std::fs::read_dir(folder).into_iter().flatten().flatten() {
+        let text = std::fs::read_to_string(entry.path()).unwrap_or_default();
+        let lines: Vec<_> = text.lines().collect();
+        let shown = &lines[lines.len().saturating_sub(SHOWN_LINES)..];
+        eprintln!("-- {}\n{}", entry.path().display(), shown.join("\n"));
+    }
+}
+
 /// Returns a built program of this workspace.
 pub fn program(name: &str) -> PathBuf {
     let test = std::env::current_exe().expect("a running test");
