Hear a router again whose clock was set back before it started

Change: an earlier start counts once the other life is silent. Test: presence::a_router_that_starts_again_after_its_clock_was_set_back_..., seen failing.

--- a/src/feed/follow.rs
+++ b/src/feed/follow.rs
@@ -47,7 +47,6 @@
                 feed.apply_listed(read, now);
                 continue;
             }
-            // Callers are waiting.
             Err(_) if !feed.is_known() => STARTING_RETRY_PERIOD,
             Err(_) if feed.is_fed(now) && !feed.is_able(now) => FED_RETRY_PERIOD,
             Err(_) => RETRY_PERIOD,
--- a/src/forward/drain.rs
+++ b/src/forward/drain.rs
@@ -1,4 +1,4 @@
-//! How a router that was told to end lets go of its callers.
+//! Draining: what a router does between the signal to end and its end.
 
 use std::time::Duration;
 
@@ -9,7 +9,7 @@
 
 /// Time after the signal in which requests are taken whatever they need.
 ///
-/// Callers keep an answer to their question for addresses that long.
+/// Some callers keep addresses for longer; by then most have asked again.
 const TAKE_ALL: Duration = Duration::from_millis(2_800);
 
 /// Longest time that callers keep connections open after their question for addresses
--- a/src/forward/state.rs
+++ b/src/forward/state.rs
@@ -100,7 +100,7 @@
         *lock(&self.policy) = policy;
     }
 
-    /// Starts to let go of the callers.
+    /// Starts to drain.
     pub fn begin_drain(&self, now: Instant) -> Drain {
         let drain = Drain::new(now, self.policy().grace);
         *lock(&self.drain).get_or_insert(drain)
--- a/src/forward/wire.rs
+++ b/src/forward/wire.rs
@@ -1,4 +1,4 @@
-//! The port to the dialect that callers and backend servers speak.
+//! The port to the dialect of HTTP that callers and backend servers use.
 
 use std::{net::SocketAddr, time::Duration};
 
--- a/src/presence/state.rs
+++ b/src/presence/state.rs
@@ -52,6 +52,17 @@
     pub fn is_live(&self, now: Instant) -> bool {
         now.since(self.heard) < SILENT_AFTER
     }
+
+    /// Returns whether what it said last is later than `digest`.
+    ///
+    /// A life with an earlier start counts once the other one is silent: the clock of the
+    /// router may have been set back before it started again.
+    fn is_later_than(&self, digest: &Digest, now: Instant) -> bool {
+        if self.digest.life == digest.life {
+            return self.digest.number >= digest.number;
+        }
+        self.digest.life > digest.life && self.is_live(now)
+    }
 }
 
 /// An address that may be a router's.
@@ -106,9 +117,8 @@
             inner.seek(*address, self.own_address, now);
         }
         inner.sought.remove(&digest.peer_address);
-        let order = |digest: &Digest| (digest.life, digest.number);
         let known = inner.peers.get(&digest.from);
-        if known.is_some_and(|peer| order(&peer.digest) >= order(&digest)) {
+        if known.is_some_and(|peer| peer.is_later_than(&digest, now)) {
             return false;
         }
         if known.is_none_or(|peer| peer.digest.life != digest.life) {
--- a/tests/presence/main.rs
+++ b/tests/presence/main.rs
@@ -15,6 +15,23 @@
     ([10, 0, 0, number as u8], 7340).into()
 }
 
+/// Returns what another router says in one of its lives.
+fn described(life: u64, number: u64) -> Digest {
+    Digest {
+        from: RouterName::new("other").unwrap(),
+        life: Incarnation(life),
+        number,
+        address: address(2),
+        peer_address: address(2),
+        domain: DomainName::new("d1").unwrap(),
+        phase: Phase::Serving,
+        reading: Reading::Able,
+        loads: Vec::new(),
+        placed: Vec::new(),
+        known: Vec::new(),
+    }
+}
+
 /// A fleet whose datagrams arrive at once or are lost.
 struct Fleet {
     routers: BTreeMap<SocketAddr, (RouterName, Presence)>,
@@ -137,21 +154,20 @@
 #[test]
 fn late_datagrams_and_those_of_an_earlier_life_are_ignored() {
     let presence = Presence::new(RouterName::new("me").unwrap(), address(1));
-    let digest = |life: u64, number: u64| Digest {
-        from: RouterName::new("other").unwrap(),
-        life: Incarnation(life),
-        number,
-        address: address(2),
-        peer_address: address(2),
-        domain: DomainName::new("d1").unwrap(),
-        phase: Phase::Serving,
-        reading: Reading::Able,
-        loads: Vec::new(),
-        placed: Vec::new(),
-        known: Vec::new(),
-    };
     let order = [(2, 5), (2, 4), (2, 5), (1, 9), (2, 6), (3, 1)];
     let taken =
-        order.map(|(life, number)| presence.receive(digest(life, number), Instant::default()));
+        order.map(|(life, number)| presence.receive(described(life, number), Instant::default()));
     expect!["[true, false, false, false, true, true]"].assert_eq(&format!("{taken:?}"));
 }
+
+#[test]
+fn a_router_that_starts_again_after_its_clock_was_set_back_is_heard_once_the_earlier_life_is_silent(
+) {
+    let presence = Presence::new(RouterName::new("me").unwrap(), address(1));
+    let at = Instant::from_millis;
+    presence.receive(described(5_000, 9), at(0));
+    let before = presence.receive(described(4_000, 1), at(1_000));
+    let after = presence.receive(described(4_000, 2), at(1_600));
+    let named = presence.serving(at(1_700)).len();
+    expect!["false true 1"].assert_eq(&format!("{before} {after} {named}"));
+}
