Drop what nothing calls, and look at the role at one period

Change: Server::differs_in_life had no caller, REGISTER_AGAIN none outside its module; the names of missing servers are a set and no map of nothing; the period between two looks at the role stood twice. No change of behaviour.

--- a/src/catalog/keeper.rs
+++ b/src/catalog/keeper.rs
@@ -1,6 +1,9 @@
 //! Turns what the list says into the servers that are believed to be there.
 
-use std::{collections::BTreeMap, time::Duration};
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    time::Duration,
+};
 
 use super::Server;
 use crate::{EngineName, Instant};
@@ -8,7 +11,7 @@
 /// Time after an outage of the list within which servers that live are listed again.
 ///
 /// The platform states about two seconds.
-pub const REGISTER_AGAIN: Duration = Duration::from_millis(2_200);
+const REGISTER_AGAIN: Duration = Duration::from_millis(2_200);
 
 /// Time without an answer of the list that counts as an outage, in which entries may lapse.
 ///
@@ -30,7 +33,7 @@
 pub struct Keeper {
     servers: BTreeMap<EngineName, Server>,
     /// Servers not listed since an outage, which may be back until `settled`.
-    missing: BTreeMap<EngineName, ()>,
+    missing: BTreeSet<EngineName>,
     answered: Option<Instant>,
     settled: Instant,
 }
@@ -71,12 +74,12 @@
                     self.servers.insert(server.name.clone(), server);
                 }
                 Listed::Absent(name) => {
-                    self.missing.insert(name, ());
+                    self.missing.insert(name);
                 }
             }
         }
         if now >= self.settled {
-            for name in std::mem::take(&mut self.missing).into_keys() {
+            for name in std::mem::take(&mut self.missing) {
                 self.servers.remove(&name);
             }
         }
@@ -101,7 +104,6 @@
             present.any(|change| matches!(change, Listed::Present(s) if s.name == *name))
         };
         let names = self.servers.keys().filter(|name| !listed(name));
-        let unlisted: Vec<_> = names.cloned().map(|name| (name, ())).collect();
-        self.missing.extend(unlisted);
+        self.missing.extend(names.cloned());
     }
 }
--- a/src/catalog/mod.rs
+++ b/src/catalog/mod.rs
@@ -9,7 +9,7 @@
 mod state;
 
 pub use self::{
-    keeper::{Keeper, Listed, REGISTER_AGAIN},
+    keeper::{Keeper, Listed},
     server::{Server, ServerKey},
     state::Catalog,
 };
--- a/src/catalog/server.rs
+++ b/src/catalog/server.rs
@@ -44,9 +44,4 @@
         hash.update(self.name.as_str().as_bytes());
         ServerKey(hash.digest() as u32)
     }
-
-    /// Returns whether `self` is another life of the server `other`, or elsewhere.
-    pub fn differs_in_life(&self, other: &Server) -> bool {
-        self.life != other.life || self.address != other.address || self.pool != other.pool
-    }
 }
--- a/src/feed/follow.rs
+++ b/src/feed/follow.rs
@@ -2,7 +2,7 @@
 
 use std::{sync::Arc, time::Duration};
 
-use super::{Feed, Role, Store};
+use super::{role::ROLE_PERIOD, Feed, Role, Store};
 use crate::{presence::Presence, Clock};
 
 /// Longest wait for a change in one read.
@@ -11,10 +11,7 @@
 /// must be less than the two seconds within which changes have to be in force.
 const WAIT: Duration = Duration::from_millis(800);
 
-/// Time between two looks at whether this router should read.
-const ROLE_PERIOD: Duration = Duration::from_millis(250);
-
-/// Time between two such looks while this router knows nothing and callers wait.
+/// Time between two looks at the role while this router knows nothing and callers wait.
 const STARTING_ROLE_PERIOD: Duration = Duration::from_millis(50);
 
 /// Time between two tries of a store that fails.
--- a/src/feed/role.rs
+++ b/src/feed/role.rs
@@ -1,5 +1,7 @@
 //! Decides which routers follow the store.
 
+use std::time::Duration;
+
 use crate::{
     placement::score,
     presence::{Peer, Reading},
@@ -11,6 +13,9 @@
 /// Two, so that the end of one leaves no gap while the others notice it.
 pub const FOLLOWERS: usize = 1;
 
+/// Time between two looks at the role of this router.
+pub(super) const ROLE_PERIOD: Duration = Duration::from_millis(250);
+
 /// Key that ranks the routers, the same at each of them.
 const RANKED_FOR: &str = "followers";
 
--- a/src/feed/subscribe.rs
+++ b/src/feed/subscribe.rs
@@ -4,7 +4,7 @@
 
 use tokio::{io::AsyncWriteExt, net::TcpStream};
 
-use super::{frame, Feed, Role, Update};
+use super::{frame, role::ROLE_PERIOD, Feed, Role, Update};
 use crate::{presence::Presence, Clock};
 
 /// Longest time to open a connection to a follower.
@@ -13,9 +13,6 @@
 /// Silence of a follower after which another one is asked; it speaks each 400 ms.
 const SILENCE: Duration = Duration::from_millis(1_000);
 
-/// Time between two looks at whether this router should be fed.
-const ROLE_PERIOD: Duration = Duration::from_millis(250);
-
 /// Keeps this router fed by one of the followers, unless it follows the store itself.
 pub async fn subscribe(feed: Arc<Feed>, presence: Arc<Presence>, clock: Clock) {
     loop {
