Tell reads of prompts at once, and let requests wait for them

Ruled out: memory of engines that is full (no preemption, 16 million tokens found kept). Change: placement::Prefills. A router tells all others within some milliseconds that an engine begins to read a prompt, and when it has ended. Requests of the session wait for that, up to half of their goal. A session without an engine goes to the one of its first three ranks with the least to read. Beginnings that sessions share are copied from an engine that has them. Test: placement::prefill replays the start of a fleet: 110,000 tokens again without news, 80,000 with news after 300 ms, none with news after 5 ms.

--- a/src/forward/attempts.rs
+++ b/src/forward/attempts.rs
@@ -11,7 +11,7 @@
 };
 use crate::{
     catalog::{Server, ServerKey},
-    placement::SessionKey,
+    placement::{Prefill, SessionKey},
     routes::Repeat,
     Category, Error, Instant, Result, Verdict,
 };
@@ -37,6 +37,10 @@
 /// Multiple of the goal after which a plain server is given up.
 const PLAIN_GOALS: f64 = 4.0;
 
+/// Multiple of the goal, counted from its arrival, for which a request waits while its
+/// prompt is read for another one; the rest is for reading it after all.
+const WAIT_GOALS: f64 = 0.5;
+
 /// Statuses that tell callers that nothing has run; a server that ran a request may send
 /// them all the same.
 const SAYS_NOT_RUN: [StatusCode; 3] = [
@@ -57,6 +61,8 @@
     prepaid: bool,
     /// Server from which the one that was chosen last can copy the prompt.
     prompt_from: Option<SocketAddr>,
+    /// First read of the prompt by the server that was chosen last.
+    pub(super) prefill: Option<Prefill>,
 }
 
 /// How a request went at one server.
@@ -76,7 +82,7 @@
             .earn(&self.stage.pool, &allowance, cx.clock.now());
         let mut tries = Tries::default();
         loop {
-            let Some(server) = self.next_server(cx, &mut tries)? else {
+            let Some(server) = self.next_server(cx, &mut tries).await? else {
                 return Err(self.nothing_left(cx, &tries));
             };
             match self.try_at(cx, &server, &mut tries).await {
@@ -114,36 +120,60 @@
         }
     }
 
-    /// Chooses the next server.
+    /// Chooses the next server, and waits while that one reads the prompt for another request.
     ///
     /// # Errors
     ///
     /// Returns [`Category::Timeout`] when there is no time left.
-    fn next_server<W: Wire>(
+    async fn next_server<W: Wire>(
         &self,
         cx: &Forwarder<W>,
         tries: &mut Tries,
     ) -> Result<Option<Arc<Server>>> {
-        let now = cx.clock.now();
-        if self.left(now).is_some_and(|left| left < SHORTEST_LEFT) {
-            return Err(Error::new(
-                Category::Timeout,
-                tries.verdict,
-                "no time is left",
-            ));
-        }
-        let stage = &self.stage;
-        let server = cx.choose(
-            &stage.pool,
-            stage.settings,
-            stage.session,
-            &tries.servers,
-            now,
-        );
-        if let Some(server) = &server {
-            self.place(cx, server, tries, now);
+        loop {
+            let ended = cx.prefills.ended();
+            let now = cx.clock.now();
+            if self.left(now).is_some_and(|left| left < SHORTEST_LEFT) {
+                return Err(Error::new(
+                    Category::Timeout,
+                    tries.verdict,
+                    "no time is left",
+                ));
+            }
+            let stage = &self.stage;
+            let Some(server) = cx.choose(
+                &stage.pool,
+                stage.settings,
+                stage.prompt.as_ref(),
+                &tries.servers,
+                now,
+            ) else {
+                return Ok(None);
+            };
+            match self.wait_for_prompt(cx, &server, now) {
+                // Whether it has ended or not, the choice is made anew.
+                Some(wait) => drop(tokio::time::timeout(wait, ended).await),
+                None => {
+                    self.place(cx, &server, tries, now);
+                    return Ok(Some(server));
+                }
+            }
         }
-        Ok(server)
+    }
+
+    /// Returns the longest wait for `server` to read the prompt for another request, if it
+    /// does and there is time to wait.
+    fn wait_for_prompt<W: Wire>(
+        &self,
+        cx: &Forwarder<W>,
+        server: &Server,
+        now: Instant,
+    ) -> Option<Duration> {
+        let prompt = self.stage.prompt.filter(|_| self.stage.settings.engines)?;
+        let placed = (SessionKey::new(prompt.session), server.key());
+        let until = self.arrived + self.stage.goal.mul_f64(WAIT_GOALS);
+        let wait = until.since(now);
+        (!wait.is_zero() && cx.prefills.is_underway(placed, now)).then_some(wait)
     }
 
     /// Notes that the request goes to `server` now.
@@ -155,10 +185,9 @@
         now: Instant,
     ) {
         tries.servers.push(server.key());
-        if let Some(session) = self.stage.session {
-            tries.prompt_from = cx.prompt_source(&self.stage.pool, session, server, now);
-            cx.warmth
-                .note((SessionKey::new(session), server.key()), now);
+        if let Some(prompt) = &self.stage.prompt {
+            tries.prompt_from = cx.prompt_source(&self.stage.pool, prompt, server, now);
+            tries.prefill = cx.note_prompt(prompt, server.key(), now);
         }
     }
 
@@ -269,7 +298,7 @@
         cx.choose(
             &stage.pool,
             stage.settings,
-            stage.session,
+            stage.prompt.as_ref(),
             &tries.servers,
             now,
         )
--- a/src/forward/request.rs
+++ b/src/forward/request.rs
@@ -7,7 +7,7 @@
 
 use super::{exchange::Call, CallHead, Forwarder, Wire};
 use crate::{
-    placement,
+    placement::SharedPrompt,
     routes::{PoolSettings, Repeat, RouteTable},
     Category, Error, Instant, PoolName, Result, TeamName,
 };
@@ -42,8 +42,8 @@
     pub(super) team: Option<TeamName>,
     /// When the final answer is due.
     pub(super) deadline: Option<Instant>,
-    /// Hash that requests of one session share.
-    pub(super) session: Option<u64>,
+    /// What other requests share of the prompt, where they should meet.
+    pub(super) prompt: Option<SharedPrompt>,
 }
 
 impl Request<Received> {
@@ -106,8 +106,9 @@
         if cx.drain().is_some_and(|drain| !drain.takes(due, now)) {
             return Err(cx.refuse_for_now(Category::NotServing, "the router ends", Duration::ZERO));
         }
-        let session = placement::session(&self.head.prompt).filter(|_| route.sticky);
-        let pool = route.pool(session.unwrap_or_else(|| cx.random())).clone();
+        let prompt = SharedPrompt::of(&self.head.prompt).filter(|_| route.sticky);
+        let spread = prompt.map_or_else(|| cx.random(), |prompt| prompt.session);
+        let pool = route.pool(spread).clone();
         let stage = Routed {
             settings: table.pool(&pool),
             pool,
@@ -116,7 +117,7 @@
             goal: route.goal,
             team: team.map(|team| team.name.clone()),
             deadline: due.map(|due| self.arrived + due),
-            session,
+            prompt,
         };
         Ok(Request {
             call: self.call,
--- a/src/forward/state.rs
+++ b/src/forward/state.rs
@@ -16,7 +16,7 @@
     catalog::{Server, ServerKey},
     feed::Feed,
     inspect::Traffic,
-    placement::{self, Candidate, LoadBound, SessionKey, Warmth},
+    placement::{self, Candidate, LoadBound, Prefill, Prefills, SessionKey, SharedPrompt, Warmth},
     presence::{Phase, Presence},
     routes::PoolSettings,
     sync::lock,
@@ -53,6 +53,8 @@
     pub health: Health,
     /// Engines that served sessions lately.
     pub warmth: Arc<Warmth>,
+    /// Prompts that engines are reading.
+    pub prefills: Arc<Prefills>,
     /// Connections to servers.
     pub links: Links,
     /// Metrics.
@@ -81,6 +83,7 @@
             flights: Flights::default(),
             health: Health::default(),
             warmth: Arc::default(),
+            prefills: Arc::default(),
             links: Links::default(),
             traffic: Traffic::new(),
             retries: SharedRetries::default(),
@@ -90,6 +93,13 @@
         }
     }
 
+    /// Sets the state of the prompts that engines are reading.
+    #[must_use]
+    pub fn with_prefills(mut self, prefills: Prefills) -> Self {
+        self.prefills = Arc::new(prefills);
+        self
+    }
+
     /// Returns the settings in force.
     pub fn policy(&self) -> Policy {
         *lock(&self.policy)
@@ -143,7 +153,7 @@
         &self,
         pool: &PoolName,
         settings: PoolSettings,
-        session: Option<u64>,
+        prompt: Option<&SharedPrompt>,
         tried: &[ServerKey],
         now: Instant,
     ) -> Option<Arc<Server>> {
@@ -154,19 +164,21 @@
         let load = |key| self.flights.at(key) + loads.get(&key).copied().unwrap_or_default();
         let candidate = |server: &&Arc<Server>| (server.key(), load(server.key()));
         let known: BTreeMap<ServerKey, u32> = servers.iter().map(candidate).collect();
+        let pending = self.prefills.pending(now);
         let mut candidates: Vec<_> = servers
             .iter()
             .map(|server| Candidate {
                 server,
                 load: known[&server.key()],
                 avoided: self.health.is_avoided(server.key(), now),
+                pending: pending.get(&server.key()).copied().unwrap_or_default(),
             })
             .collect();
-        let at = match session.filter(|_| settings.engines) {
-            Some(session) => {
+        let at = match prompt.filter(|_| settings.engines) {
+            Some(prompt) => {
                 let limit = self.policy().bound.limit(known.values().copied());
-                let warm = self.warmth.engines(SessionKey::new(session), now);
-                placement::by_session(session, &candidates, limit, &warm)
+                let warm = self.warmth.engines(SessionKey::new(prompt.session), now);
+                placement::by_session(prompt.session, &candidates, limit, &warm)
             }
             None => {
                 self.weigh_failures(&mut candidates);
@@ -178,24 +190,49 @@
         at.map(|at| servers[at].clone())
     }
 
-    /// Returns the address of an engine that holds the prompt of a session which `server`
-    /// has not served.
+    /// Returns the address of an engine that holds more of the prompt than `server` does.
     pub(super) fn prompt_source(
         &self,
         pool: &PoolName,
-        session: u64,
+        prompt: &SharedPrompt,
         server: &Server,
         now: Instant,
     ) -> Option<SocketAddr> {
-        let warm = self.warmth.engines(SessionKey::new(session), now);
-        if warm.contains(&server.key()) {
-            return None;
-        }
         let all = self.feed.catalog.pool(pool);
         let sound = |key: &ServerKey| !self.health.is_avoided(*key, now);
         let listed = |key: ServerKey| all.iter().find(|server| server.key() == key);
-        let source = warm.into_iter().filter(sound).find_map(listed)?;
-        Some(source.address)
+        for beginning in [Some(prompt.session), prompt.common].into_iter().flatten() {
+            let warm = self.warmth.engines(SessionKey::new(beginning), now);
+            if warm.contains(&server.key()) {
+                return None;
+            }
+            let source = warm.into_iter().filter(sound).find_map(listed);
+            if let Some(source) = source {
+                return Some(source.address);
+            }
+        }
+        None
+    }
+
+    /// Notes that an engine gets a prompt; returns its read of it, if it is the first one.
+    pub(super) fn note_prompt(
+        &self,
+        prompt: &SharedPrompt,
+        engine: ServerKey,
+        now: Instant,
+    ) -> Option<Prefill> {
+        let placed = (SessionKey::new(prompt.session), engine);
+        let is_warm = self.warmth.engines(placed.0, now).contains(&engine);
+        let prefill = if is_warm {
+            None
+        } else {
+            if let Some(common) = prompt.common {
+                self.warmth.note((SessionKey::new(common), engine), now);
+            }
+            self.prefills.begin(placed, prompt.tokens, now)
+        };
+        self.warmth.note(placed, now);
+        prefill
     }
 
     /// Makes servers that fail more often than the others look busier.
--- a/src/forward/stream.rs
+++ b/src/forward/stream.rs
@@ -120,6 +120,7 @@
 
     fn given(&mut self, bytes: Bytes) -> Bytes {
         if !std::mem::replace(&mut self.begun, true) {
+            self.tries.prefill = None;
             let now = self.cx.clock.now();
             self.cx.traffic.answered(now.since(self.req.arrived));
         }
@@ -220,7 +221,8 @@
             }
             let stage = &self.req.stage;
             let tried = &self.tries.servers;
-            let server = cx.choose(&stage.pool, stage.settings, stage.session, tried, now);
+            let prompt = stage.prompt.as_ref();
+            let server = cx.choose(&stage.pool, stage.settings, prompt, tried, now);
             let Some(server) = server else {
                 log::info!("stream not resumed id={} reason=no_server", self.req.id());
                 break;
--- a/src/placement/mod.rs
+++ b/src/placement/mod.rs
@@ -3,6 +3,7 @@
 mod directory;
 mod hint;
 mod preferred;
+mod prefill;
 mod prompt;
 mod rank;
 mod score;
@@ -12,7 +13,8 @@
     directory::Directory,
     hint::{Hint, HintEntry, MAX_HINT_ENTRIES},
     preferred::{preferred, MAX_RANKS},
-    prompt::{by_session, by_two_choices, session, Candidate, LoadBound, Part},
+    prefill::{Prefill, Prefills, ReadNews, SHORTEST_TOLD},
+    prompt::{by_session, by_two_choices, Candidate, LoadBound, Part, SharedPrompt},
     rank::{first, order, score},
     warm::{Placed, SessionKey, Warmth},
 };
--- a/src/placement/prompt.rs
+++ b/src/placement/prompt.rs
@@ -4,12 +4,17 @@
 //! before it names the session. A session stays at one engine, whose cache then holds its
 //! prompt, until the engine is over a multiple of the mean load; it then spills to the
 //! next engine in rendezvous order, always the same one.
+//!
+//! Load pattern: returning sessions, some of them asked for far more often than others, and
+//! the first requests after a start, when no engine holds any prompt.
 
 use super::score;
 use crate::catalog::{Server, ServerKey};
 
-/// Ranks among which a session without a warm engine gets the least loaded one.
-const FIRST_RANKS: usize = 1;
+/// Ranks among which a session without a warm engine gets the one with the least to read.
+///
+/// Routers hear of reads a few milliseconds late and might otherwise choose differently.
+const FIRST_RANKS: usize = 3;
 
 /// One part of a prompt.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -20,10 +25,29 @@
     pub tokens: u32,
 }
 
-/// Returns the hash by which requests of one session meet, if there are parts.
-pub fn session(parts: &[Part]) -> Option<u64> {
-    let part = parts.iter().rev().nth(1).or(parts.last())?;
-    Some(part.id)
+/// What other requests share of a prompt.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct SharedPrompt {
+    /// Hash by which requests of one session meet.
+    pub session: u64,
+    /// Hash of the beginning that many sessions share, if there is one.
+    pub common: Option<u64>,
+    /// Length of the shared parts, in tokens.
+    pub tokens: u32,
+}
+
+impl SharedPrompt {
+    /// Returns what is shared of a prompt made of `parts`, if there are any.
+    pub fn of(parts: &[Part]) -> Option<Self> {
+        let own = parts.last()?;
+        let shared = &parts[..parts.len() - 1];
+        let tokens = shared.iter().map(|part| part.tokens);
+        Some(SharedPrompt {
+            session: shared.last().unwrap_or(own).id,
+            common: shared.first().filter(|_| shared.len() > 1).map(|p| p.id),
+            tokens: tokens.fold(0, u32::saturating_add),
+        })
+    }
 }
 
 /// The load above which an engine gets no request that can go elsewhere.
@@ -55,13 +79,15 @@
     pub load: u32,
     /// Whether it failed lately.
     pub avoided: bool,
+    /// Tokens of prompts that it has to read for the first time.
+    pub pending: u32,
 }
 
 /// Returns the position of the engine for `session`.
 ///
 /// Of the engines that are not avoided and are below `limit`, one that served the session
-/// lately (`warm`, the latest first) goes first. A session that has none gets the least
-/// loaded of its first ranks in rendezvous order, so that joining engines fill up.
+/// lately (`warm`, the latest first) goes first. A session that has none gets the one with
+/// the least to read among its first ranks in rendezvous order.
 pub fn by_session(
     session: u64,
     candidates: &[Candidate<'_>],
@@ -82,7 +108,7 @@
         .iter()
         .filter(|at| fits(&candidates[**at]))
         .take(FIRST_RANKS);
-    let best = first.min_by_key(|at| candidates[**at].load);
+    let best = first.min_by_key(|at| candidates[**at].pending);
     let least = || {
         ranked
             .iter()
--- a/src/presence/digest.rs
+++ b/src/presence/digest.rs
@@ -4,7 +4,11 @@
 
 use serde::{Deserialize, Serialize};
 
-use crate::{catalog::ServerKey, placement::Placed, DomainName, Incarnation, RouterName};
+use crate::{
+    catalog::ServerKey,
+    placement::{Placed, ReadNews},
+    DomainName, Incarnation, RouterName,
+};
 
 /// Largest datagram, in bytes; it fits into one packet of the usual networks.
 pub const MAX_DIGEST: usize = 1_400;
@@ -54,6 +58,8 @@
     pub loads: Vec<(ServerKey, u32)>,
     /// Sessions that it placed lately, and the engines they went to.
     pub placed: Vec<Placed>,
+    /// Prompts that it has had engines begin to read, or that they have read.
+    pub reads: Vec<ReadNews>,
     /// Addresses of some other routers that it hears.
     pub known: Vec<SocketAddr>,
 }
--- a/src/presence/task.rs
+++ b/src/presence/task.rs
@@ -7,6 +7,9 @@
 use super::{Digest, Presence, MAX_DIGEST, PERIOD};
 use crate::Clock;
 
+/// Pause before an urgent digest, in which several changes come together.
+const URGENT_PAUSE: Duration = Duration::from_millis(2);
+
 /// Pause after a failed read of the socket.
 const RETRY_PAUSE: Duration = Duration::from_millis(100);
 
@@ -33,8 +36,10 @@
             }
             Err(err) => log::warn!("digest not encoded error=\"{err}\""),
         }
-        // Either way the next digest is due.
-        let _ = tokio::time::timeout(PERIOD, changed.notified()).await;
+        let urgent = tokio::time::timeout(PERIOD, changed.notified()).await;
+        if urgent.is_ok() {
+            tokio::time::sleep(URGENT_PAUSE).await;
+        }
     }
 }
 
--- a/tests/feed/main.rs
+++ b/tests/feed/main.rs
@@ -26,6 +26,7 @@
             reading,
             loads: Vec::new(),
             placed: Vec::new(),
+            reads: Vec::new(),
             known: Vec::new(),
         },
         heard: Instant::default(),
--- a/tests/placement/main.rs
+++ b/tests/placement/main.rs
@@ -4,5 +4,6 @@
 mod hinted;
 mod lookup;
 mod preferred;
+mod prefill;
 mod prompt;
 mod support;
--- a/tests/presence/main.rs
+++ b/tests/presence/main.rs
@@ -28,6 +28,7 @@
         reading: Reading::Able,
         loads: Vec::new(),
         placed: Vec::new(),
+        reads: Vec::new(),
         known: Vec::new(),
     }
 }
@@ -85,6 +86,7 @@
             reading: Reading::Able,
             loads: vec![(ServerKey(7), 2)],
             placed: Vec::new(),
+            reads: Vec::new(),
             known: round.known,
         };
         for to in round.to {
