--- a/stand-in/src/replica.rs
+++ b/stand-in/src/replica.rs
@@ -184,8 +184,11 @@
     let mute = fault
         .strip_prefix("mute-at-")
         .and_then(|at| at.parse().ok());
+    let stop = fault
+        .strip_prefix("stop-at-")
+        .and_then(|at| at.parse().ok());
     let head = replica.clone();
-    let body = events(run, first, cut, mute);
+    let body = events(run, first, Faults { cut, mute, stop });
     let mut answer = head.head(&req, StatusCode::OK, false, body);
     let media_type = "text/event-stream".parse().unwrap();
     answer.headers_mut().insert("content-type", media_type);
@@ -260,8 +263,19 @@
     StreamBody::new(stream::iter(parts)).boxed_unsync()
 }
 
-/// Returns the events from number `first` on, cut within event `cut` or silent from `mute`.
-fn events(run: Run, first: u64, cut: Option<u64>, mute: Option<u64>) -> Body {
+/// Numbers of the events at which a stream fails.
+struct Faults {
+    /// It is reset within the event.
+    cut: Option<u64>,
+    /// It is silent from the event on.
+    mute: Option<u64>,
+    /// It ends within the event, as if that were its end.
+    stop: Option<u64>,
+}
+
+/// Returns the events from number `first` on.
+fn events(run: Run, first: u64, faults: Faults) -> Body {
+    let Faults { cut, mute, stop } = faults;
     let frames = stream::unfold((run, first), move |(mut run, number)| async move {
         tokio::time::sleep(STEP).await;
         if mute == Some(number) {
@@ -271,13 +285,13 @@
             let err = std::io::Error::other("broken off on purpose");
             return Some((Err(err), (run, number)));
         }
-        if number > EVENTS {
+        if number > EVENTS || stop.is_some_and(|stop| number > stop) {
             run.done = true;
             drop(run);
             return None;
         }
         let text = format!("id: {number}\ndata: word-{number}\n\n");
-        let len = if cut == Some(number) {
+        let len = if cut == Some(number) || stop == Some(number) {
             text.len() / 2
         } else {
             text.len()
--- a/tests/placement/prefill.rs
+++ b/tests/placement/prefill.rs
@@ -40,7 +40,8 @@
     expect![[r#"
         begun {ServerKey(7): 9000, ServerKey(8): 2000}
         ended {ServerKey(8): 2000}
-        later {}"#]].assert_eq(&lines.join("\n"));
+        later {}"#]]
+    .assert_eq(&lines.join("\n"));
 }
 
 #[test]
@@ -126,7 +127,8 @@
     expect![[r#"
         news after None ms: 580000 tokens read first, 110000 again
         news after Some(300) ms: 580000 tokens read first, 80000 again
-        news after Some(5) ms: 580000 tokens read first, 0 again"#]].assert_eq(&lines.join("\n"));
+        news after Some(5) ms: 580000 tokens read first, 0 again"#]]
+    .assert_eq(&lines.join("\n"));
 }
 
 #[test]
--- a/tests/placement/prompt.rs
+++ b/tests/placement/prompt.rs
@@ -52,7 +52,8 @@
         none
         session 7 common None tokens 0
         session 7 common None tokens 100
-        session 8 common Some(7) tokens 200"#]].assert_eq(&lines.join("\n"));
+        session 8 common Some(7) tokens 200"#]]
+    .assert_eq(&lines.join("\n"));
 }
 
 #[test]
