--- a/src/forward/health.rs
+++ b/src/forward/health.rs
@@ -3,6 +3,10 @@
 //! A server is avoided for a while after each failure in a row, longer each time, and is
 //! then tried again by whatever request comes. What answers say counts alone; servers are
 //! not probed.
+//!
+//! Load pattern: an engine goes dark in the middle of its streams. Streams that may not be
+//! repeated are lost with it, and so is each one that is sent there until the engine is
+//! known to be dark. The first router that misses the events of a stream tells the others.
 
 use std::{collections::BTreeMap, sync::Mutex, time::Duration};
 
@@ -14,6 +18,19 @@
 /// Longest time for which a server is avoided: a crashed one is back after some seconds.
 const LONGEST_PAUSE: Duration = Duration::from_millis(2_000);
 
+/// Silence of a server in the middle of a stream after which it gets no new work.
+///
+/// Engines that read many long prompts were silent for 300 ms and more without being dark;
+/// callers leave a stream after two seconds.
+pub(super) const STALL_AFTER: Duration = Duration::from_millis(700);
+
+/// Time for which a silent server is avoided by the router that has the stream: streams end
+/// within seconds, and then nothing tells whether it is still silent.
+const STALLED_FOR: Duration = Duration::from_millis(2_000);
+
+/// Time for which it is avoided by another router that was told: two digests.
+const TOLD_FOR: Duration = Duration::from_millis(700);
+
 /// Weight of one answer in the share of failed ones.
 const ERROR_WEIGHT: f64 = 0.15;
 
@@ -34,6 +51,8 @@
     Gone,
     /// It sent a part of an answer.
     Heard,
+    /// It is silent in the middle of a stream.
+    Stalled,
 }
 
 /// What this router saw of the servers.
@@ -46,6 +65,10 @@
 struct Record {
     gone_in_row: u32,
     avoid_until: Instant,
+    /// Until when it counts as silent in the middle of a stream of this router.
+    stalled_until: Instant,
+    /// The same, as other routers told.
+    told_until: Instant,
     heard: Instant,
     failed_share: f64,
     changed: Instant,
@@ -67,7 +90,38 @@
     pub fn is_avoided(&self, key: ServerKey, now: Instant) -> bool {
         let servers = lock(&self.servers);
         let record = servers.get(&key);
-        record.is_some_and(|record| now < record.avoid_until)
+        record.is_some_and(|record| record.is_avoided(now))
+    }
+
+    /// Returns the servers that are silent in the middle of streams of this router.
+    pub fn stalled(&self, now: Instant) -> Vec<ServerKey> {
+        let servers = lock(&self.servers);
+        let stalled = servers.iter().filter(|(_, r)| now < r.stalled_until);
+        stalled.map(|(key, _)| *key).collect()
+    }
+
+    /// Takes over which servers are silent in the middle of streams of another router.
+    ///
+    /// A server that was just heard here is not silent.
+    pub fn learn_stalled(&self, keys: &[ServerKey], now: Instant) {
+        let mut servers = lock(&self.servers);
+        for key in keys.iter().take(MAX_SERVERS / 2) {
+            if servers.len() >= MAX_SERVERS && !servers.contains_key(key) {
+                continue;
+            }
+            let record = servers.entry(*key).or_default();
+            if now.since(record.heard) >= STALL_AFTER || record.heard == Instant::default() {
+                record.told_until = now + TOLD_FOR;
+            }
+        }
+    }
+
+    /// Returns whether a server other than `key` was heard lately, so that silence of `key`
+    /// is not this router's own.
+    pub fn hears_others(&self, key: ServerKey, now: Instant) -> bool {
+        let servers = lock(&self.servers);
+        let mut others = servers.iter().filter(|(other, _)| **other != key);
+        others.any(|(_, record)| now.since(record.heard) < STALL_AFTER)
     }
 
     /// Returns the share of its answers by which a server failed, the latest counting most.
@@ -89,6 +143,19 @@
 }
 
 impl Record {
+    fn is_avoided(&self, now: Instant) -> bool {
+        now < self
+            .avoid_until
+            .max(self.stalled_until)
+            .max(self.told_until)
+    }
+
+    fn hear(&mut self, now: Instant) {
+        self.heard = now;
+        self.stalled_until = Instant::default();
+        self.told_until = Instant::default();
+    }
+
     fn note(&mut self, note: Note, now: Instant) {
         self.changed = now;
         match note {
@@ -97,9 +164,10 @@
                 self.gone_in_row += 1;
                 self.avoid_until = now + pause.min(LONGEST_PAUSE);
             }
-            Note::Heard => self.heard = now,
+            Note::Stalled => self.stalled_until = now + STALLED_FOR,
+            Note::Heard => self.hear(now),
             Note::Answered | Note::Failed => {
-                self.heard = now;
+                self.hear(now);
                 self.gone_in_row = 0;
                 self.avoid_until = Instant::default();
                 let failed = if note == Note::Failed { 1.0 } else { 0.0 };
--- a/src/forward/state.rs
+++ b/src/forward/state.rs
@@ -10,7 +10,9 @@
 use rand::{RngExt, SeedableRng};
 use rand_pcg::Pcg64Mcg;
 
-use super::{Drain, Flights, Health, Links, Stage, Wire};
+use tokio::sync::Notify;
+
+use super::{health::STALL_AFTER, Drain, Flights, Health, Links, Note, Stage, Wire};
 use crate::{
     admission::{RetryAllowance, SharedRetries},
     catalog::{Server, ServerKey},
@@ -59,6 +61,8 @@
     pub links: Links,
     /// Metrics.
     pub traffic: Traffic,
+    /// Fires when the other routers should be told at once.
+    urgent: Arc<Notify>,
     pub(super) retries: SharedRetries,
     policy: Mutex<Policy>,
     drain: Mutex<Option<Drain>>,
@@ -86,6 +90,7 @@
             prefills: Arc::default(),
             links: Links::default(),
             traffic: Traffic::new(),
+            urgent: Arc::default(),
             retries: SharedRetries::default(),
             policy: Mutex::new(policy),
             drain: Mutex::default(),
@@ -93,10 +98,11 @@
         }
     }
 
-    /// Sets the state of the prompts that engines are reading.
+    /// Sets what fires when the other routers should be told at once.
     #[must_use]
-    pub fn with_prefills(mut self, prefills: Prefills) -> Self {
-        self.prefills = Arc::new(prefills);
+    pub fn with_urgent(mut self, urgent: Arc<Notify>) -> Self {
+        self.prefills = Arc::new(Prefills::with_urgent(urgent.clone()));
+        self.urgent = urgent;
         self
     }
 
@@ -190,6 +196,22 @@
         at.map(|at| servers[at].clone())
     }
 
+    /// Notes that a server is silent in the middle of a stream, unless this router hears
+    /// nobody; the others are told at once.
+    pub(super) fn note_stall(&self, key: ServerKey, now: Instant) {
+        let silent = self.health.silent(key, now);
+        let unheard = silent.is_none_or(|silent| silent >= STALL_AFTER);
+        if !unheard || !self.health.hears_others(key, now) {
+            return;
+        }
+        let is_news = !self.health.is_avoided(key, now);
+        self.health.note(key, Note::Stalled, now);
+        if is_news {
+            log::info!("server silent within a stream key={}", key.0);
+            self.urgent.notify_one();
+        }
+    }
+
     /// Returns the address of an engine that holds more of the prompt than `server` does.
     pub(super) fn prompt_source(
         &self,
--- a/src/forward/stream.rs
+++ b/src/forward/stream.rs
@@ -11,7 +11,10 @@
 use http_body::Frame;
 use http_body_util::{BodyExt, StreamBody};
 
-use super::{attempts::Tries, exchange::Exchange, Body, Forwarder, Note, Request, Routed, Wire};
+use super::{
+    attempts::Tries, exchange::Exchange, health::STALL_AFTER, Body, Forwarder, Note, Request,
+    Routed, Wire,
+};
 use crate::{relay::EventReader, routes::Repeat, Category, Error, Instant, Result};
 
 /// Time without an event after which a server that nothing else is heard of is given up.
@@ -22,6 +25,9 @@
 /// Callers leave a stream after two seconds or more without an event.
 const LONG_PAUSE: Duration = Duration::from_millis(1_700);
 
+/// Time between two looks at a server that stays silent; less than it is avoided for.
+const NEXT_LOOK: Duration = Duration::from_secs(1);
+
 /// Returns the answer whose body passes on the events of `exchange`.
 pub(super) fn pass_on<W: Wire>(
     cx: Arc<Forwarder<W>>,
@@ -142,11 +148,13 @@
             let now = self.cx.clock.now();
             let left = self.req.left(now).unwrap_or(Duration::MAX);
             let pause = now.since(self.heard);
-            let wait = match self.resumable {
-                true if pause < SILENT_PAUSE => SILENT_PAUSE - pause,
-                true if pause < LONG_PAUSE => LONG_PAUSE - pause,
-                _ => left,
+            let looks: &[Duration] = if self.resumable {
+                &[STALL_AFTER, SILENT_PAUSE, LONG_PAUSE]
+            } else {
+                &[STALL_AFTER]
             };
+            let look = looks.iter().find(|look| pause < **look);
+            let wait = look.map_or(NEXT_LOOK, |look| *look - pause);
             let frame = tokio::time::timeout(wait.min(left), exchange.body.frame()).await;
             let now = self.cx.clock.now();
             match frame {
@@ -168,6 +176,12 @@
                 }
                 Err(_) => {
                     let pause = now.since(self.heard);
+                    if pause >= STALL_AFTER {
+                        self.cx.note_stall(key, now);
+                    }
+                    if !self.resumable {
+                        continue;
+                    }
                     let silent = self.cx.health.silent(key, now);
                     let unheard = silent.is_none_or(|silent| silent >= SILENT_PAUSE);
                     if pause >= LONG_PAUSE || unheard && pause >= SILENT_PAUSE {
--- a/src/presence/digest.rs
+++ b/src/presence/digest.rs
@@ -60,6 +60,8 @@
     pub placed: Vec<Placed>,
     /// Prompts that it has had engines begin to read, or that they have read.
     pub reads: Vec<ReadNews>,
+    /// Servers that are silent in the middle of its streams.
+    pub stalled: Vec<ServerKey>,
     /// Addresses of some other routers that it hears.
     pub known: Vec<SocketAddr>,
 }
--- a/tests/feed/main.rs
+++ b/tests/feed/main.rs
@@ -27,6 +27,7 @@
             loads: Vec::new(),
             placed: Vec::new(),
             reads: Vec::new(),
+            stalled: Vec::new(),
             known: Vec::new(),
         },
         heard: Instant::default(),
--- a/tests/forward/main.rs
+++ b/tests/forward/main.rs
@@ -69,6 +69,44 @@
     .assert_eq(&lines.join("\n"));
 }
 
+#[test]
+fn a_server_that_is_silent_within_a_stream_is_avoided_by_all_until_it_is_heard() {
+    let (here, there) = (Health::default(), Health::default());
+    let (dark, sound) = (ServerKey(1), ServerKey(2));
+    let at = Instant::from_millis;
+    let mut lines = Vec::new();
+    for health in [&here, &there] {
+        health.note(dark, Note::Heard, at(1_000));
+        health.note(sound, Note::Heard, at(1_650));
+    }
+    assert!(!here.hears_others(sound, at(1_750)));
+    assert!(here.hears_others(dark, at(1_750)));
+    here.note(dark, Note::Stalled, at(1_750));
+    lines.push(format!("told {:?}", here.stalled(at(1_750))));
+    there.learn_stalled(&[dark, sound], at(1_760));
+    for ms in [1_770, 2_450, 2_470, 3_700, 3_800] {
+        let avoided = |health: &Health| [dark, sound].map(|key| health.is_avoided(key, at(ms)));
+        let (here, there) = (avoided(&here), avoided(&there));
+        lines.push(format!("{ms}: here {here:?} there {there:?}"));
+    }
+    here.note(dark, Note::Stalled, at(4_000));
+    there.learn_stalled(&[dark], at(4_010));
+    for health in [&here, &there] {
+        health.note(dark, Note::Heard, at(4_020));
+    }
+    there.learn_stalled(&[dark], at(4_030));
+    let avoided = [&here, &there].map(|health| health.is_avoided(dark, at(4_040)));
+    lines.push(format!("heard: {avoided:?}"));
+    expect![[r#"
+        told [ServerKey(1)]
+        1770: here [true, false] there [true, false]
+        2450: here [true, false] there [true, false]
+        2470: here [true, false] there [false, false]
+        3700: here [true, false] there [false, false]
+        3800: here [false, false] there [false, false]
+        heard: [false, false]"#]].assert_eq(&lines.join("\n"));
+}
+
 #[test]
 fn a_server_is_grey_only_against_the_others() {
     let health = Health::default();
--- a/tests/presence/main.rs
+++ b/tests/presence/main.rs
@@ -29,6 +29,7 @@
         loads: Vec::new(),
         placed: Vec::new(),
         reads: Vec::new(),
+        stalled: Vec::new(),
         known: Vec::new(),
     }
 }
@@ -87,6 +88,7 @@
             loads: vec![(ServerKey(7), 2)],
             placed: Vec::new(),
             reads: Vec::new(),
+            stalled: Vec::new(),
             known: round.known,
         };
         for to in round.to {
