Write logs in bounded volume, and never wait for their reader

Cause: a router whose standard output was a full pipe stood still: 64 KiB of lines that nobody read, and every request hung. Change: inspect::log. Lines go through tracing-appender's writer, which drops what a slow reader has no room for; a token bucket of 200 lines a second leaves the rest out and says how many, with a part kept for warnings.

--- a/src/bin/ebonyspurd.rs
+++ b/src/bin/ebonyspurd.rs
@@ -3,7 +3,7 @@
 use std::{path::PathBuf, process::ExitCode};
 
 use clap::Parser;
-use ebonyspur::{Category, Result, Router, Settings};
+use ebonyspur::{inspect::start_log, Category, Clock, Result, Router, Settings};
 use tokio::{
     signal::unix::{signal, SignalKind},
     sync::watch,
@@ -19,7 +19,13 @@
 }
 
 fn main() -> ExitCode {
-    env_logger::Builder::from_env(env_logger::Env::default().default_filter_or("info")).init();
+    let _log = match start_log(Clock::new()) {
+        Ok(log) => log,
+        Err(err) => {
+            eprintln!("ebonyspurd: no log: {err}");
+            return ExitCode::FAILURE;
+        }
+    };
     match run(&Args::parse()) {
         Ok(()) => ExitCode::SUCCESS,
         Err(err) => {
--- a/src/inspect/mod.rs
+++ b/src/inspect/mod.rs
@@ -3,6 +3,7 @@
 mod dump;
 mod explain;
 mod gauges;
+mod log;
 mod metrics;
 mod refusals;
 mod traffic;
@@ -10,6 +11,7 @@
 pub use self::{
     dump::Dump,
     explain::{explain, Explanation},
+    log::{start_log, Admitted, LogBudget, LogGuard},
     metrics::Metrics,
     refusals::{Refusal, Refusals},
     traffic::Traffic,
--- a/tests/inspect/main.rs
+++ b/tests/inspect/main.rs
@@ -3,9 +3,9 @@
 use ebonyspur::{
     config::{Change, EncodedRecord, Op, Record},
     infra::InstanceChanges,
-    inspect::{explain, Dump, Refusals},
+    inspect::{explain, Admitted, Dump, LogBudget, Refusals},
     placement::Hint,
-    Category, ChatId, Error, Offset, RequestId, Router, ServiceName, Settings, TeamName,
+    Category, ChatId, Error, Instant, Offset, RequestId, Router, ServiceName, Settings, TeamName,
     UnixMillis,
 };
 use expect_test::expect;
@@ -200,3 +200,30 @@
         ebonyspur_serving 1"#]]
     .assert_eq(&lines.join("\n"));
 }
+
+#[test]
+fn a_burst_of_lines_is_cut_off_and_warnings_still_come_through() {
+    let mut budget = LogBudget::default();
+    let count = |budget: &mut LogBudget, level, lines: usize, ms| {
+        let now = Instant::from_millis(ms);
+        let admitted: Vec<_> = (0..lines).map(|_| budget.admit(level, now)).collect();
+        let written = admitted.iter().filter(|a| **a != Admitted::LeftOut).count();
+        let after = admitted.iter().find(|a| **a != Admitted::LeftOut).copied();
+        format!("{ms} ms, {lines} at {level}: {written} written, first {after:?}")
+    };
+    let lines = [
+        count(&mut budget, log::Level::Info, 5_000, 0),
+        count(&mut budget, log::Level::Warn, 100, 0),
+        count(&mut budget, log::Level::Info, 1, 10),
+        count(&mut budget, log::Level::Info, 1_000, 2_000),
+        count(&mut budget, log::Level::Info, 5_000, 60_000),
+        count(&mut budget, log::Level::Error, 5_000, 60_000),
+    ];
+    expect![[r#"
+        0 ms, 5000 at INFO: 750 written, first Some(After(0))
+        0 ms, 100 at WARN: 100 written, first Some(After(4250))
+        10 ms, 1 at INFO: 0 written, first None
+        2000 ms, 1000 at INFO: 300 written, first Some(After(1))
+        60000 ms, 5000 at INFO: 750 written, first Some(After(700))
+        60000 ms, 5000 at ERROR: 250 written, first Some(After(4250))"#]].assert_eq(&lines.join("\n"));
+}
--- a/tests/support/process.rs
+++ b/tests/support/process.rs
@@ -73,6 +73,18 @@
         Process { child }
     }
 
+    /// Starts `name` with its standard output in a pipe that nobody reads.
+    pub fn start_unread(name: &str, args: &[&str]) -> Self {
+        let child = Command::new(program(name))
+            .args(args)
+            .stdin(Stdio::null())
+            .stdout(Stdio::piped())
+            .stderr(Stdio::null())
+            .spawn()
+            .expect("a started process");
+        Process { child }
+    }
+
     /// Sends a signal.
     pub fn signal(&self, signal: Signal) {
         let pid = Pid::from_child(&self.child);
