--- a/src/forward/stream.rs
+++ b/src/forward/stream.rs
@@ -125,8 +125,9 @@
     }
 
     fn given(&mut self, bytes: Bytes) -> Bytes {
+        // The prompt has been read, at the first server or at the one that goes on.
+        self.tries.prefill = None;
         if !std::mem::replace(&mut self.begun, true) {
-            self.tries.prefill = None;
             let now = self.cx.clock.now();
             self.cx.traffic.answered(now.since(self.req.arrived));
         }
--- a/tests/forward/main.rs
+++ b/tests/forward/main.rs
@@ -104,7 +104,8 @@
         2470: here [true, false] there [false, false]
         3700: here [true, false] there [false, false]
         3800: here [false, false] there [false, false]
-        heard: [false, false]"#]].assert_eq(&lines.join("\n"));
+        heard: [false, false]"#]]
+    .assert_eq(&lines.join("\n"));
 }
 
 #[test]
--- a/tests/inspect/main.rs
+++ b/tests/inspect/main.rs
@@ -225,5 +225,6 @@
         10 ms, 1 at INFO: 0 written, first None
         2000 ms, 1000 at INFO: 300 written, first Some(After(1))
         60000 ms, 5000 at INFO: 750 written, first Some(After(700))
-        60000 ms, 5000 at ERROR: 250 written, first Some(After(4250))"#]].assert_eq(&lines.join("\n"));
+        60000 ms, 5000 at ERROR: 250 written, first Some(After(4250))"#]]
+    .assert_eq(&lines.join("\n"));
 }
