Log requests that wait for their prompt, and test the wait and its end

Cause: the fault mended before (a read that lasted as long as the resumed stream) had no test. Change: one line for each wait, with the server and the longest time; the stand-in takes several faults for one stream and cuts only streams that begin.

--- a/src/forward/attempts.rs
+++ b/src/forward/attempts.rs
@@ -151,8 +151,16 @@
                 return Ok(None);
             };
             match self.wait_for_prompt(cx, &server, now) {
-                // Whether it has ended or not, the choice is made anew.
-                Some(wait) => drop(tokio::time::timeout(wait, ended).await),
+                Some(wait) => {
+                    log::info!(
+                        "request waits id={} server={} reason=prompt_is_read longest_ms={}",
+                        self.id(),
+                        server.name,
+                        wait.as_millis()
+                    );
+                    // Whether it has ended or not, the choice is made anew.
+                    drop(tokio::time::timeout(wait, ended).await);
+                }
                 None => {
                     self.place(cx, &server, tries, now);
                     return Ok(Some(server));
--- a/stand-in/src/replica.rs
+++ b/stand-in/src/replica.rs
@@ -180,15 +180,9 @@
         .header("last-event-id")
         .parse()
         .map_or(0, |last: u64| last + 1);
-    let cut = fault.strip_prefix("cut-at-").and_then(|at| at.parse().ok());
-    let mute = fault
-        .strip_prefix("mute-at-")
-        .and_then(|at| at.parse().ok());
-    let stop = fault
-        .strip_prefix("stop-at-")
-        .and_then(|at| at.parse().ok());
+    let faults = Faults::parse(&fault, first > 0);
     let head = replica.clone();
-    let body = events(run, first, Faults { cut, mute, stop });
+    let body = events(run, first, faults);
     let mut answer = head.head(&req, StatusCode::OK, false, body);
     let media_type = "text/event-stream".parse().unwrap();
     answer.headers_mut().insert("content-type", media_type);
@@ -273,6 +267,21 @@
     stop: Option<u64>,
 }
 
+impl Faults {
+    /// Parses faults joined by `+`; `begin-cut-at-` spares streams that are continued.
+    fn parse(text: &str, continued: bool) -> Self {
+        let at = |prefix: &str| {
+            let mut faults = text.split('+').filter_map(|f| f.strip_prefix(prefix));
+            faults.next().and_then(|at| at.parse().ok())
+        };
+        Faults {
+            cut: at("cut-at-").or(at("begin-cut-at-").filter(|_| !continued)),
+            mute: at("mute-at-"),
+            stop: at("stop-at-"),
+        }
+    }
+}
+
 /// Returns the events from number `first` on.
 fn events(run: Run, first: u64, faults: Faults) -> Body {
     let Faults { cut, mute, stop } = faults;
