Refuse requests that crash the servers that run them

Cause: on the platform nothing stopped a request that ends each server that begins to run it; its caller sends it again, at any router. Ruled out: suspects kept apart by stewards, which the platform does not start; blaming the engine's death as the list shows it, which comes four seconds late; blaming what was answered lately, as a popular request is always near when a server ends. Change: forward::crashes, over the product's quarantine, whose number of deaths that convict can now be set. A request with broken connections at three lives of servers is refused as not run at all routers, told at once. Silence within a stream counts as a timeout and blames nobody.

--- a/src/admission/quarantine.rs
+++ b/src/admission/quarantine.rs
@@ -78,8 +78,8 @@
         self.deaths.len() - self.cleared
     }
 
-    fn is_convicted(&self) -> bool {
-        self.counted() >= CONVICTING_DEATHS
+    fn is_convicted(&self, convicting: usize) -> bool {
+        self.counted() >= convicting
     }
 
     fn record(&self, fingerprint: Fingerprint, now: Instant) -> SuspectRecord {
@@ -101,8 +101,10 @@
 }
 
 /// Suspects and convicts, bounded in number and time.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub struct Suspects {
+    /// Deaths of engines that convict.
+    convicting: usize,
     known: BTreeMap<Fingerprint, Suspect>,
     /// Requests that may have crashed engines.
     watched: Watched,
@@ -110,12 +112,28 @@
     proven: Proven,
 }
 
+impl Default for Suspects {
+    fn default() -> Self {
+        Suspects::with_convicting(CONVICTING_DEATHS)
+    }
+}
+
 impl Suspects {
     /// Creates the state without suspects.
     pub fn new() -> Self {
         Suspects::default()
     }
 
+    /// Creates the state without suspects; so many deaths of engines convict.
+    pub fn with_convicting(deaths: usize) -> Self {
+        Suspects {
+            convicting: deaths,
+            known: BTreeMap::new(),
+            watched: Watched::default(),
+            proven: Proven::default(),
+        }
+    }
+
     /// Counts the death of an engine against a request; returns whether it was news.
     pub fn accuse(&mut self, crash: &Crash, now: Instant) -> bool {
         self.expire(now);
@@ -129,7 +147,7 @@
         let news = suspect
             .deaths
             .insert((crash.engine.clone(), crash.incarnation));
-        if news && suspect.counted() == CONVICTING_DEATHS {
+        if news && suspect.counted() == self.convicting {
             suspect.until = now + CONVICTION_TIME;
         }
         self.limit();
@@ -165,7 +183,7 @@
         self.watched.clear(fingerprint);
         self.proven.insert(fingerprint);
         if let Some(suspect) = self.known.get_mut(&fingerprint) {
-            if !suspect.is_convicted() {
+            if !suspect.is_convicted(self.convicting) {
                 suspect.cleared = suspect.deaths.len();
             }
         }
@@ -174,12 +192,12 @@
     /// Returns whether the request is refused.
     pub fn is_convicted(&self, fingerprint: Fingerprint, now: Instant) -> bool {
         self.live(fingerprint, now)
-            .is_some_and(Suspect::is_convicted)
+            .is_some_and(|suspect| suspect.is_convicted(self.convicting))
     }
 
     /// Returns whether the request must wait until it is known which engines it crashed.
     pub fn is_held(&self, fingerprint: Fingerprint, now: Instant) -> bool {
-        self.possible_deaths(fingerprint, now) >= CONVICTING_DEATHS
+        self.possible_deaths(fingerprint, now) >= self.convicting
     }
 
     fn possible_deaths(&self, fingerprint: Fingerprint, now: Instant) -> usize {
@@ -218,7 +236,9 @@
         let known = self.known.iter();
         let live = known.filter(|(_, one)| one.until > now && one.counted() > 0);
         let mut live: Vec<_> = live.collect();
-        live.sort_by_key(|(_, one)| std::cmp::Reverse((one.is_convicted(), one.until)));
+        live.sort_by_key(|(_, one)| {
+            std::cmp::Reverse((one.is_convicted(self.convicting), one.until))
+        });
         let mut told = 0;
         let fits = |(_, one): &(_, &Suspect)| {
             told += one.deaths.len();
@@ -275,6 +295,14 @@
 }
 
 impl Quarantine {
+    /// Creates the state without suspects; so many deaths of engines convict.
+    pub fn with_convicting(deaths: usize) -> Self {
+        Quarantine {
+            suspects: Mutex::new(Suspects::with_convicting(deaths)),
+            ..Quarantine::default()
+        }
+    }
+
     /// Checks that a request may run.
     ///
     /// # Errors
--- a/src/forward/attempts.rs
+++ b/src/forward/attempts.rs
@@ -104,6 +104,9 @@
                         failure.sent,
                         failure.err
                     );
+                    if failure.sent && failure.err.classify() == Category::Cut {
+                        cx.note_broken(self.stage.fingerprint, &server, cx.clock.now());
+                    }
                     let verdict = failure.err.verdict();
                     tries.verdict = tries.verdict.or(verdict);
                     tries.unsent += u32::from(!failure.sent);
@@ -124,7 +127,8 @@
     ///
     /// # Errors
     ///
-    /// Returns [`Category::Timeout`] when there is no time left.
+    /// Returns [`Category::Timeout`] when there is no time left, and
+    /// [`Category::Quarantined`] when the request has crashed servers.
     async fn next_server<W: Wire>(
         &self,
         cx: &Forwarder<W>,
@@ -141,6 +145,8 @@
                 ));
             }
             let stage = &self.stage;
+            let allowed = cx.crashes.check(stage.fingerprint, now);
+            allowed.map_err(|err| err.with_verdict_at_least(tries.verdict))?;
             let Some(server) = cx.choose(
                 &stage.pool,
                 stage.settings,
@@ -356,6 +362,7 @@
         *answer.status_mut() = exchange.status;
         *answer.headers_mut() = headers;
         let now = cx.clock.now();
+        cx.crashes.note_whole(self.stage.fingerprint);
         cx.traffic.answered(now.since(self.arrived));
         cx.finish(exchange, now);
         answer
--- /dev/null
+++ b/src/forward/crashes.rs
@@ -0,0 +1,117 @@
+//! Requests that crash the servers that run them.
+//!
+//! Load pattern: one request ends each server that begins to run it, and its caller sends it
+//! again, at any router. A request whose connections broke at several servers, without one
+//! whole answer to the same request, is not run again. Requests that were answered whole
+//! lately are never blamed: they were only near.
+
+use std::{collections::VecDeque, sync::Mutex};
+
+use xxhash_rust::xxh3::Xxh3Default;
+
+use super::{exchange::Call, CallHead};
+use crate::{
+    admission::{Crash, Fingerprint, Quarantine},
+    catalog::Server,
+    sync::lock,
+    Instant, Result,
+};
+
+/// Servers that a request has to break off with before it is refused.
+///
+/// Two may go at once with all that they run; a third one in a row is no chance.
+const CONVICTING_SERVERS: usize = 3;
+
+/// Digests in which a crash is told, as datagrams may be lost.
+const TOLD: u8 = 2;
+
+/// Most crashes in one digest.
+const MAX_TOLD: usize = 6;
+
+/// Most crashes that wait to be told; the latest go first.
+const MAX_NEWS: usize = 64;
+
+/// What this router knows of requests that crash servers, and has not told yet.
+#[derive(Debug)]
+pub struct Crashes {
+    quarantine: Quarantine,
+    news: Mutex<VecDeque<(Crash, u8)>>,
+}
+
+impl Default for Crashes {
+    fn default() -> Self {
+        Crashes {
+            quarantine: Quarantine::with_convicting(CONVICTING_SERVERS),
+            news: Mutex::default(),
+        }
+    }
+}
+
+impl Crashes {
+    /// Checks that a request may run.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`Category::Quarantined`](crate::Category::Quarantined) with the verdict "not
+    /// run" when it has crashed servers.
+    pub fn check(&self, fingerprint: Fingerprint, now: Instant) -> Result<()> {
+        self.quarantine.check(fingerprint, now)
+    }
+
+    /// Notes that a request was answered whole.
+    pub fn note_whole(&self, fingerprint: Fingerprint) {
+        self.quarantine.clear(fingerprint);
+    }
+
+    /// Notes that the connection of a server broke while it ran a request; returns whether
+    /// that is to be told.
+    pub fn note_broken(&self, fingerprint: Fingerprint, server: &Server, now: Instant) -> bool {
+        let crash = Crash {
+            fingerprint,
+            engine: server.name.clone(),
+            incarnation: server.life,
+        };
+        let is_news = self.blame(&crash, now);
+        if is_news {
+            let mut news = lock(&self.news);
+            news.push_front((crash, TOLD));
+            news.truncate(MAX_NEWS);
+        }
+        is_news
+    }
+
+    /// Takes over what another router told.
+    pub fn learn(&self, crashes: &[Crash], now: Instant) {
+        for crash in crashes {
+            self.blame(crash, now);
+        }
+    }
+
+    /// Returns what is to be told in the next digest.
+    pub fn next_news(&self) -> Vec<Crash> {
+        let mut news = lock(&self.news);
+        let count = news.len().min(MAX_TOLD);
+        let mut told = Vec::with_capacity(count);
+        for (crash, left) in news.drain(..count).collect::<Vec<_>>() {
+            told.push(crash.clone());
+            if left > 1 {
+                news.push_back((crash, left - 1));
+            }
+        }
+        told
+    }
+
+    fn blame(&self, crash: &Crash, now: Instant) -> bool {
+        !self.quarantine.is_proven(crash.fingerprint) && self.quarantine.accuse(crash, now)
+    }
+}
+
+/// Returns what is the same whenever a caller sends a request again.
+pub(super) fn fingerprint(call: &Call, head: &CallHead) -> Fingerprint {
+    let mut hash = Xxh3Default::new();
+    hash.update(call.method.as_str().as_bytes());
+    hash.update(call.uri.to_string().as_bytes());
+    hash.update(head.key.as_deref().unwrap_or_default().as_bytes());
+    hash.update(&call.body);
+    Fingerprint(hash.digest())
+}
--- a/src/forward/mod.rs
+++ b/src/forward/mod.rs
@@ -6,6 +6,7 @@
 mod answer;
 mod attempts;
 mod body;
+mod crashes;
 mod drain;
 mod exchange;
 mod health;
@@ -20,6 +21,7 @@
 
 pub use self::{
     body::{text, whole, Body},
+    crashes::Crashes,
     drain::{Drain, Stage},
     health::{Health, Note},
     link::{open, Link, Links, Sent},
--- a/src/forward/request.rs
+++ b/src/forward/request.rs
@@ -5,8 +5,9 @@
 use bytes::Bytes;
 use http::{header, request};
 
-use super::{exchange::Call, CallHead, Forwarder, Wire};
+use super::{crashes, exchange::Call, CallHead, Forwarder, Wire};
 use crate::{
+    admission::Fingerprint,
     placement::SharedPrompt,
     routes::{PoolSettings, Repeat, RouteTable},
     Category, Error, Instant, PoolName, Result, TeamName,
@@ -44,6 +45,8 @@
     pub(super) deadline: Option<Instant>,
     /// What other requests share of the prompt, where they should meet.
     pub(super) prompt: Option<SharedPrompt>,
+    /// What is the same whenever the caller sends the request again.
+    pub(super) fingerprint: Fingerprint,
 }
 
 impl Request<Received> {
@@ -118,6 +121,7 @@
             team: team.map(|team| team.name.clone()),
             deadline: due.map(|due| self.arrived + due),
             prompt,
+            fingerprint: crashes::fingerprint(&self.call, &self.head),
         };
         Ok(Request {
             call: self.call,
--- a/src/forward/state.rs
+++ b/src/forward/state.rs
@@ -12,9 +12,9 @@
 
 use tokio::sync::Notify;
 
-use super::{health::STALL_AFTER, Drain, Flights, Health, Links, Note, Stage, Wire};
+use super::{health::STALL_AFTER, Crashes, Drain, Flights, Health, Links, Note, Stage, Wire};
 use crate::{
-    admission::{RetryAllowance, SharedRetries},
+    admission::{Fingerprint, RetryAllowance, SharedRetries},
     catalog::{Server, ServerKey},
     feed::Feed,
     inspect::Traffic,
@@ -57,6 +57,8 @@
     pub warmth: Arc<Warmth>,
     /// Prompts that engines are reading.
     pub prefills: Arc<Prefills>,
+    /// Requests that crash servers.
+    pub crashes: Crashes,
     /// Connections to servers.
     pub links: Links,
     /// Metrics.
@@ -88,6 +90,7 @@
             health: Health::default(),
             warmth: Arc::default(),
             prefills: Arc::default(),
+            crashes: Crashes::default(),
             links: Links::default(),
             traffic: Traffic::new(),
             urgent: Arc::default(),
@@ -196,6 +199,13 @@
         at.map(|at| servers[at].clone())
     }
 
+    /// Notes that the connection of a server broke while it ran a request.
+    pub(super) fn note_broken(&self, fingerprint: Fingerprint, server: &Server, now: Instant) {
+        if self.crashes.note_broken(fingerprint, server, now) {
+            self.urgent.notify_one();
+        }
+    }
+
     /// Notes that a server is silent in the middle of a stream, unless this router hears
     /// nobody; the others are told at once.
     pub(super) fn note_stall(&self, key: ServerKey, now: Instant) {
--- a/src/forward/stream.rs
+++ b/src/forward/stream.rs
@@ -136,6 +136,7 @@
 
     fn end(&mut self) {
         if let Some(exchange) = self.exchange.take() {
+            self.cx.crashes.note_whole(self.req.stage.fingerprint);
             self.cx.finish(exchange, self.cx.clock.now());
         }
     }
@@ -187,7 +188,7 @@
                     let unheard = silent.is_none_or(|silent| silent >= SILENT_PAUSE);
                     if pause >= LONG_PAUSE || unheard && pause >= SILENT_PAUSE {
                         let message = "the server is silent";
-                        return Read::Broken(Error::may_have_run(Category::Cut, message));
+                        return Read::Broken(Error::may_have_run(Category::Timeout, message));
                     }
                 }
             }
@@ -223,6 +224,10 @@
         if let Some(exchange) = self.exchange.take() {
             let now = self.cx.clock.now();
             self.cx.health.note(exchange.server.key(), Note::Gone, now);
+            if failed.classify() == Category::Cut {
+                let fingerprint = self.req.stage.fingerprint;
+                self.cx.note_broken(fingerprint, &exchange.server, now);
+            }
         }
         self.events = EventReader::new();
         if !self.resumable {
@@ -234,6 +239,9 @@
             if self.req.left(now).is_some_and(|left| left.is_zero()) {
                 break;
             }
+            if let Err(err) = cx.crashes.check(self.req.stage.fingerprint, now) {
+                return Err(err.with_verdict_at_least(failed.verdict()));
+            }
             let stage = &self.req.stage;
             let tried = &self.tries.servers;
             let prompt = stage.prompt.as_ref();
--- a/src/presence/digest.rs
+++ b/src/presence/digest.rs
@@ -5,6 +5,7 @@
 use serde::{Deserialize, Serialize};
 
 use crate::{
+    admission::Crash,
     catalog::ServerKey,
     placement::{Placed, ReadNews},
     DomainName, Incarnation, RouterName,
@@ -60,6 +61,8 @@
     pub placed: Vec<Placed>,
     /// Prompts that it has had engines begin to read, or that they have read.
     pub reads: Vec<ReadNews>,
+    /// Requests whose servers broke off while they ran them.
+    pub crashes: Vec<Crash>,
     /// Servers that are silent in the middle of its streams.
     pub stalled: Vec<ServerKey>,
     /// Addresses of some other routers that it hears.
--- a/tests/feed/main.rs
+++ b/tests/feed/main.rs
@@ -28,6 +28,7 @@
             placed: Vec::new(),
             reads: Vec::new(),
             stalled: Vec::new(),
+            crashes: Vec::new(),
             known: Vec::new(),
         },
         heard: Instant::default(),
--- a/tests/forward/main.rs
+++ b/tests/forward/main.rs
@@ -3,9 +3,10 @@
 use std::time::Duration;
 
 use ebonyspur::{
-    catalog::ServerKey,
-    forward::{Drain, Flights, Health, Note},
-    Instant,
+    admission::Fingerprint,
+    catalog::{Server, ServerKey},
+    forward::{Crashes, Drain, Flights, Health, Note},
+    DomainName, EngineName, Incarnation, Instant, PoolName,
 };
 use expect_test::expect;
 
@@ -133,3 +134,47 @@
     drop(second);
     assert_eq!(flights.all(), []);
 }
+
+fn server(name: &str, life: u64) -> Server {
+    Server {
+        name: EngineName::new(name).unwrap(),
+        pool: PoolName::new("writers").unwrap(),
+        address: ([127, 0, 0, 1], 1).into(),
+        domain: DomainName::new("d1").unwrap(),
+        life: Incarnation(life),
+        slots: 64,
+        leaving: false,
+    }
+}
+
+#[test]
+fn a_request_is_refused_after_three_lives_of_servers_and_one_that_was_answered_is_not() {
+    let (here, there) = (Crashes::default(), Crashes::default());
+    let (bad, good) = (Fingerprint(1), Fingerprint(2));
+    let now = Instant::from_millis(1_000);
+    there.note_whole(good);
+    let mut lines = Vec::new();
+    let lives = [("e1", 1), ("e1", 1), ("e2", 1), ("e1", 2)];
+    for (name, life) in lives {
+        let mut news = Vec::new();
+        for request in [bad, good] {
+            news.push(here.note_broken(request, &server(name, life), now));
+        }
+        there.learn(&here.next_news(), now);
+        let refused = |crashes: &Crashes| [bad, good].map(|r| crashes.check(r, now).is_err());
+        let (here, there) = (refused(&here), refused(&there));
+        lines.push(format!(
+            "{name}/{life}: news {news:?} refused here {here:?} there {there:?}"
+        ));
+    }
+    expect![[r#"
+        e1/1: news [true, true] refused here [false, false] there [false, false]
+        e1/1: news [false, false] refused here [false, false] there [false, false]
+        e2/1: news [true, true] refused here [false, false] there [false, false]
+        e1/2: news [true, true] refused here [true, true] there [true, false]"#]]
+    .assert_eq(&lines.join("\n"));
+    let verdict = here
+        .check(bad, now)
+        .map_err(|err| (err.classify(), err.verdict()));
+    expect!["Err((Quarantined, NotRun))"].assert_eq(&format!("{verdict:?}"));
+}
--- a/tests/presence/main.rs
+++ b/tests/presence/main.rs
@@ -30,6 +30,7 @@
         placed: Vec::new(),
         reads: Vec::new(),
         stalled: Vec::new(),
+        crashes: Vec::new(),
         known: Vec::new(),
     }
 }
@@ -89,6 +90,7 @@
             placed: Vec::new(),
             reads: Vec::new(),
             stalled: Vec::new(),
+            crashes: Vec::new(),
             known: round.known,
         };
         for to in round.to {
