--- a/src/forward/state.rs
+++ b/src/forward/state.rs
@@ -208,7 +208,8 @@
 
     /// Notes that a server is silent in the middle of a stream, unless this router hears
     /// nobody; the others are told at once.
-    pub(super) fn note_stall(&self, key: ServerKey, now: Instant) {
+    pub(super) fn note_stall(&self, server: &Server, now: Instant) {
+        let key = server.key();
         let silent = self.health.silent(key, now);
         let unheard = silent.is_none_or(|silent| silent >= STALL_AFTER);
         if !unheard || !self.health.hears_others(key, now) {
@@ -217,7 +218,11 @@
         let is_news = !self.health.is_avoided(key, now);
         self.health.note(key, Note::Stalled, now);
         if is_news {
-            log::info!("server silent within a stream key={}", key.0);
+            let silent_ms = silent.unwrap_or_default().as_millis();
+            log::info!(
+                "server silent within a stream server={} silent_ms={silent_ms}",
+                server.name
+            );
             self.urgent.notify_one();
         }
     }
--- a/src/forward/stream.rs
+++ b/src/forward/stream.rs
@@ -145,7 +145,8 @@
         let Some(exchange) = &mut self.exchange else {
             return Read::End;
         };
-        let key = exchange.server.key();
+        let server = exchange.server.clone();
+        let key = server.key();
         loop {
             let now = self.cx.clock.now();
             let left = self.req.left(now).unwrap_or(Duration::MAX);
@@ -179,7 +180,7 @@
                 Err(_) => {
                     let pause = now.since(self.heard);
                     if pause >= STALL_AFTER {
-                        self.cx.note_stall(key, now);
+                        self.cx.note_stall(&server, now);
                     }
                     if !self.resumable {
                         continue;
