--- a/src/feed/role.rs
+++ b/src/feed/role.rs
@@ -10,7 +10,8 @@
 
 /// Routers that follow the store at once.
 ///
-/// Two, so that the end of one leaves no gap while the others notice it.
+/// Each makes two calls a second; at its end the others read by themselves until they agree
+/// on the next one.
 pub const FOLLOWERS: usize = 1;
 
 /// Time between two looks at the role of this router.
