Tell how late a feed is, and why a router reads the store

Callers saw requests handled by an older configuration, and servers got requests after they had said that they leave, on the grown deployments. Today's lines don't distinguish the hypotheses: a follower that is behind in data, a link that delays what it sends, or a process without processor time.

A subscriber now sends readings of its clock, and its follower states on that clock when the data was current. The stated age still decides; the delay is only logged.

--- a/src/feed/follow.rs
+++ b/src/feed/follow.rs
@@ -3,7 +3,7 @@
 use std::{sync::Arc, time::Duration};
 
 use super::{role::ROLE_CHECK_PERIOD, Feed, Role, Store};
-use crate::{presence::Presence, Clock};
+use crate::{presence::Presence, Clock, Instant};
 
 /// Maximum time that one read waits for a change.
 ///
@@ -31,8 +31,14 @@
     presence: Arc<Presence>,
     clock: Clock,
 ) {
+    let mut logged = None;
     loop {
-        if !should_read(&feed, &presence, &clock) {
+        let reason = read_reason(&feed, &presence, clock.now());
+        if reason != logged {
+            log_reason(reason, &feed, clock.now());
+            logged = reason;
+        }
+        if reason.is_none() {
             tokio::time::sleep(ROLE_CHECK_PERIOD).await;
             continue;
         }
@@ -69,7 +75,7 @@
     loop {
         // While the store is unreachable, only `follow_servers` tests whether it answers again.
         let is_reachable = feed.is_store_reachable(clock.now());
-        if !is_reachable || !should_read(&feed, &presence, &clock) {
+        if !is_reachable || read_reason(&feed, &presence, clock.now()).is_none() {
             cursor = None;
             let is_starting = !feed.is_known();
             let pause = if is_starting {
@@ -100,8 +106,50 @@
     }
 }
 
-fn should_read(feed: &Feed, presence: &Presence, clock: &Clock) -> bool {
-    let now = clock.now();
-    let is_unreachable = !feed.is_store_reachable(now);
-    feed.role(presence, now) == Role::Follower || !feed.is_current(now) || is_unreachable
+/// Why a router reads the store.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum ReadReason {
+    /// The router follows the store for the fleet.
+    Follower,
+    /// What the router knows is too old, or it knows nothing.
+    OutOfDate,
+    /// The router tests whether the store answers again.
+    Unreachable,
+}
+
+/// Returns why this router reads the store, or `None` while another router feeds it.
+fn read_reason(feed: &Feed, presence: &Presence, now: Instant) -> Option<ReadReason> {
+    if feed.role(presence, now) == Role::Follower {
+        Some(ReadReason::Follower)
+    } else if !feed.is_store_reachable(now) {
+        Some(ReadReason::Unreachable)
+    } else if !feed.is_current(now) {
+        Some(ReadReason::OutOfDate)
+    } else {
+        None
+    }
+}
+
+fn log_reason(reason: Option<ReadReason>, feed: &Feed, now: Instant) {
+    let age_ms = feed.staleness(now).map(|age| age.as_millis() as u64);
+    let (routes, servers) = (feed.routes.version(), feed.next_servers_offset());
+    match reason {
+        Some(reason) => log::info!(
+            "reads the store reason={} age_ms={age_ms:?} routes={routes} servers={servers:?}",
+            reason.as_str()
+        ),
+        None => log::info!(
+            "reads the store no longer age_ms={age_ms:?} routes={routes} servers={servers:?}"
+        ),
+    }
+}
+
+impl ReadReason {
+    fn as_str(self) -> &'static str {
+        match self {
+            ReadReason::Follower => "follower",
+            ReadReason::OutOfDate => "out-of-date",
+            ReadReason::Unreachable => "unreachable",
+        }
+    }
 }
--- a/src/feed/frame.rs
+++ b/src/feed/frame.rs
@@ -22,8 +22,13 @@
         /// Offset in the store before which all changes are included.
         next: Offset,
     },
-    /// Time in milliseconds since the data sent so far was current in the store.
-    AgeMillis(u64),
+    /// The data sent so far was current in the store at this time.
+    Current {
+        /// Time on the subscriber's clock, in microseconds.
+        at_micros: u64,
+        /// Age of the data when the message was sent, in milliseconds.
+        age_millis: u64,
+    },
 }
 
 /// Reads one frame into `buf`.
--- a/src/feed/mod.rs
+++ b/src/feed/mod.rs
@@ -7,6 +7,7 @@
 
 mod follow;
 mod frame;
+mod peer_clock;
 mod role;
 mod serve;
 mod snapshot;
@@ -17,6 +18,7 @@
 pub use self::{
     follow::{follow_routes, follow_servers},
     frame::{FeedMessage, MAX_FRAME_BYTES},
+    peer_clock::PeerClock,
     role::{Role, FOLLOWER_COUNT},
     serve::serve_subscribers,
     snapshot::run_snapshots,
--- a/src/feed/serve.rs
+++ b/src/feed/serve.rs
@@ -2,20 +2,21 @@
 
 use std::{io, sync::Arc, time::Duration};
 
+use bytes::{Buf, BytesMut};
 use tokio::{
     io::AsyncReadExt,
-    net::{TcpListener, TcpStream},
+    net::{tcp::ReadHalf, tcp::WriteHalf, TcpListener, TcpStream},
     sync::Semaphore,
 };
 
-use super::{frame, Feed, FeedMessage};
+use super::{frame, Feed, FeedMessage, PeerClock};
 use crate::{Clock, Instant};
 
 /// Time between two messages on a connection while nothing changes.
 const HEARTBEAT_PERIOD: Duration = Duration::from_millis(400);
 
 /// Maximum time to write one message, or to read the subscriber's opening one: the version of
-/// the route table that it has.
+/// the route table that it has, and the time on its clock.
 const MESSAGE_TIMEOUT: Duration = Duration::from_secs(2);
 
 /// Maximum number of subscribers at once; further routers use another follower.
@@ -24,6 +25,9 @@
 /// Delay after a failed accept, for example when file descriptors have run out.
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(100);
 
+/// Length of a clock reading in bytes.
+const READING_LEN: usize = size_of::<u64>();
+
 /// Accepts connections of other routers and feeds each of them in its own task.
 pub async fn serve_subscribers(feed: Arc<Feed>, listener: TcpListener, clock: Clock) {
     let slots = Arc::new(Semaphore::new(MAX_SUBSCRIBERS));
@@ -53,36 +57,80 @@
 
 async fn feed_subscriber(feed: &Feed, mut stream: TcpStream, clock: &Clock) -> io::Result<()> {
     stream.set_nodelay(true)?;
-    let mut sent_version = tokio::time::timeout(MESSAGE_TIMEOUT, stream.read_u64()).await??;
+    let (mut rx, mut tx) = stream.split();
+    let mut sent_version = tokio::time::timeout(MESSAGE_TIMEOUT, rx.read_u64()).await??;
+    let mut readings = ClockReadings::open(rx, clock).await?;
     let mut revisions = feed.revisions();
     let mut sent_changes = None;
     loop {
         let revision = *revisions.borrow_and_update();
         if let Some((version, bytes)) = feed.encoded_routes() {
             if version > sent_version {
-                send(&mut stream, &FeedMessage::Routes(bytes.to_vec())).await?;
+                send(&mut tx, &FeedMessage::Routes(bytes.to_vec())).await?;
                 sent_version = version;
             }
         }
         if sent_changes != Some(revision.changes) {
             if let Some((servers, next)) = feed.servers() {
-                send(&mut stream, &FeedMessage::Servers { servers, next }).await?;
+                send(&mut tx, &FeedMessage::Servers { servers, next }).await?;
                 sent_changes = Some(revision.changes);
             }
         }
-        if let Some(age) = age_millis(feed, clock.now()) {
-            send(&mut stream, &FeedMessage::AgeMillis(age)).await?;
+        if let Some(message) = current_message(feed, &readings.peer_clock, clock.now()) {
+            send(&mut tx, &message).await?;
         }
         // The next round starts at a change, an answer of the store or the end of the heartbeat
         // period.
-        let _ = tokio::time::timeout(HEARTBEAT_PERIOD, revisions.changed()).await;
+        tokio::select! {
+            _ = revisions.changed() => {}
+            () = tokio::time::sleep(HEARTBEAT_PERIOD) => {}
+            err = readings.receive(clock) => return Err(err),
+        }
     }
 }
 
-fn age_millis(feed: &Feed, now: Instant) -> Option<u64> {
-    feed.staleness(now).map(|age| age.as_millis() as u64)
+/// Returns the message that states, on the subscriber's clock, when the data was current.
+fn current_message(feed: &Feed, peer_clock: &PeerClock, now: Instant) -> Option<FeedMessage> {
+    let age = feed.staleness(now)?;
+    Some(FeedMessage::Current {
+        at_micros: (peer_clock.at(now) - age).as_micros(),
+        age_millis: age.as_millis() as u64,
+    })
+}
+
+/// The readings of its clock that a subscriber sends.
+struct ClockReadings<'a> {
+    rx: ReadHalf<'a>,
+    buf: BytesMut,
+    peer_clock: PeerClock,
+}
+
+impl<'a> ClockReadings<'a> {
+    async fn open(mut rx: ReadHalf<'a>, clock: &Clock) -> io::Result<Self> {
+        let reading = tokio::time::timeout(MESSAGE_TIMEOUT, rx.read_u64()).await??;
+        Ok(ClockReadings {
+            rx,
+            buf: BytesMut::new(),
+            peer_clock: PeerClock::new(Instant::from_micros(reading), clock.now()),
+        })
+    }
+
+    /// Receives readings until the connection fails; nothing is lost when the call is cancelled.
+    async fn receive(&mut self, clock: &Clock) -> io::Error {
+        loop {
+            match self.rx.read_buf(&mut self.buf).await {
+                Ok(0) => return io::ErrorKind::UnexpectedEof.into(),
+                Ok(_) => {}
+                Err(err) => return err,
+            }
+            while self.buf.len() >= READING_LEN {
+                let reading = Instant::from_micros(self.buf.get_u64());
+                self.peer_clock = PeerClock::new(reading, clock.now());
+            }
+        }
+    }
 }
 
-async fn send(stream: &mut TcpStream, message: &FeedMessage) -> io::Result<()> {
-    tokio::time::timeout(MESSAGE_TIMEOUT, frame::write(stream, message)).await?
+async fn send(tx: &mut WriteHalf<'_>, message: &FeedMessage) -> io::Result<()> {
+    tokio::time::timeout(MESSAGE_TIMEOUT, frame::write(tx, message)).await?
 }
--- a/src/feed/subscribe.rs
+++ b/src/feed/subscribe.rs
@@ -5,7 +5,7 @@
 use tokio::{io::AsyncWriteExt, net::TcpStream};
 
 use super::{frame, role::ROLE_CHECK_PERIOD, Feed, FeedMessage, Role};
-use crate::{presence::Presence, Clock};
+use crate::{presence::Presence, Clock, Instant};
 
 /// Maximum time to open a connection to a follower.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
@@ -14,6 +14,12 @@
 /// every 400 ms.
 const FOLLOWER_TIMEOUT: Duration = Duration::from_millis(1_000);
 
+/// Time between two readings of the own clock sent to the follower.
+const CLOCK_PERIOD: Duration = Duration::from_millis(400);
+
+/// Time that a message took to arrive from which it is logged as delayed.
+const DELAY_LOG_THRESHOLD: Duration = Duration::from_millis(300);
+
 /// Keeps a feed connection to one of the followers open while this router does not follow the
 /// store itself.
 pub async fn subscribe(feed: Arc<Feed>, presence: Arc<Presence>, clock: Clock) {
@@ -43,35 +49,55 @@
     let connect = TcpStream::connect(follower);
     let mut stream = tokio::time::timeout(CONNECT_TIMEOUT, connect).await??;
     stream.set_nodelay(true)?;
-    stream.write_u64(feed.routes.version()).await?;
+    let (mut rx, mut tx) = stream.split();
+    tx.write_u64(feed.routes.version()).await?;
+    let mut last_reading = clock.now();
+    tx.write_u64(last_reading.as_micros()).await?;
     log::info!("feed connection opened follower={follower}");
     let mut buf = Vec::new();
     loop {
-        tokio::time::timeout(FOLLOWER_TIMEOUT, frame::read(&mut stream, &mut buf)).await??;
+        tokio::time::timeout(FOLLOWER_TIMEOUT, frame::read(&mut rx, &mut buf)).await??;
         let message = postcard::from_bytes(&buf).map_err(io::Error::other)?;
         buf = Vec::new();
-        // A follower sends the age of its data after the data itself.
-        let is_age = matches!(message, FeedMessage::AgeMillis(_));
-        apply(feed, message, clock)?;
+        // A follower states when its data was current after the data itself.
+        let is_statement = matches!(message, FeedMessage::Current { .. });
+        apply(feed, message, follower, clock.now())?;
         let now = clock.now();
         if feed.is_known() && feed.role(presence, now) == Role::Follower {
             return Ok(());
         }
-        if is_age && !feed.is_current(now) {
+        if is_statement && !feed.is_current(now) {
             return Err(io::Error::other("the follower is out of date"));
         }
+        if now.since(last_reading) >= CLOCK_PERIOD {
+            last_reading = now;
+            tx.write_u64(now.as_micros()).await?;
+        }
     }
 }
 
-fn apply(feed: &Feed, message: FeedMessage, clock: &Clock) -> io::Result<()> {
+fn apply(feed: &Feed, message: FeedMessage, follower: SocketAddr, now: Instant) -> io::Result<()> {
     match message {
         FeedMessage::Routes(bytes) => {
             let table = postcard::from_bytes(&bytes).map_err(io::Error::other)?;
             feed.replace_routes_if_newer(table, "router");
         }
         FeedMessage::Servers { servers, next } => feed.replace_servers(servers, next),
-        FeedMessage::AgeMillis(age) => {
-            feed.record_current(clock.now() - Duration::from_millis(age))
+        FeedMessage::Current {
+            at_micros,
+            age_millis,
+        } => {
+            let age = Duration::from_millis(age_millis);
+            let delay = now
+                .since(Instant::from_micros(at_micros))
+                .saturating_sub(age);
+            if delay >= DELAY_LOG_THRESHOLD {
+                let delay_ms = delay.as_millis();
+                log::info!(
+                    "feed delayed follower={follower} delay_ms={delay_ms} age_ms={age_millis}"
+                );
+            }
+            feed.record_current(now - age);
         }
     }
     Ok(())
--- a/src/inspect/forward_metrics.rs
+++ b/src/inspect/forward_metrics.rs
@@ -15,6 +15,9 @@
 /// The usual response time goals of routes are among them.
 const ANSWER_BUCKETS: [f64; 9] = [0.01, 0.03, 0.1, 0.3, 0.8, 1.5, 3.0, 6.0, 15.0];
 
+/// Upper bounds of the histogram buckets for delays of tasks, in seconds.
+const TASK_DELAY_BUCKETS: [f64; 6] = [0.01, 0.03, 0.1, 0.3, 1.0, 3.0];
+
 /// Labels of the counter of failed requests.
 #[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
 struct FailureLabels {
@@ -33,6 +36,7 @@
 pub struct ForwardMetrics {
     registry: Registry,
     answer_seconds: Histogram,
+    task_delay_seconds: Histogram,
     failures: Family<FailureLabels, Counter<u64, AtomicU64>>,
     retries: Family<RetryLabels, Counter<u64, AtomicU64>>,
     /// Connections opened to backend servers.
@@ -45,6 +49,7 @@
         let mut registry = Registry::with_prefix("ebonyspur");
         let metrics = ForwardMetrics {
             answer_seconds: Histogram::new(ANSWER_BUCKETS),
+            task_delay_seconds: Histogram::new(TASK_DELAY_BUCKETS),
             failures: Family::default(),
             retries: Family::default(),
             connections: Counter::default(),
@@ -56,6 +61,12 @@
             Unit::Seconds,
             metrics.answer_seconds.clone(),
         );
+        registry.register_with_unit(
+            "task_delay",
+            "Time by which a periodic task ran late, as the process had no processor time",
+            Unit::Seconds,
+            metrics.task_delay_seconds.clone(),
+        );
         let help = "Requests that were refused or failed, by reason and verdict";
         registry.register("failed", help, metrics.failures.clone());
         let help = "Retries that the retry budget granted or refused";
@@ -82,6 +93,11 @@
         self.answer_seconds.observe(took.as_secs_f64());
     }
 
+    /// Records that a periodic task ran `late` after it was due.
+    pub fn observe_task_delay(&self, late: Duration) {
+        self.task_delay_seconds.observe(late.as_secs_f64());
+    }
+
     /// Counts a retry that the retry budget granted or refused.
     pub fn count_retry(&self, granted: bool) {
         let granted = if granted { "yes" } else { "no" };
