Count the age of a feed from the subscriber's own clock

Callers saw requests handled by an older configuration, and servers got requests 3.0 to 4.4 s after they had said that they leave (CONFIG, DRAIN on the grown deployments).

Cause: a follower stated the age of its data when it wrote it, and the subscriber counted from the moment of reading. Time in socket buffers and on the follower's link was missing, so a router held itself for current longer than MAX_STALENESS and did not read the store.

The time stated on the subscriber's clock is a lower bound, however long the message takes. Regression test: without the change a table counted as current 2.06 s after the follower had it (bound 1.5 s), now it does not.

--- a/src/feed/subscribe.rs
+++ b/src/feed/subscribe.rs
@@ -87,17 +87,17 @@
             at_micros,
             age_millis,
         } => {
+            // The follower's estimate runs ahead of the clock of a router that was suspended.
+            let at = Instant::from_micros(at_micros).min(now);
             let age = Duration::from_millis(age_millis);
-            let delay = now
-                .since(Instant::from_micros(at_micros))
-                .saturating_sub(age);
+            let delay = now.since(at).saturating_sub(age);
             if delay >= DELAY_LOG_THRESHOLD {
                 let delay_ms = delay.as_millis();
                 log::info!(
                     "feed delayed follower={follower} delay_ms={delay_ms} age_ms={age_millis}"
                 );
             }
-            feed.record_current(now - age);
+            feed.record_current(at);
         }
     }
     Ok(())
--- a/tests/feed/main.rs
+++ b/tests/feed/main.rs
@@ -1,5 +1,7 @@
 //! The choice of followers, and the lists that routers accept from the store and each other.
 
+mod delay;
+
 use ebonyspur::{
     catalog::{Server, ServerChange},
     feed::{Feed, Role, ServersRead, FOLLOWER_COUNT},
