Feed the fleet along a tree, with fast links at its top

Cause: one follower, chosen by hash alone, wrote the whole table and the whole list of servers to every other router, and encoded the table again for each. All routers fell behind at once, left the follower, came back for the whole list, and read the store in between.

Now routers are ranked by link and then by hash. A subscriber moves when another router is to feed it; it stays with one that is out of date for a while, as it reads the store itself meanwhile. Frames with a table are encoded once. A frame that is slow to arrive is no silence.

Digests carry the bandwidth of the link and whether the sender is current, so routers of this and earlier builds don't understand each other.

--- a/src/feed/frame.rs
+++ b/src/feed/frame.rs
@@ -1,11 +1,11 @@
 //! Messages from a follower to its subscribers, and their framing.
 
-use std::io;
+use std::{io, time::Duration};
 
 use serde::{Deserialize, Serialize};
-use tokio::io::{AsyncRead, AsyncReadExt, AsyncWrite, AsyncWriteExt};
+use tokio::io::{AsyncRead, AsyncReadExt};
 
-use crate::{catalog::Server, Offset};
+use crate::{catalog::Server, routes::RouteTable, Offset};
 
 /// Maximum size of a frame in bytes, enough for a table of some ten thousand routes.
 pub const MAX_FRAME_BYTES: usize = 4 << 20;
@@ -31,39 +31,50 @@
     },
 }
 
-/// Reads one frame into `buf`.
+/// Reads one frame into `buf`; each byte may take up to `timeout`.
 ///
 /// # Errors
 ///
-/// Fails when the connection fails or ends, or when the frame exceeds [`MAX_FRAME_BYTES`].
-pub(super) async fn read<R>(from: &mut R, buf: &mut Vec<u8>) -> io::Result<()>
+/// Fails when the connection fails, ends or is silent, or when the frame exceeds
+/// [`MAX_FRAME_BYTES`].
+pub(super) async fn read<R>(from: &mut R, buf: &mut Vec<u8>, timeout: Duration) -> io::Result<()>
 where
     R: AsyncRead + Unpin,
 {
-    let len = from.read_u32().await? as usize;
+    let len = tokio::time::timeout(timeout, from.read_u32()).await?? as usize;
     if len > MAX_FRAME_BYTES {
         return Err(io::Error::other(format!(
             "frame of {len} bytes exceeds the limit of {MAX_FRAME_BYTES} bytes"
         )));
     }
     buf.clear();
-    let read = from.take(len as u64).read_to_end(buf).await?;
-    if read < len {
-        return Err(io::ErrorKind::UnexpectedEof.into());
+    buf.reserve(len);
+    let mut from = from.take(len as u64);
+    while buf.len() < len {
+        if tokio::time::timeout(timeout, from.read_buf(buf)).await?? == 0 {
+            return Err(io::ErrorKind::UnexpectedEof.into());
+        }
     }
     Ok(())
 }
 
-/// Writes `message` as one frame.
+/// Encodes `message` as one frame.
 ///
 /// # Errors
 ///
-/// Fails when the message cannot be encoded or the connection fails.
-pub(super) async fn write<W>(to: &mut W, message: &FeedMessage) -> io::Result<()>
-where
-    W: AsyncWrite + Unpin,
-{
+/// Fails when the message cannot be encoded.
+pub(super) fn encode(message: &FeedMessage) -> io::Result<Vec<u8>> {
     let bytes = postcard::to_stdvec(message).map_err(io::Error::other)?;
-    to.write_u32(bytes.len() as u32).await?;
-    to.write_all(&bytes).await
+    let len = (bytes.len() as u32).to_be_bytes();
+    Ok([&len[..], &bytes].concat())
+}
+
+/// Encodes the message that carries `table` as one frame.
+///
+/// # Errors
+///
+/// Fails when the table cannot be encoded.
+pub(super) fn encode_routes(table: &RouteTable) -> io::Result<Vec<u8>> {
+    let bytes = postcard::to_stdvec(table).map_err(io::Error::other)?;
+    encode(&FeedMessage::Routes(bytes))
 }
--- a/src/feed/role.rs
+++ b/src/feed/role.rs
@@ -1,10 +1,10 @@
 //! Decides which routers follow the store.
 
-use std::time::Duration;
+use std::{net::SocketAddr, time::Duration};
 
 use crate::{
     placement::rendezvous_score,
-    presence::{Peer, StoreStatus},
+    presence::{Peer, RouterPhase, StoreStatus},
     RouterName,
 };
 
@@ -29,12 +29,56 @@
     Subscriber,
 }
 
+/// Place of a router in the order in which routers follow the store and feed others: those with
+/// the fastest links first, and among equal ones by rendezvous hashing.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+pub struct FeedRank {
+    link_mbps: u32,
+    score: u64,
+}
+
+/// A live router, as far as the choice of followers and the feed tree depend on it.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct FeedNode {
+    /// Rank of the router.
+    pub rank: FeedRank,
+    /// Address at which the router accepts subscribers.
+    pub address: SocketAddr,
+    /// Whether the router reaches and follows the store.
+    pub store_status: StoreStatus,
+    /// Whether the router serves callers with current routes and servers.
+    pub is_current: bool,
+}
+
+impl FeedRank {
+    /// Creates the rank of the router `name`, whose link has `link_mbps` Mbit/s.
+    pub fn new(name: &RouterName, link_mbps: u32) -> Self {
+        FeedRank {
+            link_mbps,
+            score: rendezvous_score(FOLLOWER_RANK_KEY, name.as_str()),
+        }
+    }
+}
+
+impl FeedNode {
+    /// Creates the node of a router that sent a digest.
+    pub fn new(peer: &Peer) -> Self {
+        let digest = &peer.digest;
+        FeedNode {
+            rank: FeedRank::new(&digest.from, digest.link_mbps),
+            address: digest.peer_address,
+            store_status: digest.store_status,
+            is_current: digest.phase == RouterPhase::Serving && digest.is_current,
+        }
+    }
+}
+
 impl Role {
-    /// Returns the role of router `me`, given the live routers that it knows.
+    /// Returns the role of the router with rank `me`, given the live routers that it knows.
     ///
-    /// The first [`FOLLOWER_COUNT`] routers in rendezvous order follow. A router that cannot
-    /// reach the store is skipped, so that the next one takes its place.
-    pub fn decide(me: &RouterName, store_reachable: bool, live: &[Peer]) -> Role {
+    /// The first [`FOLLOWER_COUNT`] routers by rank follow. A router that cannot reach the store
+    /// is skipped, so that the next one takes its place.
+    pub fn decide(me: FeedRank, store_reachable: bool, live: &[FeedNode]) -> Role {
         if store_reachable && reachable_before(me, live) < FOLLOWER_COUNT {
             Role::Follower
         } else {
@@ -42,19 +86,16 @@
         }
     }
 
-    /// Returns whether router `me` is the first of the followers.
-    pub fn is_first(me: &RouterName, store_reachable: bool, live: &[Peer]) -> bool {
+    /// Returns whether the router with rank `me` is the first of the followers.
+    pub fn is_first(me: FeedRank, store_reachable: bool, live: &[FeedNode]) -> bool {
         store_reachable && reachable_before(me, live) == 0
     }
 }
 
 /// Counts the routers that rank before `me` and reach the store.
-fn reachable_before(me: &RouterName, live: &[Peer]) -> usize {
-    let rank = rendezvous_score(FOLLOWER_RANK_KEY, me.as_str());
+fn reachable_before(me: FeedRank, live: &[FeedNode]) -> usize {
     let reachable = live
         .iter()
-        .filter(|p| p.digest.store_status != StoreStatus::Unreachable);
-    reachable
-        .filter(|p| rendezvous_score(FOLLOWER_RANK_KEY, p.digest.from.as_str()) > rank)
-        .count()
+        .filter(|node| node.store_status != StoreStatus::Unreachable);
+    reachable.filter(|node| node.rank > me).count()
 }
--- a/src/feed/serve.rs
+++ b/src/feed/serve.rs
@@ -4,7 +4,7 @@
 
 use bytes::{Buf, BytesMut};
 use tokio::{
-    io::AsyncReadExt,
+    io::{AsyncReadExt, AsyncWriteExt},
     net::{tcp::ReadHalf, tcp::WriteHalf, TcpListener, TcpStream},
     sync::Semaphore,
 };
@@ -64,20 +64,21 @@
     let mut sent_changes = None;
     loop {
         let revision = *revisions.borrow_and_update();
-        if let Some((version, bytes)) = feed.encoded_routes() {
-            if version > sent_version {
-                send(&mut tx, &FeedMessage::Routes(bytes.to_vec())).await?;
+        if feed.routes.version() > sent_version {
+            if let Some((version, frame)) = feed.routes_frame() {
+                send(&mut tx, &frame).await?;
                 sent_version = version;
             }
         }
         if sent_changes != Some(revision.changes) {
             if let Some((servers, next)) = feed.servers() {
-                send(&mut tx, &FeedMessage::Servers { servers, next }).await?;
+                let message = FeedMessage::Servers { servers, next };
+                send(&mut tx, &frame::encode(&message)?).await?;
                 sent_changes = Some(revision.changes);
             }
         }
         if let Some(message) = current_message(feed, &readings.peer_clock, clock.now()) {
-            send(&mut tx, &message).await?;
+            send(&mut tx, &frame::encode(&message)?).await?;
         }
         // The next round starts at a change, an answer of the store or the end of the heartbeat
         // period.
@@ -131,6 +132,6 @@
     }
 }
 
-async fn send(tx: &mut WriteHalf<'_>, message: &FeedMessage) -> io::Result<()> {
-    tokio::time::timeout(MESSAGE_TIMEOUT, frame::write(tx, message)).await?
+async fn send(tx: &mut WriteHalf<'_>, frame: &[u8]) -> io::Result<()> {
+    tokio::time::timeout(MESSAGE_TIMEOUT, tx.write_all(frame)).await?
 }
--- a/src/feed/snapshot.rs
+++ b/src/feed/snapshot.rs
@@ -50,11 +50,7 @@
             saved_routers.clear();
         }
         let now = clock.now();
-        let mut routers: Vec<_> = presence
-            .live(now)
-            .iter()
-            .map(|p| p.digest.peer_address)
-            .collect();
+        let mut routers = presence.map_live(now, |p| p.digest.peer_address);
         routers.push(own_address);
         routers.extend(&saved_routers);
         routers.sort_unstable();
--- a/src/feed/state.rs
+++ b/src/feed/state.rs
@@ -1,13 +1,14 @@
 //! The contents of the store as known to this router, and their age.
 
 use std::{
-    sync::{Arc, Mutex, Weak},
+    net::SocketAddr,
+    sync::{Arc, Mutex},
     time::Duration,
 };
 
 use tokio::sync::watch;
 
-use super::{Role, ServersRead};
+use super::{frame, upstreams, FeedNode, FeedRank, Role, ServersRead};
 use crate::{
     catalog::{Catalog, Server, ServerRegistry},
     presence::{Presence, StoreStatus},
@@ -38,11 +39,11 @@
     pub routes: ActiveRoutes,
     /// The known servers.
     pub catalog: Catalog,
-    me: RouterName,
+    rank: FeedRank,
     server_list: Mutex<ServerList>,
     sync_state: Mutex<SyncState>,
-    /// Version and encoding of a route table, as long as a sender holds the encoding.
-    encoded: Mutex<(u64, Weak<Vec<u8>>)>,
+    /// Version of a route table and the frame that carries it, once a subscriber got one.
+    routes_frame: Mutex<Option<(u64, Arc<[u8]>)>>,
     revision: watch::Sender<Revision>,
 }
 
@@ -76,14 +77,16 @@
 
 impl Feed {
     /// Creates the feed of router `me`, without routes and servers.
-    pub fn new(me: RouterName) -> Self {
+    ///
+    /// `link_mbps` is the bandwidth of the router's network link in Mbit/s.
+    pub fn new(me: &RouterName, link_mbps: u32) -> Self {
         Feed {
             routes: ActiveRoutes::default(),
             catalog: Catalog::default(),
-            me,
+            rank: FeedRank::new(me, link_mbps),
             server_list: Mutex::default(),
             sync_state: Mutex::default(),
-            encoded: Mutex::default(),
+            routes_frame: Mutex::default(),
             revision: watch::Sender::new(Revision::default()),
         }
     }
@@ -124,12 +127,19 @@
         if now < Instant::default() + STARTUP_SUBSCRIBER_PERIOD && self.is_known() {
             return Role::Subscriber;
         }
-        Role::decide(&self.me, self.is_store_reachable(now), &presence.live(now))
+        let live = presence.map_live(now, FeedNode::new);
+        Role::decide(self.rank, self.is_store_reachable(now), &live)
     }
 
     /// Returns whether this router saves the [`FleetSnapshot`](super::FleetSnapshot) for the fleet.
     pub fn should_save(&self, presence: &Presence, now: Instant) -> bool {
-        Role::is_first(&self.me, self.is_store_reachable(now), &presence.live(now))
+        let live = presence.map_live(now, FeedNode::new);
+        Role::is_first(self.rank, self.is_store_reachable(now), &live)
+    }
+
+    /// Returns the addresses of the routers that may feed this one, the best first.
+    pub fn upstreams(&self, presence: &Presence, now: Instant) -> Vec<SocketAddr> {
+        upstreams(self.rank, &presence.map_live(now, FeedNode::new))
     }
 
     /// Returns the store status to announce in the digest of this router.
@@ -235,20 +245,22 @@
         sync_state.routes_current_at = sync_state.routes_current_at.max(Some(at));
     }
 
-    /// Returns the version and encoding of the table in force, shared by all concurrent senders.
-    pub(super) fn encoded_routes(&self) -> Option<(u64, Arc<Vec<u8>>)> {
+    /// Returns the version of the table in force and the frame that carries it, which is encoded
+    /// once for all subscribers.
+    pub(super) fn routes_frame(&self) -> Option<(u64, Arc<[u8]>)> {
         let table = self.routes.current()?;
-        let mut encoded = lock(&self.encoded);
-        if encoded.0 == table.version() {
-            if let Some(bytes) = encoded.1.upgrade() {
-                return Some((table.version(), bytes));
+        let version = table.version();
+        let mut cached = lock(&self.routes_frame);
+        if let Some((cached_version, frame)) = &*cached {
+            if *cached_version == version {
+                return Some((version, frame.clone()));
             }
         }
-        match postcard::to_stdvec(&*table) {
-            Ok(bytes) => {
-                let bytes = Arc::new(bytes);
-                *encoded = (table.version(), Arc::downgrade(&bytes));
-                Some((table.version(), bytes))
+        match frame::encode_routes(&table) {
+            Ok(frame) => {
+                let frame: Arc<[u8]> = frame.into();
+                *cached = Some((version, frame.clone()));
+                Some((version, frame))
             }
             Err(err) => {
                 log::error!("cannot encode route table error=\"{err}\"");
--- a/src/feed/subscribe.rs
+++ b/src/feed/subscribe.rs
@@ -10,10 +10,19 @@
 /// Maximum time to open a connection to a follower.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
 
-/// Time without a message after which another follower is used; followers send one at least
+/// Time without a byte after which another follower is used; followers send a message at least
 /// every 400 ms.
 const FOLLOWER_TIMEOUT: Duration = Duration::from_millis(1_000);
 
+/// Age of the data of a follower from which another one is used.
+///
+/// More than [`MAX_STALENESS`](super::MAX_STALENESS), from which a router reads the store itself:
+/// while the routers agree on the next follower, those between it and this router catch up.
+const MAX_FOLLOWER_AGE: Duration = Duration::from_millis(2_600);
+
+/// Time between two checks whether another router is to feed this one.
+const UPSTREAM_CHECK_PERIOD: Duration = Duration::from_millis(2_000);
+
 /// Time between two readings of the own clock sent to the follower.
 const CLOCK_PERIOD: Duration = Duration::from_millis(400);
 
@@ -25,21 +34,28 @@
 pub async fn subscribe(feed: Arc<Feed>, presence: Arc<Presence>, clock: Clock) {
     loop {
         let now = clock.now();
-        let sources = match feed.role(&presence, now) {
+        let mut sources = match feed.role(&presence, now) {
             Role::Follower if feed.is_known() => Vec::new(),
-            // Until it can serve callers, a router accepts a feed from any router that serves.
-            _ => presence.feed_sources(!feed.is_known(), now),
+            _ => feed.upstreams(&presence, now),
         };
+        if !feed.is_known() {
+            // Until it can serve callers, a router accepts a feed from any router that serves.
+            sources.extend(presence.serving_peers(now));
+        }
         for address in sources {
-            if let Err(err) = receive_feed(&feed, &presence, address, &clock).await {
-                log::info!("feed connection lost follower={address} error=\"{err}\"");
+            match receive_feed(&feed, &presence, address, &clock).await {
+                Ok(()) => break,
+                Err(err) => {
+                    log::info!("feed connection lost follower={address} error=\"{err}\"");
+                }
             }
         }
         tokio::time::sleep(ROLE_CHECK_PERIOD).await;
     }
 }
 
-/// Applies messages until the connection fails or this router has to follow the store.
+/// Applies messages until the connection fails, this router has to follow the store, or another
+/// router is to feed it.
 async fn receive_feed(
     feed: &Feed,
     presence: &Presence,
@@ -54,20 +70,26 @@
     let mut last_reading = clock.now();
     tx.write_u64(last_reading.as_micros()).await?;
     log::info!("feed connection opened follower={follower}");
+    let mut last_checked = last_reading;
     let mut buf = Vec::new();
     loop {
-        tokio::time::timeout(FOLLOWER_TIMEOUT, frame::read(&mut rx, &mut buf)).await??;
+        frame::read(&mut rx, &mut buf, FOLLOWER_TIMEOUT).await?;
         let message = postcard::from_bytes(&buf).map_err(io::Error::other)?;
         buf = Vec::new();
-        // A follower states when its data was current after the data itself.
-        let is_statement = matches!(message, FeedMessage::Current { .. });
-        apply(feed, message, follower, clock.now())?;
+        let age = apply(feed, message, follower, clock.now())?;
+        if age.is_some_and(|age| age >= MAX_FOLLOWER_AGE) {
+            return Err(io::Error::other("the follower is out of date"));
+        }
         let now = clock.now();
         if feed.is_known() && feed.role(presence, now) == Role::Follower {
             return Ok(());
         }
-        if is_statement && !feed.is_current(now) {
-            return Err(io::Error::other("the follower is out of date"));
+        if now.since(last_checked) >= UPSTREAM_CHECK_PERIOD {
+            last_checked = now;
+            let upstreams = feed.upstreams(presence, now);
+            if upstreams.first().is_some_and(|first| *first != follower) {
+                return Ok(());
+            }
         }
         if now.since(last_reading) >= CLOCK_PERIOD {
             last_reading = now;
@@ -76,7 +98,13 @@
     }
 }
 
-fn apply(feed: &Feed, message: FeedMessage, follower: SocketAddr, now: Instant) -> io::Result<()> {
+/// Applies a message; returns the age of the follower's data if the message states it.
+fn apply(
+    feed: &Feed,
+    message: FeedMessage,
+    follower: SocketAddr,
+    now: Instant,
+) -> io::Result<Option<Duration>> {
     match message {
         FeedMessage::Routes(bytes) => {
             let table = postcard::from_bytes(&bytes).map_err(io::Error::other)?;
@@ -89,8 +117,8 @@
         } => {
             // The follower's estimate runs ahead of the clock of a router that was suspended.
             let at = Instant::from_micros(at_micros).min(now);
-            let age = Duration::from_millis(age_millis);
-            let delay = now.since(at).saturating_sub(age);
+            let age = now.since(at);
+            let delay = age.saturating_sub(Duration::from_millis(age_millis));
             if delay >= DELAY_LOG_THRESHOLD {
                 let delay_ms = delay.as_millis();
                 log::info!(
@@ -98,7 +126,8 @@
                 );
             }
             feed.record_current(at);
+            return Ok(Some(age));
         }
     }
-    Ok(())
+    Ok(None)
 }
--- a/src/presence/digest.rs
+++ b/src/presence/digest.rs
@@ -55,6 +55,10 @@
     pub phase: RouterPhase,
     /// Whether the sender reaches and follows the store.
     pub store_status: StoreStatus,
+    /// Whether the routes and servers of the sender are current, so that it can feed others.
+    pub is_current: bool,
+    /// Bandwidth of the sender's network link in Mbit/s.
+    pub link_mbps: u32,
     /// Number of requests that the sender has in flight, by server.
     pub loads: Vec<(ServerKey, u32)>,
     /// Sessions that the sender recently placed, and the engines chosen for them.
--- a/src/presence/state.rs
+++ b/src/presence/state.rs
@@ -7,7 +7,7 @@
     time::Duration,
 };
 
-use super::{Digest, RouterPhase, StoreStatus};
+use super::{Digest, RouterPhase};
 use crate::{catalog::ServerKey, sync::lock, Instant, RouterName};
 
 /// Time between two digests.
@@ -167,14 +167,14 @@
         }
     }
 
-    /// Returns the routers of which a digest arrived within [`PEER_TIMEOUT`].
-    pub fn live(&self, now: Instant) -> Vec<Peer> {
+    /// Returns `f` of each router of which a digest arrived within [`PEER_TIMEOUT`].
+    pub fn map_live<T>(&self, now: Instant, f: impl FnMut(&Peer) -> T) -> Vec<T> {
         let inner = self.lock();
         inner
             .peers
             .values()
             .filter(|p| p.is_live(now))
-            .cloned()
+            .map(f)
             .collect()
     }
 
@@ -203,28 +203,20 @@
         sum
     }
 
-    /// Returns the peer addresses of the routers that can feed this one, the best first.
+    /// Returns the peer addresses of the other live routers that accept callers.
     ///
-    /// Routers that follow the store come first. With `include_serving`, the other routers that
-    /// serve callers come after them.
-    pub fn feed_sources(&self, include_serving: bool, now: Instant) -> Vec<SocketAddr> {
+    /// The order differs from router to router, so that routers that start spread over the others.
+    pub fn serving_peers(&self, now: Instant) -> Vec<SocketAddr> {
         let inner = self.lock();
         let live = inner.peers.values().filter(|p| p.is_live(now));
-        let follows = |p: &Peer| p.digest.store_status == StoreStatus::Following;
-        let serves = |p: &Peer| include_serving && p.digest.phase == RouterPhase::Serving;
-        let sources = live.filter(|p| follows(p) || serves(p));
+        let serving = live.filter(|p| p.digest.phase == RouterPhase::Serving);
         let score =
             |p: &Peer| crate::placement::rendezvous_score(self.me.as_str(), p.digest.from.as_str());
-        let mut sources: Vec<_> = sources
-            .map(|p| {
-                (
-                    std::cmp::Reverse((follows(p), score(p))),
-                    p.digest.peer_address,
-                )
-            })
+        let mut scored: Vec<_> = serving
+            .map(|p| (std::cmp::Reverse(score(p)), p.digest.peer_address))
             .collect();
-        sources.sort_unstable();
-        sources.into_iter().map(|(_, address)| address).collect()
+        scored.sort_unstable();
+        scored.into_iter().map(|(_, address)| address).collect()
     }
 
     fn lock(&self) -> MutexGuard<'_, Inner> {
--- a/tests/feed/delay.rs
+++ b/tests/feed/delay.rs
@@ -15,7 +15,7 @@
     time::sleep,
 };
 
-use crate::{name, peer, read, server};
+use crate::{name, peer, read, server, LINK_MBPS};
 
 /// Time between two answers of the store to the follower, each with a new table.
 const ANSWER_PERIOD: Duration = Duration::from_millis(100);
@@ -61,7 +61,7 @@
 #[tokio::test]
 async fn data_that_was_delayed_on_its_way_does_not_count_as_current() {
     let clock = Clock::new();
-    let follower = Arc::new(Feed::new(name(1)));
+    let follower = Arc::new(Feed::new(&name(1), LINK_MBPS));
     let listener = TcpListener::bind("127.0.0.1:0").await.expect("a listener");
     let follower_address = listener.local_addr().expect("an address");
     tokio::spawn(serve_subscribers(follower.clone(), listener, clock));
@@ -82,7 +82,7 @@
     tokio::spawn(delay_responses(proxy, follower_address, clock));
     let own_address = ([127, 0, 0, 1], 1).into();
     let presence = Arc::new(Presence::new(name(2), own_address));
-    let feed = Arc::new(Feed::new(name(2)));
+    let feed = Arc::new(Feed::new(&name(2), LINK_MBPS));
     tokio::spawn(subscribe(feed.clone(), presence.clone(), clock));
 
     // The store refuses this router, so that it stays a subscriber.
--- a/tests/feed/main.rs
+++ b/tests/feed/main.rs
@@ -1,15 +1,19 @@
 //! The choice of followers, and the lists that routers accept from the store and each other.
 
 mod delay;
+mod tree;
 
 use ebonyspur::{
     catalog::{Server, ServerChange},
-    feed::{Feed, Role, ServersRead, FOLLOWER_COUNT},
+    feed::{Feed, FeedNode, FeedRank, Role, ServersRead, FOLLOWER_COUNT},
     presence::{Digest, Peer, RouterPhase, StoreStatus},
     Category, DomainName, EngineName, Error, Incarnation, Instant, Offset, PoolName, RouterName,
 };
 use expect_test::expect;
 
+/// Bandwidth of the links of all routers, in Mbit/s.
+const LINK_MBPS: u32 = 10;
+
 fn name(number: usize) -> RouterName {
     RouterName::new(&format!("router-{number}")).unwrap()
 }
@@ -26,6 +30,8 @@
             domain: DomainName::new("d1").unwrap(),
             phase: RouterPhase::Serving,
             store_status,
+            is_current: true,
+            link_mbps: LINK_MBPS,
             loads: Vec::new(),
             placements: Vec::new(),
             prefills: Vec::new(),
@@ -45,9 +51,15 @@
     };
     let follows = |number: &usize| {
         let others = (0..19).filter(|other| other != number);
-        let live: Vec<_> = others.map(|other| peer(other, status(other))).collect();
+        let live: Vec<_> = others
+            .map(|other| FeedNode::new(&peer(other, status(other))))
+            .collect();
         let store_reachable = !refused.contains(number);
-        Role::decide(&name(*number), store_reachable, &live) == Role::Follower
+        Role::decide(
+            FeedRank::new(&name(*number), LINK_MBPS),
+            store_reachable,
+            &live,
+        ) == Role::Follower
     };
     (0..19).filter(follows).collect()
 }
@@ -92,7 +104,7 @@
 
 #[test]
 fn an_older_list_of_another_router_does_not_replace_a_newer_one() {
-    let feed = Feed::new(name(1));
+    let feed = Feed::new(&name(1), LINK_MBPS);
     let now = Instant::from_millis(100);
     feed.apply_server_list(read(&[server(false)], 10), now);
     feed.apply_server_list(read(&[server(true)], 20), now);
@@ -109,7 +121,7 @@
 
 #[test]
 fn a_router_reads_the_store_itself_when_its_feed_is_stale() {
-    let feed = Feed::new(name(1));
+    let feed = Feed::new(&name(1), LINK_MBPS);
     let at = Instant::from_millis;
     let failed = Err::<(), _>(Error::not_run(Category::LogUnavailable, "down"));
     feed.apply_server_list(read(&[server(false)], 10), at(1_000));
@@ -140,7 +152,7 @@
         name: EngineName::new(name).unwrap(),
         ..server(false)
     };
-    let subscriber = Feed::new(name(1));
+    let subscriber = Feed::new(&name(1), LINK_MBPS);
     subscriber.replace_servers(vec![named("a"), named("b")], Offset(31));
     // The follower's outage window is over; the store has no newer record.
     subscriber.replace_servers(vec![named("a")], Offset(31));
@@ -152,7 +164,7 @@
 
     // A router that the store refused while another router fed it has seen no outage, so that
     // removals are not delayed.
-    let refused_router = Feed::new(name(2));
+    let refused_router = Feed::new(&name(2), LINK_MBPS);
     refused_router.apply_server_list(read(&[named("a"), named("b")], 10), at(1_000));
     let failed = Err::<(), _>(Error::not_run(Category::LogUnavailable, "refused"));
     refused_router.record_call("read_servers", &failed, at(1_200));
