Take no failure of a router's own reads for an outage of the store

Cause: a router that had no answer of the store for 2.4 s takes that for an outage and holds removals back for 2.2 s, as live servers may have lapsed. Here the store was well: the router's own read had timed out on its crowded link. Log of edge-quimper-sud-17: last answer at 22.457, next at 24.871 s, 2.414 s later; the removals of 22.827 then waited until 27.07.

Such an answer has an earliest and a latest time; a gap counts as an outage only if no answer can have fallen into it. In an outage of the store nobody is current, so removals wait as before, also at a router that hears of the end from others before its own read succeeds.

The test of a refused router that is fed stated one single message after 5.8 s of silence, which is also what the end of an outage looks like; it now has messages at the usual period, and the single one is checked to delay.

--- a/src/catalog/registry.rs
+++ b/src/catalog/registry.rs
@@ -36,7 +36,8 @@
     /// Servers that are not in the list but stay until `removals_allowed_at`, as they may
     /// register again.
     missing: BTreeSet<EngineName>,
-    /// Time of the last answer from the list, or of the first failure if it never answered.
+    /// Time of the last answer from the list that is known for certain, to this or another router,
+    /// or of the first failure if it never answered.
     last_answer: Option<Instant>,
     /// Time until which removals are delayed because of an outage.
     removals_allowed_at: Instant,
@@ -57,16 +58,24 @@
         self.last_answer.get_or_insert(now);
     }
 
-    /// Records that the list answered this or another router at `at`.
-    pub fn record_answer(&mut self, at: Instant) {
-        self.last_answer = self.last_answer.max(Some(at));
+    /// Records that the list answered another router between `earliest` and `latest`.
+    ///
+    /// While it does, a failure of this router's own calls is no outage.
+    pub fn record_answer_between(&mut self, earliest: Instant, latest: Instant) {
+        if self
+            .last_answer
+            .is_some_and(|last| latest.since(last) > OUTAGE_THRESHOLD)
+        {
+            self.removals_allowed_at = latest + REREGISTRATION_TIME;
+        }
+        self.last_answer = self.last_answer.max(Some(earliest));
     }
 
     /// Applies the changes that the list returned at `now`; returns whether the servers changed.
     ///
     /// If `is_complete` is set, the changes are the complete list, and all other names are absent.
     pub fn apply(&mut self, changes: Vec<ServerChange>, is_complete: bool, now: Instant) -> bool {
-        self.detect_outage(now);
+        self.record_answer_between(now, now);
         let before = self.servers.clone();
         if is_complete {
             self.mark_unlisted(&changes);
@@ -95,16 +104,6 @@
         self.servers.values()
     }
 
-    fn detect_outage(&mut self, now: Instant) {
-        if self
-            .last_answer
-            .is_some_and(|last| now.since(last) > OUTAGE_THRESHOLD)
-        {
-            self.removals_allowed_at = now + REREGISTRATION_TIME;
-        }
-        self.record_answer(now);
-    }
-
     fn mark_unlisted(&mut self, changes: &[ServerChange]) {
         let is_listed = |name: &EngineName| {
             let mut present = changes.iter();
--- a/src/feed/state.rs
+++ b/src/feed/state.rs
@@ -237,14 +237,24 @@
     }
 
     /// Records that the routes and servers received from another router were current at `at`.
-    pub fn record_current(&self, at: Instant) {
-        // The store answered another router: this is no outage, after which removals are delayed.
-        lock(&self.server_list).registry.record_answer(at);
+    ///
+    /// `now` is the time at which that router's statement was received.
+    pub fn record_current(&self, at: Instant, now: Instant) {
+        let mut server_list = lock(&self.server_list);
+        server_list.registry.record_answer_between(at, now);
+        drop(server_list);
         let mut sync_state = lock(&self.sync_state);
         sync_state.servers_current_at = sync_state.servers_current_at.max(Some(at));
         sync_state.routes_current_at = sync_state.routes_current_at.max(Some(at));
     }
 
+    /// Records that another router announced at `now` that its routes and servers are current.
+    pub fn record_peer_current(&self, now: Instant) {
+        let mut server_list = lock(&self.server_list);
+        let earliest = now - MAX_STALENESS;
+        server_list.registry.record_answer_between(earliest, now);
+    }
+
     /// Returns the version of the table in force and the frame that carries it, which is encoded
     /// once for all subscribers.
     pub(super) fn routes_frame(&self) -> Option<(u64, Arc<[u8]>)> {
--- a/src/feed/subscribe.rs
+++ b/src/feed/subscribe.rs
@@ -125,7 +125,7 @@
                     "feed delayed follower={follower} delay_ms={delay_ms} age_ms={age_millis}"
                 );
             }
-            feed.record_current(at);
+            feed.record_current(at, now);
             return Ok(Some(age));
         }
     }
--- a/tests/catalog/main.rs
+++ b/tests/catalog/main.rs
@@ -102,6 +102,48 @@
     .assert_eq(&lines.join("\n"));
 }
 
+/// Records every 300 ms from `from` to `to` that another router is current, whose data may be
+/// 1.3 s old.
+fn peers_are_current(registry: &mut ServerRegistry, from: u64, to: u64) {
+    for at in (from..=to).step_by(300) {
+        let earliest = Instant::from_millis(at.saturating_sub(1_300));
+        registry.record_answer_between(earliest, Instant::from_millis(at));
+    }
+}
+
+#[test]
+fn removals_are_not_delayed_when_only_the_reads_of_this_router_failed() {
+    let mut registry = registry_with_three_servers();
+    registry.record_failure(Instant::from_millis(1_400));
+    peers_are_current(&mut registry, 300, 2_400);
+    expect!["2500: a c"].assert_eq(&apply_every_400_ms(
+        &mut registry,
+        2_500,
+        2_500,
+        vec![absent("b")],
+    ));
+}
+
+#[test]
+fn removals_after_an_outage_wait_although_other_routers_are_current_again_before_this_one() {
+    let mut registry = registry_with_three_servers();
+    peers_are_current(&mut registry, 300, 900);
+    // The list is silent from 300 to 5,000; data of other routers is current up to 1,600.
+    peers_are_current(&mut registry, 1_200, 1_500);
+    peers_are_current(&mut registry, 5_100, 5_400);
+    let expired = vec![absent("a"), absent("b")];
+    let lines = [
+        apply_every_400_ms(&mut registry, 5_500, 5_900, expired),
+        apply_every_400_ms(&mut registry, 6_300, 6_300, vec![present("a")]),
+        apply_every_400_ms(&mut registry, 6_700, 7_500, vec![]),
+    ];
+    expect![[r#"
+        5900: a b c
+        6300: a b c
+        7500: a c"#]]
+    .assert_eq(&lines.join("\n"));
+}
+
 #[test]
 fn complete_list_removes_the_servers_that_it_does_not_name() {
     let mut registry = registry_with_three_servers();
--- a/tests/feed/main.rs
+++ b/tests/feed/main.rs
@@ -136,7 +136,7 @@
     };
     let lines = [state(1_500), state(2_100), state(2_300)];
     feed.record_call("read_servers", &Ok(()), at(2_400));
-    feed.record_current(at(2_400));
+    feed.record_current(at(2_400), at(2_400));
     expect![[r#"
         1500: reachable true age Some(500ms)
         2100: reachable true age Some(1.1s)
@@ -168,12 +168,21 @@
     refused_router.apply_server_list(read(&[named("a"), named("b")], 10), at(1_000));
     let failed = Err::<(), _>(Error::not_run(Category::LogUnavailable, "refused"));
     refused_router.record_call("read_servers", &failed, at(1_200));
-    refused_router.record_current(at(6_800));
-    let gone = ServersRead {
+    for fed_at in (1_200..=6_800).step_by(400) {
+        refused_router.record_current(at(fed_at - 100), at(fed_at));
+    }
+    let gone = || ServersRead {
         changes: vec![ServerChange::Absent(EngineName::new("b").unwrap())],
         full: false,
         next: Offset(11),
     };
-    refused_router.apply_server_list(gone, at(7_000));
+    refused_router.apply_server_list(gone(), at(7_000));
     assert_eq!(count(&refused_router), 1);
+
+    // A router to which nobody said so for as long may have seen an outage.
+    let cut_router = Feed::new(&name(3), LINK_MBPS);
+    cut_router.apply_server_list(read(&[named("a"), named("b")], 10), at(1_000));
+    cut_router.record_current(at(6_700), at(6_800));
+    cut_router.apply_server_list(gone(), at(7_000));
+    assert_eq!(count(&cut_router), 2);
 }
