--- a/stand-in/src/store.rs
+++ b/stand-in/src/store.rs
@@ -21,6 +21,9 @@
 /// Time without a renewal after which the entry of a server is removed.
 const REGISTRATION_TTL: Duration = Duration::from_millis(1_500);
 
+/// Size of a read response in KB, unless the call asks for another one.
+const DEFAULT_READ_KB: u64 = 1_024;
+
 #[derive(clap::Args)]
 pub struct Args {
     /// Address to listen on.
@@ -96,7 +99,9 @@
         }
         ("GET", ["-", "log-read"]) => {
             let (from, wait) = (req.number("from", 0), req.number("wait_ms", 0));
-            store.read(&topic, from, Duration::from_millis(wait)).await
+            let max_bytes = req.number("max_read_kb", DEFAULT_READ_KB) as usize * 1_024;
+            let wait = Duration::from_millis(wait);
+            store.read(&topic, from, max_bytes, wait).await
         }
         ("GET", ["-", "log-newest"]) => store.newest(&topic),
         _ => web::json(StatusCode::NOT_FOUND, &"no such call"),
@@ -194,11 +199,17 @@
         self.appended.notify_waiters();
     }
 
-    async fn read(&self, topic: &str, from: u64, wait: Duration) -> Response<Body> {
+    async fn read(
+        &self,
+        topic: &str,
+        from: u64,
+        max_bytes: usize,
+        wait: Duration,
+    ) -> Response<Body> {
         let deadline = tokio::time::Instant::now() + wait;
         loop {
             let appended = self.appended.notified();
-            match self.try_read(topic, from) {
+            match self.try_read(topic, from, max_bytes) {
                 Some(answer) => return answer,
                 None if tokio::time::Instant::now() >= deadline => {
                     return read_answer(Vec::new(), 0, from)
@@ -208,7 +219,8 @@
         }
     }
 
-    fn try_read(&self, topic: &str, from: u64) -> Option<Response<Body>> {
+    /// Returns the records from `from` on, as many as fit into `max_bytes` but at least one.
+    fn try_read(&self, topic: &str, from: u64, max_bytes: usize) -> Option<Response<Body>> {
         let topics = self.topics.lock().unwrap();
         let topic = topics.get(topic)?;
         if from < topic.first {
@@ -218,6 +230,9 @@
         let records = topic.records.get((from - topic.first) as usize..)?;
         let mut body = Vec::new();
         for record in records {
+            if !body.is_empty() && body.len() + record.len() > max_bytes {
+                break;
+            }
             body.extend_from_slice(&(record.len() as u32).to_be_bytes());
             body.extend_from_slice(record);
         }
