Count what the store said from when it was certainly current

What a router knew counted as current from the end of the call that read it.

A response without a change proves that nothing had changed when its wait had passed, one with a change only that it was asked for. The next read then waits for the rest of the 800 ms, so that the data does not grow out of date in between: one more call for a change that came late in a wait.

--- a/src/feed/follow.rs
+++ b/src/feed/follow.rs
@@ -2,15 +2,9 @@
 
 use std::{sync::Arc, time::Duration};
 
-use super::{role::ROLE_CHECK_PERIOD, Feed, Role, Store};
+use super::{role::ROLE_CHECK_PERIOD, Feed, Role, Store, StorePoll};
 use crate::{presence::Presence, Clock, Instant};
 
-/// Maximum time that one read waits for a change.
-///
-/// Together with [`MAX_STALENESS`], bounds the time until a silent store is noticed, which must
-/// be less than the two seconds within which changes have to take effect.
-const MAX_READ_WAIT: Duration = Duration::from_millis(800);
-
 /// Time between two checks of the role while this router has no data and callers wait.
 const STARTING_ROLE_CHECK_PERIOD: Duration = Duration::from_millis(50);
 
@@ -43,14 +37,16 @@
             continue;
         }
         let started = clock.now();
-        let read = store
-            .read_servers(feed.next_servers_offset(), MAX_READ_WAIT)
-            .await;
+        let poll = StorePoll::new(feed.servers_current_at(), started);
+        let from = feed.next_servers_offset();
+        let read = store.read_servers(from, poll.wait()).await;
         let now = clock.now();
         feed.record_call("read_servers", &read, now);
         let pause = match read {
             Ok(read) => {
+                let has_change = from != Some(read.next);
                 feed.apply_server_list(read, now);
+                feed.record_servers_current(poll.current_at(has_change, now));
                 continue;
             }
             Err(_) if !feed.is_known() => STARTING_RETRY_PERIOD,
@@ -87,7 +83,8 @@
             continue;
         }
         let started = clock.now();
-        let read = store.read_routes(cursor, MAX_READ_WAIT).await;
+        let poll = StorePoll::new(feed.routes_current_at(), started);
+        let read = store.read_routes(cursor, poll.wait()).await;
         let now = clock.now();
         feed.record_call("read_routes", &read, now);
         match read {
@@ -95,7 +92,8 @@
                 if let Some(table) = read.table {
                     feed.replace_routes_if_newer(table, "store");
                 }
-                feed.record_routes_current(now);
+                let has_change = cursor != Some(read.next);
+                feed.record_routes_current(poll.current_at(has_change, now));
                 cursor = Some(read.next);
             }
             Err(_) => {
--- a/src/feed/mod.rs
+++ b/src/feed/mod.rs
@@ -9,6 +9,7 @@
 mod follow;
 mod frame;
 mod peer_clock;
+mod poll;
 mod role;
 mod serve;
 mod snapshot;
@@ -21,6 +22,7 @@
     follow::{follow_routes, follow_servers},
     frame::{FeedMessage, MAX_FRAME_BYTES},
     peer_clock::PeerClock,
+    poll::StorePoll,
     role::{FeedNode, FeedRank, Role, FOLLOWER_COUNT},
     serve::serve_subscribers,
     snapshot::run_snapshots,
--- a/src/feed/state.rs
+++ b/src/feed/state.rs
@@ -111,6 +111,16 @@
         Some(now.since(at))
     }
 
+    /// Returns the latest time at which the known servers were certainly current.
+    pub fn servers_current_at(&self) -> Option<Instant> {
+        lock(&self.sync_state).servers_current_at
+    }
+
+    /// Returns the latest time at which the routes in force were certainly current.
+    pub fn routes_current_at(&self) -> Option<Instant> {
+        lock(&self.sync_state).routes_current_at
+    }
+
     /// Returns whether the routes and servers, from the store or another router, are current.
     pub fn is_current(&self, now: Instant) -> bool {
         self.staleness(now).is_some_and(|age| age < MAX_STALENESS) && self.is_known()
@@ -197,9 +207,12 @@
                 self.publish(&server_list, "store");
             }
         }
-        drop(server_list);
+    }
+
+    /// Records that the known servers were current at `at`.
+    pub fn record_servers_current(&self, at: Instant) {
         let mut sync_state = lock(&self.sync_state);
-        sync_state.servers_current_at = sync_state.servers_current_at.max(Some(now));
+        sync_state.servers_current_at = sync_state.servers_current_at.max(Some(at));
         drop(sync_state);
         self.notify_answer();
     }
--- a/tests/feed/delay.rs
+++ b/tests/feed/delay.rs
@@ -72,6 +72,7 @@
             follower.replace_routes_if_newer(table, "store");
             follower.record_routes_current(now);
             follower.apply_server_list(read(&[server(false)], answer), now);
+            follower.record_servers_current(now);
             sleep(ANSWER_PERIOD).await;
         }
     });
--- a/tests/feed/main.rs
+++ b/tests/feed/main.rs
@@ -5,7 +5,7 @@
 
 use ebonyspur::{
     catalog::{Server, ServerChange},
-    feed::{Feed, FeedNode, FeedRank, Role, ServersRead, FOLLOWER_COUNT},
+    feed::{Feed, FeedNode, FeedRank, Role, ServersRead, StorePoll, FOLLOWER_COUNT},
     presence::{Digest, Peer, RouterPhase, StoreStatus},
     Category, DomainName, EngineName, Error, Incarnation, Instant, Offset, PoolName, RouterName,
 };
@@ -125,6 +125,7 @@
     let at = Instant::from_millis;
     let failed = Err::<(), _>(Error::not_run(Category::LogUnavailable, "down"));
     feed.apply_server_list(read(&[server(false)], 10), at(1_000));
+    feed.record_servers_current(at(1_000));
     feed.record_routes_current(at(1_000));
     feed.record_call("read_servers", &failed, at(1_500));
     let state = |ms| {
@@ -186,3 +187,28 @@
     cut_router.apply_server_list(gone(), at(7_000));
     assert_eq!(count(&cut_router), 2);
 }
+
+#[test]
+fn a_response_of_the_store_counts_from_when_it_was_certainly_current() {
+    let at = Instant::from_millis;
+    let describe = |known_at: Option<u64>, has_change: bool, arrived: u64| {
+        let poll = StorePoll::new(known_at.map(at), at(1_000));
+        let current_at = poll.current_at(has_change, at(arrived)).as_micros() / 1_000;
+        format!("waits {:?}, current at {current_at}", poll.wait())
+    };
+    let lines = [
+        ("nothing known", describe(None, true, 1_300)),
+        ("no change", describe(Some(995), false, 1_800)),
+        ("change, late", describe(Some(995), true, 1_800)),
+        ("after a late change", describe(Some(400), false, 1_205)),
+        ("empty before its time", describe(Some(995), false, 1_100)),
+    ];
+    let lines = lines.map(|(case, text)| format!("{case}: {text}"));
+    expect![[r#"
+        nothing known: waits 0ns, current at 1000
+        no change: waits 795ms, current at 1795
+        change, late: waits 795ms, current at 1000
+        after a late change: waits 200ms, current at 1200
+        empty before its time: waits 795ms, current at 1000"#]]
+    .assert_eq(&lines.join("\n"));
+}
