Repeat a refused read of the store sooner

The sum of the steps after a follower is lost has to stay below the time in which changes take effect (2 s on the first deployments, 3 s on the grown ones): 1.3 s until the feed is out of date, up to 0.25 s until the next look at it, one read of up to 0.3 s from a slow store: 1.85 s. One refused read added 1 s: 2.85 s. It is now repeated after 400 ms: 2.25 s, which still exceeds 2 s. After 700 ms of failures the periods are as before, so an outage costs no more calls.

--- a/src/feed/follow.rs
+++ b/src/feed/follow.rs
@@ -8,15 +8,6 @@
 /// Time between two checks of the role while this router has no data and callers wait.
 const STARTING_ROLE_CHECK_PERIOD: Duration = Duration::from_millis(50);
 
-/// Time between two attempts to read from a store that fails.
-const RETRY_PERIOD: Duration = Duration::from_millis(1_000);
-
-/// Time between two attempts to read from a store that fails while this router has no data.
-const STARTING_RETRY_PERIOD: Duration = Duration::from_millis(400);
-
-/// Time between two attempts to read from a store that fails while another router feeds this one.
-const SUBSCRIBER_RETRY_PERIOD: Duration = Duration::from_secs(3);
-
 /// Reads the list of servers while this router is the follower, has no current feed, or cannot
 /// reach the store.
 pub async fn follow_servers<S: Store>(
@@ -49,11 +40,7 @@
                 feed.record_servers_current(poll.current_at(has_change, now));
                 continue;
             }
-            Err(_) if !feed.is_known() => STARTING_RETRY_PERIOD,
-            Err(_) if feed.is_current(now) && !feed.is_store_reachable(now) => {
-                SUBSCRIBER_RETRY_PERIOD
-            }
-            Err(_) => RETRY_PERIOD,
+            Err(_) => feed.store_retry_period(now),
         };
         tokio::time::sleep(pause.saturating_sub(now.since(started))).await;
     }
@@ -98,7 +85,8 @@
             }
             Err(_) => {
                 cursor = None;
-                tokio::time::sleep(RETRY_PERIOD.saturating_sub(now.since(started))).await;
+                let pause = feed.store_retry_period(now);
+                tokio::time::sleep(pause.saturating_sub(now.since(started))).await;
             }
         }
     }
--- a/src/feed/state.rs
+++ b/src/feed/state.rs
@@ -26,6 +26,16 @@
 /// router becomes the follower.
 const STORE_FAILURE_TIMEOUT: Duration = Duration::from_millis(700);
 
+/// Time between two attempts to read from a store that fails.
+const RETRY_PERIOD: Duration = Duration::from_millis(1_000);
+
+/// Time between two attempts to read from a store that has failed only for a moment, or while this
+/// router has no data.
+const FIRST_RETRY_PERIOD: Duration = Duration::from_millis(400);
+
+/// Time between two attempts to read from a store that fails while another router feeds this one.
+const SUBSCRIBER_RETRY_PERIOD: Duration = Duration::from_secs(3);
+
 /// Time after its start during which a router that already knows routes and servers waits for
 /// a feed.
 ///
@@ -132,6 +142,17 @@
         failing_since.is_none_or(|since| now.since(since) < STORE_FAILURE_TIMEOUT)
     }
 
+    /// Returns the time from the start of a failed read of the store to the next one.
+    pub fn store_retry_period(&self, now: Instant) -> Duration {
+        if !self.is_known() || self.is_store_reachable(now) {
+            FIRST_RETRY_PERIOD
+        } else if self.is_current(now) {
+            SUBSCRIBER_RETRY_PERIOD
+        } else {
+            RETRY_PERIOD
+        }
+    }
+
     /// Returns the role of this router: whether it reads the store or is fed by another router.
     pub fn role(&self, presence: &Presence, now: Instant) -> Role {
         if now < Instant::default() + STARTUP_SUBSCRIBER_PERIOD && self.is_known() {
--- a/tests/feed/main.rs
+++ b/tests/feed/main.rs
@@ -7,6 +7,7 @@
     catalog::{Server, ServerChange},
     feed::{Feed, FeedNode, FeedRank, Role, ServersRead, StorePoll, FOLLOWER_COUNT},
     presence::{Digest, Peer, RouterPhase, StoreStatus},
+    routes::TableBuilder,
     Category, DomainName, EngineName, Error, Incarnation, Instant, Offset, PoolName, RouterName,
 };
 use expect_test::expect;
@@ -212,3 +213,29 @@
         empty before its time: waits 795ms, current at 1000"#]]
     .assert_eq(&lines.join("\n"));
 }
+
+#[test]
+fn a_read_that_the_store_refused_once_is_repeated_before_changes_are_overdue() {
+    let feed = Feed::new(&name(1), LINK_MBPS);
+    let at = Instant::from_millis;
+    let failed = Err::<(), _>(Error::not_run(Category::LogUnavailable, "refused"));
+    feed.record_call("read_servers", &failed, at(100));
+    let mut lines = vec![format!("starting: {:?}", feed.store_retry_period(at(900)))];
+    let table = TableBuilder::new(1).build().expect("a table");
+    feed.replace_routes_if_newer(table, "store");
+    feed.replace_servers(vec![server(false)], Offset(1));
+    feed.record_call("read_servers", &Ok(()), at(1_000));
+    feed.record_current(at(1_000), at(1_000));
+    feed.record_call("read_servers", &failed, at(2_400));
+    for (case, now) in [("refused once", 2_400), ("for 700 ms", 3_100)] {
+        lines.push(format!("{case}: {:?}", feed.store_retry_period(at(now))));
+    }
+    feed.record_current(at(3_100), at(3_100));
+    lines.push(format!("and fed: {:?}", feed.store_retry_period(at(3_200))));
+    expect![[r#"
+        starting: 400ms
+        refused once: 400ms
+        for 700 ms: 1s
+        and fed: 3s"#]]
+    .assert_eq(&lines.join("\n"));
+}
