Hand the store over when the follower shuts down

A follower went on until its process ended. The others then held it for live until its digests had been missing for 1.5 s, were out of date after 1.3 s, and all of them read the store. This happened at each restart of the follower, which is planned work. A router that shuts down is now skipped in the order of followers, from its digest on, which is sent at once; it goes on to feed its subscribers, from what the next one tells it.

--- a/src/feed/role.rs
+++ b/src/feed/role.rs
@@ -48,6 +48,8 @@
     pub store_status: StoreStatus,
     /// Whether the router serves callers with current routes and servers.
     pub is_current: bool,
+    /// Whether the router is shutting down.
+    pub is_leaving: bool,
 }
 
 impl FeedRank {
@@ -69,6 +71,7 @@
             address: digest.peer_address,
             store_status: digest.store_status,
             is_current: digest.phase == RouterPhase::Serving && digest.is_current,
+            is_leaving: digest.phase == RouterPhase::Leaving,
         }
     }
 }
@@ -77,9 +80,10 @@
     /// Returns the role of the router with rank `me`, given the live routers that it knows.
     ///
     /// The first [`FOLLOWER_COUNT`] routers by rank follow. A router that cannot reach the store
-    /// is skipped, so that the next one takes its place.
-    pub fn decide(me: FeedRank, store_reachable: bool, live: &[FeedNode]) -> Role {
-        if store_reachable && reachable_before(me, live) < FOLLOWER_COUNT {
+    /// or is shutting down is skipped, so that the next one takes its place; `can_follow` tells
+    /// whether this router may follow.
+    pub fn decide(me: FeedRank, can_follow: bool, live: &[FeedNode]) -> Role {
+        if can_follow && candidates_before(me, live) < FOLLOWER_COUNT {
             Role::Follower
         } else {
             Role::Subscriber
@@ -87,15 +91,15 @@
     }
 
     /// Returns whether the router with rank `me` is the first of the followers.
-    pub fn is_first(me: FeedRank, store_reachable: bool, live: &[FeedNode]) -> bool {
-        store_reachable && reachable_before(me, live) == 0
+    pub fn is_first(me: FeedRank, can_follow: bool, live: &[FeedNode]) -> bool {
+        can_follow && candidates_before(me, live) == 0
     }
 }
 
-/// Counts the routers that rank before `me` and reach the store.
-fn reachable_before(me: FeedRank, live: &[FeedNode]) -> usize {
-    let reachable = live
+/// Counts the routers that rank before `me` and may follow the store.
+fn candidates_before(me: FeedRank, live: &[FeedNode]) -> usize {
+    let candidates = live
         .iter()
-        .filter(|node| node.store_status != StoreStatus::Unreachable);
-    reachable.filter(|node| node.rank > me).count()
+        .filter(|node| node.store_status != StoreStatus::Unreachable && !node.is_leaving);
+    candidates.filter(|node| node.rank > me).count()
 }
--- a/src/feed/state.rs
+++ b/src/feed/state.rs
@@ -2,7 +2,10 @@
 
 use std::{
     net::SocketAddr,
-    sync::{Arc, Mutex},
+    sync::{
+        atomic::{AtomicBool, Ordering},
+        Arc, Mutex,
+    },
     time::Duration,
 };
 
@@ -50,6 +53,8 @@
     /// The known servers.
     pub catalog: Catalog,
     rank: FeedRank,
+    /// Whether this router is shutting down.
+    leaving: AtomicBool,
     server_list: Mutex<ServerList>,
     sync_state: Mutex<SyncState>,
     /// Version of a route table and the frame that carries it, once a subscriber got one.
@@ -94,6 +99,7 @@
             routes: ActiveRoutes::default(),
             catalog: Catalog::default(),
             rank: FeedRank::new(me, link_mbps),
+            leaving: AtomicBool::default(),
             server_list: Mutex::default(),
             sync_state: Mutex::default(),
             routes_frame: Mutex::default(),
@@ -153,19 +159,29 @@
         }
     }
 
+    /// Hands the store over to another router, as this one is shutting down.
+    pub fn begin_leaving(&self) {
+        self.leaving.store(true, Ordering::Relaxed);
+        self.notify_answer();
+    }
+
+    fn can_follow(&self, now: Instant) -> bool {
+        self.is_store_reachable(now) && !self.leaving.load(Ordering::Relaxed)
+    }
+
     /// Returns the role of this router: whether it reads the store or is fed by another router.
     pub fn role(&self, presence: &Presence, now: Instant) -> Role {
         if now < Instant::default() + STARTUP_SUBSCRIBER_PERIOD && self.is_known() {
             return Role::Subscriber;
         }
         let live = presence.map_live(now, FeedNode::new);
-        Role::decide(self.rank, self.is_store_reachable(now), &live)
+        Role::decide(self.rank, self.can_follow(now), &live)
     }
 
     /// Returns whether this router saves the [`FleetSnapshot`](super::FleetSnapshot) for the fleet.
     pub fn should_save(&self, presence: &Presence, now: Instant) -> bool {
         let live = presence.map_live(now, FeedNode::new);
-        Role::is_first(self.rank, self.is_store_reachable(now), &live)
+        Role::is_first(self.rank, self.can_follow(now), &live)
     }
 
     /// Returns the addresses of the routers that may feed this one, the best first.
--- a/src/forward/state.rs
+++ b/src/forward/state.rs
@@ -126,6 +126,7 @@
 
     /// Starts to drain, or returns the drain that is already in progress.
     pub fn begin_drain(&self, now: Instant) -> Drain {
+        self.feed.begin_leaving();
         let drain = Drain::new(now, self.policy().grace);
         *lock(&self.drain).get_or_insert(drain)
     }
--- a/tests/feed/main.rs
+++ b/tests/feed/main.rs
@@ -6,7 +6,7 @@
 use ebonyspur::{
     catalog::{Server, ServerChange},
     feed::{Feed, FeedNode, FeedRank, Role, ServersRead, StorePoll, FOLLOWER_COUNT},
-    presence::{Digest, Peer, RouterPhase, StoreStatus},
+    presence::{Digest, Peer, Presence, RouterPhase, StoreStatus},
     routes::TableBuilder,
     Category, DomainName, EngineName, Error, Incarnation, Instant, Offset, PoolName, RouterName,
 };
@@ -79,6 +79,29 @@
     ));
 }
 
+#[test]
+fn a_follower_that_shuts_down_is_replaced_before_its_process_ends() {
+    let first = followers(&[])[0];
+    let next = followers(&[first])[0];
+    let role = |phase: RouterPhase| {
+        let mut leaving = peer(first, StoreStatus::Following);
+        leaving.digest.phase = phase;
+        let rank = FeedRank::new(&name(next), LINK_MBPS);
+        Role::decide(rank, true, &[FeedNode::new(&leaving)])
+    };
+    expect!["serving: Subscriber, leaving: Follower"].assert_eq(&format!(
+        "serving: {:?}, leaving: {:?}",
+        role(RouterPhase::Serving),
+        role(RouterPhase::Leaving)
+    ));
+    let feed = Feed::new(&name(first), LINK_MBPS);
+    let presence = Presence::new(name(first), ([127, 0, 0, 1], 1).into());
+    let now = Instant::from_millis(5_000);
+    assert_eq!(feed.role(&presence, now), Role::Follower);
+    feed.begin_leaving();
+    assert_eq!(feed.role(&presence, now), Role::Subscriber);
+}
+
 fn server(leaving: bool) -> Server {
     Server {
         name: EngineName::new("e-1").unwrap(),
