Pass on at once how current the data is

A router that is fed told its own subscribers only every 400 ms how current its data is. With reads that wait 800 ms, data two hops below the follower was up to 1.2 s old on its way, close to the 1.3 s at which routers read the store, and beyond it three hops below. A statement that moves the time forward is now passed on at once. Found by reading the feed tree again.

--- a/src/catalog/registry.rs
+++ b/src/catalog/registry.rs
@@ -36,8 +36,8 @@
     /// Servers that are not in the list but stay until `removals_allowed_at`, as they may
     /// register again.
     missing: BTreeSet<EngineName>,
-    /// Time of the last answer from the list that is known for certain, to this or another router,
-    /// or of the first failure if it never answered.
+    /// Earliest time at which the last answer from the list, to this or another router, can have
+    /// been given, or time of the first failure if it never answered.
     last_answer: Option<Instant>,
     /// Time until which removals are delayed because of an outage.
     removals_allowed_at: Instant,
@@ -58,9 +58,10 @@
         self.last_answer.get_or_insert(now);
     }
 
-    /// Records that the list answered another router between `earliest` and `latest`.
+    /// Records that the list answered this or another router at some time between `earliest` and
+    /// `latest`.
     ///
-    /// While it does, a failure of this router's own calls is no outage.
+    /// While it answers others, a failure of this router's own calls is no outage.
     pub fn record_answer_between(&mut self, earliest: Instant, latest: Instant) {
         if self
             .last_answer
--- a/src/feed/state.rs
+++ b/src/feed/state.rs
@@ -67,7 +67,8 @@
 pub struct Revision {
     /// Number of changes of the routes or servers.
     pub changes: u64,
-    /// Number of answers of the store to this router, with or without a change.
+    /// Number of answers of the store, to this router or passed on by another one, with or without
+    /// a change.
     pub answers: u64,
 }
 
@@ -294,8 +295,14 @@
         server_list.registry.record_answer_between(at, now);
         drop(server_list);
         let mut sync_state = lock(&self.sync_state);
+        let before = (sync_state.servers_current_at, sync_state.routes_current_at);
         sync_state.servers_current_at = sync_state.servers_current_at.max(Some(at));
         sync_state.routes_current_at = sync_state.routes_current_at.max(Some(at));
+        let after = (sync_state.servers_current_at, sync_state.routes_current_at);
+        drop(sync_state);
+        if after != before {
+            self.notify_answer();
+        }
     }
 
     /// Records that another router announced at `now` that its routes and servers are current.
--- a/tests/feed/main.rs
+++ b/tests/feed/main.rs
@@ -262,3 +262,18 @@
         and fed: 3s"#]]
     .assert_eq(&lines.join("\n"));
 }
+
+#[test]
+fn what_a_subscriber_hears_is_passed_on_at_once() {
+    let feed = Feed::new(&name(1), LINK_MBPS);
+    let mut revisions = feed.revisions();
+    let mut passed_on = |current_at: u64| {
+        let at = Instant::from_millis;
+        feed.record_current(at(current_at), at(2_000));
+        let changed = revisions.has_changed().expect("the feed lives");
+        revisions.mark_unchanged();
+        format!("{current_at}: {changed}")
+    };
+    let lines = [passed_on(1_000), passed_on(1_000), passed_on(1_400)];
+    expect!["1000: true, 1000: false, 1400: true"].assert_eq(&lines.join(", "));
+}
