--- a/src/feed/poll.rs
+++ b/src/feed/poll.rs
@@ -20,7 +20,7 @@
 impl StorePoll {
     /// Creates a read that starts at `now`, when the known data was last current at `known_at`.
     ///
-    /// The read waits for as long as the data then stays less than [`MAX_READ_WAIT`] old.
+    /// The older the data, the shorter the wait.
     pub fn new(known_at: Option<Instant>, now: Instant) -> Self {
         let age = known_at.map_or(MAX_READ_WAIT, |known_at| now.since(known_at));
         StorePoll {
