--- a/tests/support/process.rs
+++ b/tests/support/process.rs
@@ -22,6 +22,9 @@
     }
 }
 
+/// Time that processes get to write the last lines of their logs, which they do in the background.
+const LOG_FLUSH_TIME: Duration = Duration::from_secs(2);
+
 /// Number of last lines of each log that a failed test prints.
 const SHOWN_LOG_LINES: usize = 15;
 
@@ -30,6 +33,7 @@
     if !std::thread::panicking() {
         return;
     }
+    std::thread::sleep(LOG_FLUSH_TIME);
     for entry in std::fs::read_dir(folder).into_iter().flatten().flatten() {
         let text = std::fs::read_to_string(entry.path()).unwrap_or_default();
         let lines: Vec<_> = text.lines().collect();
