Refuse subscribers beyond what a router's link bears

Cause: the feed tree bounds the routers below one only while all agree on the order. After 85 of 141 routers had been killed at once, the starting ones did not count each other, and chose the same few routers whose links have 10 Mbit/s.

A router now feeds up to 16 and one more for each 2 Mbit/s of its link, and closes further connections at once; the refused router tries the next above, reads the store meanwhile, and looks again after 0.5 s. Before the change the test has 42 of 42 fed, now 21.

--- a/src/feed/role.rs
+++ b/src/feed/role.rs
@@ -2,6 +2,7 @@
 
 use std::{net::SocketAddr, time::Duration};
 
+use super::FAN_OUT;
 use crate::{
     placement::rendezvous_score,
     presence::{Peer, RouterPhase, StoreStatus},
@@ -20,6 +21,11 @@
 /// Rendezvous key by which all routers rank the fleet to choose followers.
 const FOLLOWER_RANK_KEY: &str = "followers";
 
+/// Bandwidth of a router's link, in Mbit/s, for each subscriber beyond [`FAN_OUT`].
+///
+/// A table of 70 KB then takes at most 0.3 s more than to [`FAN_OUT`] subscribers.
+const LINK_MBPS_PER_EXTRA_SUBSCRIBER: u32 = 2;
+
 /// Source from which a router gets the contents of the store.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Role {
@@ -60,6 +66,14 @@
             score: rendezvous_score(FOLLOWER_RANK_KEY, name.as_str()),
         }
     }
+
+    /// Returns the maximum number of routers that a router of this rank feeds at once.
+    ///
+    /// While routers start or disagree on the order, more than [`FAN_OUT`] of them may choose the
+    /// same one; a fast link bears more of them than a slow one, on which requests would wait.
+    pub fn max_subscribers(&self) -> usize {
+        FAN_OUT + (self.link_mbps / LINK_MBPS_PER_EXTRA_SUBSCRIBER) as usize
+    }
 }
 
 impl FeedNode {
--- a/src/feed/serve.rs
+++ b/src/feed/serve.rs
@@ -19,9 +19,6 @@
 /// the route table that it has, and the time on its clock.
 const MESSAGE_TIMEOUT: Duration = Duration::from_secs(2);
 
-/// Maximum number of subscribers at once; further routers use another follower.
-const MAX_SUBSCRIBERS: usize = 512;
-
 /// Delay after a failed accept, for example when file descriptors have run out.
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(100);
 
@@ -30,13 +27,8 @@
 
 /// Accepts connections of other routers and feeds each of them in its own task.
 pub async fn serve_subscribers(feed: Arc<Feed>, listener: TcpListener, clock: Clock) {
-    let slots = Arc::new(Semaphore::new(MAX_SUBSCRIBERS));
+    let slots = Arc::new(Semaphore::new(feed.max_subscribers()));
     loop {
-        let slot = slots
-            .clone()
-            .acquire_owned()
-            .await
-            .expect("the semaphore is never closed");
         let (stream, from) = match listener.accept().await {
             Ok(accepted) => accepted,
             Err(err) => {
@@ -45,6 +37,11 @@
                 continue;
             }
         };
+        // Closing the connection at once sends the router to the next one that may feed it.
+        let Ok(slot) = slots.clone().try_acquire_owned() else {
+            log::debug!("feed connection refused from={from} reason=enough_subscribers");
+            continue;
+        };
         let feed = feed.clone();
         tokio::spawn(async move {
             if let Err(err) = feed_subscriber(&feed, stream, &clock).await {
--- a/src/feed/state.rs
+++ b/src/feed/state.rs
@@ -185,6 +185,11 @@
         Role::is_first(self.rank, self.can_follow(now), &live)
     }
 
+    /// Returns the maximum number of routers that this one feeds at once.
+    pub fn max_subscribers(&self) -> usize {
+        self.rank.max_subscribers()
+    }
+
     /// Returns the addresses of the routers that may feed this one, the best first.
     pub fn upstreams(&self, presence: &Presence, now: Instant) -> Vec<SocketAddr> {
         upstreams(self.rank, &presence.map_live(now, FeedNode::new))
--- a/src/feed/subscribe.rs
+++ b/src/feed/subscribe.rs
@@ -10,6 +10,9 @@
 /// Maximum time to open a connection to a follower.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
 
+/// Time between two rounds of attempts to find a router that feeds this one.
+const RECONNECT_PERIOD: Duration = Duration::from_millis(500);
+
 /// Time without a byte after which another follower is used; followers send a message at least
 /// every 400 ms.
 const FOLLOWER_TIMEOUT: Duration = Duration::from_millis(1_000);
@@ -42,15 +45,20 @@
             // Until it can serve callers, a router accepts a feed from any router that serves.
             sources.extend(presence.serving_peers(now));
         }
+        let mut pause = ROLE_CHECK_PERIOD;
         for address in sources {
             match receive_feed(&feed, &presence, address, &clock).await {
-                Ok(()) => break,
+                Ok(()) => {
+                    pause = ROLE_CHECK_PERIOD;
+                    break;
+                }
                 Err(err) => {
                     log::info!("feed connection lost follower={address} error=\"{err}\"");
+                    pause = RECONNECT_PERIOD;
                 }
             }
         }
-        tokio::time::sleep(ROLE_CHECK_PERIOD).await;
+        tokio::time::sleep(pause).await;
     }
 }
 
--- a/tests/feed/tree.rs
+++ b/tests/feed/tree.rs
@@ -1,14 +1,20 @@
 //! Which router feeds which in a fleet whose links differ, as on the grown deployments.
 
-use std::collections::BTreeMap;
+use std::{collections::BTreeMap, sync::Arc};
 
 use ebonyspur::{
-    feed::{upstreams, FeedNode, FeedRank, Role, FAN_OUT},
+    feed::{serve_subscribers, upstreams, Feed, FeedNode, FeedRank, Role, FAN_OUT},
     presence::StoreStatus,
+    routes::TableBuilder,
+    Clock, Offset,
 };
 use expect_test::expect;
+use tokio::{
+    io::{AsyncReadExt, AsyncWriteExt},
+    net::{TcpListener, TcpStream},
+};
 
-use crate::{name, peer};
+use crate::{name, peer, server};
 
 /// Number of routers of the fleet.
 const FLEET: usize = 141;
@@ -114,3 +120,39 @@
     assert_ne!(next[0], path[0]);
     assert_eq!(next.last(), path.last());
 }
+
+#[test]
+fn a_router_with_a_slow_link_refuses_the_routers_beyond_its_fan_out() {
+    let max = |link_mbps| FeedRank::new(&name(1), link_mbps).max_subscribers();
+    expect!["10: 21, 200: 116, 700: 366"].assert_eq(&format!(
+        "10: {}, 200: {}, 700: {}",
+        max(10),
+        max(200),
+        max(700)
+    ));
+}
+
+#[tokio::test]
+async fn a_router_that_starts_with_many_others_is_sent_on_instead_of_crowding_a_slow_link() {
+    let clock = Clock::new();
+    let feed = Arc::new(Feed::new(&name(1), 10));
+    let table = TableBuilder::new(1).build().expect("a table");
+    feed.replace_routes_if_newer(table, "store");
+    feed.replace_servers(vec![server(false)], Offset(1));
+    feed.record_current(clock.now(), clock.now());
+    let listener = TcpListener::bind("127.0.0.1:0").await.expect("a listener");
+    let address = listener.local_addr().expect("an address");
+    tokio::spawn(serve_subscribers(feed.clone(), listener, clock));
+    let mut fed = Vec::new();
+    let mut refused = 0;
+    for _ in 0..2 * feed.max_subscribers() {
+        let mut subscriber = TcpStream::connect(address).await.expect("a connection");
+        // The version of the table that the subscriber has, and a reading of its clock.
+        subscriber.write_all(&[0; 16]).await.ok();
+        match subscriber.read_u8().await {
+            Ok(_) => fed.push(subscriber),
+            Err(_) => refused += 1,
+        }
+    }
+    assert_eq!((fed.len(), refused), (21, 21));
+}
