--- a/src/feed/peer_clock.rs
+++ b/src/feed/peer_clock.rs
@@ -1,12 +1,12 @@
-//! The clock of another router, as far as its readings tell.
+//! An estimate of another router's clock.
 
 use crate::Instant;
 
 /// Lower bound of the time on another router's monotonic clock.
 ///
-/// A subscriber sends readings of its clock to its follower, which states on that clock when its
-/// data was current. However long the statement takes to arrive, the subscriber can then tell
-/// how old the data is.
+/// A subscriber sends readings of its clock to its follower, which converts the time at which its
+/// data was current to that clock. The subscriber's age of the data thus includes the latency of
+/// the message.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct PeerClock {
     reading: Instant,
--- a/src/feed/role.rs
+++ b/src/feed/role.rs
@@ -94,8 +94,8 @@
     /// Returns the role of the router with rank `me`, given the live routers that it knows.
     ///
     /// The first [`FOLLOWER_COUNT`] routers by rank follow. A router that cannot reach the store
-    /// or is shutting down is skipped, so that the next one takes its place; `can_follow` tells
-    /// whether this router may follow.
+    /// or is shutting down is skipped, so that the next one takes its place; `can_follow` is false
+    /// if this applies to the router itself.
     pub fn decide(me: FeedRank, can_follow: bool, live: &[FeedNode]) -> Role {
         if can_follow && candidates_before(me, live) < FOLLOWER_COUNT {
             Role::Follower
