Log which request was on a server whose connection broke

Nothing told why servers crashed one after the other: the lines named neither the server of a stream that broke off, nor the parts of the prompt, nor the fingerprint that the quarantine counts. A line now names them, and whether the server had sent data.

--- a/src/forward/attempts.rs
+++ b/src/forward/attempts.rs
@@ -123,7 +123,7 @@
                         failure.err
                     );
                     if failure.sent && failure.err.classify() == Category::Cut {
-                        cx.record_crash(self.state.fingerprint, &server, cx.clock.now());
+                        cx.record_crash(&self, &server, false, cx.clock.now());
                     }
                     let verdict = failure.err.verdict();
                     attempts.verdict = attempts.verdict.strongest(verdict);
--- a/src/forward/state.rs
+++ b/src/forward/state.rs
@@ -13,11 +13,11 @@
 use tokio::sync::Notify;
 
 use super::{
-    health::STALL_TIMEOUT, ConnectionPool, Drain, DrainStage, HealthTracker, InFlight, Observation,
-    PoisonRequests, Wire,
+    health::STALL_TIMEOUT, poison::PartsList, ConnectionPool, Drain, DrainStage, HealthTracker,
+    InFlight, Observation, PoisonRequests, ProxyRequest, Routed, Wire,
 };
 use crate::{
-    admission::{Fingerprint, RetryAllowance, SharedRetries},
+    admission::{RetryAllowance, SharedRetries},
     catalog::{Server, ServerKey},
     feed::Feed,
     inspect::ForwardMetrics,
@@ -211,7 +211,23 @@
     }
 
     /// Records that the connection to a server broke while the server ran a request.
-    pub(super) fn record_crash(&self, fingerprint: Fingerprint, server: &Server, now: Instant) {
+    ///
+    /// `has_data` tells whether the server had sent part of the body of its response.
+    pub(super) fn record_crash(
+        &self,
+        req: &ProxyRequest<Routed>,
+        server: &Server,
+        has_data: bool,
+        now: Instant,
+    ) {
+        let fingerprint = req.state.fingerprint;
+        log::info!(
+            "server connection broken id={} server={} has_data={has_data} request={:016x} parts={}",
+            req.id(),
+            server.name,
+            fingerprint.0,
+            PartsList(&req.head.prompt)
+        );
         if self.poison_requests.record_crash(fingerprint, server, now) {
             self.announce_signal.notify_one();
         }
--- a/src/forward/stream.rs
+++ b/src/forward/stream.rs
@@ -52,6 +52,7 @@
     let response_stream = ResponseStream {
         last_event: req.head.last_event,
         last_received: cx.clock.now(),
+        has_data: false,
         cx,
         req,
         exchange: Some(exchange),
@@ -82,6 +83,8 @@
     last_event: Option<u64>,
     /// Time at which the server last sent data.
     last_received: Instant,
+    /// Whether the current server has sent part of the body of its response.
+    has_data: bool,
     attempts: Attempts,
     resumable: bool,
     /// Whether any data was forwarded to the caller.
@@ -177,6 +180,7 @@
                         continue;
                     };
                     self.last_received = now;
+                    self.has_data |= !bytes.is_empty();
                     self.cx.health.record(key, Observation::Progress, now);
                     return StreamRead::Bytes(bytes);
                 }
@@ -248,8 +252,8 @@
                 .health
                 .record(exchange.server.key(), Observation::Unreachable, now);
             if error.classify() == Category::Cut {
-                let fingerprint = self.req.state.fingerprint;
-                self.cx.record_crash(fingerprint, &exchange.server, now);
+                self.cx
+                    .record_crash(&self.req, &exchange.server, self.has_data, now);
             }
         }
         self.events = EventReader::new();
@@ -300,6 +304,7 @@
                 Ok(exchange) if exchange.ensure_ran().is_ok() && exchange.status.is_success() => {
                     self.attempts.sent_count += 1;
                     self.last_received = cx.clock.now();
+                    self.has_data = false;
                     self.exchange = Some(exchange);
                     return Ok(());
                 }
