Reproduce the prompt part that crashes server after server

Two routers and eight engines; an engine that gets a request with one part breaks off and comes back as a new incarnation.

--- a/stand-in/src/replica.rs
+++ b/stand-in/src/replica.rs
@@ -57,6 +57,8 @@
 
 #[derive(Default)]
 struct State {
+    /// Unix time of the start of this incarnation, in milliseconds.
+    started_ms: u64,
     running: usize,
     leaving: bool,
     /// Requests that this server began to run, in order, with their headers.
@@ -83,20 +85,30 @@
     let replica = Arc::new(Replica {
         name: args.name.clone(),
         slots: args.slots,
-        state: Mutex::default(),
+        state: Mutex::new(State {
+            started_ms: unix_millis(),
+            ..State::default()
+        }),
     });
     let listen = args.listen;
     tokio::spawn(register(replica.clone(), args));
     web::serve(listen, replica, handle).await;
 }
 
+/// Returns the present Unix time in milliseconds.
+fn unix_millis() -> u64 {
+    let since = std::time::SystemTime::now().duration_since(std::time::UNIX_EPOCH);
+    since.expect("a time after 1970").as_millis() as u64
+}
+
 async fn register(replica: Arc<Replica>, args: Args) {
     let http = web::client();
     let url = format!("http://{}/record/keyed.servers/{}", args.store, args.name);
-    let since = std::time::SystemTime::now().duration_since(std::time::UNIX_EPOCH);
-    let started_ms = since.expect("a time after 1970").as_millis() as u64;
     for sequence in 0_u64.. {
-        let leaving = replica.state.lock().unwrap().leaving;
+        let (leaving, started_ms) = {
+            let state = replica.state.lock().unwrap();
+            (state.leaving, state.started_ms)
+        };
         let state = if leaving { "draining" } else { "ready" };
         let entry = json!({
             "service": args.pool, "address": args.listen, "zone": "zone-1", "version": "v1",
@@ -172,6 +184,11 @@
                 .insert("x-attempt-id", "other".parse().unwrap());
             return answer;
         }
+        // Breaks off before the body and comes back as a new incarnation.
+        "crash" => {
+            replica.state.lock().unwrap().started_ms = unix_millis();
+            return replica.respond(&req, StatusCode::OK, false, broken_body(""));
+        }
         "reset" => return replica.respond(&req, StatusCode::OK, false, broken_body("begun")),
         "slow" => tokio::time::sleep(Duration::from_millis(800)).await,
         _ => {}
