Do not count a crash against the streams that were flowing

Cause: each broken connection counted against the request that used it.

Change: a crash counts only against requests without data.

--- a/src/forward/state.rs
+++ b/src/forward/state.rs
@@ -231,12 +231,14 @@
             fingerprint.0,
             PartList(&req.state.shared_parts)
         );
-        let mut is_new = self.poison_requests.record_crash(fingerprint, server, now);
-        if !has_data {
-            let parts = &req.state.shared_parts;
-            is_new |= self.poison_parts.record_crash(parts, server.key(), now);
+        // A poison request crashes its server before any data; it did not cause this crash.
+        if has_data {
+            return;
         }
-        if is_new {
+        let parts = &req.state.shared_parts;
+        let is_new = self.poison_requests.record_crash(fingerprint, server, now);
+        let is_accused = self.poison_parts.record_crash(parts, server.key(), now);
+        if is_new || is_accused {
             self.announce_signal.notify_one();
         }
     }
