Break off streams without length or chunks that end too early

Cause: the end of the connection was taken for the end of the answer. Only streams that can be resumed were looked at event by event.

Change: the router keeps track of the ends of events in all streams, and whether the head announced the end of the body.

--- a/src/forward/exchange.rs
+++ b/src/forward/exchange.rs
@@ -3,7 +3,7 @@
 use std::sync::Arc;
 
 use bytes::Bytes;
-use http::{HeaderMap, Method, Request, StatusCode, Uri};
+use http::{header, HeaderMap, Method, Request, StatusCode, Uri};
 use http_body_util::Full;
 use hyper::body::Incoming;
 
@@ -30,6 +30,9 @@
     pub(super) headers: HeaderMap,
     pub(super) head: ResponseHead,
     pub(super) body: Incoming,
+    /// Whether the head announces the end of the body by a length or by chunks; otherwise it ends
+    /// with its connection.
+    pub(super) is_framed: bool,
     connection: Connection,
     _in_flight: InFlightGuard,
 }
@@ -63,6 +66,8 @@
         self.record_response(server, &head, parts.status);
         Ok(Exchange {
             server: server.clone(),
+            is_framed: parts.headers.contains_key(header::CONTENT_LENGTH)
+                || parts.headers.contains_key(header::TRANSFER_ENCODING),
             status: parts.status,
             headers: parts.headers,
             head,
--- a/src/forward/stream.rs
+++ b/src/forward/stream.rs
@@ -15,7 +15,11 @@
     attempts::Attempts, exchange::Exchange, health::STALL_TIMEOUT, Body, Forwarder, Observation,
     ProxyRequest, Routed, Wire,
 };
-use crate::{relay::EventReader, routes::RouteKind, Category, Error, Instant, Result};
+use crate::{
+    relay::{EventBoundary, EventReader},
+    routes::RouteKind,
+    Category, Error, Instant, Result,
+};
 
 /// Time without an event after which a stream is moved away from a server that sends this
 /// router no data for other requests either.
@@ -57,6 +61,7 @@
         req,
         exchange: Some(exchange),
         events: EventReader::new(),
+        boundary: EventBoundary::default(),
         attempts,
         resumable,
         started: false,
@@ -79,6 +84,8 @@
     exchange: Option<Exchange>,
     /// Splits the response into events, if the stream can be resumed.
     events: EventReader,
+    /// Where the response stands between events, if it cannot be resumed.
+    boundary: EventBoundary,
     /// Number of the last event that was forwarded to the caller.
     last_event: Option<u64>,
     /// Time at which the server last sent data.
@@ -115,14 +122,17 @@
                         Err(err) => err,
                     }
                 }
-                StreamRead::Bytes(bytes) => return Some(Ok(self.record_delivery(bytes))),
-                StreamRead::End if self.events.is_empty() => {
+                StreamRead::Bytes(bytes) => {
+                    self.boundary.push(&bytes);
+                    return Some(Ok(self.record_delivery(bytes)));
+                }
+                StreamRead::End if self.is_complete() => {
                     self.finish();
                     return None;
                 }
                 StreamRead::End => Error::may_have_run(
                     Category::Cut,
-                    "the response ended in the middle of an event",
+                    "the response ended before its first event or inside an event",
                 ),
                 StreamRead::Broken(err) => err,
             };
@@ -136,6 +146,16 @@
         }
     }
 
+    /// Returns whether a response that has ended is complete.
+    ///
+    /// One without length or chunks also ends when its server crashes, which leaves it inside an
+    /// event or before the first one.
+    fn is_complete(&self) -> bool {
+        let is_framed = self.exchange.as_ref().is_some_and(|e| e.is_framed);
+        let at_boundary = self.events.is_empty() && self.boundary.is_reached();
+        at_boundary && (is_framed || self.has_data)
+    }
+
     fn record_delivery(&mut self, bytes: Bytes) -> Bytes {
         // A server that sends data has ended its prefill, whether it started or resumed the stream.
         self.attempts.prefill = None;
--- a/src/relay/event.rs
+++ b/src/relay/event.rs
@@ -58,6 +58,42 @@
     }
 }
 
+/// Tells whether a byte stream that is passed on unsplit has come to the end of an event.
+#[derive(Debug, Clone, Copy)]
+pub struct EventBoundary {
+    /// Number of line ends at the end of the bytes received, 2 at most.
+    line_ends: usize,
+}
+
+impl Default for EventBoundary {
+    /// Returns the boundary before the first event.
+    fn default() -> Self {
+        EventBoundary { line_ends: 2 }
+    }
+}
+
+impl EventBoundary {
+    /// Takes further bytes of the stream into account.
+    pub fn push(&mut self, bytes: &[u8]) {
+        let at_end = bytes
+            .iter()
+            .rev()
+            .take_while(|byte| **byte == b'\n')
+            .count();
+        let before = if at_end == bytes.len() {
+            self.line_ends
+        } else {
+            0
+        };
+        self.line_ends = (before + at_end).min(2);
+    }
+
+    /// Returns whether the bytes end with a complete event, or there are none.
+    pub fn is_reached(&self) -> bool {
+        self.line_ends == 2
+    }
+}
+
 /// Returns the length of the first event in `buf`, or `None` if its end is missing.
 fn end_of_event(buf: &[u8]) -> Option<usize> {
     buf.windows(2)
--- a/src/relay/mod.rs
+++ b/src/relay/mod.rs
@@ -22,7 +22,7 @@
     backend::BackendClients,
     chat::{chat, ChatAnswer},
     engine_request::EngineRequest,
-    event::{Event, EventReader, Oversized, MAX_EVENT_BYTES},
+    event::{Event, EventBoundary, EventReader, Oversized, MAX_EVENT_BYTES},
     request::{Admitted, ChatHead, ChatRequest, Dispatched, FailedDispatch, Placed, Received},
     sequence::{EventKind, SequenceChecker},
     service::{call_service, ServiceAnswer, ServiceCall},
