Log when a server names a limit on its requests

The limit was passed on unread. It is decoded now, and a line tells when it begins, changes and ends.

--- a/src/admission/mod.rs
+++ b/src/admission/mod.rs
@@ -14,6 +14,7 @@
 mod pool_queue;
 mod possible_crash;
 mod quarantine;
+mod server_limits;
 mod shared_retries;
 mod slot_demand;
 mod state;
@@ -34,6 +35,7 @@
     pool_queue::{PoolQueues, Waiter},
     possible_crash::{PossibleCrashes, MAX_POSSIBLE_CRASHES, POSSIBLE_CRASH_TTL},
     quarantine::{Crash, CrashHistory, CrashRisk, Fingerprint, Quarantine, MAX_CRASH_ENTRIES},
+    server_limits::{RateLimit, ServerLimits},
     shared_retries::{RetryAllowance, SharedRetries, ASSUMED_ROUTERS},
     slot_demand::{SlotDemand, SlotDemandGuard},
     state::{Admission, Class, Permit, MAX_TEAMS},
--- a/src/forward/exchange.rs
+++ b/src/forward/exchange.rs
@@ -132,6 +132,7 @@
         self.health.record(server.key(), observation, now);
         if head.outcome != RunOutcome::Misdirected {
             self.poison_parts.record_alive(server.key(), now);
+            self.server_limits.record_response(server, head.limit, now);
         }
     }
 
--- a/src/forward/state.rs
+++ b/src/forward/state.rs
@@ -17,7 +17,7 @@
     PoisonRequests, ProxyRequest, Routed, Wire,
 };
 use crate::{
-    admission::{PartList, PoisonParts, RetryAllowance, SharedRetries},
+    admission::{PartList, PoisonParts, RetryAllowance, ServerLimits, SharedRetries},
     catalog::{Server, ServerKey},
     feed::Feed,
     inspect::ForwardMetrics,
@@ -66,6 +66,8 @@
     pub poison_requests: PoisonRequests,
     /// Parts of prompts that are known to crash servers.
     pub poison_parts: Arc<PoisonParts>,
+    /// Limits on their requests that servers name.
+    pub server_limits: ServerLimits,
     /// Idle connections to servers.
     pub connections: ConnectionPool,
     /// Metrics of forwarded requests.
@@ -99,6 +101,7 @@
             prefills: Arc::default(),
             poison_requests: PoisonRequests::default(),
             poison_parts: Arc::default(),
+            server_limits: ServerLimits::default(),
             connections: ConnectionPool::default(),
             metrics: ForwardMetrics::new(),
             announce_signal: Arc::default(),
--- a/src/forward/wire.rs
+++ b/src/forward/wire.rs
@@ -5,7 +5,10 @@
 use http::{request, HeaderMap, Response, StatusCode};
 
 use super::Body;
-use crate::{catalog::Server, placement::PromptPart, Error, RequestId, Result, TeamName};
+use crate::{
+    admission::RateLimit, catalog::Server, placement::PromptPart, Error, RequestId, Result,
+    TeamName,
+};
 
 /// Contents of the head of a caller's request.
 #[derive(Debug, Clone, Default, PartialEq, Eq)]
@@ -57,6 +60,8 @@
     pub outcome: RunOutcome,
     /// Time for which the server keeps the connection open without a request, if announced.
     pub keep_alive: Option<Duration>,
+    /// Limit on the requests that the server takes from all routers together, if it names one.
+    pub limit: Option<RateLimit>,
 }
 
 /// Parses and writes the heads of requests and responses.
