Keep the limits that servers name, all routers together

Cause: no router read the limit. Class of the fault: a statement of a server that concerns the whole fleet, in a program that decides router by router.

Change: digests carry the limits that responses named, and for each router a decaying count of the requests that it sent to limited servers. A server is left out while the sum leaves no room below its limit; what no server can take is refused at once, with the time until one has room. All sends count. While limits turn requests away, the other servers take them as long as they have free slots.

--- a/src/admission/mod.rs
+++ b/src/admission/mod.rs
@@ -35,7 +35,7 @@
     pool_queue::{PoolQueues, Waiter},
     possible_crash::{PossibleCrashes, MAX_POSSIBLE_CRASHES, POSSIBLE_CRASH_TTL},
     quarantine::{Crash, CrashHistory, CrashRisk, Fingerprint, Quarantine, MAX_CRASH_ENTRIES},
-    server_limits::{RateLimit, ServerLimits},
+    server_limits::{LimitReport, RateLimit, ServerLimits},
     shared_retries::{RetryAllowance, SharedRetries, ASSUMED_ROUTERS},
     slot_demand::{SlotDemand, SlotDemandGuard},
     state::{Admission, Class, Permit, MAX_TEAMS},
--- a/src/admission/server_limits.rs
+++ b/src/admission/server_limits.rs
@@ -3,6 +3,12 @@
 //! Load pattern: servers in need name a fraction of the requests that they get, while callers and
 //! returning sessions press on. Each server gets its requests from all routers, so that the share of
 //! one router may be a request in ten seconds.
+//!
+//! Each router announces, for each limited server that it uses, a recent-request level: the number
+//! of requests that it sent, each with a weight that decays with time. A server may be used while
+//! the sum over all routers is below what its limit allows, so that any router can spend any part
+//! of the limit and nothing is reserved for routers without demand. Levels arrive late by one digest
+//! period; what is sent meanwhile counts afterwards.
 
 use std::{collections::BTreeMap, sync::Mutex, time::Duration};
 
@@ -21,6 +27,30 @@
 /// Time without a response after which the limit of a server is forgotten.
 const LIMIT_TTL: Duration = Duration::from_secs(120);
 
+/// Fraction of a limit that routers use, since levels are late.
+const USED_FRACTION: f64 = 0.9;
+
+/// Decay time of levels in seconds, unless the limit is low.
+const MIN_DECAY_S: f64 = 2.0;
+
+/// Longest decay time of levels in seconds.
+const MAX_DECAY_S: f64 = 20.0;
+
+/// Number of requests that a limit allows in one decay time, from which that depends for low limits.
+const DECAY_REQUESTS: f64 = 2.0;
+
+/// Smallest level that a server may reach, so that one that takes none is tried once a minute.
+const MIN_CAPACITY: f64 = 1.05;
+
+/// Level below which requests are no longer announced.
+const MIN_ANNOUNCED_LEVEL: f64 = 0.05;
+
+/// Time for which this router announces what a response to one of its own requests said.
+const ANNOUNCE_TIME: Duration = Duration::from_secs(2);
+
+/// Maximum number of servers in one digest.
+const MAX_REPORTS_PER_DIGEST: usize = 32;
+
 /// Requests a second that a server takes.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
 #[serde(transparent)]
@@ -41,9 +71,40 @@
     pub fn per_second(self) -> f64 {
         f64::from(self.per_1000_s) / 1_000.0
     }
+
+    /// Returns the time in seconds after which the weight of a request has fallen to 1/e.
+    fn decay_s(self) -> f64 {
+        (DECAY_REQUESTS / self.per_second()).clamp(MIN_DECAY_S, MAX_DECAY_S)
+    }
+
+    /// Returns the level that all routers together may reach.
+    fn capacity(self) -> f64 {
+        (USED_FRACTION * self.per_second() * self.decay_s()).max(MIN_CAPACITY)
+    }
+
+    /// Returns the time after which a request fits below the capacity, given the level of the
+    /// fleet; zero if it does now.
+    fn wait(self, level: f64) -> Duration {
+        let excess = level / (self.capacity() - 1.0);
+        Duration::from_secs_f64(self.decay_s() * excess.max(1.0).ln())
+    }
+}
+
+/// What one router announces about a limited server.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct LimitReport {
+    /// Server that names a limit, or did so lately.
+    pub server: ServerKey,
+    /// The limit, or `None` since a response named none.
+    pub limit: Option<RateLimit>,
+    /// Time since the response that tells so, in milliseconds.
+    pub age_ms: u32,
+    /// Level of the requests that the sender has sent, in thousandths.
+    pub level_milli: u32,
 }
 
-/// Limits that servers have named, as known to this router.
+/// Limits that servers have named, as known to this router, and the requests that it has sent to
+/// these servers.
 #[derive(Debug, Default)]
 pub struct ServerLimits {
     servers: Mutex<BTreeMap<ServerKey, Entry>>,
@@ -54,8 +115,13 @@
 struct Entry {
     /// The limit, or `None` since a response named none.
     limit: Option<RateLimit>,
-    /// Time of the response that tells so.
+    /// Time of the response that tells so, at whichever router.
     heard: Instant,
+    /// Time of the last response to a request of this router.
+    heard_here: Option<Instant>,
+    /// Level of the requests of this router at `level_at`.
+    level: f64,
+    level_at: Instant,
 }
 
 impl ServerLimits {
@@ -67,21 +133,130 @@
             return;
         }
         servers.retain(|_, entry| now.since(entry.heard) < LIMIT_TTL);
-        let known = servers.get(&key).copied();
-        let was_just_named = known
-            .is_some_and(|known| known.limit.is_some() && now.since(known.heard) < REORDER_TIME);
-        if limit.is_none() && was_just_named {
-            return;
+        let entry = servers.entry(key).or_insert(Entry::new(now));
+        let before = entry.limit;
+        if entry.update(limit, now) {
+            entry.heard_here = Some(now);
         }
-        let before = known.and_then(|known| known.limit);
-        if before != limit {
+        if before != entry.limit {
             log::info!(
                 "server limit changed server={} per_s={:?} before_per_s={:?}",
                 server.name,
-                limit.map(RateLimit::per_second),
+                entry.limit.map(RateLimit::per_second),
                 before.map(RateLimit::per_second)
             );
         }
-        servers.insert(key, Entry { limit, heard: now });
     }
+
+    /// Records that this router sends a request to a server.
+    pub fn record_sent(&self, server: ServerKey, now: Instant) {
+        if let Some(entry) = lock(&self.servers).get_mut(&server) {
+            entry.level = entry.level(now) + 1.0;
+            entry.level_at = now;
+        }
+    }
+
+    /// Applies what another router announced about limits.
+    ///
+    /// The levels stay in its digest, from which [`waits`](Self::waits) takes them.
+    pub fn receive(&self, reports: &[LimitReport], now: Instant) {
+        let mut servers = lock(&self.servers);
+        for report in reports {
+            let heard = now - Duration::from_millis(report.age_ms.into());
+            if report.limit.is_none() && !servers.contains_key(&report.server) {
+                continue;
+            }
+            let entry = servers.entry(report.server).or_insert(Entry::new(heard));
+            entry.update(report.limit, heard);
+        }
+    }
+
+    /// Returns what the next digest announces, the servers with the highest levels first.
+    pub fn reports(&self, now: Instant) -> Vec<LimitReport> {
+        let servers = lock(&self.servers);
+        let mut reports: Vec<_> = servers
+            .iter()
+            .filter(|(_, entry)| entry.is_announced(now))
+            .map(|(server, entry)| LimitReport {
+                server: *server,
+                limit: entry.limit,
+                age_ms: now.since(entry.heard).as_millis() as u32,
+                level_milli: (entry.level(now) * 1_000.0) as u32,
+            })
+            .collect();
+        reports.sort_by_key(|report| std::cmp::Reverse(report.level_milli));
+        reports.truncate(MAX_REPORTS_PER_DIGEST);
+        reports
+    }
+
+    /// Returns the servers that may get no request at present, each with the time until it may.
+    ///
+    /// `others` are the reports of the other routers, each with the time since it was received.
+    pub fn waits<'a>(
+        &self,
+        others: impl IntoIterator<Item = (&'a LimitReport, Duration)>,
+        now: Instant,
+    ) -> BTreeMap<ServerKey, Duration> {
+        let servers = lock(&self.servers);
+        let limited = |entry: &Entry| Some((entry.limit?, entry.level(now)));
+        let mut levels: BTreeMap<_, _> = servers
+            .iter()
+            .filter_map(|(server, entry)| Some((*server, limited(entry)?)))
+            .collect();
+        for (report, age) in others {
+            if let Some((limit, level)) = levels.get_mut(&report.server) {
+                *level += decayed(f64::from(report.level_milli) / 1_000.0, age, *limit);
+            }
+        }
+        let waits = levels
+            .into_iter()
+            .map(|(server, (limit, level))| (server, limit.wait(level)));
+        waits.filter(|(_, wait)| !wait.is_zero()).collect()
+    }
+
+    /// Returns whether no server is known to name a limit.
+    pub fn is_empty(&self) -> bool {
+        lock(&self.servers).is_empty()
+    }
+}
+
+impl Entry {
+    fn new(heard: Instant) -> Self {
+        Entry {
+            limit: None,
+            heard,
+            heard_here: None,
+            level: 0.0,
+            level_at: heard,
+        }
+    }
+
+    /// Takes what a response told at `heard` into account, unless a later one is known.
+    fn update(&mut self, limit: Option<RateLimit>, heard: Instant) -> bool {
+        let is_reordered =
+            limit.is_none() && self.limit.is_some() && heard < self.heard + REORDER_TIME;
+        if heard < self.heard || is_reordered {
+            return false;
+        }
+        (self.limit, self.heard) = (limit, heard);
+        true
+    }
+
+    fn level(&self, now: Instant) -> f64 {
+        let limit = self.limit.unwrap_or(RateLimit {
+            per_1000_s: u32::MAX,
+        });
+        decayed(self.level, now.since(self.level_at), limit)
+    }
+
+    fn is_announced(&self, now: Instant) -> bool {
+        let heard_here = self.heard_here;
+        self.limit.is_some() && self.level(now) >= MIN_ANNOUNCED_LEVEL
+            || heard_here.is_some_and(|at| now.since(at) < ANNOUNCE_TIME)
+    }
+}
+
+/// Returns a level after it has decayed for `age`.
+fn decayed(level: f64, age: Duration, limit: RateLimit) -> f64 {
+    level * (-age.as_secs_f64() / limit.decay_s()).exp()
 }
--- a/src/forward/attempts.rs
+++ b/src/forward/attempts.rs
@@ -403,8 +403,16 @@
     }
 
     fn no_server_error<W: Wire>(&self, cx: &Forwarder<W>, attempts: &Attempts) -> Error {
-        let message = "no server of the pool can take the request";
-        let err = cx.retry_later_error(Category::Unavailable, message, RETRY_AFTER_MEAN);
+        let err = match cx.shortest_limit_wait(&self.state.pool, cx.clock.now()) {
+            Some(wait) => {
+                let message = "the servers of the pool have reached the limits that they named";
+                cx.retry_later_error(Category::Overloaded, message, wait.max(RETRY_AFTER_MEAN))
+            }
+            None => {
+                let message = "no server of the pool can take the request";
+                cx.retry_later_error(Category::Unavailable, message, RETRY_AFTER_MEAN)
+            }
+        };
         err.with_verdict_at_least(attempts.verdict)
     }
 
--- a/src/forward/exchange.rs
+++ b/src/forward/exchange.rs
@@ -54,6 +54,8 @@
         params: &ForwardParams<'_>,
     ) -> std::result::Result<Exchange, AttemptFailure> {
         let in_flight = self.in_flight.begin(server.key());
+        self.server_limits
+            .record_sent(server.key(), self.clock.now());
         let mut req = Request::new(Full::new(template.body.clone()));
         *req.method_mut() = template.method.clone();
         *req.uri_mut() = template.uri.clone();
--- a/src/forward/state.rs
+++ b/src/forward/state.rs
@@ -169,7 +169,10 @@
         crate::admission::retry_delay(mean, &mut *lock(&self.rng))
     }
 
-    /// Chooses a server of `pool` that is not among `tried`.
+    /// Chooses a server of `pool` that is not among `tried` and has not reached its limit.
+    ///
+    /// While servers have reached their limits, the others take what these turn away as long as
+    /// they have free slots.
     pub(super) fn choose(
         &self,
         pool: &PoolName,
@@ -186,8 +189,11 @@
         let candidate = |server: &&Arc<Server>| (server.key(), load(server.key()));
         let loads_by_server: BTreeMap<ServerKey, u32> = servers.iter().map(candidate).collect();
         let pending = self.prefills.pending_tokens(now);
+        let at_limit = self.limit_waits(now);
+        let is_limiting = servers.iter().any(|s| at_limit.contains_key(&s.key()));
         let mut candidates: Vec<_> = servers
-            .iter()
+            .into_iter()
+            .filter(|server| !at_limit.contains_key(&server.key()))
             .map(|server| Candidate {
                 server,
                 load: loads_by_server[&server.key()],
@@ -213,7 +219,30 @@
                 placement::pick_by_two_choices(&candidates, to_index(first), to_index(second))
             }
         };
-        index.map(|index| servers[index].clone())
+        let chosen = candidates[index?].server.key();
+        let server = pool_servers.iter().find(|s| s.key() == chosen)?;
+        let is_full = loads_by_server[&chosen] >= server.slots;
+        (!is_limiting || !is_full).then(|| server.clone())
+    }
+
+    /// Returns the servers that have reached the limits that they named, each with the time until
+    /// it may get a request.
+    fn limit_waits(&self, now: Instant) -> BTreeMap<ServerKey, Duration> {
+        if self.server_limits.is_empty() {
+            return BTreeMap::new();
+        }
+        self.presence
+            .with_limit_reports(now, |reports| self.server_limits.waits(reports, now))
+    }
+
+    /// Returns the time until a server of `pool` may get a request that has reached its limit, or
+    /// `None` if there is none.
+    pub(super) fn shortest_limit_wait(&self, pool: &PoolName, now: Instant) -> Option<Duration> {
+        let waits = self.limit_waits(now);
+        let pool_servers = self.feed.catalog.pool(pool);
+        let in_pool = pool_servers.iter().filter(|server| !server.leaving);
+        let at_limit = in_pool.filter_map(|server| waits.get(&server.key()).copied());
+        at_limit.min()
     }
 
     /// Records that the connection to a server broke while the server ran a request.
--- a/src/presence/digest.rs
+++ b/src/presence/digest.rs
@@ -5,7 +5,7 @@
 use serde::{Deserialize, Serialize};
 
 use crate::{
-    admission::{Crash, PartUpdates},
+    admission::{Crash, LimitReport, PartUpdates},
     catalog::ServerKey,
     placement::{PrefillUpdate, SessionPlacement},
     DomainName, Incarnation, RouterName,
@@ -69,6 +69,8 @@
     pub crashes: Vec<Crash>,
     /// Prompt parts that crash servers, and those that do not.
     pub part_updates: PartUpdates,
+    /// Limits that servers have named, and how far the sender has used them.
+    pub server_limits: Vec<LimitReport>,
     /// Servers that have stopped sending within a stream of the sender.
     pub stalled_servers: Vec<ServerKey>,
     /// Peer addresses of some other routers from which the sender receives digests.
--- a/src/presence/state.rs
+++ b/src/presence/state.rs
@@ -8,7 +8,7 @@
 };
 
 use super::{Digest, RouterPhase};
-use crate::{catalog::ServerKey, sync::lock, Instant, RouterName};
+use crate::{admission::LimitReport, catalog::ServerKey, sync::lock, Instant, RouterName};
 
 /// Time between two digests.
 ///
@@ -203,6 +203,25 @@
         sum
     }
 
+    /// Calls `f` with what the other live routers report of limited servers, each report with the
+    /// time since it was received.
+    pub fn with_limit_reports<T>(
+        &self,
+        now: Instant,
+        f: impl FnOnce(&mut dyn Iterator<Item = (&LimitReport, Duration)>) -> T,
+    ) -> T {
+        let inner = self.lock();
+        let live = inner.peers.values().filter(|p| p.is_live(now));
+        let mut reports = live.flat_map(|p| {
+            let age = now.since(p.last_received);
+            p.digest
+                .server_limits
+                .iter()
+                .map(move |report| (report, age))
+        });
+        f(&mut reports)
+    }
+
     /// Returns the peer addresses of the other live routers that accept callers.
     ///
     /// The order differs from router to router, so that routers that start spread over the others.
--- a/tests/admission/main.rs
+++ b/tests/admission/main.rs
@@ -8,5 +8,6 @@
 mod poison_parts_model;
 mod pool_queue;
 mod possible_crash;
+mod server_limits;
 mod shared_retries;
 mod storm;
--- a/tests/feed/main.rs
+++ b/tests/feed/main.rs
@@ -36,6 +36,7 @@
             loads: Vec::new(),
             placements: Vec::new(),
             prefills: Vec::new(),
+            server_limits: Vec::new(),
             part_updates: Default::default(),
             stalled_servers: Vec::new(),
             crashes: Vec::new(),
