Let no other answer end or enter a stream that is resumed

A stream that had begun broke off, and the next server answered 204, or 200 with an error for a body.

Cause: any answer with a status of success counted as the rest of the stream, and any text up to an empty line as its next event. Besides, events that came in one read with a malformed one were lost, and the stream went on behind them.

Change: the rest of a stream has the status of its begin; in a stream of numbered events one without a number is a failure, comments excepted; events before a failure are passed on first.

--- a/src/forward/stream.rs
+++ b/src/forward/stream.rs
@@ -7,7 +7,7 @@
 
 use bytes::{Bytes, BytesMut};
 use futures_util::stream;
-use http::{HeaderMap, Response};
+use http::{HeaderMap, Response, StatusCode};
 use http_body::Frame;
 use http_body_util::{BodyExt, StreamBody};
 
@@ -61,8 +61,10 @@
         req,
         exchange: Some(exchange),
         events: EventReader::new(),
+        failure: None,
         boundary: EventBoundary::default(),
         attempts,
+        status,
         resumable,
         started: false,
     };
@@ -84,6 +86,8 @@
     exchange: Option<Exchange>,
     /// Splits the response into events, if the stream can be resumed.
     events: EventReader,
+    /// Failure found behind events that the caller has to get first.
+    failure: Option<Error>,
     /// Where the response stands between events, if it cannot be resumed.
     boundary: EventBoundary,
     /// Number of the last event that was forwarded to the caller.
@@ -93,6 +97,8 @@
     /// Whether the current server has sent part of the body of its response.
     has_data: bool,
     attempts: Attempts,
+    /// Status of the response that the caller gets.
+    status: StatusCode,
     resumable: bool,
     /// Whether any data was forwarded to the caller.
     started: bool,
@@ -110,6 +116,7 @@
     async fn next(&mut self) -> Option<Result<Bytes>> {
         loop {
             let read = match &mut self.exchange {
+                Some(_) if self.failure.is_some() => StreamRead::Broken(self.failure.take()?),
                 Some(_) => self.read().await,
                 None => return None,
             };
@@ -243,21 +250,48 @@
     }
 
     /// Takes the complete events that the caller does not have yet.
+    ///
+    /// A failure behind such events is kept for the next call of [`next`](Self::next).
     fn take_new_events(&mut self) -> Result<Bytes> {
         let mut events = BytesMut::new();
+        loop {
+            match self.next_new_event() {
+                Ok(Some(event)) => events.extend_from_slice(&event),
+                Ok(None) => return Ok(events.freeze()),
+                Err(err) if events.is_empty() => return Err(err),
+                Err(err) => {
+                    self.failure = Some(err);
+                    return Ok(events.freeze());
+                }
+            }
+        }
+    }
+
+    /// Takes the next complete event that the caller does not have yet.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`Category::Backend`] for an event that is too large, and for one without a number
+    /// in a stream of numbered events.
+    fn next_new_event(&mut self) -> Result<Option<Bytes>> {
         loop {
             let event = self.events.next_event();
             let event = event
                 .map_err(|_| Error::may_have_run(Category::Backend, "an event is too large"))?;
             let Some(event) = event else {
-                return Ok(events.freeze());
+                return Ok(None);
             };
             let number = event.id.as_deref().and_then(|id| id.parse::<u64>().ok());
+            let is_comment = event.raw.starts_with(b":");
+            if number.is_none() && self.last_event.is_some() && !is_comment {
+                let message = "an event has no number";
+                return Err(Error::may_have_run(Category::Backend, message));
+            }
             if number.is_some() && number <= self.last_event {
                 continue;
             }
             self.last_event = number.or(self.last_event);
-            events.extend_from_slice(&event.raw);
+            return Ok(Some(event.raw));
         }
     }
 
@@ -324,7 +358,7 @@
                 .fetch_response_head(&cx, &server, &mut self.attempts, self.last_event)
                 .await;
             match exchange {
-                Ok(exchange) if exchange.ensure_ran().is_ok() && exchange.status.is_success() => {
+                Ok(exchange) if exchange.ensure_ran().is_ok() && exchange.status == self.status => {
                     self.attempts.sent_count += 1;
                     self.last_received = cx.clock.now();
                     self.has_data = false;
