Take a refusal that names no attempt for that of an earlier request

A server wrote an earlier refusal once more on a kept connection, without the id of its request, before it answered the next one. The caller of the next one was told 503, not run, although it ran (REFUSED); with a second server in the pool it would have run twice (TWICE). With the id the refusal was told apart before, too.

Cause: a refusal without an id was taken for that of the request in flight. Change: on a connection that has carried another request such a response may belong to that one, so the request may have run. Evidence: the test failed before (503 for a request that reached the server, now 502).

A head that breaks off was no answer before either; a test now says so.

--- a/src/forward/exchange.rs
+++ b/src/forward/exchange.rs
@@ -62,9 +62,13 @@
         *req.headers_mut() = self.wire.request_headers(&template.headers, params);
         let (connection, response) = self.send(req, server).await?;
         let (parts, body) = response.into_parts();
-        let head =
+        let mut head =
             self.wire
                 .parse_response_head(parts.status, &parts.headers, template.attempt.as_ref());
+        // On a connection with an earlier request it may be the refusal of that one.
+        if connection.is_reused() && !head.names_attempt && template.attempt.is_some() {
+            head.outcome = RunOutcome::AttemptMismatch;
+        }
         self.record_response(server, &head, parts.status);
         Ok(Exchange {
             server: server.clone(),
--- a/src/forward/wire.rs
+++ b/src/forward/wire.rs
@@ -58,6 +58,8 @@
 pub struct ResponseHead {
     /// Outcome of the request.
     pub outcome: RunOutcome,
+    /// Whether the response names the attempt that it belongs to.
+    pub names_attempt: bool,
     /// Time for which the server keeps the connection open without a request, if announced.
     pub keep_alive: Option<Duration>,
     /// Limit on the requests that the server takes from all routers together, if it names one.
