Name the crash that a router has seen, and attribute it in one place

A tuple became a struct, a Display type a function that describes parts, and the check that also renews a quarantine says so in its name. No change of behaviour.

--- a/src/admission/mod.rs
+++ b/src/admission/mod.rs
@@ -40,4 +40,4 @@
     slot_demand::{SlotDemand, SlotDemandGuard},
     state::{Admission, Class, Permit, MAX_TEAMS},
 };
-pub(crate) use self::{poison_parts::PartList, quarantine::quarantined_error};
+pub(crate) use self::{poison_parts::describe_parts, quarantine::quarantined_error};
--- a/src/admission/poison_parts.rs
+++ b/src/admission/poison_parts.rs
@@ -16,7 +16,6 @@
 
 use std::{
     collections::{BTreeMap, BTreeSet, VecDeque},
-    fmt::{self, Display, Formatter},
     sync::Mutex,
     time::Duration,
 };
@@ -117,17 +116,10 @@
     }
 }
 
-/// A list of prompt parts as log lines show it.
-pub(crate) struct PartList<'a>(pub(crate) &'a [PartKey]);
-
-impl Display for PartList<'_> {
-    fn fmt(&self, f: &mut Formatter<'_>) -> fmt::Result {
-        for (index, part) in self.0.iter().enumerate() {
-            let separator = if index == 0 { "" } else { "," };
-            write!(f, "{separator}{:x}", part.id)?;
-        }
-        Ok(())
-    }
+/// Returns a list of prompt parts as log lines show it.
+pub(crate) fn describe_parts<'a>(parts: impl IntoIterator<Item = &'a PartKey>) -> String {
+    let ids = parts.into_iter().map(|part| format!("{:x}", part.id));
+    ids.collect::<Vec<_>>().join(",")
 }
 
 /// A crash of a server and the shared parts of a request to which it had sent no data.
@@ -175,8 +167,8 @@
     quarantine: Vec<Quarantined>,
     /// Times at which parts proved sound at this router.
     sound: BTreeMap<PartKey, Instant>,
-    /// Servers that seem to have crashed lately, with their pool, in order of time.
-    crashed: Vec<(ServerKey, u32, Instant)>,
+    /// Crashes lately that no quarantine explains, in order of time.
+    unexplained: Vec<SeenCrash>,
     /// Servers that only seemed to have crashed, and when this was known.
     survivors: BTreeMap<ServerKey, Instant>,
     pending_crashes: Pending<PartCrash>,
@@ -186,6 +178,15 @@
     next_quarantined: usize,
 }
 
+/// A server that seems to have crashed.
+#[derive(Debug, Clone, Copy)]
+struct SeenCrash {
+    server: ServerKey,
+    /// Pool of the requests, as in [`PartKey`].
+    pool: u32,
+    at: Instant,
+}
+
 /// A part that is accused, or was until it proved sound.
 #[derive(Debug, Clone, Default)]
 struct Suspect {
@@ -298,10 +299,10 @@
     /// Records that a server sent data, which it does not do after a crash.
     pub fn record_alive(&self, server: ServerKey, now: Instant) {
         let mut inner = lock(&self.inner);
-        let mut crashed = inner.crashed.iter().rev();
-        let crash = crashed.find(|(crashed, _, _)| *crashed == server);
-        let survived = crash.is_some_and(|(_, _, at)| {
-            let age = now.since(*at);
+        let mut crashes = inner.unexplained.iter().rev();
+        let crash = crashes.find(|crash| crash.server == server);
+        let survived = crash.is_some_and(|crash| {
+            let age = now.since(crash.at);
             (MIN_SURVIVAL..MAX_SURVIVAL).contains(&age)
         });
         if survived {
@@ -369,28 +370,30 @@
         let Some(pool) = crash.parts.first().map(|part| part.pool) else {
             return;
         };
-        if self.survivors.contains_key(&crash.server) || self.explains(crash, now) {
+        if self.survivors.contains_key(&crash.server) || self.attribute(crash, now) {
             return;
         }
-        if self
-            .crashed
-            .iter()
-            .all(|(server, _, _)| *server != crash.server)
-        {
-            self.crashed.push((crash.server, pool, now));
+        let server = crash.server;
+        if self.unexplained.iter().all(|known| known.server != server) {
+            self.unexplained.push(SeenCrash {
+                server,
+                pool,
+                at: now,
+            });
         }
         for part in &crash.parts {
             if self.suspects.len() >= MAX_SUSPECTS && !self.suspects.contains_key(part) {
                 self.forget_oldest_suspect();
             }
             let suspect = self.suspects.entry(*part).or_default();
-            suspect.accuse(crash.server, now);
+            suspect.accuse(server, now);
         }
         self.quarantine_accused(crash, now);
     }
 
-    /// Returns whether quarantined parts explain a crash; their servers accuse no other part.
-    fn explains(&mut self, crash: &PartCrash, now: Instant) -> bool {
+    /// Attributes a crash to quarantined parts if they explain it, and renews a quarantine that has
+    /// ended; returns whether they do.
+    fn attribute(&mut self, crash: &PartCrash, now: Instant) -> bool {
         let mut quarantine = self.quarantine.iter_mut();
         if let Some(cause) = quarantine.find(|q| q.covers(&crash.parts)) {
             if !cause.is_in_force(now) {
@@ -398,8 +401,8 @@
                 cause.until = now + cause.length;
             }
             cause.servers.insert(crash.server);
-            self.crashed
-                .retain(|(server, _, _)| *server != crash.server);
+            self.unexplained
+                .retain(|known| known.server != crash.server);
             self.suspects.retain(|_, s| s.forget(crash.server));
             return true;
         }
@@ -431,11 +434,11 @@
         let servers: BTreeSet<_> = accused.flat_map(Suspect::servers).collect();
         log::warn!(
             "prompt parts quarantined parts={} servers={} source=crashes",
-            PartList(&parts.iter().copied().collect::<Vec<_>>()),
+            describe_parts(&parts),
             servers.len()
         );
-        self.crashed
-            .retain(|(server, _, _)| !servers.contains(server));
+        self.unexplained
+            .retain(|known| !servers.contains(&known.server));
         self.suspects.retain(|part, suspect| {
             !parts.contains(part) && servers.iter().all(|server| suspect.forget(*server))
         });
@@ -466,11 +469,13 @@
         };
         let mut counted = suspect.counted();
         let since = counted.next().map_or_else(Instant::default, |a| a.at);
-        let in_pool = self
-            .crashed
+        let in_pool = |crash: &&SeenCrash| crash.pool == part.pool && crash.at >= since;
+        let times = self
+            .unexplained
             .iter()
-            .filter(|(_, pool, at)| *pool == part.pool && *at >= since);
-        2 * crashes >= count_spaced(in_pool.map(|(_, _, at)| *at))
+            .filter(in_pool)
+            .map(|crash| crash.at);
+        2 * crashes >= count_spaced(times)
     }
 
     /// Adopts a quarantine of another router, except for parts that have proved sound here since
@@ -480,15 +485,8 @@
         let remaining = Duration::from_millis(update.remaining_ms.into()).min(length);
         let age = length - remaining;
         let proved_sound = |part: &PartKey| self.sound.get(part).is_some_and(|at| *at + age > now);
-        let (sound, parts): (Vec<PartKey>, BTreeSet<_>) = (
-            update.parts.iter().copied().filter(proved_sound).collect(),
-            update
-                .parts
-                .iter()
-                .copied()
-                .filter(|part| !proved_sound(part))
-                .collect(),
-        );
+        let (sound, parts): (BTreeSet<PartKey>, BTreeSet<_>) =
+            update.parts.iter().partition(|part| proved_sound(part));
         for part in sound {
             self.pending_sound.push(part);
         }
@@ -504,7 +502,7 @@
         }
         log::warn!(
             "prompt parts quarantined parts={} source=router",
-            PartList(&parts.iter().copied().collect::<Vec<_>>())
+            describe_parts(&parts)
         );
         self.insert_quarantined(Quarantined {
             parts,
@@ -539,7 +537,7 @@
     /// Withdraws the accusations that rest on the crash of a server that did not crash.
     fn acquit_of(&mut self, server: ServerKey, now: Instant) {
         self.survivors.insert(server, now);
-        self.crashed.retain(|(crashed, _, _)| *crashed != server);
+        self.unexplained.retain(|known| known.server != server);
         self.suspects.retain(|_, suspect| suspect.forget(server));
     }
 
@@ -565,8 +563,8 @@
 
     fn expire(&mut self, now: Instant) {
         self.survivors.retain(|_, at| now.since(*at) < SURVIVOR_TTL);
-        self.crashed
-            .retain(|(_, _, at)| now.since(*at) < SUSPICION_TTL);
+        self.unexplained
+            .retain(|crash| now.since(crash.at) < SUSPICION_TTL);
         self.suspects
             .retain(|_, suspect| now.since(suspect.last_crash()) < SUSPICION_TTL);
         self.quarantine
--- a/src/forward/state.rs
+++ b/src/forward/state.rs
@@ -17,7 +17,7 @@
     PoisonRequests, ProxyRequest, Routed, Wire,
 };
 use crate::{
-    admission::{PartList, PoisonParts, RetryAllowance, ServerLimits, SharedRetries},
+    admission::{describe_parts, PoisonParts, RetryAllowance, ServerLimits, SharedRetries},
     catalog::{Server, ServerKey},
     feed::Feed,
     inspect::ForwardMetrics,
@@ -261,7 +261,7 @@
             req.id(),
             server.name,
             fingerprint.0,
-            PartList(&req.state.shared_parts)
+            describe_parts(&req.state.shared_parts)
         );
         // A poison request crashes its server before any data; it did not cause this crash.
         if has_data {
