Announce crashes of requests and of prompt parts through one queue

The queue that repeats updates in several digests stood in two places. No change of behaviour, but that a crash announced anew is sent once more.

--- a/src/admission/poison_parts.rs
+++ b/src/admission/poison_parts.rs
@@ -15,7 +15,7 @@
 //! - A quarantined part explains the crashes of its servers, which then accuse no other part.
 
 use std::{
-    collections::{BTreeMap, BTreeSet, VecDeque},
+    collections::{BTreeMap, BTreeSet},
     sync::Mutex,
     time::Duration,
 };
@@ -23,6 +23,7 @@
 use serde::{Deserialize, Serialize};
 use xxhash_rust::xxh3::xxh3_64;
 
+use super::PendingUpdates;
 use crate::{
     catalog::ServerKey, placement::PromptPart, sync::lock, Category, Error, Instant, PoolName,
     Result,
@@ -74,17 +75,11 @@
 /// repeatedly.
 const SURVIVOR_TTL: Duration = Duration::from_secs(1);
 
-/// Number of digests that carry each update, as datagrams may be lost.
-const ANNOUNCE_REPEATS: u8 = 2;
-
 /// Maximum numbers of updates of each kind in one digest.
 const MAX_CRASHES_PER_DIGEST: usize = 6;
 const MAX_KEYS_PER_DIGEST: usize = 16;
 const MAX_QUARANTINED_PER_DIGEST: usize = 8;
 
-/// Maximum number of updates of each kind that wait for a digest.
-const MAX_PENDING: usize = 64;
-
 /// Maximum number of parts of one prompt that are considered, from its start.
 const MAX_PARTS: usize = 8;
 
@@ -171,9 +166,9 @@
     unexplained: Vec<SeenCrash>,
     /// Servers that only seemed to have crashed, and when this was known.
     survivors: BTreeMap<ServerKey, Instant>,
-    pending_crashes: Pending<PartCrash>,
-    pending_sound: Pending<PartKey>,
-    pending_survivors: Pending<ServerKey>,
+    pending_crashes: PendingUpdates<PartCrash>,
+    pending_sound: PendingUpdates<PartKey>,
+    pending_survivors: PendingUpdates<ServerKey>,
     /// Offset of the next quarantined parts to include in a digest.
     next_quarantined: usize,
 }
@@ -214,33 +209,6 @@
     length: Duration,
 }
 
-/// Updates to announce, the latest first, each with the number of digests that still carry it.
-#[derive(Debug)]
-struct Pending<T>(VecDeque<(T, u8)>);
-
-impl<T> Default for Pending<T> {
-    fn default() -> Self {
-        Pending(VecDeque::new())
-    }
-}
-
-impl<T: Clone + PartialEq> Pending<T> {
-    fn push(&mut self, update: T) {
-        self.0.retain(|(known, _)| *known != update);
-        self.0.push_front((update, ANNOUNCE_REPEATS));
-        self.0.truncate(MAX_PENDING);
-    }
-
-    fn take(&mut self, limit: usize) -> Vec<T> {
-        let count = self.0.len().min(limit);
-        let taken: Vec<_> = self.0.drain(..count).collect();
-        let repeated = taken.iter().filter(|(_, repeats_left)| *repeats_left > 1);
-        self.0
-            .extend(repeated.map(|(update, repeats_left)| (update.clone(), repeats_left - 1)));
-        taken.into_iter().map(|(update, _)| update).collect()
-    }
-}
-
 impl PoisonParts {
     /// Checks that a request with these parts may run.
     ///
--- a/src/forward/poison.rs
+++ b/src/forward/poison.rs
@@ -6,13 +6,13 @@
 //! complete response is never quarantined: it only ran on a server that another request
 //! crashed.
 
-use std::{collections::VecDeque, sync::Mutex};
+use std::sync::Mutex;
 
 use xxhash_rust::xxh3::Xxh3Default;
 
 use super::{exchange::RequestTemplate, RequestHead};
 use crate::{
-    admission::{Crash, Fingerprint, Quarantine},
+    admission::{Crash, Fingerprint, PendingUpdates, Quarantine},
     catalog::Server,
     sync::lock,
     Instant, Result,
@@ -24,21 +24,15 @@
 /// a row is no coincidence.
 const QUARANTINE_CRASHES: usize = 3;
 
-/// Number of digests that announce a crash, as datagrams may be lost.
-const ANNOUNCE_REPEATS: u8 = 2;
-
 /// Maximum number of crashes that one digest announces.
 const MAX_CRASHES_PER_DIGEST: usize = 6;
 
-/// Maximum number of crashes that wait for a digest; the latest are sent first.
-const MAX_PENDING_CRASHES: usize = 64;
-
 /// Requests that are known to crash servers, and the crashes still to be announced.
 #[derive(Debug)]
 pub struct PoisonRequests {
     quarantine: Quarantine,
-    /// Crashes to announce, each with the number of digests that still have to carry it.
-    pending: Mutex<VecDeque<(Crash, u8)>>,
+    /// Crashes to announce.
+    pending: Mutex<PendingUpdates<Crash>>,
 }
 
 impl Default for PoisonRequests {
@@ -77,9 +71,7 @@
         };
         let is_new = self.record_unless_known_good(&crash, now);
         if is_new {
-            let mut pending = lock(&self.pending);
-            pending.push_front((crash, ANNOUNCE_REPEATS));
-            pending.truncate(MAX_PENDING_CRASHES);
+            lock(&self.pending).push(crash);
         }
         is_new
     }
@@ -93,16 +85,7 @@
 
     /// Returns the crashes to announce in the next digest.
     pub fn next_updates(&self) -> Vec<Crash> {
-        let mut pending = lock(&self.pending);
-        let count = pending.len().min(MAX_CRASHES_PER_DIGEST);
-        let mut updates = Vec::with_capacity(count);
-        for (crash, repeats_left) in pending.drain(..count).collect::<Vec<_>>() {
-            updates.push(crash.clone());
-            if repeats_left > 1 {
-                pending.push_back((crash, repeats_left - 1));
-            }
-        }
-        updates
+        lock(&self.pending).take(MAX_CRASHES_PER_DIGEST)
     }
 
     fn record_unless_known_good(&self, crash: &Crash, now: Instant) -> bool {
