Repeat the updates of all digests through one queue

Prefills and placements had queues of their own that repeat each update in two digests, beside the one that the quarantine of prompt parts brought. One queue in presence, which owns the digest, serves all four. Its users keep their order (placements the earliest first, the others the latest first) and their capacity. No change of behaviour.

--- a/src/admission/mod.rs
+++ b/src/admission/mod.rs
@@ -10,7 +10,6 @@
 mod canary;
 mod fair_queue;
 mod message;
-mod pending_updates;
 mod poison_parts;
 mod pool_queue;
 mod possible_crash;
@@ -41,6 +40,4 @@
     slot_demand::{SlotDemand, SlotDemandGuard},
     state::{Admission, Class, Permit, MAX_TEAMS},
 };
-pub(crate) use self::{
-    pending_updates::PendingUpdates, poison_parts::describe_parts, quarantine::quarantined_error,
-};
+pub(crate) use self::{poison_parts::describe_parts, quarantine::quarantined_error};
--- a/src/admission/poison_parts.rs
+++ b/src/admission/poison_parts.rs
@@ -23,10 +23,9 @@
 use serde::{Deserialize, Serialize};
 use xxhash_rust::xxh3::xxh3_64;
 
-use super::PendingUpdates;
 use crate::{
-    catalog::ServerKey, placement::PromptPart, sync::lock, Category, Error, Instant, PoolName,
-    Result,
+    catalog::ServerKey, placement::PromptPart, presence::PendingUpdates, sync::lock, Category,
+    Error, Instant, PoolName, Result,
 };
 
 /// Number of crashes after which parts are quarantined.
@@ -80,6 +79,9 @@
 const MAX_KEYS_PER_DIGEST: usize = 16;
 const MAX_QUARANTINED_PER_DIGEST: usize = 8;
 
+/// Maximum number of updates of each kind that wait for a digest; the latest are sent first.
+const MAX_PENDING: usize = 64;
+
 /// Maximum number of parts of one prompt that are considered, from its start.
 const MAX_PARTS: usize = 8;
 
@@ -166,9 +168,9 @@
     unexplained: Vec<SeenCrash>,
     /// Servers that only seemed to have crashed, and when this was known.
     survivors: BTreeMap<ServerKey, Instant>,
-    pending_crashes: PendingUpdates<PartCrash>,
-    pending_sound: PendingUpdates<PartKey>,
-    pending_survivors: PendingUpdates<ServerKey>,
+    pending_crashes: PendingUpdates<PartCrash, MAX_PENDING>,
+    pending_sound: PendingUpdates<PartKey, MAX_PENDING>,
+    pending_survivors: PendingUpdates<ServerKey, MAX_PENDING>,
     /// Offset of the next quarantined parts to include in a digest.
     next_quarantined: usize,
 }
@@ -240,7 +242,9 @@
         };
         let mut inner = lock(&self.inner);
         inner.accuse(&crash, now);
-        inner.pending_crashes.push(crash);
+        inner
+            .pending_crashes
+            .replace(crash.clone(), |known| *known == crash);
         true
     }
 
@@ -256,7 +260,7 @@
             let crashes = inner.suspects.get(part).map_or(0, Suspect::counted_crashes);
             let is_quarantined = inner.quarantine.iter().any(|q| q.parts.contains(part));
             if crashes > 0 || is_quarantined {
-                inner.pending_sound.push(*part);
+                inner.pending_sound.replace(*part, |known| known == part);
                 inner.clear(*part);
                 is_urgent |= is_quarantined || crashes + 2 >= QUARANTINE_CRASHES;
             }
@@ -274,7 +278,9 @@
             (MIN_SURVIVAL..MAX_SURVIVAL).contains(&age)
         });
         if survived {
-            inner.pending_survivors.push(server);
+            inner
+                .pending_survivors
+                .replace(server, |known| *known == server);
             inner.acquit_of(server, now);
         }
     }
@@ -456,7 +462,7 @@
         let (sound, parts): (BTreeSet<PartKey>, BTreeSet<_>) =
             update.parts.iter().partition(|part| proved_sound(part));
         for part in sound {
-            self.pending_sound.push(part);
+            self.pending_sound.replace(part, |known| *known == part);
         }
         let mut known = self.quarantine.iter_mut();
         if let Some(known) = known.find(|q| q.parts.is_subset(&parts)) {
--- a/src/forward/poison.rs
+++ b/src/forward/poison.rs
@@ -12,8 +12,9 @@
 
 use super::{exchange::RequestTemplate, RequestHead};
 use crate::{
-    admission::{Crash, Fingerprint, PendingUpdates, Quarantine},
+    admission::{Crash, Fingerprint, Quarantine},
     catalog::Server,
+    presence::PendingUpdates,
     sync::lock,
     Instant, Result,
 };
@@ -27,12 +28,15 @@
 /// Maximum number of crashes that one digest announces.
 const MAX_CRASHES_PER_DIGEST: usize = 6;
 
+/// Maximum number of crashes that wait for a digest; the latest are sent first.
+const MAX_PENDING_CRASHES: usize = 64;
+
 /// Requests that are known to crash servers, and the crashes still to be announced.
 #[derive(Debug)]
 pub struct PoisonRequests {
     quarantine: Quarantine,
     /// Crashes to announce.
-    pending: Mutex<PendingUpdates<Crash>>,
+    pending: Mutex<PendingUpdates<Crash, MAX_PENDING_CRASHES>>,
 }
 
 impl Default for PoisonRequests {
@@ -71,7 +75,7 @@
         };
         let is_new = self.record_unless_known_good(&crash, now);
         if is_new {
-            lock(&self.pending).push(crash);
+            lock(&self.pending).push_front(crash);
         }
         is_new
     }
--- a/src/placement/affinity.rs
+++ b/src/placement/affinity.rs
@@ -5,7 +5,7 @@
 //! session moves only when its engines leave or exceed the load bound.
 
 use std::{
-    collections::{BTreeMap, BTreeSet, VecDeque},
+    collections::{BTreeMap, BTreeSet},
     sync::Mutex,
     time::Duration,
 };
@@ -13,7 +13,7 @@
 use serde::{Deserialize, Serialize};
 use xxhash_rust::xxh3::xxh3_64;
 
-use crate::{catalog::ServerKey, sync::lock, Instant};
+use crate::{catalog::ServerKey, presence::PendingUpdates, sync::lock, Instant};
 
 /// Time after the last request of a session during which its engine is assumed to hold its prompt.
 ///
@@ -26,12 +26,12 @@
 /// Maximum number of engines remembered for one session: two that share it and one that it left.
 const MAX_ENGINES_PER_SESSION: usize = 3;
 
-/// Number of digests that carry each placement, as datagrams may be lost.
-const ANNOUNCE_REPEATS: u8 = 2;
-
 /// Maximum number of placements in one digest.
 const MAX_PLACEMENTS_PER_DIGEST: usize = 64;
 
+/// Maximum number of placements that wait for a digest; the earliest are sent first.
+const MAX_PENDING_PLACEMENTS: usize = 4 * MAX_PLACEMENTS_PER_DIGEST;
+
 /// Maximum number of placements in a snapshot.
 const MAX_SNAPSHOT_PLACEMENTS: usize = 4_096;
 
@@ -62,8 +62,8 @@
 #[derive(Debug, Default)]
 struct Inner {
     sessions: BTreeMap<SessionKey, Vec<(ServerKey, Instant)>>,
-    /// Placements to announce, each with the number of digests that still have to carry it.
-    pending_updates: VecDeque<(SessionPlacement, u8)>,
+    /// Placements to announce.
+    pending_updates: PendingUpdates<SessionPlacement, MAX_PENDING_PLACEMENTS>,
     last_sweep: Instant,
 }
 
@@ -81,12 +81,7 @@
     pub fn record(&self, placement: SessionPlacement, now: Instant) {
         let mut inner = lock(&self.inner);
         inner.insert(placement, now);
-        inner
-            .pending_updates
-            .push_back((placement, ANNOUNCE_REPEATS));
-        if inner.pending_updates.len() > 4 * MAX_PLACEMENTS_PER_DIGEST {
-            inner.pending_updates.pop_front();
-        }
+        inner.pending_updates.push_back(placement);
     }
 
     /// Applies the placements that another router announced.
@@ -128,21 +123,9 @@
 
     /// Returns the placements to announce in the next digest.
     pub fn next_updates(&self) -> Vec<SessionPlacement> {
-        let mut inner = lock(&self.inner);
-        let count = inner.pending_updates.len().min(MAX_PLACEMENTS_PER_DIGEST);
-        let mut updates = Vec::with_capacity(count);
-        for _ in 0..count {
-            let Some((placement, repeats_left)) = inner.pending_updates.pop_front() else {
-                break;
-            };
-            updates.push(placement);
-            if repeats_left > 1 {
-                inner
-                    .pending_updates
-                    .push_back((placement, repeats_left - 1));
-            }
-        }
-        updates
+        lock(&self.inner)
+            .pending_updates
+            .take(MAX_PLACEMENTS_PER_DIGEST)
     }
 }
 
--- a/src/placement/prefill.rs
+++ b/src/placement/prefill.rs
@@ -9,7 +9,7 @@
 //! tokens to prefill.
 
 use std::{
-    collections::{BTreeMap, VecDeque},
+    collections::BTreeMap,
     sync::{Arc, Mutex},
     time::Duration,
 };
@@ -18,7 +18,7 @@
 use tokio::sync::{futures::Notified, Notify};
 
 use super::SessionPlacement;
-use crate::{catalog::ServerKey, sync::lock, Instant};
+use crate::{catalog::ServerKey, presence::PendingUpdates, sync::lock, Instant};
 
 /// Time after its start at which a prefill no longer counts as in progress, as the datagrams
 /// that announce its end may be lost.
@@ -31,12 +31,12 @@
 /// A prefill of this length takes about 5 ms, as long as its announcement takes to arrive.
 pub const MIN_ANNOUNCED_TOKENS: u32 = 400;
 
-/// Number of digests that carry each update, as datagrams may be lost.
-const ANNOUNCE_REPEATS: u8 = 2;
-
 /// Maximum number of updates in one digest.
 const MAX_UPDATES_PER_DIGEST: usize = 24;
 
+/// Maximum number of updates that wait for a digest; the latest are sent first.
+const MAX_PENDING_UPDATES: usize = 4 * MAX_UPDATES_PER_DIGEST;
+
 /// Maximum number of prefills remembered.
 const MAX_PREFILLS: usize = 2_048;
 
@@ -63,7 +63,7 @@
 struct Inner {
     in_progress: BTreeMap<SessionPlacement, PrefillInProgress>,
     /// Updates to announce, each with the number of digests that still have to carry it.
-    pending_updates: VecDeque<(PrefillUpdate, u8)>,
+    pending_updates: PendingUpdates<PrefillUpdate, MAX_PENDING_UPDATES>,
 }
 
 #[derive(Debug, Clone, Copy)]
@@ -172,16 +172,9 @@
 
     /// Returns the updates to announce in the next digest.
     pub fn next_updates(&self) -> Vec<PrefillUpdate> {
-        let mut inner = lock(&self.inner);
-        let count = inner.pending_updates.len().min(MAX_UPDATES_PER_DIGEST);
-        let mut updates = Vec::with_capacity(count);
-        for (update, repeats_left) in inner.pending_updates.drain(..count).collect::<Vec<_>>() {
-            updates.push(update);
-            if repeats_left > 1 {
-                inner.pending_updates.push_back((update, repeats_left - 1));
-            }
-        }
-        updates
+        lock(&self.inner)
+            .pending_updates
+            .take(MAX_UPDATES_PER_DIGEST)
     }
 }
 
@@ -206,10 +199,8 @@
 
     /// Queues `update` for announcement in place of earlier updates for the same prefill.
     fn queue_update(&mut self, update: PrefillUpdate) {
-        self.pending_updates
-            .retain(|(old, _)| old.placement != update.placement);
-        self.pending_updates.push_front((update, ANNOUNCE_REPEATS));
-        self.pending_updates.truncate(4 * MAX_UPDATES_PER_DIGEST);
+        let is_superseded = |old: &PrefillUpdate| old.placement == update.placement;
+        self.pending_updates.replace(update, is_superseded);
     }
 }
 
--- a/src/presence/mod.rs
+++ b/src/presence/mod.rs
@@ -6,9 +6,11 @@
 //! router sends in fleets of hundreds, at the cost of seconds.
 
 mod digest;
+mod pending_updates;
 mod state;
 mod task;
 
+pub(crate) use self::pending_updates::PendingUpdates;
 pub use self::{
     digest::{Digest, RouterPhase, StoreStatus, MAX_DIGEST_BYTES},
     state::{Peer, Presence, DIGEST_PERIOD, PEER_REMOVAL_TIMEOUT, PEER_TIMEOUT},
