Choose among the open servers once, and look at recent crashes only

The choice of a server hashed its key again to find it in the pool, for each request; the servers are now split once into those at their limit and the others, and the chosen one is taken by its index.

--- a/src/admission/poison_parts.rs
+++ b/src/admission/poison_parts.rs
@@ -271,13 +271,10 @@
     /// Records that a server sent data, which it does not do after a crash.
     pub fn record_alive(&self, server: ServerKey, now: Instant) {
         let mut inner = lock(&self.inner);
-        let mut crashes = inner.unexplained.iter().rev();
-        let crash = crashes.find(|crash| crash.server == server);
-        let survived = crash.is_some_and(|crash| {
-            let age = now.since(crash.at);
-            (MIN_SURVIVAL..MAX_SURVIVAL).contains(&age)
-        });
-        if survived {
+        let age = |crash: &SeenCrash| now.since(crash.at);
+        let latest = inner.unexplained.iter().rev();
+        let mut recent = latest.take_while(|crash| age(crash) < MAX_SURVIVAL);
+        if recent.any(|crash| crash.server == server && age(crash) >= MIN_SURVIVAL) {
             inner
                 .pending_survivors
                 .replace(server, |known| *known == server);
--- a/src/forward/state.rs
+++ b/src/forward/state.rs
@@ -190,10 +190,11 @@
         let loads_by_server: BTreeMap<ServerKey, u32> = servers.iter().map(candidate).collect();
         let pending = self.prefills.pending_tokens(now);
         let at_limit = self.limit_waits(now);
-        let is_limiting = servers.iter().any(|s| at_limit.contains_key(&s.key()));
-        let mut candidates: Vec<_> = servers
+        let (limited, open): (Vec<_>, Vec<_>) = servers
             .into_iter()
-            .filter(|server| !at_limit.contains_key(&server.key()))
+            .partition(|server| at_limit.contains_key(&server.key()));
+        let mut candidates: Vec<_> = open
+            .iter()
             .map(|server| Candidate {
                 server,
                 load: loads_by_server[&server.key()],
@@ -219,10 +220,9 @@
                 placement::pick_by_two_choices(&candidates, to_index(first), to_index(second))
             }
         };
-        let chosen = candidates[index?].server.key();
-        let server = pool_servers.iter().find(|s| s.key() == chosen)?;
-        let is_full = loads_by_server[&chosen] >= server.slots;
-        (!is_limiting || !is_full).then(|| server.clone())
+        let server = open[index?];
+        let has_free_slot = loads_by_server[&server.key()] < server.slots;
+        (limited.is_empty() || has_free_slot).then(|| server.clone())
     }
 
     /// Returns the servers that have reached the limits that they named, each with the time until
