Forget the limits of servers that are gone when digests are made

The limit of a server that has left was kept until another limited server responded, so that each choice of a server went on to look at the reports of all routers. Limits expire in the digest now, off the path of requests. The new test fails before (known after 121.5 s, where 120 s are named).

Besides, the decay of a server without a limit is stated instead of derived from an absurd limit, and fields say what was received instead of heard.

--- a/src/admission/server_limits.rs
+++ b/src/admission/server_limits.rs
@@ -45,7 +45,7 @@
 /// Level below which requests are no longer announced.
 const MIN_ANNOUNCED_LEVEL: f64 = 0.05;
 
-/// Time for which this router announces what a response to one of its own requests said.
+/// Time for which this router announces the limit in a response that it received itself.
 const ANNOUNCE_TIME: Duration = Duration::from_secs(2);
 
 /// Maximum number of servers in one digest.
@@ -97,7 +97,7 @@
     pub server: ServerKey,
     /// The limit, or `None` since a response named none.
     pub limit: Option<RateLimit>,
-    /// Time since the response that tells so, in milliseconds.
+    /// Age of the response with this limit, in milliseconds.
     pub age_ms: u32,
     /// Level of the requests that the sender has sent, in thousandths.
     pub level_milli: u32,
@@ -115,10 +115,10 @@
 struct Entry {
     /// The limit, or `None` since a response named none.
     limit: Option<RateLimit>,
-    /// Time of the response that tells so, at whichever router.
-    heard: Instant,
-    /// Time of the last response to a request of this router.
-    heard_here: Option<Instant>,
+    /// Time of the response with this limit, which any router may have received.
+    received: Instant,
+    /// Time of the last response that this router received itself.
+    received_here: Option<Instant>,
     /// Level of the requests of this router at `level_at`.
     level: f64,
     level_at: Instant,
@@ -132,11 +132,10 @@
         if limit.is_none() && !servers.contains_key(&key) {
             return;
         }
-        servers.retain(|_, entry| now.since(entry.heard) < LIMIT_TTL);
         let entry = servers.entry(key).or_insert(Entry::new(now));
         let before = entry.limit;
         if entry.update(limit, now) {
-            entry.heard_here = Some(now);
+            entry.received_here = Some(now);
         }
         if before != entry.limit {
             log::info!(
@@ -162,25 +161,26 @@
     pub fn receive(&self, reports: &[LimitReport], now: Instant) {
         let mut servers = lock(&self.servers);
         for report in reports {
-            let heard = now - Duration::from_millis(report.age_ms.into());
+            let received = now - Duration::from_millis(report.age_ms.into());
             if report.limit.is_none() && !servers.contains_key(&report.server) {
                 continue;
             }
-            let entry = servers.entry(report.server).or_insert(Entry::new(heard));
-            entry.update(report.limit, heard);
+            let entry = servers.entry(report.server).or_insert(Entry::new(received));
+            entry.update(report.limit, received);
         }
     }
 
     /// Returns what the next digest announces, the servers with the highest levels first.
     pub fn reports(&self, now: Instant) -> Vec<LimitReport> {
-        let servers = lock(&self.servers);
+        let mut servers = lock(&self.servers);
+        servers.retain(|_, entry| now.since(entry.received) < LIMIT_TTL);
         let mut reports: Vec<_> = servers
             .iter()
             .filter(|(_, entry)| entry.is_announced(now))
             .map(|(server, entry)| LimitReport {
                 server: *server,
                 limit: entry.limit,
-                age_ms: now.since(entry.heard).as_millis() as u32,
+                age_ms: now.since(entry.received).as_millis() as u32,
                 level_milli: (entry.level(now) * 1_000.0) as u32,
             })
             .collect();
@@ -205,7 +205,11 @@
             .collect();
         for (report, age) in others {
             if let Some((limit, level)) = levels.get_mut(&report.server) {
-                *level += decayed(f64::from(report.level_milli) / 1_000.0, age, *limit);
+                *level += decayed(
+                    f64::from(report.level_milli) / 1_000.0,
+                    age,
+                    limit.decay_s(),
+                );
             }
         }
         let waits = levels
@@ -221,42 +225,41 @@
 }
 
 impl Entry {
-    fn new(heard: Instant) -> Self {
+    fn new(received: Instant) -> Self {
         Entry {
             limit: None,
-            heard,
-            heard_here: None,
+            received,
+            received_here: None,
             level: 0.0,
-            level_at: heard,
+            level_at: received,
         }
     }
 
-    /// Takes what a response told at `heard` into account, unless a later one is known.
-    fn update(&mut self, limit: Option<RateLimit>, heard: Instant) -> bool {
+    /// Sets the limit from a response that was received at `received`, unless a later response is
+    /// known; returns whether it did.
+    fn update(&mut self, limit: Option<RateLimit>, received: Instant) -> bool {
         let is_reordered =
-            limit.is_none() && self.limit.is_some() && heard < self.heard + REORDER_TIME;
-        if heard < self.heard || is_reordered {
+            limit.is_none() && self.limit.is_some() && received < self.received + REORDER_TIME;
+        if received < self.received || is_reordered {
             return false;
         }
-        (self.limit, self.heard) = (limit, heard);
+        (self.limit, self.received) = (limit, received);
         true
     }
 
     fn level(&self, now: Instant) -> f64 {
-        let limit = self.limit.unwrap_or(RateLimit {
-            per_1000_s: u32::MAX,
-        });
-        decayed(self.level, now.since(self.level_at), limit)
+        let decay_s = self.limit.map_or(MIN_DECAY_S, RateLimit::decay_s);
+        decayed(self.level, now.since(self.level_at), decay_s)
     }
 
     fn is_announced(&self, now: Instant) -> bool {
-        let heard_here = self.heard_here;
+        let received_here = self.received_here;
         self.limit.is_some() && self.level(now) >= MIN_ANNOUNCED_LEVEL
-            || heard_here.is_some_and(|at| now.since(at) < ANNOUNCE_TIME)
+            || received_here.is_some_and(|at| now.since(at) < ANNOUNCE_TIME)
     }
 }
 
-/// Returns a level after it has decayed for `age`.
-fn decayed(level: f64, age: Duration, limit: RateLimit) -> f64 {
-    level * (-age.as_secs_f64() / limit.decay_s()).exp()
+/// Returns a level after it has decayed for `age`, to 1/e in `decay_s` seconds.
+fn decayed(level: f64, age: Duration, decay_s: f64) -> f64 {
+    level * (-age.as_secs_f64() / decay_s).exp()
 }
--- a/tests/admission/server_limits.rs
+++ b/tests/admission/server_limits.rs
@@ -4,7 +4,7 @@
 
 use ebonyspur::{
     admission::{LimitReport, RateLimit, ServerLimits},
-    catalog::{Server, ServerKey},
+    catalog::Server,
     DomainName, EngineName, Incarnation, Instant, PoolName,
 };
 use expect_test::expect;
@@ -193,7 +193,7 @@
             if routers[router].may_send(now) {
                 routers[router]
                     .limits
-                    .record_sent(ServerKey(server().key().0), time(now));
+                    .record_sent(server().key(), time(now));
                 arrivals.push(now);
                 responses.push_back((now + RESPONSE_MS, router));
             }
@@ -315,3 +315,14 @@
         );
     }
 }
+
+#[test]
+fn the_limit_of_a_server_that_is_gone_is_forgotten() {
+    let limits = ServerLimits::default();
+    limits.record_response(&server(), limit(2.0), time(1_000));
+    let is_known = [60_000, 121_500].map(|ms| {
+        limits.reports(time(ms));
+        !limits.is_empty()
+    });
+    expect!["[true, false]"].assert_eq(&format!("{is_known:?}"));
+}
