Use the usual terms in the quarantine of prompt parts, one noun a file

A crash counts against a part instead of accusing it, an answer makes it known good as it does for requests, and a crash is retracted; the number of crashes from which a proof is urgent has a name.

--- a/src/admission/mod.rs
+++ b/src/admission/mod.rs
@@ -10,14 +10,17 @@
 mod canary;
 mod fair_queue;
 mod message;
+mod part_updates;
 mod poison_parts;
 mod pool_queue;
 mod possible_crash;
 mod quarantine;
+mod quarantined;
 mod server_limits;
 mod shared_retries;
 mod slot_demand;
 mod state;
+mod suspect;
 
 pub use self::{
     budget::{retry_delay, RetryBudget},
@@ -31,7 +34,8 @@
     message::{
         BeginCanary, BeginCanaryReply, CrashHistoryRequest, CrashRecord, CrashReport, EndCanary,
     },
-    poison_parts::{PartCrash, PartKey, PartUpdates, PoisonParts, QuarantinedParts},
+    part_updates::{PartCrash, PartKey, PartUpdates, QuarantinedParts},
+    poison_parts::PoisonParts,
     pool_queue::{PoolQueues, Waiter},
     possible_crash::{PossibleCrashes, MAX_POSSIBLE_CRASHES, POSSIBLE_CRASH_TTL},
     quarantine::{Crash, CrashHistory, CrashRisk, Fingerprint, Quarantine, MAX_CRASH_ENTRIES},
@@ -40,4 +44,4 @@
     slot_demand::{SlotDemand, SlotDemandGuard},
     state::{Admission, Class, Permit, MAX_TEAMS},
 };
-pub(crate) use self::{poison_parts::describe_parts, quarantine::quarantined_error};
+pub(crate) use self::{part_updates::describe_parts, quarantine::quarantined_error};
--- /dev/null
+++ b/src/admission/part_updates.rs
@@ -0,0 +1,72 @@
+//! Keys of prompt parts, and what routers tell each other about parts that crash servers.
+
+use serde::{Deserialize, Serialize};
+use xxhash_rust::xxh3::xxh3_64;
+
+use crate::{catalog::ServerKey, placement::PromptPart, PoolName};
+
+/// Maximum number of parts of one prompt that are considered, from its start.
+const MAX_PARTS: usize = 8;
+
+/// Identifies a part of a prompt among the requests of one pool.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+pub struct PartKey {
+    pool: u32,
+    id: u64,
+}
+
+impl PartKey {
+    /// Returns the keys of the parts of a prompt that other requests of the pool may share.
+    ///
+    /// The last part belongs to the request itself.
+    pub fn shared_parts(pool: &PoolName, prompt: &[PromptPart]) -> Box<[PartKey]> {
+        let pool = xxh3_64(pool.as_str().as_bytes()) as u32;
+        let shared = prompt.split_last().map_or(prompt, |(_, shared)| shared);
+        let keys = shared.iter().take(MAX_PARTS);
+        keys.map(|part| PartKey { pool, id: part.id }).collect()
+    }
+
+    /// Returns the hash of the pool.
+    pub(super) fn pool(self) -> u32 {
+        self.pool
+    }
+}
+
+/// Returns a list of prompt parts as log lines show it.
+pub(crate) fn describe_parts<'a>(parts: impl IntoIterator<Item = &'a PartKey>) -> String {
+    let ids = parts.into_iter().map(|part| format!("{:x}", part.id));
+    ids.collect::<Vec<_>>().join(",")
+}
+
+/// A crash of a server and the shared parts of a request to which it had sent no data.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct PartCrash {
+    /// Server that crashed.
+    pub server: ServerKey,
+    /// Parts of the request.
+    pub parts: Box<[PartKey]>,
+}
+
+/// Parts that together are refused.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct QuarantinedParts {
+    /// Parts, in order of their keys; a request is refused if it has all of them.
+    pub parts: Box<[PartKey]>,
+    /// Remaining time of the quarantine in milliseconds.
+    pub remaining_ms: u32,
+    /// Length of the quarantine in milliseconds.
+    pub length_ms: u32,
+}
+
+/// What a digest says about prompt parts.
+#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct PartUpdates {
+    /// Crashes that the sender has observed.
+    pub crashes: Vec<PartCrash>,
+    /// Suspect or quarantined parts that are known good at the sender.
+    pub known_good: Vec<PartKey>,
+    /// Servers that have sent data after they seemed to crash, so that they did not.
+    pub alive: Vec<ServerKey>,
+    /// Parts in quarantine; repeated in each digest, so that routers that start learn them.
+    pub quarantined: Vec<QuarantinedParts>,
+}
--- a/src/admission/poison_parts.rs
+++ b/src/admission/poison_parts.rs
@@ -4,15 +4,15 @@
 //! each server that begins to answer one of them crashes. They arrive at any router. Sound
 //! requests share their team and their other parts.
 //!
-//! - A crash accuses the parts of the requests to which the server had sent no data, at all
-//!   routers. Streams that were flowing prove that their parts do not crash servers.
-//! - Data clears a part: a server that sends part of an answer has survived its beginning.
-//! - Parts that were accused of every one of several crashes are quarantined together: only
-//!   requests with all of them are refused, so that a sound part among them harms nobody.
-//! - Crashes that have other causes do not count: those at the same moment count once, and a
-//!   server that sends anything later has not crashed at all. While servers crash all the time,
-//!   many parts are accused now and then, and a guilty one of most crashes.
-//! - A quarantined part explains the crashes of its servers, which then accuse no other part.
+//! - A crash counts against the parts of the requests to which the server had sent no data, at
+//!   all routers.
+//! - Data makes a part known good: the server has survived the beginning of its answer.
+//! - Parts that were in each of several crashes are quarantined together, and only requests with
+//!   all of them are refused, so that a known good part among them is not refused by itself.
+//! - Crashes of other causes count little: those at the same moment count once, and a crash is
+//!   retracted when the server sends anything afterwards. While servers crash all the time, only
+//!   parts that are in most of the crashes are quarantined.
+//! - Crashes of servers that ran a request with quarantined parts are attributed to these.
 
 use std::{
     collections::{BTreeMap, BTreeSet},
@@ -20,12 +20,14 @@
     time::Duration,
 };
 
-use serde::{Deserialize, Serialize};
-use xxhash_rust::xxh3::xxh3_64;
-
+use super::{
+    describe_parts,
+    quarantined::Quarantined,
+    suspect::{count_spaced, Suspect},
+    PartCrash, PartKey, PartUpdates, QuarantinedParts,
+};
 use crate::{
-    catalog::ServerKey, placement::PromptPart, presence::PendingUpdates, sync::lock, Category,
-    Error, Instant, PoolName, Result,
+    catalog::ServerKey, presence::PendingUpdates, sync::lock, Category, Error, Instant, Result,
 };
 
 /// Number of crashes after which parts are quarantined.
@@ -34,45 +36,32 @@
 /// second and a third crash.
 const QUARANTINE_CRASHES: usize = 4;
 
-/// Number of crashes after which parts are quarantined that were recently sound, or that most
-/// of the crashes of their pool do not accuse.
+/// Number of crashes after which parts are quarantined that are known good, or that are not in
+/// most of the crashes of their pool.
 const MAX_CRASHES: usize = 8;
 
-/// Time within which several crashes count as one, as a rack or a pool that loses power crashes
-/// at one moment.
-const CRASH_SPACING: Duration = Duration::from_millis(150);
-
-/// Time for which requests with quarantined parts are refused at first.
-///
-/// For an hour after it, one more crash quarantines the parts again, for longer. If they are sound,
-/// the first answer ends that.
-const MIN_QUARANTINE: Duration = Duration::from_secs(60);
-
-/// Longest time for which requests with quarantined parts are refused.
-const MAX_QUARANTINE: Duration = Duration::from_secs(3_600);
+/// Number of crashes from which other routers learn without delay that a part is known good.
+const URGENT_CRASHES: usize = 2;
 
-/// Factor by which each further quarantine of the same parts is longer.
-const QUARANTINE_GROWTH: u32 = 4;
-
-/// Time after its last crash at which a part is no longer accused.
+/// Time after the last crash at which the crashes of a part expire.
 const SUSPICION_TTL: Duration = Duration::from_secs(120);
 
-/// Time for which a part counts as recently sound.
-const SOUND_TTL: Duration = Duration::from_secs(60);
+/// Time for which a part is known good after an answer.
+const KNOWN_GOOD_TTL: Duration = Duration::from_secs(60);
 
 /// Time after a crash from which data of the server proves that it has not crashed.
 ///
 /// Data that was sent before the crash may be read after it.
-const MIN_SURVIVAL: Duration = Duration::from_millis(100);
+const MIN_ALIVE_AGE: Duration = Duration::from_millis(100);
 
 /// Time after a crash until which data proves that the server has not crashed.
 ///
 /// A server that has crashed may start again under its old name some seconds later.
-const MAX_SURVIVAL: Duration = Duration::from_millis(1_500);
+const MAX_ALIVE_AGE: Duration = Duration::from_millis(1_500);
 
-/// Time for which a server that has survived is not accused again, as crashes are announced
+/// Time for which a crash that was retracted does not count again, as crashes are announced
 /// repeatedly.
-const SURVIVOR_TTL: Duration = Duration::from_secs(1);
+const RETRACTION_TTL: Duration = Duration::from_secs(1);
 
 /// Maximum numbers of updates of each kind in one digest.
 const MAX_CRASHES_PER_DIGEST: usize = 6;
@@ -82,77 +71,16 @@
 /// Maximum number of updates of each kind that wait for a digest; the latest are sent first.
 const MAX_PENDING: usize = 64;
 
-/// Maximum number of parts of one prompt that are considered, from its start.
-const MAX_PARTS: usize = 8;
-
-/// Maximum number of accused parts.
+/// Maximum number of parts whose crashes are counted.
 const MAX_SUSPECTS: usize = 1_024;
 
-/// Maximum number of parts remembered as recently sound.
-const MAX_SOUND: usize = 2_048;
+/// Maximum number of known good parts.
+const MAX_KNOWN_GOOD_PARTS: usize = 2_048;
 
 /// Maximum number of quarantined sets of parts.
 const MAX_QUARANTINED: usize = 64;
 
-/// Identifies a part of a prompt among the requests of one pool.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
-pub struct PartKey {
-    pool: u32,
-    id: u64,
-}
-
-impl PartKey {
-    /// Returns the keys of the parts of a prompt that other requests of the pool may share.
-    ///
-    /// The last part belongs to the request itself.
-    pub fn shared_parts(pool: &PoolName, prompt: &[PromptPart]) -> Box<[PartKey]> {
-        let pool = xxh3_64(pool.as_str().as_bytes()) as u32;
-        let shared = prompt.split_last().map_or(prompt, |(_, shared)| shared);
-        let keys = shared.iter().take(MAX_PARTS);
-        keys.map(|part| PartKey { pool, id: part.id }).collect()
-    }
-}
-
-/// Returns a list of prompt parts as log lines show it.
-pub(crate) fn describe_parts<'a>(parts: impl IntoIterator<Item = &'a PartKey>) -> String {
-    let ids = parts.into_iter().map(|part| format!("{:x}", part.id));
-    ids.collect::<Vec<_>>().join(",")
-}
-
-/// A crash of a server and the shared parts of a request to which it had sent no data.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
-pub struct PartCrash {
-    /// Server that crashed.
-    pub server: ServerKey,
-    /// Parts of the request.
-    pub parts: Box<[PartKey]>,
-}
-
-/// Parts that together are refused.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
-pub struct QuarantinedParts {
-    /// Parts, in order of their keys; a request is refused if it has all of them.
-    pub parts: Box<[PartKey]>,
-    /// Remaining time of the quarantine in milliseconds.
-    pub remaining_ms: u32,
-    /// Length of the quarantine in milliseconds.
-    pub length_ms: u32,
-}
-
-/// What a digest says about prompt parts.
-#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
-pub struct PartUpdates {
-    /// Crashes that the sender has observed.
-    pub crashes: Vec<PartCrash>,
-    /// Accused or quarantined parts that proved sound at the sender.
-    pub sound: Vec<PartKey>,
-    /// Servers that have sent data after they seemed to crash.
-    pub survivors: Vec<ServerKey>,
-    /// Parts in quarantine; repeated in each digest, so that routers that start learn them.
-    pub quarantined: Vec<QuarantinedParts>,
-}
-
-/// Prompt parts that are accused of crashes or quarantined, shared between routers.
+/// Prompt parts that are suspect or quarantined, shared between routers.
 #[derive(Debug, Default)]
 pub struct PoisonParts {
     inner: Mutex<Inner>,
@@ -162,15 +90,15 @@
 struct Inner {
     suspects: BTreeMap<PartKey, Suspect>,
     quarantine: Vec<Quarantined>,
-    /// Times at which parts proved sound at this router.
-    sound: BTreeMap<PartKey, Instant>,
-    /// Crashes lately that no quarantine explains, in order of time.
-    unexplained: Vec<SeenCrash>,
-    /// Servers that only seemed to have crashed, and when this was known.
-    survivors: BTreeMap<ServerKey, Instant>,
+    /// Times at which this router last got an answer to requests with each part.
+    known_good: BTreeMap<PartKey, Instant>,
+    /// Recent crashes that are not attributed to quarantined parts, in order of time.
+    unattributed: Vec<SeenCrash>,
+    /// Servers whose crash was retracted, and when.
+    retracted: BTreeMap<ServerKey, Instant>,
     pending_crashes: PendingUpdates<PartCrash, MAX_PENDING>,
-    pending_sound: PendingUpdates<PartKey, MAX_PENDING>,
-    pending_survivors: PendingUpdates<ServerKey, MAX_PENDING>,
+    pending_known_good: PendingUpdates<PartKey, MAX_PENDING>,
+    pending_alive: PendingUpdates<ServerKey, MAX_PENDING>,
     /// Offset of the next quarantined parts to include in a digest.
     next_quarantined: usize,
 }
@@ -184,33 +112,6 @@
     at: Instant,
 }
 
-/// A part that is accused, or was until it proved sound.
-#[derive(Debug, Clone, Default)]
-struct Suspect {
-    /// Crashes in order of time.
-    accusations: Vec<Accusation>,
-}
-
-/// A crash that a part is accused of.
-#[derive(Debug, Clone, Copy)]
-struct Accusation {
-    server: ServerKey,
-    at: Instant,
-    /// Whether the part has proved sound since; kept, as crashes are announced repeatedly.
-    is_cleared: bool,
-}
-
-/// Parts in quarantine, or on probation after it.
-#[derive(Debug)]
-struct Quarantined {
-    parts: BTreeSet<PartKey>,
-    /// Servers whose crashes the parts explain.
-    servers: BTreeSet<ServerKey>,
-    /// End of the quarantine.
-    until: Instant,
-    length: Duration,
-}
-
 impl PoisonParts {
     /// Checks that a request with these parts may run.
     ///
@@ -241,7 +142,7 @@
             parts: parts.into(),
         };
         let mut inner = lock(&self.inner);
-        inner.accuse(&crash, now);
+        inner.count_crash(&crash, now);
         inner
             .pending_crashes
             .replace(crash.clone(), |known| *known == crash);
@@ -252,17 +153,19 @@
     ///
     /// Returns whether the other routers should learn of it without delay, as the parts are
     /// close to quarantine or in it.
-    pub fn record_sound(&self, parts: &[PartKey], now: Instant) -> bool {
+    pub fn record_success(&self, parts: &[PartKey], now: Instant) -> bool {
         let mut inner = lock(&self.inner);
         let mut is_urgent = false;
         for part in parts {
-            inner.remember_sound(*part, now);
+            inner.remember_known_good(*part, now);
             let crashes = inner.suspects.get(part).map_or(0, Suspect::counted_crashes);
             let is_quarantined = inner.quarantine.iter().any(|q| q.parts.contains(part));
             if crashes > 0 || is_quarantined {
-                inner.pending_sound.replace(*part, |known| known == part);
+                inner
+                    .pending_known_good
+                    .replace(*part, |known| known == part);
                 inner.clear(*part);
-                is_urgent |= is_quarantined || crashes + 2 >= QUARANTINE_CRASHES;
+                is_urgent |= is_quarantined || crashes >= URGENT_CRASHES;
             }
         }
         is_urgent
@@ -272,13 +175,13 @@
     pub fn record_alive(&self, server: ServerKey, now: Instant) {
         let mut inner = lock(&self.inner);
         let age = |crash: &SeenCrash| now.since(crash.at);
-        let latest = inner.unexplained.iter().rev();
-        let mut recent = latest.take_while(|crash| age(crash) < MAX_SURVIVAL);
-        if recent.any(|crash| crash.server == server && age(crash) >= MIN_SURVIVAL) {
+        let latest = inner.unattributed.iter().rev();
+        let mut recent = latest.take_while(|crash| age(crash) < MAX_ALIVE_AGE);
+        if recent.any(|crash| crash.server == server && age(crash) >= MIN_ALIVE_AGE) {
             inner
-                .pending_survivors
+                .pending_alive
                 .replace(server, |known| *known == server);
-            inner.acquit_of(server, now);
+            inner.retract_crash(server, now);
         }
     }
 
@@ -286,13 +189,13 @@
     pub fn receive(&self, updates: &PartUpdates, now: Instant) {
         let mut inner = lock(&self.inner);
         for crash in &updates.crashes {
-            inner.accuse(crash, now);
+            inner.count_crash(crash, now);
         }
-        for part in &updates.sound {
+        for part in &updates.known_good {
             inner.clear(*part);
         }
-        for server in &updates.survivors {
-            inner.acquit_of(*server, now);
+        for server in &updates.alive {
+            inner.retract_crash(*server, now);
         }
         for quarantined in &updates.quarantined {
             inner.adopt(quarantined, now);
@@ -311,8 +214,8 @@
         PartUpdates {
             quarantined,
             crashes: inner.pending_crashes.take(MAX_CRASHES_PER_DIGEST),
-            sound: inner.pending_sound.take(MAX_KEYS_PER_DIGEST),
-            survivors: inner.pending_survivors.take(MAX_KEYS_PER_DIGEST),
+            known_good: inner.pending_known_good.take(MAX_KEYS_PER_DIGEST),
+            alive: inner.pending_alive.take(MAX_KEYS_PER_DIGEST),
         }
     }
 
@@ -336,17 +239,17 @@
         in_force.map(|q| q.to_update(now)).collect()
     }
 
-    fn accuse(&mut self, crash: &PartCrash, now: Instant) {
+    fn count_crash(&mut self, crash: &PartCrash, now: Instant) {
         self.expire(now);
-        let Some(pool) = crash.parts.first().map(|part| part.pool) else {
+        let Some(pool) = crash.parts.first().map(|part| part.pool()) else {
             return;
         };
-        if self.survivors.contains_key(&crash.server) || self.attribute(crash, now) {
+        if self.retracted.contains_key(&crash.server) || self.attribute(crash, now) {
             return;
         }
         let server = crash.server;
-        if self.unexplained.iter().all(|known| known.server != server) {
-            self.unexplained.push(SeenCrash {
+        if self.unattributed.iter().all(|known| known.server != server) {
+            self.unattributed.push(SeenCrash {
                 server,
                 pool,
                 at: now,
@@ -354,117 +257,113 @@
         }
         for part in &crash.parts {
             if self.suspects.len() >= MAX_SUSPECTS && !self.suspects.contains_key(part) {
-                self.forget_oldest_suspect();
+                self.evict_oldest_suspect();
             }
             let suspect = self.suspects.entry(*part).or_default();
-            suspect.accuse(server, now);
+            suspect.add_crash(server, now);
         }
-        self.quarantine_accused(crash, now);
+        self.quarantine_suspects(crash, now);
     }
 
-    /// Attributes a crash to quarantined parts if they explain it, and renews a quarantine that has
-    /// ended; returns whether they do.
+    /// Attributes a crash to quarantined parts and renews their quarantine if it has ended.
+    ///
+    /// Returns whether there are such parts.
     fn attribute(&mut self, crash: &PartCrash, now: Instant) -> bool {
         let mut quarantine = self.quarantine.iter_mut();
         if let Some(cause) = quarantine.find(|q| q.covers(&crash.parts)) {
-            if !cause.is_in_force(now) {
-                cause.length = MAX_QUARANTINE.min(cause.length * QUARANTINE_GROWTH);
-                cause.until = now + cause.length;
-            }
-            cause.servers.insert(crash.server);
-            self.unexplained
+            cause.add_crash(crash.server, now);
+            self.unattributed
                 .retain(|known| known.server != crash.server);
-            self.suspects.retain(|_, s| s.forget(crash.server));
+            self.suspects.retain(|_, s| s.remove_crash(crash.server));
             return true;
         }
         let mut quarantine = self.quarantine.iter();
         quarantine.any(|q| q.servers.contains(&crash.server))
     }
 
-    /// Quarantines those parts of the request that were accused of the most crashes, if these
-    /// are enough.
+    /// Quarantines the parts of the request with the most crashes, if these are enough.
     ///
-    /// Parts that were sound lately are considered only when no other part is guilty.
-    fn quarantine_accused(&mut self, crash: &PartCrash, now: Instant) {
-        let (sound, unknown): (Vec<PartKey>, Vec<_>) = crash
+    /// Known good parts are quarantined only if the others are not.
+    fn quarantine_suspects(&mut self, crash: &PartCrash, now: Instant) {
+        let (known_good, unknown): (Vec<PartKey>, Vec<_>) = crash
             .parts
             .iter()
-            .partition(|part| self.is_recently_sound(**part, now));
+            .partition(|part| self.is_known_good(**part, now));
         let parts = self
-            .most_accused(&unknown)
+            .with_most_crashes(&unknown)
             .filter(|(parts, crashes)| {
                 *crashes >= MAX_CRASHES
-                    || *crashes >= QUARANTINE_CRASHES && self.is_accused_of_most(parts, *crashes)
+                    || *crashes >= QUARANTINE_CRASHES && self.are_in_most_crashes(parts, *crashes)
             })
             .or_else(|| {
-                let accused = self.most_accused(&sound);
-                accused.filter(|(_, crashes)| *crashes >= MAX_CRASHES)
+                let suspects = self.with_most_crashes(&known_good);
+                suspects.filter(|(_, crashes)| *crashes >= MAX_CRASHES)
             });
         let Some((parts, _)) = parts else { return };
-        let accused = parts.iter().filter_map(|part| self.suspects.get(part));
-        let servers: BTreeSet<_> = accused.flat_map(Suspect::servers).collect();
+        let suspects = parts.iter().filter_map(|part| self.suspects.get(part));
+        let servers: BTreeSet<_> = suspects.flat_map(Suspect::servers).collect();
         log::warn!(
             "prompt parts quarantined parts={} servers={} source=crashes",
             describe_parts(&parts),
             servers.len()
         );
-        self.unexplained
+        self.unattributed
             .retain(|known| !servers.contains(&known.server));
         self.suspects.retain(|part, suspect| {
-            !parts.contains(part) && servers.iter().all(|server| suspect.forget(*server))
-        });
-        self.insert_quarantined(Quarantined {
-            parts,
-            servers,
-            until: now + MIN_QUARANTINE,
-            length: MIN_QUARANTINE,
+            !parts.contains(part) && servers.iter().all(|server| suspect.remove_crash(*server))
         });
+        self.insert_quarantined(Quarantined::new(parts, servers, now));
     }
 
     /// Returns those of `parts` with the most crashes, and the number of these.
-    fn most_accused(&self, parts: &[PartKey]) -> Option<(BTreeSet<PartKey>, usize)> {
+    fn with_most_crashes(&self, parts: &[PartKey]) -> Option<(BTreeSet<PartKey>, usize)> {
         let count = |part: &PartKey| self.suspects.get(part).map_or(0, Suspect::counted_crashes);
         let most = parts.iter().map(count).max()?;
-        let accused = parts.iter().copied().filter(|part| count(part) == most);
-        Some((accused.collect(), most))
+        let most_crashed = parts.iter().copied().filter(|part| count(part) == most);
+        Some((most_crashed.collect(), most))
     }
 
-    /// Returns whether parts with this number of crashes are accused of at least half of the
-    /// crashes of their pool since the first of them.
-    fn is_accused_of_most(&self, parts: &BTreeSet<PartKey>, crashes: usize) -> bool {
-        let accused = parts
+    /// Returns whether parts with this number of crashes are in at least half of the crashes of
+    /// their pool since the first of them.
+    fn are_in_most_crashes(&self, parts: &BTreeSet<PartKey>, crashes: usize) -> bool {
+        let suspect = parts
             .iter()
             .find_map(|part| Some((part, self.suspects.get(part)?)));
-        let Some((part, suspect)) = accused else {
+        let Some((part, suspect)) = suspect else {
             return false;
         };
-        let mut counted = suspect.counted();
-        let since = counted.next().map_or_else(Instant::default, |a| a.at);
-        let in_pool = |crash: &&SeenCrash| crash.pool == part.pool && crash.at >= since;
+        let since = suspect
+            .counted()
+            .next()
+            .map_or_else(Instant::default, |a| a.at);
+        let in_pool = |crash: &&SeenCrash| crash.pool == part.pool() && crash.at >= since;
         let times = self
-            .unexplained
+            .unattributed
             .iter()
             .filter(in_pool)
             .map(|crash| crash.at);
         2 * crashes >= count_spaced(times)
     }
 
-    /// Adopts a quarantine of another router, except for parts that have proved sound here since
-    /// it began.
+    /// Adopts a quarantine of another router, except for parts to which this router has got an
+    /// answer since it began.
     fn adopt(&mut self, update: &QuarantinedParts, now: Instant) {
-        let length = Duration::from_millis(update.length_ms.into()).min(MAX_QUARANTINE);
-        let remaining = Duration::from_millis(update.remaining_ms.into()).min(length);
-        let age = length - remaining;
-        let proved_sound = |part: &PartKey| self.sound.get(part).is_some_and(|at| *at + age > now);
-        let (sound, parts): (BTreeSet<PartKey>, BTreeSet<_>) =
-            update.parts.iter().partition(|part| proved_sound(part));
-        for part in sound {
-            self.pending_sound.replace(part, |known| *known == part);
+        let adopted = Quarantined::from_update(update, now);
+        let age = adopted.age(now);
+        let is_known_good_since =
+            |part: &PartKey| self.known_good.get(part).is_some_and(|at| *at + age > now);
+        let (known_good, parts): (BTreeSet<PartKey>, BTreeSet<_>) = adopted
+            .parts
+            .iter()
+            .partition(|part| is_known_good_since(part));
+        for part in known_good {
+            self.pending_known_good
+                .replace(part, |known| *known == part);
         }
         let mut known = self.quarantine.iter_mut();
         if let Some(known) = known.find(|q| q.parts.is_subset(&parts)) {
-            if known.parts == parts && now + remaining > known.until {
-                (known.until, known.length) = (now + remaining, length);
+            if known.parts == parts {
+                known.extend(&adopted);
             }
             return;
         }
@@ -475,12 +374,7 @@
             "prompt parts quarantined parts={} source=router",
             describe_parts(&parts)
         );
-        self.insert_quarantined(Quarantined {
-            parts,
-            servers: BTreeSet::new(),
-            until: now + remaining,
-            length,
-        });
+        self.insert_quarantined(adopted.with_parts(parts));
     }
 
     fn insert_quarantined(&mut self, quarantined: Quarantined) {
@@ -492,128 +386,57 @@
         self.quarantine.push(quarantined);
     }
 
-    /// Removes a part that proved sound from the accused and the quarantined ones.
+    /// Clears the crashes of a known good part, and ends its quarantine.
     fn clear(&mut self, part: PartKey) {
         if let Some(suspect) = self.suspects.get_mut(&part) {
             suspect.clear();
         }
         for quarantined in &mut self.quarantine {
             if quarantined.parts.remove(&part) {
-                log::warn!("prompt part sound, quarantine lifted part={:x}", part.id);
+                log::warn!(
+                    "prompt part known good, quarantine lifted part={}",
+                    describe_parts([&part])
+                );
             }
         }
         self.quarantine.retain(|q| !q.parts.is_empty());
     }
 
-    /// Withdraws the accusations that rest on the crash of a server that did not crash.
-    fn acquit_of(&mut self, server: ServerKey, now: Instant) {
-        self.survivors.insert(server, now);
-        self.unexplained.retain(|known| known.server != server);
-        self.suspects.retain(|_, suspect| suspect.forget(server));
+    /// Removes the crash of a server that has not crashed.
+    fn retract_crash(&mut self, server: ServerKey, now: Instant) {
+        self.retracted.insert(server, now);
+        self.unattributed.retain(|known| known.server != server);
+        self.suspects
+            .retain(|_, suspect| suspect.remove_crash(server));
     }
 
-    fn remember_sound(&mut self, part: PartKey, now: Instant) {
-        if self.sound.len() >= MAX_SOUND && !self.sound.contains_key(&part) {
-            let oldest = self.sound.iter().min_by_key(|(_, at)| **at);
+    fn remember_known_good(&mut self, part: PartKey, now: Instant) {
+        if self.known_good.len() >= MAX_KNOWN_GOOD_PARTS && !self.known_good.contains_key(&part) {
+            let oldest = self.known_good.iter().min_by_key(|(_, at)| **at);
             let oldest = oldest.map(|(part, _)| *part);
-            oldest.map(|part| self.sound.remove(&part));
+            oldest.map(|part| self.known_good.remove(&part));
         }
-        self.sound.insert(part, now);
+        self.known_good.insert(part, now);
     }
 
-    fn is_recently_sound(&self, part: PartKey, now: Instant) -> bool {
-        let at = self.sound.get(&part);
-        at.is_some_and(|at| now.since(*at) < SOUND_TTL)
+    fn is_known_good(&self, part: PartKey, now: Instant) -> bool {
+        let at = self.known_good.get(&part);
+        at.is_some_and(|at| now.since(*at) < KNOWN_GOOD_TTL)
     }
 
-    fn forget_oldest_suspect(&mut self) {
+    fn evict_oldest_suspect(&mut self) {
         let oldest = self.suspects.iter().min_by_key(|(_, s)| s.last_crash());
         let oldest = oldest.map(|(part, _)| *part);
         oldest.map(|part| self.suspects.remove(&part));
     }
 
     fn expire(&mut self, now: Instant) {
-        self.survivors.retain(|_, at| now.since(*at) < SURVIVOR_TTL);
-        self.unexplained
+        self.retracted
+            .retain(|_, at| now.since(*at) < RETRACTION_TTL);
+        self.unattributed
             .retain(|crash| now.since(crash.at) < SUSPICION_TTL);
         self.suspects
             .retain(|_, suspect| now.since(suspect.last_crash()) < SUSPICION_TTL);
-        self.quarantine
-            .retain(|q| now.since(q.until) < MAX_QUARANTINE);
-    }
-}
-
-impl Suspect {
-    fn accuse(&mut self, server: ServerKey, at: Instant) {
-        let mut known = self.accusations.iter();
-        if known.all(|accusation| accusation.server != server) {
-            self.accusations.push(Accusation {
-                server,
-                at,
-                is_cleared: false,
-            });
-        }
-    }
-
-    fn clear(&mut self) {
-        for accusation in &mut self.accusations {
-            accusation.is_cleared = true;
-        }
-    }
-
-    fn counted(&self) -> impl Iterator<Item = &Accusation> {
-        self.accusations.iter().filter(|a| !a.is_cleared)
-    }
-
-    /// Returns the number of crashes, where those within [`CRASH_SPACING`] count once.
-    fn counted_crashes(&self) -> usize {
-        count_spaced(self.counted().map(|a| a.at))
-    }
-
-    fn servers(&self) -> impl Iterator<Item = ServerKey> + '_ {
-        self.counted().map(|a| a.server)
-    }
-
-    fn last_crash(&self) -> Instant {
-        let last = self.accusations.last();
-        last.map_or_else(Instant::default, |a| a.at)
-    }
-
-    /// Forgets the crash of a server; returns whether another one is left.
-    fn forget(&mut self, server: ServerKey) -> bool {
-        self.accusations.retain(|a| a.server != server);
-        !self.accusations.is_empty()
-    }
-}
-
-impl Quarantined {
-    fn is_in_force(&self, now: Instant) -> bool {
-        now < self.until
-    }
-
-    fn covers(&self, parts: &[PartKey]) -> bool {
-        self.parts.iter().all(|part| parts.contains(part))
-    }
-
-    fn to_update(&self, now: Instant) -> QuarantinedParts {
-        QuarantinedParts {
-            parts: self.parts.iter().copied().collect(),
-            remaining_ms: self.until.since(now).as_millis() as u32,
-            length_ms: self.length.as_millis() as u32,
-        }
-    }
-}
-
-/// Returns the number of crashes at these times, where those within [`CRASH_SPACING`] of a counted
-/// one do not count.
-fn count_spaced(times: impl Iterator<Item = Instant>) -> usize {
-    let mut last_counted: Option<Instant> = None;
-    let mut count = 0;
-    for at in times {
-        if last_counted.is_none_or(|last| at.since(last) >= CRASH_SPACING) {
-            last_counted = Some(at);
-            count += 1;
-        }
+        self.quarantine.retain(|q| !q.has_expired(now));
     }
-    count
 }
--- a/src/forward/state.rs
+++ b/src/forward/state.rs
@@ -247,7 +247,7 @@
 
     /// Records that the connection to a server broke while the server ran a request.
     ///
-    /// `has_data` tells whether the server had sent part of the body of its response.
+    /// `has_data` is whether the server had already sent part of the response body.
     pub(super) fn record_crash(
         &self,
         req: &ProxyRequest<Routed>,
@@ -277,7 +277,10 @@
 
     /// Records that a server sent the first data of its answer to a request.
     pub(super) fn record_first_data(&self, req: &ProxyRequest<Routed>, now: Instant) {
-        if self.poison_parts.record_sound(&req.state.shared_parts, now) {
+        if self
+            .poison_parts
+            .record_success(&req.state.shared_parts, now)
+        {
             self.announce_signal.notify_one();
         }
     }
--- a/tests/admission/poison_parts.rs
+++ b/tests/admission/poison_parts.rs
@@ -12,7 +12,7 @@
 const FIRST: u64 = 0xf1;
 
 /// Part that crashes servers.
-const DEADLY: u64 = 0xdead;
+const POISON: u64 = 0xdead;
 
 /// A session with sound requests and with requests that crash servers.
 const SESSION: u64 = 0x5e;
@@ -42,8 +42,8 @@
 /// Describes which of these prompts a router refuses.
 fn refused(router: &PoisonParts, ms: u64) -> String {
     let prompts = [
-        &[FIRST, SESSION, DEADLY][..],
-        &[FIRST, 0x1, DEADLY],
+        &[FIRST, SESSION, POISON][..],
+        &[FIRST, 0x1, POISON],
         &[FIRST, SESSION],
         &[FIRST],
     ];
@@ -57,20 +57,20 @@
 #[test]
 fn parts_that_were_in_each_of_four_crashes_are_refused_together_until_one_proves_sound() {
     let router = PoisonParts::default();
-    router.record_sound(&shared_parts(&[FIRST]), time(500));
+    router.record_success(&shared_parts(&[FIRST]), time(500));
     let mut lines = Vec::new();
     for number in 0..4 {
         let ms = 1_000 + 300 * u64::from(number);
-        crash(&router, &[FIRST, SESSION, DEADLY], number, ms);
+        crash(&router, &[FIRST, SESSION, POISON], number, ms);
         crash(&router, &[FIRST, 0x2], number, ms);
         lines.push(refused(&router, ms));
     }
-    router.record_sound(&shared_parts(&[FIRST, SESSION]), time(2_000));
+    router.record_success(&shared_parts(&[FIRST, SESSION]), time(2_000));
     lines.push(format!(
         "sound request of the session, {}",
         refused(&router, 2_000)
     ));
-    let refusal = router.check(&shared_parts(&[DEADLY]), time(2_000));
+    let refusal = router.check(&shared_parts(&[POISON]), time(2_000));
     let refusal = refusal.map_err(|err| (err.classify(), err.verdict(), err.retry_after()));
     lines.push(format!("{refusal:?}"));
     expect![[r#"
@@ -125,11 +125,11 @@
 #[test]
 fn parts_that_were_sound_lately_are_refused_only_after_eight_crashes() {
     let router = PoisonParts::default();
-    router.record_sound(&shared_parts(&[FIRST, SESSION, DEADLY]), time(900));
+    router.record_success(&shared_parts(&[FIRST, SESSION, POISON]), time(900));
     let mut lines = Vec::new();
     for number in 0..8 {
         let ms = 1_000 + 300 * u64::from(number);
-        crash(&router, &[DEADLY], number, ms);
+        crash(&router, &[POISON], number, ms);
         lines.push(refused(&router, ms));
     }
     expect![[r#"
@@ -148,16 +148,16 @@
 fn one_crash_after_the_quarantine_renews_it_and_one_answer_ends_it() {
     let router = PoisonParts::default();
     for number in 0..4 {
-        crash(&router, &[DEADLY], number, 300 * u64::from(number));
+        crash(&router, &[POISON], number, 300 * u64::from(number));
     }
     // The quarantine begins at 0.9 s and lasts a minute, the next one four.
     let mut lines = vec![refused(&router, 60_800), refused(&router, 61_000)];
-    crash(&router, &[FIRST, DEADLY], 9, 62_000);
+    crash(&router, &[FIRST, POISON], 9, 62_000);
     lines.push(refused(&router, 62_000));
     lines.push(refused(&router, 301_900));
     lines.push(refused(&router, 302_100));
-    router.record_sound(&shared_parts(&[DEADLY]), time(303_000));
-    crash(&router, &[FIRST, DEADLY], 10, 304_000);
+    router.record_success(&shared_parts(&[POISON]), time(303_000));
+    crash(&router, &[FIRST, POISON], 10, 304_000);
     lines.push(refused(&router, 304_000));
     expect![[r#"
         60800: [true, true, false, false]
@@ -184,10 +184,10 @@
     for number in 0..4_usize {
         let ms = 1_000 + 300 * number as u64;
         // The first part proves sound at one router and is accused at the other one.
-        routers[0].record_sound(&shared_parts(&[FIRST]), time(ms - 50));
+        routers[0].record_success(&shared_parts(&[FIRST]), time(ms - 50));
         crash(
             &routers[number % 2],
-            &[FIRST, SESSION, DEADLY],
+            &[FIRST, SESSION, POISON],
             number as u32,
             ms,
         );
@@ -206,7 +206,7 @@
     restored.restore(&routers[1].quarantined(time(9_000)), time(200));
     lines.push(format!("restored {}", refused(&restored, 200)));
     // A router that has refused nothing yet finds the session sound.
-    started.record_sound(&shared_parts(&[FIRST, SESSION]), time(150));
+    started.record_success(&shared_parts(&[FIRST, SESSION]), time(150));
     let updates = started.next_updates(time(200));
     for router in &routers {
         router.receive(&updates, time(10_000));
@@ -235,7 +235,7 @@
         crash(&here, &[FIRST, SESSION], number, ms);
         let updates = here.next_updates(time(ms));
         there.receive(&updates, time(ms + 5));
-        there.record_sound(&shared_parts(&[FIRST, SESSION]), time(ms + 50));
+        there.record_success(&shared_parts(&[FIRST, SESSION]), time(ms + 50));
         here.receive(&there.next_updates(time(ms + 60)), time(ms + 60));
         there.receive(&updates, time(ms + 300));
     }
--- a/tests/admission/poison_parts_model.rs
+++ b/tests/admission/poison_parts_model.rs
@@ -20,7 +20,7 @@
 const END_MS: u64 = 30_000;
 
 /// Time from which requests hold the part that crashes servers, in milliseconds.
-const DEADLY_FROM_MS: u64 = 4_000;
+const POISON_FROM_MS: u64 = 4_000;
 
 /// Time between two digests of a router that has nothing urgent to say, in milliseconds.
 const DIGEST_MS: u64 = 300;
@@ -41,7 +41,7 @@
 const SESSIONS: u64 = 40;
 
 /// Part that crashes servers.
-const DEADLY: u64 = 0xdead;
+const POISON: u64 = 0xdead;
 
 /// Number of seeds of each case.
 const SEEDS: u64 = 6;
@@ -52,7 +52,7 @@
     routers: usize,
     servers: usize,
     requests_per_s: f64,
-    /// Fraction of the requests that hold the deadly part.
+    /// Fraction of the requests that hold the poison part.
     share: f64,
     /// Whether all servers lose power at 8 s, and one after the other crashes from 12 s on.
     others_crash: bool,
@@ -73,7 +73,7 @@
     router: usize,
     parts: Box<[PartKey]>,
     session: u64,
-    deadly: bool,
+    is_poison: bool,
     attempts: u32,
     server: usize,
     data_at: u64,
@@ -175,14 +175,14 @@
     }
 
     fn arrive(&mut self) {
-        let deadly = self.now >= DEADLY_FROM_MS && self.rng.random_bool(self.case.share);
-        let session = if deadly {
+        let is_poison = self.now >= POISON_FROM_MS && self.rng.random_bool(self.case.share);
+        let session = if is_poison {
             self.rng.random_range(0..3)
         } else {
             self.rng.random_range(0..SESSIONS)
         };
         let mut ids = vec![0xf1, 0x1000 + session];
-        ids.extend(deadly.then_some(DEADLY));
+        ids.extend(is_poison.then_some(POISON));
         ids.push(self.rng.random());
         let prompt: Vec<_> = ids
             .iter()
@@ -196,7 +196,7 @@
             router: self.rng.random_range(0..self.routers.len()),
             parts: PartKey::shared_parts(&pool, &prompt),
             session,
-            deadly,
+            is_poison,
             attempts: 0,
             server: 0,
             data_at: 0,
@@ -211,7 +211,7 @@
             .check(&request.parts, self.time())
             .is_err()
         {
-            self.outcome.sound_refused += usize::from(!request.deadly);
+            self.outcome.sound_refused += usize::from(!request.is_poison);
             return;
         }
         let up: Vec<_> = (0..self.case.servers)
@@ -227,7 +227,7 @@
         let is_late = self
             .fifth_crash
             .is_some_and(|fifth| self.now > fifth + BOUND_MS);
-        self.outcome.late += usize::from(request.deadly && is_late);
+        self.outcome.late += usize::from(request.is_poison && is_late);
         self.running.push(request);
     }
 
@@ -236,13 +236,17 @@
         let began =
             |request: &Request, now: u64| request.data_at <= now && request.data_at + STEP_MS > now;
         let (now, time) = (self.now, self.time());
-        for request in self.running.iter().filter(|r| began(r, now) && !r.deadly) {
+        for request in self
+            .running
+            .iter()
+            .filter(|r| began(r, now) && !r.is_poison)
+        {
             self.urgent[request.router] |=
-                self.routers[request.router].record_sound(&request.parts, time);
+                self.routers[request.router].record_success(&request.parts, time);
             self.outcome.sound_served += 1;
         }
-        let deadly = self.running.iter().filter(|r| began(r, now) && r.deadly);
-        let servers: Vec<_> = deadly.map(|request| request.server).collect();
+        let is_poison = self.running.iter().filter(|r| began(r, now) && r.is_poison);
+        let servers: Vec<_> = is_poison.map(|request| request.server).collect();
         for server in servers {
             self.crash(server);
         }
@@ -265,7 +269,7 @@
         self.running = kept;
         let silent = cut
             .into_iter()
-            .filter(|r| r.deadly || r.data_at >= self.now);
+            .filter(|r| r.is_poison || r.data_at >= self.now);
         for request in silent.collect::<Vec<_>>() {
             let router = request.router;
             self.urgent[router] |=
@@ -296,7 +300,7 @@
 }
 
 #[test]
-fn a_deadly_part_crashes_few_servers_and_no_sound_request_is_refused() {
+fn a_poison_part_crashes_few_servers_and_no_sound_request_is_refused() {
     let cases = [
         (
             "one in a hundred",
