Log requests that end without an answer, and closed connections

Callers reported requests that got neither an answer nor a refusal. No line told which: a request whose connection or process ended was dropped without one, and so was a connection that the router closed.

A guard that is held from the arrival of a request to the end of its response logs `request unanswered` with the stage and the cause, and counts it in `ebonyspur_unanswered_total`. The stream of a caller's connection logs `caller connection closed` if the router closed it: the reason, the idle time, whether an exchange was open, and the bytes of a next request that were read in part or not at all. Answers and the times of closing are the same.

--- a/src/forward/attempts.rs
+++ b/src/forward/attempts.rs
@@ -223,10 +223,11 @@
     pub(super) fn record_placement<W: Wire>(
         &self,
         cx: &Forwarder<W>,
-        server: &Server,
+        server: &Arc<Server>,
         attempts: &mut Attempts,
         now: Instant,
     ) {
+        self.progress.record_sent(server);
         attempts.tried.push(server.key());
         if let Some(prompt) = &self.state.prompt {
             attempts.prompt_source = cx.prompt_source(&self.state.pool, prompt, server, now);
--- a/src/forward/drain.rs
+++ b/src/forward/drain.rs
@@ -30,6 +30,18 @@
     Ended,
 }
 
+impl DrainStage {
+    /// Returns the name of the stage for log lines.
+    pub fn as_str(self) -> &'static str {
+        match self {
+            DrainStage::Serving => "serving",
+            DrainStage::Draining => "draining",
+            DrainStage::Closing => "closing",
+            DrainStage::Ended => "ended",
+        }
+    }
+}
+
 /// Start of a drain and the time that the process has until it is killed.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct Drain {
--- a/src/forward/listener.rs
+++ b/src/forward/listener.rs
@@ -3,6 +3,7 @@
 use std::{
     convert::Infallible,
     future::Future,
+    net::SocketAddr,
     sync::{
         atomic::{AtomicU64, Ordering},
         Arc,
@@ -18,7 +19,10 @@
     sync::{watch, Semaphore},
 };
 
-use super::{connection, Body};
+use super::{
+    caller_connection::{CallerStream, CloseReason, ConnectionRecord},
+    connection, Body,
+};
 use crate::{Clock, Instant};
 
 /// Delay after a failed accept, for example when file descriptors have run out.
@@ -58,27 +62,30 @@
             accepted = listener.accept() => accepted,
             _ = closing_requested(&mut closing) => break,
         };
-        let stream = match accepted {
-            Ok((stream, _)) => stream,
+        let (stream, peer) = match accepted {
+            Ok(accepted) => accepted,
             Err(err) => {
                 log::warn!("cannot accept caller connection error=\"{err}\"");
                 tokio::time::sleep(ACCEPT_RETRY_DELAY).await;
                 continue;
             }
         };
-        let task = serve_connection(stream, service.clone(), clock, closing.clone());
+        let task = serve_connection(stream, peer, service.clone(), clock, closing.clone());
         tokio::spawn(async move {
             task.await;
             drop(slot);
         });
     }
     drop(listener);
+    let open = max_connections - slots.available_permits();
+    log::info!("listener closed connections={open}");
     // The slot acquired before the break is released, so all slots become free in the end.
     let _ = slots.acquire_many(max_connections as u32).await;
 }
 
 async fn serve_connection(
     stream: TcpStream,
+    peer: SocketAddr,
     service: impl HttpHandler,
     clock: Clock,
     mut closing: watch::Receiver<bool>,
@@ -89,16 +96,20 @@
     if let Err(err) = configured {
         log::debug!("cannot set options of caller socket error=\"{err}\"");
     }
+    let record = ConnectionRecord::default();
+    let stream = CallerStream::new(stream, peer, record.clone());
     let last_activity = Arc::new(AtomicU64::new(clock.now().as_micros()));
     let hyper_service = {
         let (service, last_activity) = (service.clone(), last_activity.clone());
+        let record = record.clone();
         service_fn(move |req| {
             let (service, last_activity) = (service.clone(), last_activity.clone());
+            let exchange = record.begin_exchange();
             async move {
                 last_activity.store(clock.now().as_micros(), Ordering::Relaxed);
                 let response = service.handle(req).await;
                 last_activity.store(clock.now().as_micros(), Ordering::Relaxed);
-                Ok::<_, Infallible>(response)
+                Ok::<_, Infallible>(exchange.guard(response))
             }
         })
     };
@@ -106,14 +117,17 @@
         .max_buf_size(MAX_HEAD_BYTES)
         .serve_connection(TokioIo::new(stream), hyper_service);
     tokio::pin!(connection);
+    let idle_time = || {
+        let active_at = Instant::from_micros(last_activity.load(Ordering::Relaxed));
+        clock.now().since(active_at)
+    };
     let mut ending = false;
     loop {
-        let idle = clock
-            .now()
-            .since(Instant::from_micros(last_activity.load(Ordering::Relaxed)));
+        let idle = idle_time();
         let limit = service.idle_limit() + IDLE_SLACK;
         tokio::select! {
             ended = &mut connection => {
+                record.record_end();
                 if let Err(err) = ended {
                     log::debug!("caller connection ended error=\"{err}\"");
                 }
@@ -121,14 +135,14 @@
             }
             _ = closing_requested(&mut closing), if !ending => {
                 ending = true;
+                record.record_close(CloseReason::Closing, idle_time());
                 connection.as_mut().graceful_shutdown();
             }
             _ = tokio::time::sleep(limit.saturating_sub(idle).max(IDLE_SLACK)), if !ending => {
-                let idle = clock
-                    .now()
-                    .since(Instant::from_micros(last_activity.load(Ordering::Relaxed)));
+                let idle = idle_time();
                 if idle >= limit {
                     ending = true;
+                    record.record_close(CloseReason::Idle, idle);
                     // A graceful shutdown completes a response in progress first.
                     connection.as_mut().graceful_shutdown();
                 }
--- a/src/forward/mod.rs
+++ b/src/forward/mod.rs
@@ -6,6 +6,7 @@
 mod attempts;
 mod body;
 mod buffered;
+mod caller_connection;
 mod connection;
 mod drain;
 mod exchange;
@@ -17,6 +18,7 @@
 mod serve;
 mod state;
 mod stream;
+mod unanswered;
 mod wire;
 
 pub use self::{
--- a/src/forward/request.rs
+++ b/src/forward/request.rs
@@ -5,7 +5,9 @@
 use bytes::Bytes;
 use http::{header, request};
 
-use super::{exchange::RequestTemplate, poison, Forwarder, RequestHead, Wire};
+use super::{
+    exchange::RequestTemplate, poison, unanswered::Progress, Forwarder, RequestHead, Wire,
+};
 use crate::{
     admission::{Fingerprint, PartKey},
     placement::SharedPrompt,
@@ -28,6 +30,7 @@
     pub(super) head: RequestHead,
     /// Time at which the request arrived.
     pub(super) arrived: Instant,
+    pub(super) progress: Progress,
     pub(super) state: S,
 }
 
@@ -59,6 +62,7 @@
         body: Bytes,
         head: RequestHead,
         arrived: Instant,
+        progress: Progress,
     ) -> Self {
         let template = RequestTemplate {
             method: parts.method,
@@ -71,6 +75,7 @@
             template,
             head,
             arrived,
+            progress,
             state: Received,
         }
     }
@@ -144,6 +149,7 @@
             template: self.template,
             head: self.head,
             arrived: self.arrived,
+            progress: self.progress,
             state,
         })
     }
--- a/src/forward/serve.rs
+++ b/src/forward/serve.rs
@@ -7,7 +7,10 @@
 use http_body_util::{BodyExt, LengthLimitError, Limited};
 use hyper::body::Incoming;
 
-use super::{Body, DrainStage, Forwarder, ProxyRequest, Received, RequestHead, Wire};
+use super::{
+    unanswered::{Progress, Unanswered},
+    Body, DrainStage, Forwarder, ProxyRequest, Received, RequestHead, Wire,
+};
 use crate::{routes::CallerLimits, Category, Error, Instant, Result};
 
 /// Longest time to read the body of a request, unless the caller's own timeout is shorter.
@@ -20,8 +23,12 @@
         let (parts, body) = req.into_parts();
         let head = self.wire.parse_request_head(&parts);
         let attempt = head.as_ref().ok().and_then(|head| head.attempt.clone());
+        let unanswered = Unanswered::new(self.clone(), attempt.clone(), arrived);
         // Boxed because a connection holds the memory of its service's future while it is open.
-        let run = Box::pin(self.clone().run(parts, body, head, arrived));
+        let run = Box::pin(
+            self.clone()
+                .run(parts, body, head, arrived, unanswered.progress()),
+        );
         let mut response = match run.await {
             Ok(response) => response,
             Err(err) => {
@@ -39,7 +46,7 @@
             let close = HeaderValue::from_static("close");
             response.headers_mut().insert(header::CONNECTION, close);
         }
-        response
+        unanswered.guard(response)
     }
 
     async fn run(
@@ -48,6 +55,7 @@
         body: Incoming,
         head: Result<RequestHead>,
         arrived: Instant,
+        progress: Progress,
     ) -> Result<Response<Body>> {
         let limits = self.limits();
         let caller_timeout = head.as_ref().ok().and_then(|head| head.timeout);
@@ -55,7 +63,8 @@
         // The body is read even if the request is refused: closing a connection with unread
         // bytes may discard the response.
         let body = read_body(body, limits.max_body_bytes, timeout).await?;
-        let req = ProxyRequest::<Received>::new(parts, body, head?, arrived);
+        progress.record_read();
+        let req = ProxyRequest::<Received>::new(parts, body, head?, arrived, progress);
         // Reading the body takes time, so the route table is looked up only now.
         let table = self.feed.routes.current();
         let req = req.route(&self, table.as_deref())?;
--- /dev/null
+++ b/src/forward/unanswered.rs
@@ -0,0 +1,174 @@
+//! Tells which requests end without a complete answer, and how far they had come.
+
+use std::{
+    pin::Pin,
+    sync::{Arc, Mutex},
+    task::{ready, Context, Poll},
+};
+
+use bytes::Bytes;
+use http::Response;
+use http_body::{Frame, SizeHint};
+use http_body_util::BodyExt;
+
+use super::{Body, DrainStage, Forwarder, Wire};
+use crate::{catalog::Server, sync::lock, Error, Instant, RequestId};
+
+/// How far a request has come.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Stage {
+    /// Its body is being read.
+    Reading,
+    /// It was read and has not been sent to a server.
+    Unsent,
+    /// It was sent to a server whose response is not complete, or not yet streamed.
+    Sent,
+    /// Its response is being forwarded event by event.
+    Streaming,
+}
+
+impl Stage {
+    fn as_str(self) -> &'static str {
+        match self {
+            Stage::Reading => "reading",
+            Stage::Unsent => "unsent",
+            Stage::Sent => "sent",
+            Stage::Streaming => "streaming",
+        }
+    }
+}
+
+#[derive(Debug)]
+struct State {
+    stage: Stage,
+    server: Option<Arc<Server>>,
+}
+
+/// Progress of one request.
+#[derive(Debug, Clone)]
+pub(super) struct Progress(Arc<Mutex<State>>);
+
+impl Progress {
+    fn new() -> Self {
+        Progress(Arc::new(Mutex::new(State {
+            stage: Stage::Reading,
+            server: None,
+        })))
+    }
+
+    /// Records that the whole request was read.
+    pub(super) fn record_read(&self) {
+        lock(&self.0).stage = Stage::Unsent;
+    }
+
+    /// Records that the request is sent to `server`, or that its stream is resumed there.
+    pub(super) fn record_sent(&self, server: &Arc<Server>) {
+        let mut state = lock(&self.0);
+        if state.stage != Stage::Streaming {
+            state.stage = Stage::Sent;
+        }
+        state.server = Some(server.clone());
+    }
+}
+
+/// Guard of a request; logs and counts the request if it is dropped before the answer is complete.
+pub(super) struct Unanswered<W: Wire> {
+    cx: Arc<Forwarder<W>>,
+    id: Option<RequestId>,
+    arrived: Instant,
+    progress: Progress,
+    is_answered: bool,
+}
+
+impl<W: Wire> Unanswered<W> {
+    /// Starts to guard a request.
+    pub(super) fn new(cx: Arc<Forwarder<W>>, id: Option<RequestId>, arrived: Instant) -> Self {
+        Unanswered {
+            cx,
+            id,
+            arrived,
+            progress: Progress::new(),
+            is_answered: false,
+        }
+    }
+
+    /// Returns the progress of the request, to be updated.
+    pub(super) fn progress(&self) -> Progress {
+        self.progress.clone()
+    }
+
+    /// Returns `response` with a body that keeps the guard until its end.
+    ///
+    /// A body whose length is known is complete already.
+    pub(super) fn guard(mut self, response: Response<Body>) -> Response<Body> {
+        if http_body::Body::size_hint(response.body())
+            .exact()
+            .is_some()
+        {
+            self.is_answered = true;
+            return response;
+        }
+        lock(&self.progress.0).stage = Stage::Streaming;
+        response.map(|body| GuardedBody { body, guard: self }.boxed_unsync())
+    }
+}
+
+impl<W: Wire> Drop for Unanswered<W> {
+    fn drop(&mut self) {
+        if self.is_answered {
+            return;
+        }
+        let now = self.cx.clock.now();
+        let drain = self.cx.drain_stage(now);
+        // Before the end of the process, a request is dropped only when its connection ends.
+        let (level, cause) = match drain {
+            DrainStage::Ended => (log::Level::Warn, "process_end"),
+            _ => (log::Level::Info, "connection_ended"),
+        };
+        let state = lock(&self.progress.0);
+        let stage = state.stage.as_str();
+        log::log!(
+            level,
+            "request unanswered id={} server={} took_ms={} stage={stage} cause={cause} drain={}",
+            self.id.as_ref().map_or("-", |id| id.as_str()),
+            state
+                .server
+                .as_ref()
+                .map_or("-", |server| server.name.as_str()),
+            now.since(self.arrived).as_millis(),
+            drain.as_str()
+        );
+        self.cx.metrics.count_unanswered(stage, cause);
+    }
+}
+
+/// A body that keeps the guard of its request until its end.
+struct GuardedBody<W: Wire> {
+    body: Body,
+    guard: Unanswered<W>,
+}
+
+impl<W: Wire> http_body::Body for GuardedBody<W> {
+    type Data = Bytes;
+    type Error = Error;
+
+    fn poll_frame(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, Error>>> {
+        let frame = ready!(Pin::new(&mut self.body).poll_frame(cx));
+        // A stream that breaks off has a log line of its own.
+        if !matches!(frame, Some(Ok(_))) || self.body.is_end_stream() {
+            self.guard.is_answered = true;
+        }
+        Poll::Ready(frame)
+    }
+
+    fn is_end_stream(&self) -> bool {
+        self.body.is_end_stream()
+    }
+
+    fn size_hint(&self) -> SizeHint {
+        self.body.size_hint()
+    }
+}
--- a/src/inspect/forward_metrics.rs
+++ b/src/inspect/forward_metrics.rs
@@ -31,6 +31,13 @@
     granted: &'static str,
 }
 
+/// Labels of the counter of requests without a complete answer.
+#[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct UnansweredLabels {
+    stage: &'static str,
+    cause: &'static str,
+}
+
 /// Counters and histograms of forwarded requests.
 #[derive(Debug)]
 pub struct ForwardMetrics {
@@ -39,6 +46,7 @@
     task_delay_seconds: Histogram,
     failures: Family<FailureLabels, Counter<u64, AtomicU64>>,
     retries: Family<RetryLabels, Counter<u64, AtomicU64>>,
+    unanswered: Family<UnansweredLabels, Counter<u64, AtomicU64>>,
     /// Connections opened to backend servers.
     pub connections: Counter<u64, AtomicU64>,
 }
@@ -52,6 +60,7 @@
             task_delay_seconds: Histogram::new(TASK_DELAY_BUCKETS),
             failures: Family::default(),
             retries: Family::default(),
+            unanswered: Family::default(),
             connections: Counter::default(),
             registry: Registry::default(),
         };
@@ -71,6 +80,8 @@
         registry.register("failed", help, metrics.failures.clone());
         let help = "Retries that the retry budget granted or refused";
         registry.register("retries", help, metrics.retries.clone());
+        let help = "Requests whose connection or process ended before the answer was complete";
+        registry.register("unanswered", help, metrics.unanswered.clone());
         let help = "Connections opened to backend servers";
         registry.register("server_connections", help, metrics.connections.clone());
         ForwardMetrics {
@@ -88,6 +99,12 @@
         self.failures.get_or_create(&labels).inc();
     }
 
+    /// Counts a request that ended at `stage` without a complete answer, for `cause`.
+    pub fn count_unanswered(&self, stage: &'static str, cause: &'static str) {
+        let labels = UnansweredLabels { stage, cause };
+        self.unanswered.get_or_create(&labels).inc();
+    }
+
     /// Records that a request was answered `took` after its arrival.
     pub fn observe_answer(&self, took: Duration) {
         self.answer_seconds.observe(took.as_secs_f64());
