Count the idle time of a connection from the end of its response

Callers whose stream had lasted longer than the idle limit lost their next request: the connection was closed as soon as the stream had ended, without `Connection: close` in any response.

The idle time was counted from the head of the response, as the handler returns with it. It now counts from the end or drop of the response body, and a connection with an exchange in progress is never idle.

Before the change, with an idle limit of 500 ms and a stream of 3.5 s:

closing::request_after_a_long_stream_is_not_lost left: "unanswered" right: "200"

--- a/src/forward/caller_connection.rs
+++ b/src/forward/caller_connection.rs
@@ -10,17 +10,14 @@
     time::Duration,
 };
 
-use bytes::Bytes;
-use http::Response;
-use http_body::{Frame, SizeHint};
 use socket2::SockRef;
 use tokio::{
     io::{AsyncRead, AsyncWrite, ReadBuf},
     net::TcpStream,
 };
 
-use super::Body;
-use crate::{sync::lock, Error};
+use super::Activity;
+use crate::{sync::lock, Instant};
 
 /// Largest number of unread bytes that a log line tells.
 const MAX_COUNTED_BYTES: usize = 1024;
@@ -43,11 +40,10 @@
     }
 }
 
-#[derive(Debug, Default)]
+#[derive(Debug)]
 struct State {
+    activity: Activity,
     requests: u32,
-    /// Exchanges whose response has not been handed over in full: at most one.
-    open: u32,
     /// Bytes read since the end of the last exchange: part of the head of the next request.
     partial_bytes: usize,
     /// Set when this router starts to close the connection.
@@ -64,26 +60,46 @@
 }
 
 /// What happened on one connection of a caller.
-#[derive(Debug, Clone, Default)]
+#[derive(Debug, Clone)]
 pub(super) struct ConnectionRecord(Arc<Mutex<State>>);
 
 impl ConnectionRecord {
-    /// Records the start of an exchange, which lasts until the guard is dropped.
-    pub(super) fn begin_exchange(&self) -> ExchangeGuard {
+    /// Creates the record of a connection that was accepted at `now`.
+    pub(super) fn new(idle_limit: Duration, now: Instant) -> Self {
+        ConnectionRecord(Arc::new(Mutex::new(State {
+            activity: Activity::new(idle_limit, now),
+            requests: 0,
+            partial_bytes: 0,
+            close: None,
+            has_ended: false,
+        })))
+    }
+
+    /// Records that a request was read.
+    pub(super) fn begin_exchange(&self) {
         let mut state = lock(&self.0);
+        state.activity.begin_exchange();
         state.requests += 1;
-        state.open += 1;
         state.partial_bytes = 0;
-        ExchangeGuard(self.clone())
     }
 
-    /// Records that this router starts to close the connection, idle for `idle`.
-    pub(super) fn record_close(&self, reason: CloseReason, idle: Duration) {
+    /// Records that the whole response to a request was written, or that it was given up.
+    pub(super) fn end_exchange(&self, now: Instant) {
+        lock(&self.0).activity.end_exchange(now);
+    }
+
+    /// Returns the time from which the connection may be closed, `None` during an exchange.
+    pub(super) fn close_at(&self) -> Option<Instant> {
+        lock(&self.0).activity.close_at()
+    }
+
+    /// Records that this router starts to close the connection at `now`.
+    pub(super) fn record_close(&self, reason: CloseReason, now: Instant) {
         let mut state = lock(&self.0);
         state.close = Some(Close {
             reason,
-            idle,
-            was_open: state.open > 0,
+            idle: state.activity.idle_time(now),
+            was_open: state.activity.is_exchange(),
             partial_bytes: state.partial_bytes,
         });
     }
@@ -94,48 +110,6 @@
     }
 }
 
-/// An exchange on a caller's connection; it ends when the guard is dropped.
-pub(super) struct ExchangeGuard(ConnectionRecord);
-
-impl ExchangeGuard {
-    /// Returns `response` with a body that keeps the guard.
-    pub(super) fn guard(self, response: Response<Body>) -> Response<ExchangeBody> {
-        response.map(|body| ExchangeBody { body, _guard: self })
-    }
-}
-
-impl Drop for ExchangeGuard {
-    fn drop(&mut self) {
-        lock(&self.0 .0).open -= 1;
-    }
-}
-
-/// A body that keeps the guard of its exchange.
-pub(super) struct ExchangeBody {
-    body: Body,
-    _guard: ExchangeGuard,
-}
-
-impl http_body::Body for ExchangeBody {
-    type Data = Bytes;
-    type Error = Error;
-
-    fn poll_frame(
-        mut self: Pin<&mut Self>,
-        cx: &mut Context<'_>,
-    ) -> Poll<Option<Result<Frame<Bytes>, Error>>> {
-        Pin::new(&mut self.body).poll_frame(cx)
-    }
-
-    fn is_end_stream(&self) -> bool {
-        self.body.is_end_stream()
-    }
-
-    fn size_hint(&self) -> SizeHint {
-        self.body.size_hint()
-    }
-}
-
 /// The stream of a caller's connection; logs the end of the connection if this router closed it.
 pub(super) struct CallerStream {
     stream: TcpStream,
@@ -166,17 +140,16 @@
         let unread = self.unread_bytes();
         let state = lock(&self.record.0);
         let close = state.close;
+        let is_open = state.activity.is_exchange();
         let reason = match close {
             Some(close) => close.reason.as_str(),
-            None if !state.has_ended && state.open + state.partial_bytes as u32 > 0 => {
-                "process_end"
-            }
+            None if !state.has_ended && (is_open || state.partial_bytes > 0) => "process_end",
             None if unread > 0 => "ended",
             None => return,
         };
         let partial = close.map_or(state.partial_bytes, |close| close.partial_bytes);
-        let was_open = close.map_or(state.open > 0, |close| close.was_open);
-        let is_lossy = state.open > 0 || partial > 0 || unread > 0;
+        let was_open = close.map_or(is_open, |close| close.was_open);
+        let is_lossy = is_open || partial > 0 || unread > 0;
         let level = if is_lossy {
             log::Level::Warn
         } else {
@@ -185,11 +158,10 @@
         log::log!(
             level,
             "caller connection closed peer={} reason={reason} idle_ms={} requests={} \
-             in_progress={was_open} unfinished={} partial_bytes={partial} unread_bytes={unread}",
+             in_progress={was_open} unfinished={is_open} partial_bytes={partial} unread_bytes={unread}",
             self.peer,
             close.map_or(0, |close| close.idle.as_millis()),
-            state.requests,
-            state.open > 0
+            state.requests
         );
     }
 }
@@ -205,7 +177,7 @@
         let len = buf.filled().len() - before;
         if len > 0 {
             let mut state = lock(&self.record.0);
-            if state.open == 0 {
+            if !state.activity.is_exchange() {
                 state.partial_bytes += len;
             }
         }
--- a/src/forward/listener.rs
+++ b/src/forward/listener.rs
@@ -1,15 +1,6 @@
 //! Accepts HTTP connections from callers and serves each one in its own task.
 
-use std::{
-    convert::Infallible,
-    future::Future,
-    net::SocketAddr,
-    sync::{
-        atomic::{AtomicU64, Ordering},
-        Arc,
-    },
-    time::Duration,
-};
+use std::{convert::Infallible, future::Future, net::SocketAddr, sync::Arc, time::Duration};
 
 use http::{Request, Response};
 use hyper::{body::Incoming, server::conn::http1, service::service_fn};
@@ -21,17 +12,17 @@
 
 use super::{
     caller_connection::{CallerStream, CloseReason, ConnectionRecord},
-    connection, Body,
+    connection,
+    exchange_body::{ExchangeBody, ExchangeGuard},
+    Body,
 };
-use crate::{Clock, Instant};
+use crate::Clock;
 
 /// Delay after a failed accept, for example when file descriptors have run out.
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(50);
 
-/// Time beyond the idle limit for which an idle connection stays open.
-///
-/// The caller counts its idle time from the arrival of the response, which is later.
-const IDLE_SLACK: Duration = Duration::from_secs(2);
+/// Shortest time between two checks whether a connection is idle.
+const MIN_CHECK_INTERVAL: Duration = Duration::from_millis(100);
 
 /// Largest head of a request, in bytes; also the limit to which read buffers grow.
 const MAX_HEAD_BYTES: usize = 20 * 1024;
@@ -96,20 +87,16 @@
     if let Err(err) = configured {
         log::debug!("cannot set options of caller socket error=\"{err}\"");
     }
-    let record = ConnectionRecord::default();
+    let record = ConnectionRecord::new(service.idle_limit(), clock.now());
     let stream = CallerStream::new(stream, peer, record.clone());
-    let last_activity = Arc::new(AtomicU64::new(clock.now().as_micros()));
     let hyper_service = {
-        let (service, last_activity) = (service.clone(), last_activity.clone());
-        let record = record.clone();
+        let (service, record) = (service.clone(), record.clone());
         service_fn(move |req| {
-            let (service, last_activity) = (service.clone(), last_activity.clone());
-            let exchange = record.begin_exchange();
+            let (service, record) = (service.clone(), record.clone());
             async move {
-                last_activity.store(clock.now().as_micros(), Ordering::Relaxed);
+                let _exchange = ExchangeGuard::begin(record, clock);
                 let response = service.handle(req).await;
-                last_activity.store(clock.now().as_micros(), Ordering::Relaxed);
-                Ok::<_, Infallible>(exchange.guard(response))
+                Ok::<_, Infallible>(response.map(|body| ExchangeBody { body, _exchange }))
             }
         })
     };
@@ -117,14 +104,12 @@
         .max_buf_size(MAX_HEAD_BYTES)
         .serve_connection(TokioIo::new(stream), hyper_service);
     tokio::pin!(connection);
-    let idle_time = || {
-        let active_at = Instant::from_micros(last_activity.load(Ordering::Relaxed));
-        clock.now().since(active_at)
-    };
     let mut ending = false;
     loop {
-        let idle = idle_time();
-        let limit = service.idle_limit() + IDLE_SLACK;
+        let now = clock.now();
+        // An exchange that ends later leaves the connection open for at least the idle limit.
+        let check_at = record.close_at().unwrap_or(now + service.idle_limit());
+        let wait = check_at.since(now).max(MIN_CHECK_INTERVAL);
         tokio::select! {
             ended = &mut connection => {
                 record.record_end();
@@ -135,15 +120,14 @@
             }
             _ = closing_requested(&mut closing), if !ending => {
                 ending = true;
-                record.record_close(CloseReason::Closing, idle_time());
+                record.record_close(CloseReason::Closing, clock.now());
                 connection.as_mut().graceful_shutdown();
             }
-            _ = tokio::time::sleep(limit.saturating_sub(idle).max(IDLE_SLACK)), if !ending => {
-                let idle = idle_time();
-                if idle >= limit {
+            _ = tokio::time::sleep(wait), if !ending => {
+                let now = clock.now();
+                if record.close_at().is_some_and(|close_at| close_at <= now) {
                     ending = true;
-                    record.record_close(CloseReason::Idle, idle);
-                    // A graceful shutdown completes a response in progress first.
+                    record.record_close(CloseReason::Idle, now);
                     connection.as_mut().graceful_shutdown();
                 }
             }
--- a/src/forward/mod.rs
+++ b/src/forward/mod.rs
@@ -3,6 +3,7 @@
 //! Callers and servers may speak any dialect of HTTP: a [`Wire`] parses and writes the
 //! heads of messages, and all decisions are made here.
 
+mod activity;
 mod attempts;
 mod body;
 mod buffered;
@@ -10,6 +11,7 @@
 mod connection;
 mod drain;
 mod exchange;
+mod exchange_body;
 mod health;
 mod in_flight;
 mod listener;
@@ -22,6 +24,7 @@
 mod wire;
 
 pub use self::{
+    activity::Activity,
     body::{full_body, text_response, Body},
     connection::{open_connection, Connection, ConnectionPool, SendError},
     drain::{Drain, DrainStage},
--- a/tests/forward/main.rs
+++ b/tests/forward/main.rs
@@ -1,5 +1,7 @@
 //! Decisions of forwarding: draining, server health, requests in flight and quarantine.
 
+mod closing;
+
 use std::time::Duration;
 
 use ebonyspur::{
