Keep a connection open for the idle limit that its caller may rely on

Requests were lost beside a change of the idle limit. After the limit was lengthened, a connection was still closed at the old one, while its caller relied on the new one. After it was shortened, a connection was closed at the shorter one within an idle time that had begun under the longer one, while its caller may not have learned of the change.

The limit was read before the wait and applied whatever the configuration said at its end, and read again only then. The limit of a connection is now the longest that was in force since the end of its last response, so a shorter one takes effect with the next response.

Before the change (limit of 100 ms lengthened, request after 3 s; limit of 4 s shortened, request 3.2 s after the last response):

closing::request_within_a_lengthened_idle_limit_is_not_lost closing::request_within_the_idle_limit_of_the_last_response_is_not_lost left: "unanswered" right: "200"

--- a/src/forward/activity.rs
+++ b/src/forward/activity.rs
@@ -13,7 +13,10 @@
 #[derive(Debug, Clone, Copy)]
 pub struct Activity {
     phase: Phase,
-    /// Time for which the caller may rely on the connection between two requests.
+    /// Longest idle limit that was in force since the last response.
+    ///
+    /// Callers may rely on it: those that have not learned of a shorter one still use the
+    /// connection, and those that have learned of a longer one use it for longer.
     idle_limit: Duration,
 }
 
@@ -39,13 +42,18 @@
         self.phase = Phase::Exchange;
     }
 
-    /// Records that the whole response to a request was written.
-    pub fn end_exchange(&mut self, now: Instant) {
+    /// Records that the whole response to a request was written while `idle_limit` was in force.
+    pub fn end_exchange(&mut self, idle_limit: Duration, now: Instant) {
         self.phase = Phase::Idle(now);
+        self.idle_limit = idle_limit;
     }
 
-    /// Returns the time from which the connection may be closed, `None` during an exchange.
-    pub fn close_at(&self) -> Option<Instant> {
+    /// Returns the time from which the connection may be closed while `idle_limit` is in force,
+    /// `None` during an exchange.
+    ///
+    /// A shorter limit takes effect with the next response.
+    pub fn close_at(&mut self, idle_limit: Duration) -> Option<Instant> {
+        self.idle_limit = self.idle_limit.max(idle_limit);
         match self.phase {
             Phase::Idle(since) => Some(since + self.idle_limit + IDLE_SLACK),
             Phase::Exchange => None,
--- a/src/forward/caller_connection.rs
+++ b/src/forward/caller_connection.rs
@@ -83,14 +83,16 @@
         state.partial_bytes = 0;
     }
 
-    /// Records that the whole response to a request was written, or that it was given up.
-    pub(super) fn end_exchange(&self, now: Instant) {
-        lock(&self.0).activity.end_exchange(now);
+    /// Records that the whole response to a request was written while `idle_limit` was in force, or
+    /// that it was given up.
+    pub(super) fn end_exchange(&self, idle_limit: Duration, now: Instant) {
+        lock(&self.0).activity.end_exchange(idle_limit, now);
     }
 
-    /// Returns the time from which the connection may be closed, `None` during an exchange.
-    pub(super) fn close_at(&self) -> Option<Instant> {
-        lock(&self.0).activity.close_at()
+    /// Returns the time from which the connection may be closed while `idle_limit` is in force,
+    /// `None` during an exchange.
+    pub(super) fn close_at(&self, idle_limit: Duration) -> Option<Instant> {
+        lock(&self.0).activity.close_at(idle_limit)
     }
 
     /// Records that this router starts to close the connection at `now`.
--- a/src/forward/exchange_body.rs
+++ b/src/forward/exchange_body.rs
@@ -8,36 +8,42 @@
 use bytes::Bytes;
 use http_body::{Frame, SizeHint};
 
-use super::{caller_connection::ConnectionRecord, Body};
+use super::{caller_connection::ConnectionRecord, Body, HttpHandler};
 use crate::{Clock, Error};
 
 /// Body of a response, whose exchange ends when the body was written or is dropped.
-pub(super) struct ExchangeBody {
+pub(super) struct ExchangeBody<H: HttpHandler> {
     pub(super) body: Body,
-    pub(super) _exchange: ExchangeGuard,
+    pub(super) _exchange: ExchangeGuard<H>,
 }
 
 /// An exchange on a caller's connection, which ends when the guard is dropped.
-pub(super) struct ExchangeGuard {
+pub(super) struct ExchangeGuard<H: HttpHandler> {
     record: ConnectionRecord,
+    handler: H,
     clock: Clock,
 }
 
-impl ExchangeGuard {
+impl<H: HttpHandler> ExchangeGuard<H> {
     /// Begins an exchange.
-    pub(super) fn begin(record: ConnectionRecord, clock: Clock) -> Self {
+    pub(super) fn begin(record: ConnectionRecord, handler: H, clock: Clock) -> Self {
         record.begin_exchange();
-        ExchangeGuard { record, clock }
+        ExchangeGuard {
+            record,
+            handler,
+            clock,
+        }
     }
 }
 
-impl Drop for ExchangeGuard {
+impl<H: HttpHandler> Drop for ExchangeGuard<H> {
     fn drop(&mut self) {
-        self.record.end_exchange(self.clock.now());
+        let idle_limit = self.handler.idle_limit();
+        self.record.end_exchange(idle_limit, self.clock.now());
     }
 }
 
-impl http_body::Body for ExchangeBody {
+impl<H: HttpHandler> http_body::Body for ExchangeBody<H> {
     type Data = Bytes;
     type Error = Error;
 
--- a/src/forward/listener.rs
+++ b/src/forward/listener.rs
@@ -28,7 +28,7 @@
 const MAX_HEAD_BYTES: usize = 20 * 1024;
 
 /// Handles the requests that arrive at a listener.
-pub trait HttpHandler: Clone + Send + Sync + 'static {
+pub trait HttpHandler: Clone + Send + Sync + Unpin + 'static {
     /// Handles one request and returns its response.
     fn handle(&self, req: Request<Incoming>) -> impl Future<Output = Response<Body>> + Send;
 
@@ -94,7 +94,7 @@
         service_fn(move |req| {
             let (service, record) = (service.clone(), record.clone());
             async move {
-                let _exchange = ExchangeGuard::begin(record, clock);
+                let _exchange = ExchangeGuard::begin(record, service.clone(), clock);
                 let response = service.handle(req).await;
                 Ok::<_, Infallible>(response.map(|body| ExchangeBody { body, _exchange }))
             }
@@ -108,7 +108,9 @@
     loop {
         let now = clock.now();
         // An exchange that ends later leaves the connection open for at least the idle limit.
-        let check_at = record.close_at().unwrap_or(now + service.idle_limit());
+        let check_at = record
+            .close_at(service.idle_limit())
+            .unwrap_or(now + service.idle_limit());
         let wait = check_at.since(now).max(MIN_CHECK_INTERVAL);
         tokio::select! {
             ended = &mut connection => {
@@ -125,7 +127,8 @@
             }
             _ = tokio::time::sleep(wait), if !ending => {
                 let now = clock.now();
-                if record.close_at().is_some_and(|close_at| close_at <= now) {
+                let close_at = record.close_at(service.idle_limit());
+                if close_at.is_some_and(|close_at| close_at <= now) {
                     ending = true;
                     record.record_close(CloseReason::Idle, now);
                     connection.as_mut().graceful_shutdown();
--- a/tests/forward/closing.rs
+++ b/tests/forward/closing.rs
@@ -69,14 +69,16 @@
 /// A listener in a thread of its own.
 struct Listener {
     address: SocketAddr,
+    idle_limit: Arc<Mutex<Duration>>,
     closing: watch::Sender<bool>,
     thread: JoinHandle<()>,
 }
 
 impl Listener {
     fn start(idle_limit: Duration, max_connections: usize) -> Self {
+        let idle_limit = Arc::new(Mutex::new(idle_limit));
         let handler = Handler {
-            idle_limit: Arc::new(Mutex::new(idle_limit)),
+            idle_limit: idle_limit.clone(),
         };
         let (closing, until) = watch::channel(false);
         let (tx, rx) = std::sync::mpsc::channel();
@@ -95,6 +97,7 @@
         });
         Listener {
             address: rx.recv().expect("an address"),
+            idle_limit,
             closing,
             thread,
         }
@@ -104,6 +107,10 @@
         self.closing.send_replace(true);
     }
 
+    fn set_idle_limit(&self, limit: Duration) {
+        *self.idle_limit.lock().expect("a limit") = limit;
+    }
+
     fn connect(&self) -> Connection {
         let stream = TcpStream::connect(self.address).expect("a connection");
         stream
@@ -168,6 +175,28 @@
     assert_eq!(caller.call("/"), "200");
 }
 
+#[test]
+fn request_within_a_lengthened_idle_limit_is_not_lost() {
+    let listener = Listener::start(MS(100), MAX_CONNECTIONS);
+    let mut caller = listener.connect();
+    assert_eq!(caller.call("/"), "200");
+    listener.set_idle_limit(MS(10_000));
+    sleep(MS(3_000));
+    assert_eq!(caller.call("/"), "200");
+}
+
+#[test]
+fn request_within_the_idle_limit_of_the_last_response_is_not_lost() {
+    let listener = Listener::start(MS(4_000), MAX_CONNECTIONS);
+    let mut caller = listener.connect();
+    assert_eq!(caller.call("/"), "200");
+    sleep(MS(3_000));
+    assert_eq!(caller.call("/wait/2500"), "200");
+    listener.set_idle_limit(Duration::ZERO);
+    sleep(MS(3_200));
+    assert_eq!(caller.call("/"), "200");
+}
+
 #[test]
 fn idle_connections_are_closed_after_the_limit_of_their_last_response() {
     let listener = Listener::start(MS(500), MAX_CONNECTIONS);
