Close a connection only if no byte of a request has arrived

Callers lost requests that crossed the close of their connection, at the end of the idle limit and when a stopping router closed its idle connections: requests whose head had been read in part, which the HTTP library drops in a graceful shutdown, and requests that waited in the socket while the process was busy, as the timer and the socket were looked at in random order.

The socket of a connection now records when bytes of a request arrive; from then on the connection is not idle. What has arrived is read first, and before the close the socket itself is asked once more. A connection that closes with the listener answers the request that has arrived with `Connection: close`.

What remains are bytes in the network at the moment of the close. This end cannot know of them; such a request is not read and not passed on.

Before the change:

closing::request_whose_head_arrives_over_the_end_of_the_idle_limit_is_not_lost closing::request_whose_head_arrives_as_the_listener_closes_is_not_lost left: "unanswered" closing::requests_that_wait_in_the_socket_at_the_end_of_the_idle_limit_are_not_lost 14 of 20 requests unanswered

--- a/src/forward/activity.rs
+++ b/src/forward/activity.rs
@@ -18,12 +18,18 @@
     /// Callers may rely on it: those that have not learned of a shorter one still use the
     /// connection, and those that have learned of a longer one use it for longer.
     idle_limit: Duration,
+    /// Whether the connection is closed as soon as no request is in progress.
+    closing: bool,
 }
 
 #[derive(Debug, Clone, Copy)]
 enum Phase {
     /// No exchange is in progress since the given time.
     Idle(Instant),
+    /// The connection may be closed, unless a request has arrived in the meantime.
+    Expired(Instant),
+    /// The first byte of a request arrived at the given time.
+    Receiving(Instant),
     /// A request was read and its response has not been written in full.
     Exchange,
 }
@@ -34,9 +40,34 @@
         Activity {
             phase: Phase::Idle(now),
             idle_limit,
+            closing: false,
         }
     }
 
+    /// Closes the connection as soon as no request is in progress.
+    pub fn begin_closing(&mut self) {
+        self.closing = true;
+    }
+
+    /// Records that bytes of a request have arrived.
+    pub fn record_data(&mut self, now: Instant) {
+        if let Phase::Idle(_) | Phase::Expired(_) = self.phase {
+            self.phase = Phase::Receiving(now);
+        }
+    }
+
+    /// Records that the connection is about to be closed.
+    pub fn expire(&mut self) {
+        if let Phase::Idle(since) = self.phase {
+            self.phase = Phase::Expired(since);
+        }
+    }
+
+    /// Returns whether the connection is about to be closed.
+    pub fn is_expired(&self) -> bool {
+        matches!(self.phase, Phase::Expired(_))
+    }
+
     /// Records that a request was read.
     pub fn begin_exchange(&mut self) {
         self.phase = Phase::Exchange;
@@ -55,7 +86,10 @@
     pub fn close_at(&mut self, idle_limit: Duration) -> Option<Instant> {
         self.idle_limit = self.idle_limit.max(idle_limit);
         match self.phase {
-            Phase::Idle(since) => Some(since + self.idle_limit + IDLE_SLACK),
+            Phase::Idle(since) | Phase::Expired(since) if self.closing => Some(since),
+            Phase::Idle(since) | Phase::Expired(since) | Phase::Receiving(since) => {
+                Some(since + self.idle_limit + IDLE_SLACK)
+            }
             Phase::Exchange => None,
         }
     }
@@ -68,7 +102,9 @@
     /// Returns the time since the last exchange or the start, zero during an exchange.
     pub fn idle_time(&self, now: Instant) -> Duration {
         match self.phase {
-            Phase::Idle(since) => now.since(since),
+            Phase::Idle(since) | Phase::Expired(since) | Phase::Receiving(since) => {
+                now.since(since)
+            }
             Phase::Exchange => Duration::ZERO,
         }
     }
--- a/src/forward/caller_connection.rs
+++ b/src/forward/caller_connection.rs
@@ -17,7 +17,7 @@
 };
 
 use super::Activity;
-use crate::{sync::lock, Instant};
+use crate::{sync::lock, Clock, Instant};
 
 /// Largest number of unread bytes that a log line tells.
 const MAX_COUNTED_BYTES: usize = 1024;
@@ -95,6 +95,16 @@
         lock(&self.0).activity.close_at(idle_limit)
     }
 
+    /// Closes the connection as soon as no request is in progress.
+    pub(super) fn begin_closing(&self) {
+        lock(&self.0).activity.begin_closing();
+    }
+
+    /// Records that the connection is about to be closed.
+    pub(super) fn expire(&self) {
+        lock(&self.0).activity.expire();
+    }
+
     /// Records that this router starts to close the connection at `now`.
     pub(super) fn record_close(&self, reason: CloseReason, now: Instant) {
         let mut state = lock(&self.0);
@@ -117,15 +127,22 @@
     stream: TcpStream,
     peer: SocketAddr,
     record: ConnectionRecord,
+    clock: Clock,
 }
 
 impl CallerStream {
-    /// Creates the stream of a connection from `peer`.
-    pub(super) fn new(stream: TcpStream, peer: SocketAddr, record: ConnectionRecord) -> Self {
+    /// Creates the stream of a connection from `peer`, which records in `record` when bytes arrive.
+    pub(super) fn new(
+        stream: TcpStream,
+        peer: SocketAddr,
+        record: ConnectionRecord,
+        clock: Clock,
+    ) -> Self {
         CallerStream {
             stream,
             peer,
             record,
+            clock,
         }
     }
 
@@ -177,12 +194,15 @@
         let before = buf.filled().len();
         let read = Pin::new(&mut self.stream).poll_read(cx, buf);
         let len = buf.filled().len() - before;
-        if len > 0 {
-            let mut state = lock(&self.record.0);
-            if !state.activity.is_exchange() {
-                state.partial_bytes += len;
-            }
+        let mut state = lock(&self.record.0);
+        if !state.activity.is_exchange() {
+            state.partial_bytes += len;
+        }
+        // The runtime may not have been told of bytes that the socket has.
+        if len > 0 || state.activity.is_expired() && self.unread_bytes() > 0 {
+            state.activity.record_data(self.clock.now());
         }
+        drop(state);
         read
     }
 }
--- a/src/forward/listener.rs
+++ b/src/forward/listener.rs
@@ -1,8 +1,10 @@
 //! Accepts HTTP connections from callers and serves each one in its own task.
 
-use std::{convert::Infallible, future::Future, net::SocketAddr, sync::Arc, time::Duration};
+use std::{
+    convert::Infallible, future::Future, net::SocketAddr, sync::Arc, task::Poll, time::Duration,
+};
 
-use http::{Request, Response};
+use http::{header, HeaderValue, Request, Response};
 use hyper::{body::Incoming, server::conn::http1, service::service_fn};
 use hyper_util::rt::TokioIo;
 use tokio::{
@@ -24,6 +26,9 @@
 /// Shortest time between two checks whether a connection is idle.
 const MIN_CHECK_INTERVAL: Duration = Duration::from_millis(100);
 
+/// Interval between two checks whether a connection can be closed while the listener closes.
+const CLOSING_CHECK_INTERVAL: Duration = Duration::from_millis(100);
+
 /// Largest head of a request, in bytes; also the limit to which read buffers grow.
 const MAX_HEAD_BYTES: usize = 20 * 1024;
 
@@ -88,14 +93,20 @@
         log::debug!("cannot set options of caller socket error=\"{err}\"");
     }
     let record = ConnectionRecord::new(service.idle_limit(), clock.now());
-    let stream = CallerStream::new(stream, peer, record.clone());
+    let stream = CallerStream::new(stream, peer, record.clone(), clock);
     let hyper_service = {
         let (service, record) = (service.clone(), record.clone());
+        let closing = closing.clone();
         service_fn(move |req| {
             let (service, record) = (service.clone(), record.clone());
+            let closing = closing.clone();
             async move {
                 let _exchange = ExchangeGuard::begin(record, service.clone(), clock);
-                let response = service.handle(req).await;
+                let mut response = service.handle(req).await;
+                if *closing.borrow() {
+                    let close = HeaderValue::from_static("close");
+                    response.headers_mut().insert(header::CONNECTION, close);
+                }
                 Ok::<_, Infallible>(response.map(|body| ExchangeBody { body, _exchange }))
             }
         })
@@ -104,37 +115,55 @@
         .max_buf_size(MAX_HEAD_BYTES)
         .serve_connection(TokioIo::new(stream), hyper_service);
     tokio::pin!(connection);
-    let mut ending = false;
-    loop {
+    let mut is_closing = false;
+    let ended = loop {
         let now = clock.now();
-        // An exchange that ends later leaves the connection open for at least the idle limit.
-        let check_at = record
-            .close_at(service.idle_limit())
-            .unwrap_or(now + service.idle_limit());
-        let wait = check_at.since(now).max(MIN_CHECK_INTERVAL);
+        let close_at = record.close_at(service.idle_limit());
+        let wait = match close_at {
+            Some(close_at) => close_at.since(now),
+            None if is_closing => CLOSING_CHECK_INTERVAL,
+            // An exchange that ends later leaves the connection open for at least the idle limit.
+            None => service.idle_limit().max(MIN_CHECK_INTERVAL),
+        };
         tokio::select! {
-            ended = &mut connection => {
-                record.record_end();
-                if let Err(err) = ended {
-                    log::debug!("caller connection ended error=\"{err}\"");
-                }
-                return;
-            }
-            _ = closing_requested(&mut closing), if !ending => {
-                ending = true;
-                record.record_close(CloseReason::Closing, clock.now());
-                connection.as_mut().graceful_shutdown();
+            // What has arrived is read before the connection may be closed.
+            biased;
+            ended = &mut connection => break ended,
+            _ = closing_requested(&mut closing), if !is_closing => {
+                is_closing = true;
+                record.begin_closing();
             }
-            _ = tokio::time::sleep(wait), if !ending => {
-                let now = clock.now();
-                let close_at = record.close_at(service.idle_limit());
-                if close_at.is_some_and(|close_at| close_at <= now) {
-                    ending = true;
-                    record.record_close(CloseReason::Idle, now);
+            _ = tokio::time::sleep(wait) => {
+                let is_due = || {
+                    let close_at = record.close_at(service.idle_limit());
+                    close_at.is_some_and(|close_at| close_at <= clock.now())
+                };
+                if !is_due() {
+                    continue;
+                }
+                // With this, the next read also finds bytes that the runtime has not been told
+                // of. Only those still on their way can cross the close.
+                record.expire();
+                let polled = std::future::poll_fn(|cx| Poll::Ready(connection.as_mut().poll(cx)));
+                if let Poll::Ready(ended) = polled.await {
+                    break ended;
+                }
+                if is_due() {
+                    let reason = if is_closing {
+                        CloseReason::Closing
+                    } else {
+                        CloseReason::Idle
+                    };
+                    record.record_close(reason, clock.now());
                     connection.as_mut().graceful_shutdown();
+                    break connection.await;
                 }
             }
         }
+    };
+    record.record_end();
+    if let Err(err) = ended {
+        log::debug!("caller connection ended error=\"{err}\"");
     }
 }
 
--- a/tests/forward/closing.rs
+++ b/tests/forward/closing.rs
@@ -208,6 +208,50 @@
     assert!(started.elapsed() < MS(8_000), "{:?}", started.elapsed());
 }
 
+#[test]
+fn request_whose_head_arrives_over_the_end_of_the_idle_limit_is_not_lost() {
+    let listener = Listener::start(Duration::ZERO, MAX_CONNECTIONS);
+    let mut caller = listener.connect();
+    assert_eq!(caller.call("/"), "200");
+    sleep(MS(1_300));
+    caller.send("GET / HTTP/1.1\r\nho");
+    sleep(MS(1_500));
+    caller.send("st: h\r\n\r\n");
+    assert_eq!(caller.answer(), "200");
+}
+
+#[test]
+fn requests_that_wait_in_the_socket_at_the_end_of_the_idle_limit_are_not_lost() {
+    let listener = Listener::start(Duration::ZERO, MAX_CONNECTIONS);
+    let mut callers: Vec<_> = (0..20).map(|_| listener.connect()).collect();
+    for caller in &mut callers {
+        assert_eq!(caller.call("/"), "200");
+    }
+    sleep(MS(1_000));
+    let mut blocker = listener.connect();
+    blocker.request("/block/2000");
+    sleep(MS(500));
+    for caller in &mut callers {
+        caller.request("/");
+    }
+    let answers: Vec<_> = callers.iter_mut().map(Connection::answer).collect();
+    assert_eq!(answers, vec!["200"; 20]);
+}
+
+#[test]
+fn request_whose_head_arrives_as_the_listener_closes_is_not_lost() {
+    let listener = Listener::start(MS(10_000), MAX_CONNECTIONS);
+    let mut caller = listener.connect();
+    assert_eq!(caller.call("/"), "200");
+    caller.send("GET / HTTP/1.1\r\nho");
+    sleep(MS(200));
+    listener.close();
+    sleep(MS(500));
+    caller.send("st: h\r\n\r\n");
+    assert_eq!(caller.answer(), "200 close");
+    listener.thread.join().expect("the listener ends");
+}
+
 #[test]
 fn idle_connections_and_the_listener_end_when_it_closes() {
     let listener = Listener::start(MS(60_000), MAX_CONNECTIONS);
