Accept connections until a stopping router has answered them

Callers of a stopping router lost whole requests on new connections: when the router began to close idle connections it dropped its listener, and the kernel reset the connections that it had accepted and the program had not. A full listener did not notice the change of stage before a connection ended.

A closing listener now goes on accepting until all connections have ended, answers each new one once, with `Connection: close`, and gives it a second for its first request. When it closes it asks the kernel for what is still queued and serves that. A connection that arrives later is refused, which callers can tell from a lost request. Between the last look and the close of the listener lies no wait; a connection that completes its handshake in between is reset.

--- a/src/forward/activity.rs
+++ b/src/forward/activity.rs
@@ -9,6 +9,9 @@
 /// The caller counts its idle time from the arrival of the response, which is later.
 const IDLE_SLACK: Duration = Duration::from_secs(2);
 
+/// Time that a new connection has for its first request while its listener closes.
+const FIRST_REQUEST_TIMEOUT: Duration = Duration::from_secs(1);
+
 /// Activity of a caller's connection.
 #[derive(Debug, Clone, Copy)]
 pub struct Activity {
@@ -24,6 +27,8 @@
 
 #[derive(Debug, Clone, Copy)]
 enum Phase {
+    /// The connection was accepted at the given time and no byte has arrived.
+    Opened(Instant),
     /// No exchange is in progress since the given time.
     Idle(Instant),
     /// The connection may be closed, unless a request has arrived in the meantime.
@@ -38,7 +43,7 @@
     /// Creates the activity of a connection that was accepted at `now`.
     pub fn new(idle_limit: Duration, now: Instant) -> Self {
         Activity {
-            phase: Phase::Idle(now),
+            phase: Phase::Opened(now),
             idle_limit,
             closing: false,
         }
@@ -51,14 +56,14 @@
 
     /// Records that bytes of a request have arrived.
     pub fn record_data(&mut self, now: Instant) {
-        if let Phase::Idle(_) | Phase::Expired(_) = self.phase {
+        if let Phase::Opened(_) | Phase::Idle(_) | Phase::Expired(_) = self.phase {
             self.phase = Phase::Receiving(now);
         }
     }
 
     /// Records that the connection is about to be closed.
     pub fn expire(&mut self) {
-        if let Phase::Idle(since) = self.phase {
+        if let Phase::Opened(since) | Phase::Idle(since) = self.phase {
             self.phase = Phase::Expired(since);
         }
     }
@@ -86,10 +91,12 @@
     pub fn close_at(&mut self, idle_limit: Duration) -> Option<Instant> {
         self.idle_limit = self.idle_limit.max(idle_limit);
         match self.phase {
+            Phase::Opened(since) if self.closing => Some(since + FIRST_REQUEST_TIMEOUT),
             Phase::Idle(since) | Phase::Expired(since) if self.closing => Some(since),
-            Phase::Idle(since) | Phase::Expired(since) | Phase::Receiving(since) => {
-                Some(since + self.idle_limit + IDLE_SLACK)
-            }
+            Phase::Opened(since)
+            | Phase::Idle(since)
+            | Phase::Expired(since)
+            | Phase::Receiving(since) => Some(since + self.idle_limit + IDLE_SLACK),
             Phase::Exchange => None,
         }
     }
@@ -102,9 +109,10 @@
     /// Returns the time since the last exchange or the start, zero during an exchange.
     pub fn idle_time(&self, now: Instant) -> Duration {
         match self.phase {
-            Phase::Idle(since) | Phase::Expired(since) | Phase::Receiving(since) => {
-                now.since(since)
-            }
+            Phase::Opened(since)
+            | Phase::Idle(since)
+            | Phase::Expired(since)
+            | Phase::Receiving(since) => now.since(since),
             Phase::Exchange => Duration::ZERO,
         }
     }
--- a/src/forward/drain.rs
+++ b/src/forward/drain.rs
@@ -18,13 +18,13 @@
 const IDLE_CLOSE_DELAY: Duration = Duration::from_secs(6);
 
 /// Stage of a router between normal operation and the end of its process.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
 pub enum DrainStage {
     /// The router has received no shutdown signal.
     Serving,
     /// The router accepts requests that it can answer before its deadline.
     Draining,
-    /// The router closes idle connections and accepts no new ones.
+    /// The router closes idle connections, and others after their next response.
     Closing,
     /// The process has to exit.
     Ended,
--- a/src/forward/listener.rs
+++ b/src/forward/listener.rs
@@ -1,7 +1,7 @@
 //! Accepts HTTP connections from callers and serves each one in its own task.
 
 use std::{
-    convert::Infallible, future::Future, net::SocketAddr, sync::Arc, task::Poll, time::Duration,
+    convert::Infallible, future::Future, io, net::SocketAddr, sync::Arc, task::Poll, time::Duration,
 };
 
 use http::{header, HeaderValue, Request, Response};
@@ -9,14 +9,14 @@
 use hyper_util::rt::TokioIo;
 use tokio::{
     net::{TcpListener, TcpStream},
-    sync::{watch, Semaphore},
+    sync::{watch, OwnedSemaphorePermit, Semaphore},
 };
 
 use super::{
     caller_connection::{CallerStream, CloseReason, ConnectionRecord},
     connection,
     exchange_body::{ExchangeBody, ExchangeGuard},
-    Body,
+    Body, DrainStage,
 };
 use crate::Clock;
 
@@ -41,50 +41,83 @@
     fn idle_limit(&self) -> Duration;
 }
 
-/// Serves the connections of `listener` until `closing` turns true and all of them have ended.
+/// Serves the connections of `listener` until `stage` is [`DrainStage::Closing`] and all of them
+/// have ended.
 ///
-/// At most `max_connections` are open at a time.
+/// New ones are accepted until then. At most `max_connections` are open at a time.
 pub async fn serve(
     listener: TcpListener,
     service: impl HttpHandler,
     max_connections: usize,
     clock: Clock,
-    mut closing: watch::Receiver<bool>,
+    mut stage: watch::Receiver<DrainStage>,
 ) {
     let slots = Arc::new(Semaphore::new(max_connections));
+    let other_slots = max_connections.saturating_sub(1) as u32;
+    let spawn = {
+        let stage = stage.clone();
+        move |stream, peer, slot: OwnedSemaphorePermit| {
+            let task = serve_connection(stream, peer, service.clone(), clock, stage.clone());
+            tokio::spawn(async move {
+                task.await;
+                drop(slot);
+            });
+        }
+    };
+    let mut is_closing = false;
     loop {
         let slot = slots.clone().acquire_owned().await.expect("never closed");
-        let accepted = tokio::select! {
-            accepted = listener.accept() => accepted,
-            _ = closing_requested(&mut closing) => break,
-        };
-        let (stream, peer) = match accepted {
-            Ok(accepted) => accepted,
-            Err(err) => {
-                log::warn!("cannot accept caller connection error=\"{err}\"");
-                tokio::time::sleep(ACCEPT_RETRY_DELAY).await;
-                continue;
-            }
-        };
-        let task = serve_connection(stream, peer, service.clone(), clock, closing.clone());
-        tokio::spawn(async move {
-            task.await;
-            drop(slot);
-        });
+        tokio::select! {
+            // Connections that the kernel has accepted may hold whole requests.
+            biased;
+            accepted = listener.accept() => match accepted {
+                Ok((stream, peer)) => spawn(stream, peer, slot),
+                Err(err) => {
+                    log::warn!("cannot accept caller connection error=\"{err}\"");
+                    tokio::time::sleep(ACCEPT_RETRY_DELAY).await;
+                }
+            },
+            _ = closing_requested(&mut stage), if !is_closing => is_closing = true,
+            _ = slots.acquire_many(other_slots), if is_closing => break,
+        }
     }
-    drop(listener);
+    let queued = close(listener);
     let open = max_connections - slots.available_permits();
-    log::info!("listener closed connections={open}");
-    // The slot acquired before the break is released, so all slots become free in the end.
+    log::info!("listener closed connections={open} queued={}", queued.len());
+    for (stream, peer) in queued {
+        let slot = slots.clone().acquire_owned().await.expect("never closed");
+        spawn(stream, peer, slot);
+    }
     let _ = slots.acquire_many(max_connections as u32).await;
 }
 
+/// Closes `listener` and returns the connections that the kernel had accepted by then.
+///
+/// The runtime may not have been told of them, so the kernel is asked.
+fn close(listener: TcpListener) -> Vec<(TcpStream, SocketAddr)> {
+    let mut queued = Vec::new();
+    let closed = listener.into_std().and_then(|listener| loop {
+        match listener.accept() {
+            Ok((stream, peer)) => {
+                stream.set_nonblocking(true)?;
+                queued.push((TcpStream::from_std(stream)?, peer));
+            }
+            Err(err) if err.kind() == io::ErrorKind::WouldBlock => return Ok(()),
+            Err(err) => return Err(err),
+        }
+    });
+    if let Err(err) = closed {
+        log::warn!("cannot accept the last caller connections error=\"{err}\"");
+    }
+    queued
+}
+
 async fn serve_connection(
     stream: TcpStream,
     peer: SocketAddr,
     service: impl HttpHandler,
     clock: Clock,
-    mut closing: watch::Receiver<bool>,
+    mut stage: watch::Receiver<DrainStage>,
 ) {
     let configured = stream
         .set_nodelay(true)
@@ -96,14 +129,14 @@
     let stream = CallerStream::new(stream, peer, record.clone(), clock);
     let hyper_service = {
         let (service, record) = (service.clone(), record.clone());
-        let closing = closing.clone();
+        let stage = stage.clone();
         service_fn(move |req| {
             let (service, record) = (service.clone(), record.clone());
-            let closing = closing.clone();
+            let stage = stage.clone();
             async move {
                 let _exchange = ExchangeGuard::begin(record, service.clone(), clock);
                 let mut response = service.handle(req).await;
-                if *closing.borrow() {
+                if *stage.borrow() >= DrainStage::Closing {
                     let close = HeaderValue::from_static("close");
                     response.headers_mut().insert(header::CONNECTION, close);
                 }
@@ -129,7 +162,7 @@
             // What has arrived is read before the connection may be closed.
             biased;
             ended = &mut connection => break ended,
-            _ = closing_requested(&mut closing), if !is_closing => {
+            _ = closing_requested(&mut stage), if !is_closing => {
                 is_closing = true;
                 record.begin_closing();
             }
@@ -167,7 +200,7 @@
     }
 }
 
-/// Waits until `closing` turns true or its sender is dropped.
-async fn closing_requested(closing: &mut watch::Receiver<bool>) {
-    drop(closing.wait_for(|closing| *closing).await);
+/// Waits until `stage` is at least [`DrainStage::Closing`] or its sender is dropped.
+async fn closing_requested(stage: &mut watch::Receiver<DrainStage>) {
+    drop(stage.wait_for(|stage| *stage >= DrainStage::Closing).await);
 }
--- a/tests/forward/closing.rs
+++ b/tests/forward/closing.rs
@@ -10,7 +10,7 @@
 
 use bytes::Bytes;
 use ebonyspur::{
-    forward::{full_body, serve, Body, HttpHandler},
+    forward::{full_body, serve, Body, DrainStage, HttpHandler},
     Clock,
 };
 use http::{Request, Response};
@@ -70,7 +70,7 @@
 struct Listener {
     address: SocketAddr,
     idle_limit: Arc<Mutex<Duration>>,
-    closing: watch::Sender<bool>,
+    stages: watch::Sender<DrainStage>,
     thread: JoinHandle<()>,
 }
 
@@ -80,7 +80,7 @@
         let handler = Handler {
             idle_limit: idle_limit.clone(),
         };
-        let (closing, until) = watch::channel(false);
+        let (stages, stage) = watch::channel(DrainStage::Serving);
         let (tx, rx) = std::sync::mpsc::channel();
         let thread = std::thread::spawn(move || {
             let runtime = tokio::runtime::Builder::new_current_thread()
@@ -92,19 +92,19 @@
                 let listener = listener.expect("a listener");
                 tx.send(listener.local_addr().expect("an address"))
                     .expect("a test");
-                serve(listener, handler, max_connections, Clock::new(), until).await;
+                serve(listener, handler, max_connections, Clock::new(), stage).await;
             });
         });
         Listener {
             address: rx.recv().expect("an address"),
             idle_limit,
-            closing,
+            stages,
             thread,
         }
     }
 
     fn close(&self) {
-        self.closing.send_replace(true);
+        self.stages.send_replace(DrainStage::Closing);
     }
 
     fn set_idle_limit(&self, limit: Duration) {
@@ -267,3 +267,50 @@
     listener.thread.join().expect("the listener ends");
     assert!(started.elapsed() < MS(8_000), "{:?}", started.elapsed());
 }
+
+#[test]
+fn requests_that_the_kernel_has_accepted_are_not_lost_when_the_listener_closes() {
+    let listener = Listener::start(MS(10_000), MAX_CONNECTIONS);
+    let mut blocker = listener.connect();
+    blocker.request("/block/1000");
+    sleep(MS(300));
+    let mut callers: Vec<_> = (0..20).map(|_| listener.connect()).collect();
+    for caller in &mut callers {
+        caller.request("/");
+    }
+    listener.close();
+    let answers: Vec<_> = callers.iter_mut().map(Connection::answer).collect();
+    assert_eq!(answers, vec!["200 close"; 20]);
+    listener.thread.join().expect("the listener ends");
+}
+
+#[test]
+fn requests_that_wait_for_a_free_connection_are_not_lost_when_the_listener_closes() {
+    let listener = Listener::start(MS(10_000), 1);
+    let mut first = listener.connect();
+    first.request("/wait/1000");
+    sleep(MS(300));
+    let mut callers: Vec<_> = (0..3).map(|_| listener.connect()).collect();
+    for caller in &mut callers {
+        caller.request("/");
+    }
+    listener.close();
+    let answers: Vec<_> = callers.iter_mut().map(Connection::answer).collect();
+    assert_eq!(answers, vec!["200 close"; 3]);
+    listener.thread.join().expect("the listener ends");
+}
+
+#[test]
+fn connections_are_accepted_while_requests_of_a_closing_listener_run() {
+    let listener = Listener::start(MS(10_000), MAX_CONNECTIONS);
+    let mut first = listener.connect();
+    first.request("/wait/2000");
+    sleep(MS(300));
+    listener.close();
+    sleep(MS(300));
+    let mut late = listener.connect();
+    sleep(MS(200));
+    assert_eq!(late.call("/"), "200 close");
+    assert_eq!(first.answer(), "200 close");
+    listener.thread.join().expect("the listener ends");
+}
