Answer every accepted request before a stopping router exits

Requests that a stopping router had accepted were cut without an answer at the end of the grace period, among them ones that may run only once: those without a time limit or with one beyond the grace period, which are accepted in the first 2.8 s of a drain or were under way before it, and those accepted late whose time limit ended just as the process did.

Requests were accepted up to the moment of the exit, and nothing ended those that still waited then. Now `Drain::last_answer_at` lies 250 ms before the exit (`ANSWER_MARGIN`). What is accepted late has its time limit before it. What still waits for a server then is answered 504, "may have run", never "not run", and its exchange ends. The listener closes then, too, once its queue is accepted. Streams that have begun go on until the exit. The time handed on to servers stays that of the caller and the route, which bounds it from above.

--- a/src/forward/drain.rs
+++ b/src/forward/drain.rs
@@ -7,6 +7,10 @@
 /// Part of the grace period that is reserved for sending the last responses.
 const SHUTDOWN_MARGIN: Duration = Duration::from_millis(400);
 
+/// Time between the last responses of a router and the end of its process, in which they are
+/// written.
+const ANSWER_MARGIN: Duration = Duration::from_millis(250);
+
 /// Time after the shutdown signal in which every request is accepted, however long it may take.
 ///
 /// Most callers have looked up the addresses of the routers again by then; some keep them
@@ -22,10 +26,12 @@
 pub enum DrainStage {
     /// The router has received no shutdown signal.
     Serving,
-    /// The router accepts requests that it can answer before its deadline.
+    /// The router accepts requests that it can answer before its last responses.
     Draining,
     /// The router closes idle connections, and others after their next response.
     Closing,
+    /// The router answers all requests at once and accepts no connections.
+    Finishing,
     /// The process has to exit.
     Ended,
 }
@@ -37,6 +43,7 @@
             DrainStage::Serving => "serving",
             DrainStage::Draining => "draining",
             DrainStage::Closing => "closing",
+            DrainStage::Finishing => "finishing",
             DrainStage::Ended => "ended",
         }
     }
@@ -60,6 +67,11 @@
         self.started + self.grace.saturating_sub(SHUTDOWN_MARGIN)
     }
 
+    /// Returns the time by which every request has its final response, or the head of a stream.
+    pub fn last_answer_at(&self) -> Instant {
+        self.started + self.grace.saturating_sub(SHUTDOWN_MARGIN + ANSWER_MARGIN)
+    }
+
     /// Returns the time at which idle connections are closed, at the latest when 70 % of the grace
     /// period have passed.
     pub fn close_idle_at(&self) -> Instant {
@@ -71,6 +83,8 @@
     pub fn stage(&self, now: Instant) -> DrainStage {
         if now >= self.deadline() {
             DrainStage::Ended
+        } else if now >= self.last_answer_at() {
+            DrainStage::Finishing
         } else if now >= self.close_idle_at() {
             DrainStage::Closing
         } else {
@@ -82,9 +96,10 @@
     ///
     /// `None` stands for a request without a time limit.
     pub fn accepts(&self, max_time: Option<Duration>, now: Instant) -> bool {
+        let last_answer_at = self.last_answer_at();
         if now.since(self.started) < ACCEPT_ALL_PERIOD.min(self.grace / 3) {
-            return true;
+            return now < last_answer_at;
         }
-        max_time.is_some_and(|max_time| now + max_time <= self.deadline())
+        max_time.is_some_and(|max_time| now + max_time <= last_answer_at)
     }
 }
--- a/src/forward/listener.rs
+++ b/src/forward/listener.rs
@@ -44,7 +44,8 @@
 /// Serves the connections of `listener` until `stage` is [`DrainStage::Closing`] and all of them
 /// have ended.
 ///
-/// New ones are accepted until then. At most `max_connections` are open at a time.
+/// New ones are accepted until then, at the latest until `stage` is [`DrainStage::Finishing`]. At
+/// most `max_connections` are open at a time.
 pub async fn serve(
     listener: TcpListener,
     service: impl HttpHandler,
@@ -65,8 +66,13 @@
         }
     };
     let mut is_closing = false;
+    let mut last_stage = stage.clone();
     loop {
-        let slot = slots.clone().acquire_owned().await.expect("never closed");
+        let slot = tokio::select! {
+            biased;
+            slot = slots.clone().acquire_owned() => slot.expect("never closed"),
+            () = reached(&mut last_stage, DrainStage::Finishing) => break,
+        };
         tokio::select! {
             // Connections that the kernel has accepted may hold whole requests.
             biased;
@@ -77,18 +83,22 @@
                     tokio::time::sleep(ACCEPT_RETRY_DELAY).await;
                 }
             },
-            _ = closing_requested(&mut stage), if !is_closing => is_closing = true,
+            () = reached(&mut stage, DrainStage::Closing), if !is_closing => is_closing = true,
+            () = reached(&mut last_stage, DrainStage::Finishing) => break,
             _ = slots.acquire_many(other_slots), if is_closing => break,
         }
     }
     let queued = close(listener);
     let open = max_connections - slots.available_permits();
     log::info!("listener closed connections={open} queued={}", queued.len());
+    // They have been accepted and cannot wait for others to end.
+    slots.add_permits(queued.len());
+    let all_slots = max_connections + queued.len();
     for (stream, peer) in queued {
         let slot = slots.clone().acquire_owned().await.expect("never closed");
         spawn(stream, peer, slot);
     }
-    let _ = slots.acquire_many(max_connections as u32).await;
+    let _ = slots.acquire_many(all_slots as u32).await;
 }
 
 /// Closes `listener` and returns the connections that the kernel had accepted by then.
@@ -162,7 +172,7 @@
             // What has arrived is read before the connection may be closed.
             biased;
             ended = &mut connection => break ended,
-            _ = closing_requested(&mut stage), if !is_closing => {
+            () = reached(&mut stage, DrainStage::Closing), if !is_closing => {
                 is_closing = true;
                 record.begin_closing();
             }
@@ -200,7 +210,7 @@
     }
 }
 
-/// Waits until `stage` is at least [`DrainStage::Closing`] or its sender is dropped.
-async fn closing_requested(stage: &mut watch::Receiver<DrainStage>) {
-    drop(stage.wait_for(|stage| *stage >= DrainStage::Closing).await);
+/// Waits until `stage` is at least `awaited` or its sender is dropped.
+async fn reached(stage: &mut watch::Receiver<DrainStage>, awaited: DrainStage) {
+    drop(stage.wait_for(|stage| *stage >= awaited).await);
 }
--- a/src/forward/serve.rs
+++ b/src/forward/serve.rs
@@ -68,7 +68,15 @@
         // Reading the body takes time, so the route table is looked up only now.
         let table = self.feed.routes.current();
         let req = req.route(&self, table.as_deref())?;
-        req.forward(&self).await
+        tokio::select! {
+            biased;
+            response = req.forward(&self) => response,
+            // Ends the exchange with the server, if any; the server may have run the request.
+            () = self.last_answer_due() => Err(Error::may_have_run(
+                Category::Timeout,
+                "the router shuts down before a server has answered",
+            )),
+        }
     }
 
     /// Returns the limits on callers that are in force.
--- a/src/forward/state.rs
+++ b/src/forward/state.rs
@@ -10,7 +10,7 @@
 use rand::{RngExt, SeedableRng};
 use rand_pcg::Pcg64Mcg;
 
-use tokio::sync::Notify;
+use tokio::sync::{watch, Notify};
 
 use super::{
     health::STALL_TIMEOUT, ConnectionPool, Drain, DrainStage, HealthTracker, InFlight, Observation,
@@ -76,7 +76,7 @@
     announce_signal: Arc<Notify>,
     pub(super) retries: SharedRetries,
     policy: Mutex<Policy>,
-    drain: Mutex<Option<Drain>>,
+    drain: watch::Sender<Option<Drain>>,
     rng: Mutex<Pcg64Mcg>,
 }
 
@@ -107,7 +107,7 @@
             announce_signal: Arc::default(),
             retries: SharedRetries::default(),
             policy: Mutex::new(policy),
-            drain: Mutex::default(),
+            drain: watch::Sender::default(),
             rng: Mutex::new(Pcg64Mcg::seed_from_u64(seed)),
         }
     }
@@ -134,12 +134,29 @@
     pub fn begin_drain(&self, now: Instant) -> Drain {
         self.feed.begin_leaving();
         let drain = Drain::new(now, self.policy().grace);
-        *lock(&self.drain).get_or_insert(drain)
+        let mut in_progress = drain;
+        self.drain.send_if_modified(|current| {
+            let is_new = current.is_none();
+            in_progress = *current.get_or_insert(drain);
+            is_new
+        });
+        in_progress
     }
 
     /// Returns the drain in progress, if any.
     pub fn drain(&self) -> Option<Drain> {
-        *lock(&self.drain)
+        *self.drain.borrow()
+    }
+
+    /// Waits until a drain is in progress and its last responses are due.
+    pub(super) async fn last_answer_due(&self) {
+        let mut drains = self.drain.subscribe();
+        let drain = drains.wait_for(Option::is_some).await;
+        let drain = drain.ok().and_then(|drain| *drain);
+        if let Some(drain) = drain {
+            let wait = drain.last_answer_at().since(self.clock.now());
+            tokio::time::sleep(wait).await;
+        }
     }
 
     /// Returns the stage of the drain at `now`.
--- a/tests/forward/main.rs
+++ b/tests/forward/main.rs
@@ -185,3 +185,25 @@
         .map_err(|err| (err.classify(), err.verdict()));
     expect!["Err((Quarantined, NotRun))"].assert_eq(&format!("{verdict:?}"));
 }
+
+#[test]
+fn requests_accepted_late_in_a_drain_end_before_the_process_does() {
+    /// Time that a final response needs to be written.
+    const WRITE_TIME: Duration = Duration::from_millis(200);
+    let mut too_long = Vec::new();
+    for grace in [4_000, 8_000, 12_000] {
+        let started = Instant::from_millis(1_000);
+        let drain = Drain::new(started, Duration::from_millis(grace));
+        for after in (2_900..grace).step_by(50) {
+            let now = Instant::from_millis(1_000 + after);
+            for ms in (0..grace).step_by(50) {
+                let max_time = Duration::from_millis(ms);
+                let ends = now + max_time + WRITE_TIME;
+                if drain.accepts(Some(max_time), now) && ends > drain.deadline() {
+                    too_long.push((grace, after, ms));
+                }
+            }
+        }
+    }
+    assert_eq!(too_long, []);
+}
