Keep a silent stream at its server until another one has taken it

What callers saw: a resumable stream whose server paused for more than a second was cut when the router could not move it, although the server would have gone on.

Cause: the router dropped the exchange, which makes the server stop the request, before it knew whether attempts, the retry budget and another server allow a move, and before that server had accepted the stream.

Change: a silent server is read until another server has sent the head of its response. If the silent one sends or ends first, the request to the other one is dropped. If no other takes the stream, it stays, and another server is asked again when the next silence timeout has passed, later once in STALL_CHECK_INTERVAL; each request to another server still takes a retry and an attempt. A broken connection moves the stream at once as before, and while another server is already being asked, that request goes on. The log names servers that did not take a stream, and why.

--- a/src/forward/mod.rs
+++ b/src/forward/mod.rs
@@ -17,6 +17,7 @@
 mod listener;
 mod poison;
 mod request;
+mod resume;
 mod serve;
 mod state;
 mod stream;
--- /dev/null
+++ b/src/forward/resume.rs
@@ -0,0 +1,166 @@
+//! Resumption of streams at another server.
+//!
+//! A server that is only silent may still go on. Its response is read until another server has
+//! taken the stream, and the one that sends first is forwarded to the caller.
+
+use std::sync::Arc;
+
+use http_body_util::BodyExt;
+
+use super::{
+    exchange::Exchange,
+    stream::{ResponseStream, StreamRead, STALL_CHECK_INTERVAL},
+    Observation, Wire,
+};
+use crate::{catalog::Server, relay::EventReader, Category, Error, Result};
+
+impl<W: Wire> ResponseStream<W> {
+    /// Drops the exchange whose response broke off with `error`, which closes its connection, so
+    /// that the server stops the request.
+    pub(super) fn drop_exchange(&mut self, error: &Error) {
+        self.events = EventReader::new();
+        let Some(exchange) = self.exchange.take() else {
+            return;
+        };
+        let now = self.cx.clock.now();
+        self.cx
+            .health
+            .record(exchange.server.key(), Observation::Unreachable, now);
+        if error.classify() == Category::Cut {
+            self.cx
+                .record_crash(&self.req, &exchange.server, self.has_data, now);
+        }
+    }
+
+    /// Resumes the stream at another server, after the last event forwarded to the caller.
+    ///
+    /// If the current server still has an exchange and no other one takes the stream, the stream
+    /// stays there.
+    ///
+    /// # Errors
+    ///
+    /// Returns `cause` when no exchange is left and the stream may not be resumed or no server
+    /// takes it, and [`Category::Quarantined`] when the request has crashed servers.
+    pub(super) async fn resume(&mut self, cause: Error) -> Result<()> {
+        let cx = self.cx.clone();
+        while self.may_resume() {
+            let now = cx.clock.now();
+            if self
+                .req
+                .time_left(now)
+                .is_some_and(|time_left| time_left.is_zero())
+            {
+                break;
+            }
+            if let Err(err) = cx.check_not_poison(&self.req.state, now) {
+                if self.exchange.is_some() {
+                    break;
+                }
+                return Err(err.with_verdict_at_least(cause.verdict()));
+            }
+            let routed = &self.req.state;
+            let tried = &self.attempts.tried;
+            let prompt = routed.prompt.as_ref();
+            let server = cx.choose(&routed.pool, routed.settings, prompt, tried, now);
+            let Some(server) = server else {
+                log::info!("stream not resumed id={} reason=no_server", self.req.id());
+                break;
+            };
+            if !self.req.spend_retry(&cx, now) {
+                log::info!(
+                    "stream not resumed id={} reason=retry_budget",
+                    self.req.id()
+                );
+                break;
+            }
+            self.req
+                .record_placement(&cx, &server, &mut self.attempts, now);
+            if let Some(exchange) = self.ask(&server).await {
+                log::info!(
+                    "stream resumed id={} server={} after={:?} cause=\"{cause}\"",
+                    self.req.id(),
+                    server.name,
+                    self.last_event
+                );
+                self.drop_exchange(&cause);
+                self.last_received = cx.clock.now();
+                self.has_data = false;
+                self.exchange = Some(exchange);
+                return Ok(());
+            }
+            self.attempts.prefill = None;
+        }
+        match self.exchange {
+            Some(_) => Ok(()),
+            None => Err(cause),
+        }
+    }
+
+    /// Returns whether the stream may be sent to another server.
+    pub(super) fn may_resume(&self) -> bool {
+        self.resumable
+            && self.pending.is_none()
+            && self.attempts.sent_count < self.req.state.max_attempts
+    }
+
+    /// Asks `server` to go on with the stream, and reads from the current server meanwhile.
+    ///
+    /// Returns `None` if `server` does not take the stream or the current server sends first; what
+    /// that one sent is then pending.
+    async fn ask(&mut self, server: &Arc<Server>) -> Option<Exchange> {
+        let (cx, req) = (self.cx.clone(), self.req.clone());
+        let mut attempts = std::mem::take(&mut self.attempts);
+        let asked = {
+            let head = req.fetch_response_head(&cx, server, &mut attempts, self.last_event);
+            tokio::pin!(head);
+            loop {
+                let Some(exchange) = &mut self.exchange else {
+                    break Some(head.await);
+                };
+                let frame = tokio::select! {
+                    biased;
+                    frame = exchange.body.frame() => frame,
+                    head = &mut head => break Some(head),
+                    () = tokio::time::sleep(STALL_CHECK_INTERVAL) => {
+                        cx.record_stall(&exchange.server, cx.clock.now());
+                        continue;
+                    }
+                };
+                match self.receive(frame) {
+                    None => {}
+                    Some(StreamRead::Broken(err)) => self.drop_exchange(&err),
+                    Some(read) => {
+                        self.pending = Some(read);
+                        break None;
+                    }
+                }
+            }
+        };
+        self.attempts = attempts;
+        let refusal = match asked {
+            Some(Ok(exchange)) => {
+                self.attempts.sent_count += 1;
+                match exchange.ensure_ran() {
+                    Ok(()) if exchange.status == self.status => return Some(exchange),
+                    Ok(()) => format!("the server answered {}", exchange.status),
+                    Err(err) => err.to_string(),
+                }
+            }
+            Some(Err(failure)) => {
+                self.attempts.sent_count += u32::from(failure.sent);
+                failure.err.to_string()
+            }
+            None => {
+                // The request may have been sent.
+                self.attempts.sent_count += 1;
+                "the server before sent data first".to_string()
+            }
+        };
+        log::info!(
+            "stream not taken id={} server={} reason=\"{refusal}\"",
+            req.id(),
+            server.name
+        );
+        None
+    }
+}
--- a/src/forward/stream.rs
+++ b/src/forward/stream.rs
@@ -1,7 +1,7 @@
 //! Streamed responses, forwarded to the caller event by event.
 //!
 //! The task of the caller's connection polls for the events. If the route allows it, a stream
-//! that breaks off is resumed at another server after the last complete event.
+//! that breaks off or pauses is resumed at another server after the last complete event.
 
 use std::{sync::Arc, time::Duration};
 
@@ -21,20 +21,21 @@
     Category, Error, Instant, Result,
 };
 
-/// Time without an event after which a stream is moved away from a server that sends this
-/// router no data for other requests either.
+/// Time without an event after which another server is asked to go on with a stream whose server
+/// sends this router no data for other requests either.
 const SILENT_SERVER_TIMEOUT: Duration = Duration::from_millis(1_000);
 
-/// Time without an event after which a stream is moved away from a server even if the server
-/// answers other requests.
+/// Time without an event after which another server is asked to go on with a stream even if its
+/// server answers other requests.
 ///
 /// Callers abandon a stream after two seconds or more without an event.
 const EVENT_TIMEOUT: Duration = Duration::from_millis(1_700);
 
-/// Time between two stall checks of a server that stays silent.
+/// Time between two checks of a server that stays silent; at each one another server may be asked
+/// to go on with the stream.
 ///
 /// It is shorter than the time for which a stalled server is avoided.
-const STALL_CHECK_INTERVAL: Duration = Duration::from_secs(1);
+pub(super) const STALL_CHECK_INTERVAL: Duration = Duration::from_secs(1);
 
 /// Returns the response to the caller, whose body forwards the events of `exchange`.
 pub(super) fn forward_stream<W: Wire>(
@@ -58,10 +59,10 @@
         last_received: cx.clock.now(),
         has_data: false,
         cx,
-        req,
+        req: Arc::new(req),
         exchange: Some(exchange),
         events: EventReader::new(),
-        failure: None,
+        pending: None,
         boundary: EventBoundary::default(),
         attempts,
         status,
@@ -79,35 +80,38 @@
 }
 
 /// A streamed response that is being forwarded to a caller.
-struct ResponseStream<W> {
-    cx: Arc<Forwarder<W>>,
-    req: ProxyRequest<Routed>,
+pub(super) struct ResponseStream<W> {
+    pub(super) cx: Arc<Forwarder<W>>,
+    pub(super) req: Arc<ProxyRequest<Routed>>,
     /// Exchange whose response is read; `None` after the end of the stream.
-    exchange: Option<Exchange>,
+    pub(super) exchange: Option<Exchange>,
     /// Splits the response into events, if the stream can be resumed.
-    events: EventReader,
-    /// Failure found behind events that the caller has to get first.
-    failure: Option<Error>,
+    pub(super) events: EventReader,
+    /// Read to handle before the next one.
+    pub(super) pending: Option<StreamRead>,
     /// Where the response stands between events, if it cannot be resumed.
     boundary: EventBoundary,
     /// Number of the last event that was forwarded to the caller.
-    last_event: Option<u64>,
+    pub(super) last_event: Option<u64>,
     /// Time at which the server last sent data.
-    last_received: Instant,
+    pub(super) last_received: Instant,
     /// Whether the current server has sent part of the body of its response.
-    has_data: bool,
-    attempts: Attempts,
+    pub(super) has_data: bool,
+    pub(super) attempts: Attempts,
     /// Status of the response that the caller gets.
-    status: StatusCode,
-    resumable: bool,
+    pub(super) status: StatusCode,
+    pub(super) resumable: bool,
     /// Whether any data was forwarded to the caller.
     started: bool,
 }
 
 /// Result of one read from the server's response.
-enum StreamRead {
+pub(super) enum StreamRead {
     Bytes(Bytes),
+    /// The response has ended and is complete.
     End,
+    /// The server sent nothing for so long that another one may be asked.
+    Silent,
     Broken(Error),
 }
 
@@ -115,9 +119,9 @@
     /// Returns the next bytes for the caller, or `None` after the end of the stream.
     async fn next(&mut self) -> Option<Result<Bytes>> {
         loop {
-            let read = match &mut self.exchange {
-                Some(_) if self.failure.is_some() => StreamRead::Broken(self.failure.take()?),
-                Some(_) => self.read().await,
+            let read = match self.pending.take() {
+                Some(read) => read,
+                None if self.exchange.is_some() => self.read().await,
                 None => return None,
             };
             let error = match read {
@@ -126,22 +130,27 @@
                     match self.take_new_events() {
                         Ok(events) if events.is_empty() => continue,
                         Ok(events) => return Some(Ok(self.record_delivery(events))),
-                        Err(err) => err,
+                        Err(err) => {
+                            self.drop_exchange(&err);
+                            err
+                        }
                     }
                 }
                 StreamRead::Bytes(bytes) => {
                     self.boundary.push(&bytes);
                     return Some(Ok(self.record_delivery(bytes)));
                 }
-                StreamRead::End if self.is_complete() => {
+                StreamRead::End => {
                     self.finish();
                     return None;
                 }
-                StreamRead::End => Error::may_have_run(
-                    Category::Cut,
-                    "the response ended before its first event or inside an event",
-                ),
-                StreamRead::Broken(err) => err,
+                StreamRead::Silent => {
+                    Error::may_have_run(Category::Timeout, "the server sent no event in time")
+                }
+                StreamRead::Broken(err) => {
+                    self.drop_exchange(&err);
+                    err
+                }
             };
             // Boxed so that the streams that are never resumed need no memory for the future.
             if let Err(err) = Box::pin(self.resume(error)).await {
@@ -183,12 +192,10 @@
     }
 
     async fn read(&mut self) -> StreamRead {
-        let Some(exchange) = &mut self.exchange else {
-            return StreamRead::End;
-        };
-        let server = exchange.server.clone();
-        let key = server.key();
         loop {
+            let Some(exchange) = &mut self.exchange else {
+                return StreamRead::End;
+            };
             let now = self.cx.clock.now();
             let time_left = self.req.time_left(now).unwrap_or(Duration::MAX);
             let silence = now.since(self.last_received);
@@ -200,23 +207,13 @@
             let timeout = timeouts.iter().find(|timeout| silence < **timeout);
             let wait = timeout.map_or(STALL_CHECK_INTERVAL, |timeout| *timeout - silence);
             let frame = tokio::time::timeout(wait.min(time_left), exchange.body.frame()).await;
+            let server = exchange.server.clone();
             let now = self.cx.clock.now();
             match frame {
-                Ok(Some(Ok(frame))) => {
-                    let Ok(bytes) = frame.into_data() else {
-                        continue;
-                    };
-                    self.last_received = now;
-                    if !bytes.is_empty() && !std::mem::replace(&mut self.has_data, true) {
-                        self.cx.record_first_data(&self.req, now);
+                Ok(frame) => {
+                    if let Some(read) = self.receive(frame) {
+                        return read;
                     }
-                    self.cx.poison_parts.record_alive(key, now);
-                    self.cx.health.record(key, Observation::Progress, now);
-                    return StreamRead::Bytes(bytes);
-                }
-                Ok(None) => return StreamRead::End,
-                Ok(Some(Err(err))) => {
-                    return StreamRead::Broken(Error::may_have_run(Category::Cut, err.to_string()));
                 }
                 Err(_)
                     if self
@@ -232,23 +229,54 @@
                     if silence >= STALL_TIMEOUT {
                         self.cx.record_stall(&server, now);
                     }
-                    if !self.resumable {
+                    if !self.may_resume() {
                         continue;
                     }
-                    let server_silence = self.cx.health.silent_for(key, now);
+                    let server_silence = self.cx.health.silent_for(server.key(), now);
                     let is_server_silent = server_silence
                         .is_none_or(|server_silence| server_silence >= SILENT_SERVER_TIMEOUT);
                     if silence >= EVENT_TIMEOUT
                         || is_server_silent && silence >= SILENT_SERVER_TIMEOUT
                     {
-                        let message = "the server sent no event in time";
-                        return StreamRead::Broken(Error::may_have_run(Category::Timeout, message));
+                        return StreamRead::Silent;
                     }
                 }
             }
         }
     }
 
+    /// Records a frame of the response, or its end.
+    ///
+    /// Returns `None` for a frame without data.
+    pub(super) fn receive(
+        &mut self,
+        frame: Option<std::result::Result<Frame<Bytes>, hyper::Error>>,
+    ) -> Option<StreamRead> {
+        let key = self.exchange.as_ref()?.server.key();
+        let frame = match frame {
+            Some(Ok(frame)) => frame,
+            Some(Err(err)) => {
+                let err = Error::may_have_run(Category::Cut, err.to_string());
+                return Some(StreamRead::Broken(err));
+            }
+            None if self.is_complete() => return Some(StreamRead::End),
+            None => {
+                let message = "the response ended before its first event or inside an event";
+                let err = Error::may_have_run(Category::Cut, message);
+                return Some(StreamRead::Broken(err));
+            }
+        };
+        let bytes = frame.into_data().ok()?;
+        let now = self.cx.clock.now();
+        self.last_received = now;
+        if !bytes.is_empty() && !std::mem::replace(&mut self.has_data, true) {
+            self.cx.record_first_data(&self.req, now);
+        }
+        self.cx.poison_parts.record_alive(key, now);
+        self.cx.health.record(key, Observation::Progress, now);
+        Some(StreamRead::Bytes(bytes))
+    }
+
     /// Takes the complete events that the caller does not have yet.
     ///
     /// A failure behind such events is kept for the next call of [`next`](Self::next).
@@ -260,7 +288,7 @@
                 Ok(None) => return Ok(events.freeze()),
                 Err(err) if events.is_empty() => return Err(err),
                 Err(err) => {
-                    self.failure = Some(err);
+                    self.pending = Some(StreamRead::Broken(err));
                     return Ok(events.freeze());
                 }
             }
@@ -294,81 +322,4 @@
             return Ok(Some(event.raw));
         }
     }
-
-    /// Resumes the stream at another server, after the last event forwarded to the caller.
-    ///
-    /// # Errors
-    ///
-    /// Returns `error` when the stream may not be resumed or no server takes it, and
-    /// [`Category::Quarantined`] when the request has crashed servers.
-    async fn resume(&mut self, error: Error) -> Result<()> {
-        // Dropping the exchange closes its connection, so that the server stops the request.
-        if let Some(exchange) = self.exchange.take() {
-            let now = self.cx.clock.now();
-            self.cx
-                .health
-                .record(exchange.server.key(), Observation::Unreachable, now);
-            if error.classify() == Category::Cut {
-                self.cx
-                    .record_crash(&self.req, &exchange.server, self.has_data, now);
-            }
-        }
-        self.events = EventReader::new();
-        if !self.resumable {
-            return Err(error);
-        }
-        let cx = self.cx.clone();
-        while self.attempts.sent_count < self.req.state.max_attempts {
-            let now = cx.clock.now();
-            if self
-                .req
-                .time_left(now)
-                .is_some_and(|time_left| time_left.is_zero())
-            {
-                break;
-            }
-            if let Err(err) = cx.check_not_poison(&self.req.state, now) {
-                return Err(err.with_verdict_at_least(error.verdict()));
-            }
-            let routed = &self.req.state;
-            let tried = &self.attempts.tried;
-            let prompt = routed.prompt.as_ref();
-            let server = cx.choose(&routed.pool, routed.settings, prompt, tried, now);
-            let Some(server) = server else {
-                log::info!("stream not resumed id={} reason=no_server", self.req.id());
-                break;
-            };
-            if !self.req.spend_retry(&cx, now) {
-                log::info!(
-                    "stream not resumed id={} reason=retry_budget",
-                    self.req.id()
-                );
-                break;
-            }
-            self.req
-                .record_placement(&cx, &server, &mut self.attempts, now);
-            log::info!(
-                "stream resumed id={} server={} after={:?} cause=\"{error}\"",
-                self.req.id(),
-                server.name,
-                self.last_event
-            );
-            let exchange = self
-                .req
-                .fetch_response_head(&cx, &server, &mut self.attempts, self.last_event)
-                .await;
-            match exchange {
-                Ok(exchange) if exchange.ensure_ran().is_ok() && exchange.status == self.status => {
-                    self.attempts.sent_count += 1;
-                    self.last_received = cx.clock.now();
-                    self.has_data = false;
-                    self.exchange = Some(exchange);
-                    return Ok(());
-                }
-                Ok(_) => self.attempts.sent_count += 1,
-                Err(failure) => self.attempts.sent_count += u32::from(failure.sent),
-            }
-        }
-        Err(error)
-    }
 }
