Await a late server until another one has sent the head of a response

What callers saw: a request that may run again got a failure (502) although the server that had it would have answered in time.

Cause: at a failover timeout the first exchange was dropped before another server had accepted the request. If that one refused or failed, no attempt was left.

Change: the request is sent to the other server as well, and the first head of a response from a server that runs it counts; the other request is dropped then. A head with a server error counts only if no other server may still answer. The retry was already paid and each server counts as an attempt, so no more servers get the request than before; the added work is that of the first server between the failover and the first head. At an engine a request runs from its first token on, so a stream does not run at two engines: the other one is dropped with the first head. Before a request is sent to another server it is checked again that it does not crash servers, as in all other attempts. A retry of a resumed stream that failed over is no longer paid twice, as a failover no longer ends the attempt.

--- a/src/forward/attempts.rs
+++ b/src/forward/attempts.rs
@@ -7,12 +7,11 @@
 use super::{
     buffered::BufferedResponse,
     exchange::{AttemptFailure, Exchange},
-    full_body, stream, Body, ForwardParams, Forwarder, Observation, ProxyRequest, Routed, Wire,
+    full_body, stream, Body, Forwarder, ProxyRequest, Routed, Wire,
 };
 use crate::{
     catalog::{Server, ServerKey},
     placement::{Prefill, SessionKey},
-    routes::RouteKind,
     Category, Error, Instant, Result, Verdict,
 };
 
@@ -28,18 +27,6 @@
 /// Mean retry delay given to a caller whose request no server ran.
 const RETRY_AFTER_MEAN: Duration = Duration::from_millis(400);
 
-/// Multiple of the response time goal after which a request is moved away from a server that sent
-/// this router no data at all in that time.
-const SILENT_SERVER_GOAL_FACTOR: f64 = 1.5;
-
-/// Multiple of the response time goal after which a request is moved away from a server even if
-/// the server answers other requests.
-const LATE_RESPONSE_GOAL_FACTOR: f64 = 3.0;
-
-/// Multiple of the response time goal after which a request that is not streamed is moved away
-/// from a server.
-const UNSTREAMED_GOAL_FACTOR: f64 = 4.0;
-
 /// Multiple of the response time goal, counted from the arrival of a request, for which it waits
 /// while an engine prefills the same prompt for another request.
 ///
@@ -66,10 +53,8 @@
     unsent_count: u32,
     /// Combined verdict of the failed attempts.
     pub(super) verdict: Verdict,
-    /// Whether the next retry is already paid from the retry budget.
-    retry_prepaid: bool,
     /// Address from which the server that was chosen last can copy its cached prompt prefix.
-    prompt_source: Option<SocketAddr>,
+    pub(super) prompt_source: Option<SocketAddr>,
     /// Prefill of the prompt at the server that was chosen last.
     pub(super) prefill: Option<Prefill>,
 }
@@ -98,7 +83,7 @@
             let Some(server) = self.choose_next_server(cx, &mut attempts).await? else {
                 return Err(self.no_server_error(cx, &attempts));
             };
-            match self.attempt_at(cx, &server, &mut attempts).await {
+            match self.attempt_at(cx, server, &mut attempts).await {
                 AttemptOutcome::Answered(response) => return Ok(self.finish(cx, *response)),
                 AttemptOutcome::Streaming(exchange) => {
                     return Ok(stream::forward_stream(
@@ -110,26 +95,15 @@
                 }
                 AttemptOutcome::ServerFailed(response) => {
                     attempts.verdict = attempts.verdict.strongest(Verdict::MayHaveRun);
-                    if !self.may_retry(cx, &mut attempts, Verdict::MayHaveRun) {
+                    if !self.may_retry(cx, &attempts, Verdict::MayHaveRun) {
                         return Ok(self.finish(cx, *response));
                     }
                 }
                 AttemptOutcome::Failed(failure) => {
-                    log::info!(
-                        "attempt failed id={} server={} sent={} error=\"{}\"",
-                        self.id(),
-                        server.name,
-                        failure.sent,
-                        failure.err
-                    );
-                    if failure.sent && failure.err.classify() == Category::Cut {
-                        cx.record_crash(&self, &server, false, cx.clock.now());
-                    }
+                    self.record_failure(cx, &failure, &mut attempts);
                     let verdict = failure.err.verdict();
-                    attempts.verdict = attempts.verdict.strongest(verdict);
-                    attempts.unsent_count += u32::from(!failure.sent);
                     let retry = if failure.sent {
-                        self.may_retry(cx, &mut attempts, verdict)
+                        self.may_retry(cx, &attempts, verdict)
                     } else {
                         attempts.unsent_count < MAX_UNSENT_ATTEMPTS
                     };
@@ -141,6 +115,27 @@
         }
     }
 
+    /// Records that a server gave no response that can be passed on.
+    pub(super) fn record_failure<W: Wire>(
+        &self,
+        cx: &Forwarder<W>,
+        failure: &AttemptFailure,
+        attempts: &mut Attempts,
+    ) {
+        log::info!(
+            "attempt failed id={} server={} sent={} error=\"{}\"",
+            self.id(),
+            failure.server.name,
+            failure.sent,
+            failure.err
+        );
+        if failure.sent && failure.err.classify() == Category::Cut {
+            cx.record_crash(self, &failure.server, false, cx.clock.now());
+        }
+        attempts.verdict = attempts.verdict.strongest(failure.err.verdict());
+        attempts.unsent_count += u32::from(!failure.sent);
+    }
+
     /// Chooses the next server; while the chosen one prefills the same prompt for another request,
     /// waits and chooses again.
     ///
@@ -238,7 +233,7 @@
     async fn attempt_at<W: Wire>(
         &self,
         cx: &Forwarder<W>,
-        server: &Arc<Server>,
+        server: Arc<Server>,
         attempts: &mut Attempts,
     ) -> AttemptOutcome {
         let exchange = match self
@@ -246,18 +241,19 @@
             .await
         {
             Ok(exchange) => exchange,
-            Err(failure) => {
-                attempts.sent_count += u32::from(failure.sent);
-                return AttemptOutcome::Failed(failure);
-            }
+            Err(failure) => return AttemptOutcome::Failed(failure),
         };
-        attempts.sent_count += 1;
-        if let Err(err) = exchange.ensure_ran() {
-            return AttemptOutcome::Failed(AttemptFailure { err, sent: true });
-        }
         if self.state.kind.is_stream() && exchange.status.is_success() {
             return AttemptOutcome::Streaming(Box::new(exchange));
         }
+        let server = exchange.server.clone();
+        let failed = |err| {
+            AttemptOutcome::Failed(AttemptFailure {
+                server,
+                err,
+                sent: true,
+            })
+        };
         let time_left = self
             .time_left(cx.clock.now())
             .unwrap_or(DEFAULT_RESPONSE_TIMEOUT);
@@ -267,105 +263,23 @@
                     "the server ran the request but answered {}",
                     response.exchange.status
                 );
-                let err = Error::may_have_run(Category::Backend, message);
-                AttemptOutcome::Failed(AttemptFailure { err, sent: true })
+                failed(Error::may_have_run(Category::Backend, message))
             }
             Ok(response) if response.exchange.status.is_server_error() => {
                 AttemptOutcome::ServerFailed(Box::new(response))
             }
             Ok(response) => AttemptOutcome::Answered(Box::new(response)),
-            Err(err) => AttemptOutcome::Failed(AttemptFailure { err, sent: true }),
+            Err(err) => failed(err),
         }
     }
 
-    /// Sends the request to `server` and waits for the head of the response.
-    ///
-    /// Stops waiting when the server exceeds a failover timeout, another server can take the
-    /// request and the retry budget allows it.
-    pub(super) async fn fetch_response_head<W: Wire>(
-        &self,
-        cx: &Forwarder<W>,
-        server: &Arc<Server>,
-        attempts: &mut Attempts,
-        last_event: Option<u64>,
-    ) -> std::result::Result<Exchange, AttemptFailure> {
-        let now = cx.clock.now();
-        let time_left = self.time_left(now);
-        let params = ForwardParams {
-            server,
-            team: self.state.team.as_ref(),
-            time_left,
-            last_event,
-            prompt_source: attempts.prompt_source,
-        };
-        let exchange = cx.exchange(&self.template, server, &params);
-        tokio::pin!(exchange);
-        for failover_timeout in self.failover_timeouts(attempts) {
-            if time_left.is_some_and(|time_left| failover_timeout >= time_left) {
-                break;
-            }
-            let rest = (now + failover_timeout).since(cx.clock.now());
-            if let Ok(head) = tokio::time::timeout(rest, &mut exchange).await {
-                return head;
-            }
-            let checked_at = cx.clock.now();
-            let is_silent = cx
-                .health
-                .silent_for(server.key(), checked_at)
-                .is_none_or(|silent| silent >= failover_timeout);
-            let is_late = failover_timeout
-                >= self
-                    .state
-                    .response_time_goal
-                    .mul_f64(LATE_RESPONSE_GOAL_FACTOR);
-            if (is_silent || is_late)
-                && self.has_other_server(cx, attempts, checked_at)
-                && self.spend_retry(cx, checked_at)
-            {
-                if is_silent {
-                    cx.health
-                        .record(server.key(), Observation::Unreachable, checked_at);
-                }
-                attempts.retry_prepaid = true;
-                let err = Error::may_have_run(
-                    Category::Timeout,
-                    "the server sent no response within the failover timeout",
-                );
-                return Err(AttemptFailure { err, sent: true });
-            }
-        }
-        let rest = self.time_left(cx.clock.now()).unwrap_or(Duration::MAX);
-        match tokio::time::timeout(rest, exchange).await {
-            Ok(head) => head,
-            Err(_) => {
-                let err =
-                    Error::may_have_run(Category::Timeout, "the server sent no response in time");
-                Err(AttemptFailure { err, sent: true })
-            }
-        }
-    }
-
-    /// Returns the times after which the request may move from an unresponsive server to another.
-    fn failover_timeouts(&self, attempts: &Attempts) -> Vec<Duration> {
-        if !self.state.kind.allows_rerun() || attempts.sent_count + 1 >= self.state.max_attempts {
-            return Vec::new();
-        }
-        let response_time_goal = self.state.response_time_goal;
-        match self.state.kind {
-            RouteKind::Stream { .. } => vec![
-                response_time_goal.mul_f64(SILENT_SERVER_GOAL_FACTOR),
-                response_time_goal.mul_f64(LATE_RESPONSE_GOAL_FACTOR),
-            ],
-            _ => vec![response_time_goal.mul_f64(UNSTREAMED_GOAL_FACTOR)],
-        }
-    }
-
-    fn has_other_server<W: Wire>(
+    /// Returns a server that was not tried yet and can take the request.
+    pub(super) fn other_server<W: Wire>(
         &self,
         cx: &Forwarder<W>,
         attempts: &Attempts,
         now: Instant,
-    ) -> bool {
+    ) -> Option<Arc<Server>> {
         let routed = &self.state;
         cx.choose(
             &routed.pool,
@@ -374,7 +288,6 @@
             &attempts.tried,
             now,
         )
-        .is_some()
     }
 
     /// Takes one retry from the shared retry budget; returns whether it was granted.
@@ -387,11 +300,11 @@
     }
 
     /// Returns whether the request may be sent again after an attempt that ended with the verdict
-    /// `last_verdict`; if so, takes the retry from the budget unless it is prepaid.
+    /// `last_verdict`; if so, takes the retry from the budget.
     fn may_retry<W: Wire>(
         &self,
         cx: &Forwarder<W>,
-        attempts: &mut Attempts,
+        attempts: &Attempts,
         last_verdict: Verdict,
     ) -> bool {
         let allows_retry = last_verdict == Verdict::NotRun || self.state.kind.allows_rerun();
@@ -399,8 +312,7 @@
             return false;
         }
         let now = cx.clock.now();
-        let prepaid = std::mem::take(&mut attempts.retry_prepaid);
-        self.has_other_server(cx, attempts, now) && (prepaid || self.spend_retry(cx, now))
+        self.other_server(cx, attempts, now).is_some() && self.spend_retry(cx, now)
     }
 
     fn no_server_error<W: Wire>(&self, cx: &Forwarder<W>, attempts: &Attempts) -> Error {
--- a/src/forward/exchange.rs
+++ b/src/forward/exchange.rs
@@ -40,6 +40,7 @@
 /// Failure of one attempt to get a response from a server.
 #[derive(Debug)]
 pub(super) struct AttemptFailure {
+    pub(super) server: Arc<Server>,
     pub(super) err: Error,
     /// Whether the request may have been sent, so that it counts as an attempt.
     pub(super) sent: bool,
@@ -95,7 +96,11 @@
                 Err(err) => {
                     self.health
                         .record(server.key(), Observation::Unreachable, self.clock.now());
-                    return Err(AttemptFailure { err, sent: false });
+                    return Err(AttemptFailure {
+                        server: server.clone(),
+                        err,
+                        sent: false,
+                    });
                 }
             };
             if !connection.is_reused() {
@@ -111,7 +116,11 @@
                         Category::Unavailable,
                         "the server closed the connection before the request was sent",
                     );
-                    return Err(AttemptFailure { err, sent: false });
+                    return Err(AttemptFailure {
+                        server: server.clone(),
+                        err,
+                        sent: false,
+                    });
                 }
                 Err(SendError::MaybeSent(err)) => {
                     if !connection.is_reused() {
@@ -121,7 +130,11 @@
                             self.clock.now(),
                         );
                     }
-                    return Err(AttemptFailure { err, sent: true });
+                    return Err(AttemptFailure {
+                        server: server.clone(),
+                        err,
+                        sent: true,
+                    });
                 }
             }
         }
--- a/src/forward/mod.rs
+++ b/src/forward/mod.rs
@@ -12,6 +12,7 @@
 mod drain;
 mod exchange;
 mod exchange_body;
+mod failover;
 mod health;
 mod in_flight;
 mod listener;
--- a/src/forward/resume.rs
+++ b/src/forward/resume.rs
@@ -75,11 +75,11 @@
             }
             self.req
                 .record_placement(&cx, &server, &mut self.attempts, now);
-            if let Some(exchange) = self.ask(&server).await {
+            if let Some(exchange) = self.ask(server).await {
                 log::info!(
                     "stream resumed id={} server={} after={:?} cause=\"{cause}\"",
                     self.req.id(),
-                    server.name,
+                    exchange.server.name,
                     self.last_event
                 );
                 self.drop_exchange(&cause);
@@ -107,11 +107,11 @@
     ///
     /// Returns `None` if `server` does not take the stream or the current server sends first; what
     /// that one sent is then pending.
-    async fn ask(&mut self, server: &Arc<Server>) -> Option<Exchange> {
+    async fn ask(&mut self, server: Arc<Server>) -> Option<Exchange> {
         let (cx, req) = (self.cx.clone(), self.req.clone());
         let mut attempts = std::mem::take(&mut self.attempts);
         let asked = {
-            let head = req.fetch_response_head(&cx, server, &mut attempts, self.last_event);
+            let head = req.fetch_response_head(&cx, server.clone(), &mut attempts, self.last_event);
             tokio::pin!(head);
             loop {
                 let Some(exchange) = &mut self.exchange else {
@@ -138,23 +138,10 @@
         };
         self.attempts = attempts;
         let refusal = match asked {
-            Some(Ok(exchange)) => {
-                self.attempts.sent_count += 1;
-                match exchange.ensure_ran() {
-                    Ok(()) if exchange.status == self.status => return Some(exchange),
-                    Ok(()) => format!("the server answered {}", exchange.status),
-                    Err(err) => err.to_string(),
-                }
-            }
-            Some(Err(failure)) => {
-                self.attempts.sent_count += u32::from(failure.sent);
-                failure.err.to_string()
-            }
-            None => {
-                // The request may have been sent.
-                self.attempts.sent_count += 1;
-                "the server before sent data first".to_string()
-            }
+            Some(Ok(exchange)) if exchange.status == self.status => return Some(exchange),
+            Some(Ok(exchange)) => format!("the server answered {}", exchange.status),
+            Some(Err(failure)) => failure.err.to_string(),
+            None => "the server before sent data first".to_string(),
         };
         log::info!(
             "stream not taken id={} server={} reason=\"{refusal}\"",
