--- a/src/feed/mod.rs
+++ b/src/feed/mod.rs
@@ -10,6 +10,7 @@
 mod frame;
 mod peer_clock;
 mod poll;
+mod position;
 mod role;
 mod serve;
 mod snapshot;
@@ -23,6 +24,7 @@
     frame::{FeedMessage, MAX_FRAME_BYTES},
     peer_clock::PeerClock,
     poll::StorePoll,
+    position::StoreEra,
     role::{FeedNode, FeedRank, Role, FOLLOWER_COUNT},
     serve::serve_subscribers,
     snapshot::run_snapshots,
--- a/src/feed/state.rs
+++ b/src/feed/state.rs
@@ -249,6 +249,10 @@
             if changed || !self.catalog.is_known() {
                 self.publish(&server_list, "store");
             }
+        } else {
+            let (next, full) = (read.next, read.full);
+            let known = server_list.next.unwrap_or_default();
+            log::info!("server list ignored source=store next={next} known={known} full={full}");
         }
     }
 
@@ -270,6 +274,8 @@
         let recency = |next: Option<Offset>, count: usize| (next, std::cmp::Reverse(count));
         let own = recency(server_list.next, server_list.registry.servers().count());
         if server_list.next.is_some() && own >= recency(Some(next), servers.len()) {
+            let known = server_list.next.unwrap_or_default();
+            log::debug!("server list ignored source=router next={next} known={known}");
             return;
         }
         server_list.next = Some(next);
