Let the stand-in store come back from a copy

Nothing in the tests could play a store that loses what it has acknowledged. PUT /copy remembers its contents and PUT /restore comes back with them: the era in the header of every answer rises by one, waiting reads end, offsets are given out again, and a read from beyond the end is answered 410. Entries of servers that are not renewed after that lapse.

--- a/stand-in/src/store.rs
+++ b/stand-in/src/store.rs
@@ -3,7 +3,10 @@
 use std::{
     collections::BTreeMap,
     net::SocketAddr,
-    sync::{Arc, Mutex},
+    sync::{
+        atomic::{AtomicU64, Ordering},
+        Arc, Mutex,
+    },
     time::Duration,
 };
 
@@ -21,6 +24,9 @@
 /// Time without a renewal after which the entry of a server is removed.
 const REGISTRATION_TTL: Duration = Duration::from_millis(1_500);
 
+/// Topic in which servers register.
+const SERVERS_TOPIC: &str = "keyed.servers";
+
 /// Size of a read response in KB, unless the call asks for another one.
 const DEFAULT_READ_KB: u64 = 1_024;
 
@@ -31,8 +37,11 @@
     listen: SocketAddr,
 }
 
+/// Header with the era of the store in every answer.
+const ERA_HEADER: &str = "store-era";
+
 /// A topic, with a single partition.
-#[derive(Default)]
+#[derive(Clone, Default)]
 struct Topic {
     /// Offset of the first record that is kept.
     first: u64,
@@ -57,13 +66,19 @@
     slow_ms: u64,
 }
 
+type Topics = BTreeMap<String, Topic>;
+
 #[derive(Default)]
 struct Store {
-    topics: Mutex<BTreeMap<String, Topic>>,
+    topics: Mutex<Topics>,
+    /// Contents that the store comes back with.
+    copy: Mutex<Topics>,
+    /// Number of times that the store came back from the copy.
+    era: AtomicU64,
     faults: Mutex<Faults>,
     /// Number of calls, without those that control the simulator.
     calls: Mutex<u64>,
-    /// Wakes waiting reads after an append.
+    /// Wakes waiting reads after an append or when the store comes back from the copy.
     appended: Notify,
 }
 
@@ -72,10 +87,19 @@
 }
 
 async fn handle(store: Arc<Store>, req: Req) -> Response<Body> {
+    let mut answer = answer(&store, req).await;
+    let era = store.era.load(Ordering::SeqCst);
+    answer.headers_mut().insert(ERA_HEADER, era.into());
+    answer
+}
+
+async fn answer(store: &Arc<Store>, req: Req) -> Response<Body> {
     match (req.method.as_str(), req.path().as_slice()) {
         ("PUT", ["faults"]) => return store.set_faults(&req),
         ("PUT", ["forget", topic]) => return store.forget(topic),
         ("PUT", ["record", topic, key]) => return store.put(topic, key, req.body.clone()),
+        ("PUT", ["copy"]) => return store.copy(),
+        ("PUT", ["restore"]) => return store.restore(),
         ("GET", ["calls"]) => return web::json(StatusCode::OK, &*store.calls.lock().unwrap()),
         _ => {}
     }
@@ -126,25 +150,68 @@
         web::json(StatusCode::OK, &"forgotten")
     }
 
+    /// Remembers the present contents.
+    fn copy(&self) -> Response<Body> {
+        *self.copy.lock().unwrap() = self.topics.lock().unwrap().clone();
+        web::json(StatusCode::OK, &"copied")
+    }
+
+    /// Comes back with the contents of the copy; what was written since is gone.
+    ///
+    /// Entries of servers are removed unless their servers renew them in time.
+    fn restore(self: &Arc<Self>) -> Response<Body> {
+        let mut topics = self.topics.lock().unwrap();
+        let mut restored = self.copy.lock().unwrap().clone();
+        for (name, topic) in &mut restored {
+            if let Some(before) = topics.get(name) {
+                topic.registrations = before.registrations.clone();
+            }
+        }
+        *topics = restored;
+        self.era.fetch_add(1, Ordering::SeqCst);
+        if let Some(topic) = topics.get(SERVERS_TOPIC) {
+            for key in topic.newest.keys() {
+                let registrations = topic.registrations.get(key).copied().unwrap_or_default();
+                self.remove_unless_renewed(key, registrations);
+            }
+        }
+        self.appended.notify_waiters();
+        web::json(StatusCode::OK, &"restored")
+    }
+
+    /// Removes the entry of a server after [`REGISTRATION_TTL`] unless it is written before.
+    fn remove_unless_renewed(self: &Arc<Self>, key: &str, registrations: u64) {
+        let (store, key) = (self.clone(), key.to_string());
+        tokio::spawn(async move {
+            tokio::time::sleep(REGISTRATION_TTL).await;
+            let is_silent = store
+                .topics
+                .lock()
+                .unwrap()
+                .get(SERVERS_TOPIC)
+                .is_some_and(|t| {
+                    t.newest.contains_key(&key)
+                        && t.registrations.get(&key).copied().unwrap_or_default() == registrations
+                });
+            if is_silent {
+                store.append_record(SERVERS_TOPIC, encode_record(&key, b""));
+            }
+        });
+    }
+
     /// Writes the record of a key, as the operator or a server does; an empty value removes
     /// the key.
     ///
     /// A record of a server that differs from the newest one in its sequence number only is
     /// not appended; it only renews the registration.
     fn put(self: &Arc<Self>, topic: &str, key: &str, value: Bytes) -> Response<Body> {
-        let registers = topic == "keyed.servers" && !value.is_empty();
+        let registers = topic == SERVERS_TOPIC && !value.is_empty();
         if !(registers && self.only_renews(topic, key, &value)) {
             self.append_record(topic, encode_record(key, &value));
         }
         if registers {
             let registrations = self.count_registration(topic, key);
-            let (store, topic, key) = (self.clone(), topic.to_string(), key.to_string());
-            tokio::spawn(async move {
-                tokio::time::sleep(REGISTRATION_TTL).await;
-                if store.topics.lock().unwrap()[&topic].registrations[&key] == registrations {
-                    store.append_record(&topic, encode_record(&key, b""));
-                }
-            });
+            self.remove_unless_renewed(key, registrations);
         }
         web::json(StatusCode::OK, &"written")
     }
@@ -207,13 +274,15 @@
         wait: Duration,
     ) -> Response<Body> {
         let deadline = tokio::time::Instant::now() + wait;
+        let era = self.era.load(Ordering::SeqCst);
         loop {
             let appended = self.appended.notified();
+            let is_over = || {
+                tokio::time::Instant::now() >= deadline || self.era.load(Ordering::SeqCst) != era
+            };
             match self.try_read(topic, from, max_bytes) {
                 Some(answer) => return answer,
-                None if tokio::time::Instant::now() >= deadline => {
-                    return read_answer(Vec::new(), 0, from)
-                }
+                None if is_over() => return read_answer(Vec::new(), 0, from),
                 None => drop(tokio::time::timeout_at(deadline, appended).await),
             }
         }
@@ -222,8 +291,9 @@
     /// Returns the records from `from` on, as many as fit into `max_bytes` but at least one.
     fn try_read(&self, topic: &str, from: u64, max_bytes: usize) -> Option<Response<Body>> {
         let topics = self.topics.lock().unwrap();
-        let topic = topics.get(topic)?;
-        if from < topic.first {
+        let empty = Topic::default();
+        let topic = topics.get(topic).unwrap_or(&empty);
+        if from < topic.first || from > topic.end() {
             let answer = json!({ "first_offset": topic.first });
             return Some(web::json(StatusCode::GONE, &answer));
         }
