Take what a store that came back from a copy gives out

Callers' requests reached servers more than 2 s after these had said that they leave (DRAIN, bound 2,000 ms, seen 2,444 ms and more).

Cause: offsets were compared although they count within one era of the store only. Where the store had grown past the known offset, the records given out again below it were never read.

A position now has the era and the offset, and one of a later era is later. A read of an earlier era doesn't count as current and is not repeated at once. Routers send the era with the list. As a list of a new era may be older than what is known, for 5.8 s it neither brings back removed servers nor makes leaving ones run, and running servers that it lacks have 2.2 s to register again.

Existing tests name positions instead of offsets; their assertions are the same.

--- a/src/catalog/registry.rs
+++ b/src/catalog/registry.rs
@@ -6,7 +6,7 @@
 };
 
 use super::Server;
-use crate::{EngineName, Instant};
+use crate::{EngineName, Incarnation, Instant};
 
 /// Time after an outage of the list within which running servers register again.
 ///
@@ -20,6 +20,15 @@
 /// due just before the outage. Removals after a shorter gap are genuine.
 const OUTAGE_THRESHOLD: Duration = Duration::from_millis(2_400);
 
+/// Time after the list came back from a copy after which all its entries are of running servers.
+///
+/// Entries that nobody renews are dropped after three missed heartbeats of 1.2 s; the heartbeats
+/// start again within [`REREGISTRATION_TIME`].
+const RENEWAL_TIME: Duration = Duration::from_millis(3 * 1_200 + 2_200);
+
+/// Time for which removed servers are remembered, more than the age of a copy.
+const REMOVED_RETENTION: Duration = Duration::from_secs(60);
+
 /// State of one name in the list of servers.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum ServerChange {
@@ -41,16 +50,34 @@
     last_answer: Option<Instant>,
     /// Time until which removals are delayed because of an outage.
     removals_allowed_at: Instant,
+    /// Incarnations of removed servers, and when they were removed.
+    removed: BTreeMap<EngineName, (Incarnation, Instant)>,
+    /// Entries of a restored list that are older than what is known.
+    doubted: BTreeMap<EngineName, Server>,
+    /// Time until which entries of a restored list may be those of servers that are gone.
+    doubted_until: Instant,
 }
 
 impl ServerRegistry {
-    /// Creates a registry with the servers that another router knows.
-    pub fn with_servers(servers: impl IntoIterator<Item = Server>) -> Self {
-        let servers = servers.into_iter().map(|s| (s.name.clone(), s)).collect();
-        ServerRegistry {
-            servers,
-            ..ServerRegistry::default()
+    /// Replaces the servers by those that another router knew at `now`; returns whether the
+    /// servers changed.
+    pub fn replace(&mut self, servers: Vec<Server>, now: Instant) -> bool {
+        if now < self.doubted_until {
+            let listed = servers.into_iter().map(ServerChange::Present).collect();
+            return self.apply_changes(listed, true, now);
         }
+        self.last_answer = None;
+        self.removals_allowed_at = Instant::default();
+        let listed = servers.into_iter().map(ServerChange::Present).collect();
+        self.apply_changes(listed, true, now)
+    }
+
+    /// Records that the list came back at `now` from a copy.
+    ///
+    /// It may lack running servers, and name leaving and removed ones as running.
+    pub fn record_restoration(&mut self, now: Instant) {
+        self.removals_allowed_at = now + REREGISTRATION_TIME;
+        self.doubted_until = now + RENEWAL_TIME;
     }
 
     /// Records that the list failed to answer at `now`.
@@ -77,27 +104,77 @@
     /// If `is_complete` is set, the changes are the complete list, and all other names are absent.
     pub fn apply(&mut self, changes: Vec<ServerChange>, is_complete: bool, now: Instant) -> bool {
         self.record_answer_between(now, now);
+        self.apply_changes(changes, is_complete, now)
+    }
+
+    fn apply_changes(
+        &mut self,
+        changes: Vec<ServerChange>,
+        is_complete: bool,
+        now: Instant,
+    ) -> bool {
         let before = self.servers.clone();
         if is_complete {
+            self.doubted.clear();
             self.mark_unlisted(&changes);
         }
         for change in changes {
             match change {
                 ServerChange::Present(server) => {
                     self.missing.remove(&server.name);
-                    self.servers.insert(server.name.clone(), server);
+                    // A single change was written after the list came back.
+                    if is_complete && now < self.doubted_until && self.is_outdated(&server) {
+                        self.doubted.insert(server.name.clone(), server);
+                    } else {
+                        self.doubted.remove(&server.name);
+                        self.removed.remove(&server.name);
+                        self.servers.insert(server.name.clone(), server);
+                    }
                 }
                 ServerChange::Absent(name) => {
+                    self.doubted.remove(&name);
                     self.missing.insert(name);
                 }
             }
         }
+        self.settle(now);
+        before != self.servers
+    }
+
+    /// Removes missing servers and believes doubted entries, if it is time for either; returns
+    /// whether the servers changed.
+    pub fn settle(&mut self, now: Instant) -> bool {
+        let mut changed = false;
         if now >= self.removals_allowed_at {
             for name in std::mem::take(&mut self.missing) {
-                self.servers.remove(&name);
+                if let Some(server) = self.servers.remove(&name) {
+                    changed = true;
+                    self.removed.insert(name, (server.incarnation, now));
+                }
             }
         }
-        before != self.servers
+        if now >= self.doubted_until {
+            for (name, server) in std::mem::take(&mut self.doubted) {
+                changed |= self.servers.get(&name) != Some(&server);
+                self.removed.remove(&name);
+                self.servers.insert(name, server);
+            }
+        }
+        self.removed
+            .retain(|_, (_, at)| now.since(*at) < REMOVED_RETENTION);
+        changed
+    }
+
+    /// Returns whether more than `entry` says is known of its server.
+    fn is_outdated(&self, entry: &Server) -> bool {
+        match (self.servers.get(&entry.name), self.removed.get(&entry.name)) {
+            (Some(known), _) => {
+                let rank = |server: &Server| (server.incarnation, server.leaving);
+                rank(entry) < rank(known)
+            }
+            (None, Some((incarnation, _))) => entry.incarnation <= *incarnation,
+            (None, None) => false,
+        }
     }
 
     /// Returns the servers that are assumed to be running.
--- a/src/feed/follow.rs
+++ b/src/feed/follow.rs
@@ -29,16 +29,18 @@
         }
         let started = clock.now();
         let poll = StorePoll::new(feed.servers_current_at(), started);
-        let from = feed.next_servers_offset();
+        let from = feed.next_servers();
         let read = store.read_servers(from, poll.wait()).await;
         let now = clock.now();
         feed.record_call("read_servers", &read, now);
         let pause = match read {
             Ok(read) => {
                 let has_change = from != Some(read.next);
-                feed.apply_server_list(read, now);
-                feed.record_servers_current(poll.current_at(has_change, now));
-                continue;
+                if feed.apply_server_list(read, now) {
+                    feed.record_servers_current(poll.current_at(has_change, now));
+                    continue;
+                }
+                feed.store_retry_period(now)
             }
             Err(_) => feed.store_retry_period(now),
         };
@@ -118,7 +120,8 @@
 
 fn log_reason(reason: Option<ReadReason>, feed: &Feed, now: Instant) {
     let age_ms = feed.staleness(now).map(|age| age.as_millis() as u64);
-    let (routes, servers) = (feed.routes.version(), feed.next_servers_offset());
+    let routes = feed.routes.version();
+    let servers = feed.next_servers().map(|next| next.offset.0);
     match reason {
         Some(reason) => log::info!(
             "reads the store reason={} age_ms={age_ms:?} routes={routes} servers={servers:?}",
--- a/src/feed/frame.rs
+++ b/src/feed/frame.rs
@@ -5,6 +5,7 @@
 use serde::{Deserialize, Serialize};
 use tokio::io::{AsyncRead, AsyncReadExt};
 
+use super::StoreEra;
 use crate::{catalog::Server, routes::RouteTable, Offset};
 
 /// Maximum size of a frame in bytes, enough for a table of some ten thousand routes.
@@ -21,6 +22,8 @@
         servers: Vec<Server>,
         /// Offset in the store before which all changes are included.
         next: Offset,
+        /// Era of the store; routers that do not know of eras skip this last field.
+        era: StoreEra,
     },
     /// The data sent so far was current in the store at this time.
     Current {
--- a/src/feed/mod.rs
+++ b/src/feed/mod.rs
@@ -24,7 +24,7 @@
     frame::{FeedMessage, MAX_FRAME_BYTES},
     peer_clock::PeerClock,
     poll::StorePoll,
-    position::StoreEra,
+    position::{Position, StoreEra},
     role::{FeedNode, FeedRank, Role, FOLLOWER_COUNT},
     serve::serve_subscribers,
     snapshot::run_snapshots,
--- a/src/feed/serve.rs
+++ b/src/feed/serve.rs
@@ -69,7 +69,11 @@
         }
         if sent_changes != Some(revision.changes) {
             if let Some((servers, next)) = feed.servers() {
-                let message = FeedMessage::Servers { servers, next };
+                let message = FeedMessage::Servers {
+                    servers,
+                    next: next.offset,
+                    era: next.era,
+                };
                 send(&mut tx, &frame::encode(&message)?).await?;
                 sent_changes = Some(revision.changes);
             }
--- a/src/feed/state.rs
+++ b/src/feed/state.rs
@@ -11,13 +11,13 @@
 
 use tokio::sync::watch;
 
-use super::{frame, upstreams, FeedNode, FeedRank, Role, ServersRead};
+use super::{frame, upstreams, FeedNode, FeedRank, Position, Role, ServersRead, StoreEra};
 use crate::{
     catalog::{Catalog, Server, ServerRegistry},
     presence::{Presence, StoreStatus},
     routes::{ActiveRoutes, RouteTable},
     sync::lock,
-    Instant, Offset, Result, RouterName,
+    Instant, Result, RouterName,
 };
 
 /// Age of the known routes and servers at which a router reads the store itself.
@@ -76,8 +76,8 @@
 #[derive(Debug, Default)]
 struct ServerList {
     registry: ServerRegistry,
-    /// Offset in the store before which all changes are applied; `None` before the first read.
-    next: Option<Offset>,
+    /// Position in the store before which all changes are applied; `None` before the first read.
+    next: Option<Position>,
 }
 
 /// Times at which the known data was current, and failures of the store.
@@ -233,27 +233,33 @@
         }
     }
 
-    /// Returns the offset from which the next read of the list of servers continues.
-    pub fn next_servers_offset(&self) -> Option<Offset> {
+    /// Returns the position from which the next read of the list of servers continues.
+    pub fn next_servers(&self) -> Option<Position> {
         lock(&self.server_list).next
     }
 
-    /// Applies a read of the list of servers that ended at `now`.
+    /// Returns the latest era of the store that is known from a list of servers.
+    pub fn store_era(&self) -> Option<StoreEra> {
+        self.next_servers().map(|next| next.era)
+    }
+
+    /// Applies a read of the list of servers that ended at `now`; returns whether what is known
+    /// is at least as new as the read.
     ///
-    /// A read that ends before the offset already received from another router is ignored.
-    pub fn apply_server_list(&self, read: ServersRead, now: Instant) {
+    /// A read that ends before the position already received from another router is ignored. If
+    /// it is of an earlier era, it proves nothing about the present contents of the store.
+    pub fn apply_server_list(&self, read: ServersRead, now: Instant) -> bool {
         let mut server_list = lock(&self.server_list);
-        if server_list.next <= Some(read.next) {
-            server_list.next = Some(read.next);
-            let changed = server_list.registry.apply(read.changes, read.full, now);
-            if changed || !self.catalog.is_known() {
-                self.publish(&server_list, "store");
-            }
-        } else {
-            let (next, full) = (read.next, read.full);
-            let known = server_list.next.unwrap_or_default();
-            log::info!("server list ignored source=store next={next} known={known} full={full}");
+        if let Some(known) = server_list.next.filter(|known| *known > read.next) {
+            log_ignored("store", read.next, known);
+            return known.era == read.next.era;
         }
+        server_list.advance(read.next, now);
+        let changed = server_list.registry.apply(read.changes, read.full, now);
+        if changed || !self.catalog.is_known() {
+            self.publish(&server_list, "store");
+        }
+        true
     }
 
     /// Records that the known servers were current at `at`.
@@ -264,27 +270,31 @@
         self.notify_answer();
     }
 
-    /// Replaces the servers by the list of another router, with all changes before `next`.
+    /// Replaces the servers by the list of another router, with all changes before `next`, which
+    /// arrived at `now`.
     ///
     /// Routers read the store at different times; an older list does not replace a newer one.
-    /// Of two lists with equal offsets the shorter one is newer, as removals are delayed after
+    /// Of two lists with equal positions the shorter one is newer, as removals are delayed after
     /// an outage of the store.
-    pub fn replace_servers(&self, servers: Vec<Server>, next: Offset) {
+    pub fn replace_servers(&self, servers: Vec<Server>, next: Position, now: Instant) {
         let mut server_list = lock(&self.server_list);
-        let recency = |next: Option<Offset>, count: usize| (next, std::cmp::Reverse(count));
-        let own = recency(server_list.next, server_list.registry.servers().count());
-        if server_list.next.is_some() && own >= recency(Some(next), servers.len()) {
-            let known = server_list.next.unwrap_or_default();
-            log::debug!("server list ignored source=router next={next} known={known}");
-            return;
+        let recency = |next: Position, count: usize| (next, std::cmp::Reverse(count));
+        if let Some(known) = server_list.next {
+            let count = server_list.registry.servers().count();
+            if recency(known, count) >= recency(next, servers.len()) {
+                log_ignored("router", next, known);
+                return;
+            }
+        }
+        server_list.advance(next, now);
+        let changed = server_list.registry.replace(servers, now);
+        if changed || !self.catalog.is_known() {
+            self.publish(&server_list, "router");
         }
-        server_list.next = Some(next);
-        server_list.registry = ServerRegistry::with_servers(servers);
-        self.publish(&server_list, "router");
     }
 
-    /// Returns all servers and the offset in the store before which all changes are included.
-    pub fn servers(&self) -> Option<(Vec<Server>, Offset)> {
+    /// Returns all servers and the position in the store before which all changes are included.
+    pub fn servers(&self) -> Option<(Vec<Server>, Position)> {
         let server_list = lock(&self.server_list);
         let servers = server_list.registry.servers().cloned().collect();
         server_list.next.map(|next| (servers, next))
@@ -304,6 +314,9 @@
     pub fn record_current(&self, at: Instant, now: Instant) {
         let mut server_list = lock(&self.server_list);
         server_list.registry.record_answer_between(at, now);
+        if server_list.registry.settle(now) {
+            self.publish(&server_list, "delay");
+        }
         drop(server_list);
         let mut sync_state = lock(&self.sync_state);
         let before = (sync_state.servers_current_at, sync_state.routes_current_at);
@@ -353,7 +366,10 @@
         let count = registry.servers().count();
         let leaving = registry.servers().filter(|s| s.leaving).count();
         let next = server_list.next.unwrap_or_default();
-        log::info!("servers known count={count} leaving={leaving} next={next} source={source}");
+        let (era, next) = (next.era, next.offset);
+        log::info!(
+            "servers known count={count} leaving={leaving} era={era} next={next} source={source}"
+        );
         self.notify_change();
     }
 
@@ -365,3 +381,23 @@
         self.revision.send_modify(|revision| revision.answers += 1);
     }
 }
+
+impl ServerList {
+    /// Moves on to `next`, which is not before the known position.
+    fn advance(&mut self, next: Position, now: Instant) {
+        if self.next.is_some_and(|known| known.era < next.era) {
+            self.registry.record_restoration(now);
+        }
+        self.next = Some(next);
+    }
+}
+
+fn log_ignored(source: &str, next: Position, known: Position) {
+    log::info!(
+        "server list ignored source={source} era={} next={} known_era={} known={}",
+        next.era,
+        next.offset,
+        known.era,
+        known.offset
+    );
+}
--- a/src/feed/store.rs
+++ b/src/feed/store.rs
@@ -2,9 +2,10 @@
 
 use std::{future::Future, net::SocketAddr, time::Duration};
 
+use super::Position;
 use crate::{
     admission::QuarantinedParts, catalog::ServerChange, placement::SessionPlacement,
-    routes::RouteTable, Offset, Result,
+    routes::RouteTable, Result,
 };
 
 /// Result of a read of the list of servers.
@@ -14,8 +15,8 @@
     pub changes: Vec<ServerChange>,
     /// Whether the list is complete, so that servers not among the changes are absent.
     pub full: bool,
-    /// Offset from which the next read continues; it grows from read to read.
-    pub next: Offset,
+    /// Position from which the next read continues; it grows from read to read.
+    pub next: Position,
 }
 
 /// Result of a read of the route table.
@@ -23,8 +24,8 @@
 pub struct RoutesRead {
     /// The newest table, or `None` if there is no new one.
     pub table: Option<RouteTable>,
-    /// Offset from which the next read continues; it grows from read to read.
-    pub next: Offset,
+    /// Position from which the next read continues; it grows from read to read.
+    pub next: Position,
 }
 
 /// State saved in the store for routers that start after the whole fleet has stopped.
@@ -42,26 +43,30 @@
 ///
 /// Implementations log and skip records that cannot be read.
 pub trait Store: Send + Sync + 'static {
-    /// Reads the complete list of servers, or with `from` the changes since that offset, waiting
+    /// Reads the complete list of servers, or with `from` the changes since that position, waiting
     /// up to `wait` for a change.
     ///
+    /// If the store is no longer in the era of `from`, the list is complete.
+    ///
     /// # Errors
     ///
     /// Fails when the store gives no readable answer in time.
     fn read_servers(
         &self,
-        from: Option<Offset>,
+        from: Option<Position>,
         wait: Duration,
     ) -> impl Future<Output = Result<ServersRead>> + Send;
 
     /// Reads the newest route table, or with `from` waits up to `wait` for a newer one.
     ///
+    /// If the store is no longer in the era of `from`, its newest table is returned.
+    ///
     /// # Errors
     ///
     /// Fails when the store gives no readable answer in time.
     fn read_routes(
         &self,
-        from: Option<Offset>,
+        from: Option<Position>,
         wait: Duration,
     ) -> impl Future<Output = Result<RoutesRead>> + Send;
 
--- a/src/feed/subscribe.rs
+++ b/src/feed/subscribe.rs
@@ -4,7 +4,7 @@
 
 use tokio::{io::AsyncWriteExt, net::TcpStream};
 
-use super::{frame, role::ROLE_CHECK_PERIOD, Feed, FeedMessage, Role};
+use super::{frame, role::ROLE_CHECK_PERIOD, Feed, FeedMessage, Position, Role};
 use crate::{presence::Presence, Clock, Instant};
 
 /// Maximum time to open a connection to a follower.
@@ -118,7 +118,9 @@
             let table = postcard::from_bytes(&bytes).map_err(io::Error::other)?;
             feed.replace_routes_if_newer(table, "router");
         }
-        FeedMessage::Servers { servers, next } => feed.replace_servers(servers, next),
+        FeedMessage::Servers { servers, next, era } => {
+            feed.replace_servers(servers, Position::new(era, next), now);
+        }
         FeedMessage::Current {
             at_micros,
             age_millis,
--- a/tests/catalog/main.rs
+++ b/tests/catalog/main.rs
@@ -1,5 +1,7 @@
 //! The server registry across changes and outages of the server list.
 
+mod restored;
+
 use ebonyspur::{
     catalog::{Server, ServerChange, ServerRegistry},
     DomainName, EngineName, Incarnation, Instant, PoolName,
--- a/tests/feed/main.rs
+++ b/tests/feed/main.rs
@@ -1,11 +1,14 @@
 //! The choice of followers, and the lists that routers accept from the store and each other.
 
 mod delay;
+mod era;
 mod tree;
 
 use ebonyspur::{
     catalog::{Server, ServerChange},
-    feed::{Feed, FeedNode, FeedRank, Role, ServersRead, StorePoll, FOLLOWER_COUNT},
+    feed::{
+        Feed, FeedNode, FeedRank, Position, Role, ServersRead, StoreEra, StorePoll, FOLLOWER_COUNT,
+    },
     presence::{Digest, Peer, Presence, RouterPhase, StoreStatus},
     routes::TableBuilder,
     Category, DomainName, EngineName, Error, Incarnation, Instant, Offset, PoolName, RouterName,
@@ -116,11 +119,16 @@
     }
 }
 
+/// Returns the position at `offset` in the first era.
+fn position(offset: u64) -> Position {
+    Position::new(StoreEra(0), Offset(offset))
+}
+
 fn read(servers: &[Server], next: u64) -> ServersRead {
     ServersRead {
         changes: servers.iter().cloned().map(ServerChange::Present).collect(),
         full: false,
-        next: Offset(next),
+        next: position(next),
     }
 }
 
@@ -135,14 +143,14 @@
     feed.apply_server_list(read(&[server(false)], 10), now);
     feed.apply_server_list(read(&[server(true)], 20), now);
     // A follower that was just cut off from the store sends its older list.
-    feed.replace_servers(vec![server(false)], Offset(15));
+    feed.replace_servers(vec![server(false)], position(15), Instant::default());
     assert!(leaving(&feed));
-    assert_eq!(feed.next_servers_offset(), Some(Offset(20)));
+    assert_eq!(feed.next_servers(), Some(position(20)));
     // A read that began before another router sent later changes is ignored.
-    feed.replace_servers(vec![server(true)], Offset(30));
+    feed.replace_servers(vec![server(true)], position(30), Instant::default());
     feed.apply_server_list(read(&[server(false)], 25), now);
     assert!(leaving(&feed));
-    assert_eq!(feed.next_servers_offset(), Some(Offset(30)));
+    assert_eq!(feed.next_servers(), Some(position(30)));
 }
 
 #[test]
@@ -180,13 +188,21 @@
         ..server(false)
     };
     let subscriber = Feed::new(&name(1), LINK_MBPS);
-    subscriber.replace_servers(vec![named("a"), named("b")], Offset(31));
+    subscriber.replace_servers(
+        vec![named("a"), named("b")],
+        position(31),
+        Instant::default(),
+    );
     // The follower's outage window is over; the store has no newer record.
-    subscriber.replace_servers(vec![named("a")], Offset(31));
+    subscriber.replace_servers(vec![named("a")], position(31), Instant::default());
     let count = |feed: &Feed| feed.servers().expect("a list").0.len();
     assert_eq!(count(&subscriber), 1);
     // A list of another router that still includes the server does not bring it back.
-    subscriber.replace_servers(vec![named("a"), named("b")], Offset(31));
+    subscriber.replace_servers(
+        vec![named("a"), named("b")],
+        position(31),
+        Instant::default(),
+    );
     assert_eq!(count(&subscriber), 1);
 
     // A router that the store refused while another router fed it has seen no outage, so that
@@ -201,7 +217,7 @@
     let gone = || ServersRead {
         changes: vec![ServerChange::Absent(EngineName::new("b").unwrap())],
         full: false,
-        next: Offset(11),
+        next: position(11),
     };
     refused_router.apply_server_list(gone(), at(7_000));
     assert_eq!(count(&refused_router), 1);
@@ -248,7 +264,7 @@
     let mut lines = vec![format!("starting: {:?}", feed.store_retry_period(at(900)))];
     let table = TableBuilder::new(1).build().expect("a table");
     feed.replace_routes_if_newer(table, "store");
-    feed.replace_servers(vec![server(false)], Offset(1));
+    feed.replace_servers(vec![server(false)], position(1), Instant::default());
     feed.record_call("read_servers", &Ok(()), at(1_000));
     feed.record_current(at(1_000), at(1_000));
     feed.record_call("read_servers", &failed, at(2_400));
--- a/tests/feed/tree.rs
+++ b/tests/feed/tree.rs
@@ -6,7 +6,7 @@
     feed::{serve_subscribers, upstreams, Feed, FeedNode, FeedRank, Role, FAN_OUT},
     presence::StoreStatus,
     routes::TableBuilder,
-    Clock, Offset,
+    Clock, Instant,
 };
 use expect_test::expect;
 use tokio::{
@@ -14,7 +14,7 @@
     net::{TcpListener, TcpStream},
 };
 
-use crate::{name, peer, server};
+use crate::{name, peer, position, server};
 
 /// Number of routers of the fleet.
 const FLEET: usize = 141;
@@ -138,7 +138,7 @@
     let feed = Arc::new(Feed::new(&name(1), 10));
     let table = TableBuilder::new(1).build().expect("a table");
     feed.replace_routes_if_newer(table, "store");
-    feed.replace_servers(vec![server(false)], Offset(1));
+    feed.replace_servers(vec![server(false)], position(1), Instant::default());
     feed.record_current(clock.now(), clock.now());
     let listener = TcpListener::bind("127.0.0.1:0").await.expect("a listener");
     let address = listener.local_addr().expect("an address");
