--- a/src/feed/snapshot.rs
+++ b/src/feed/snapshot.rs
@@ -36,7 +36,7 @@
 ) {
     let mut saved_routers =
         restore(&*store, &feed, &presence, &affinity, &poison_parts, &clock).await;
-    let mut last_saved = FleetSnapshot::default();
+    let mut last_saved = (feed.store_era(), FleetSnapshot::default());
     loop {
         let is_alone = presence.fleet_size() == 1;
         tokio::time::sleep(if is_alone {
@@ -64,14 +64,15 @@
             placements: affinity.snapshot(now),
             quarantined_parts: poison_parts.quarantined(now),
         };
-        let sorted = sorted(&snapshot);
-        if sorted == last_saved || !feed.should_save(&presence, now) {
+        // What was saved in an earlier era of the store may be gone.
+        let saving = (feed.store_era(), sorted(&snapshot));
+        if saving == last_saved || !feed.should_save(&presence, now) {
             continue;
         }
         let result = store.save_snapshot(&snapshot).await;
         feed.record_call("save", &result, clock.now());
         if result.is_ok() {
-            last_saved = sorted;
+            last_saved = saving;
         }
     }
 }
