Saturate times beyond the range of an instant

Cause: adding a duration to an instant cut it to the low 64 bits of its microseconds. A timeout or idle limit of some 600,000 years in a configuration or header became an arbitrary, possibly very short one.

Change: the sum and the difference saturate.

--- a/src/time.rs
+++ b/src/time.rs
@@ -37,7 +37,7 @@
     type Output = Instant;
 
     fn add(self, rhs: Duration) -> Instant {
-        Instant(self.0.saturating_add(rhs.as_micros() as u64))
+        Instant(self.0.saturating_add(micros(rhs)))
     }
 }
 
@@ -45,10 +45,15 @@
     type Output = Instant;
 
     fn sub(self, rhs: Duration) -> Instant {
-        Instant(self.0.saturating_sub(rhs.as_micros() as u64))
+        Instant(self.0.saturating_sub(micros(rhs)))
     }
 }
 
+/// Returns the microseconds of `duration`, at most `u64::MAX`.
+fn micros(duration: Duration) -> u64 {
+    u64::try_from(duration.as_micros()).unwrap_or(u64::MAX)
+}
+
 /// Wall time since the Unix epoch, in milliseconds.
 #[derive(
     Debug, Clone, Copy, Default, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize, Deserialize,
