Add up the tokens that an engine prefills without overflow

Cause: the sum of the tokens of two prompts may exceed 32 bits, as callers state any number of tokens. It then panicked in a debug build, in the choice of a server, and wrapped in a release build, so that the engine looked idle.

Change: the sum saturates.

Evidence: the test failed before with src/placement/prefill.rs:167: attempt to add with overflow

--- a/src/placement/prefill.rs
+++ b/src/placement/prefill.rs
@@ -164,7 +164,8 @@
         let mut pending = BTreeMap::new();
         for ((_, engine), prefill) in &lock(&self.inner).in_progress {
             if prefill.is_unexpired(now) {
-                *pending.entry(*engine).or_default() += prefill.tokens;
+                let tokens: &mut u32 = pending.entry(*engine).or_default();
+                *tokens = tokens.saturating_add(prefill.tokens);
             }
         }
         pending
--- a/tests/placement/prefill.rs
+++ b/tests/placement/prefill.rs
@@ -44,6 +44,18 @@
     .assert_eq(&lines.join("\n"));
 }
 
+#[test]
+fn the_tokens_of_one_engine_add_up_without_overflow() {
+    let here = Arc::new(Prefills::default());
+    let engine = ServerKey(7);
+    let prefills = [1, 2].map(|session| {
+        let placement = (SessionKey::new(session), engine);
+        here.begin(placement, u32::MAX, at(0)).expect("begun")
+    });
+    assert_eq!(here.pending_tokens(at(1))[&engine], u32::MAX);
+    drop(prefills);
+}
+
 #[test]
 fn an_update_is_announced_twice_and_the_end_of_a_prefill_replaces_its_start() {
     let here = Arc::new(Prefills::default());
