Announce the idle limit to callers

The router closed after the limit and its slack, 17 s; callers used connections that had been idle for 17 s and more, as no response told them for how long a connection stays open.

Responses now carry `Keep-Alive` with the limit in force, in whole seconds. A limit that was announced holds until the next response, also if a shorter one is in force by the end of a stream.

Before the change:

closing::callers_are_told_for_how_long_they_may_use_a_connection_again no such header closing::request_within_the_idle_limit_that_was_announced_is_not_lost left: "unanswered" right: "200"

--- a/src/forward/exchange_body.rs
+++ b/src/forward/exchange_body.rs
@@ -3,14 +3,19 @@
 use std::{
     pin::Pin,
     task::{Context, Poll},
+    time::Duration,
 };
 
 use bytes::Bytes;
+use http::{header, HeaderMap, HeaderName, HeaderValue};
 use http_body::{Frame, SizeHint};
 
 use super::{caller_connection::ConnectionRecord, Body, HttpHandler};
 use crate::{Clock, Error};
 
+/// Header that tells callers for how long an idle connection stays open.
+const KEEP_ALIVE: HeaderName = HeaderName::from_static("keep-alive");
+
 /// Body of a response, whose exchange ends when the body was written or is dropped.
 pub(super) struct ExchangeBody<H: HttpHandler> {
     pub(super) body: Body,
@@ -22,6 +27,8 @@
     record: ConnectionRecord,
     handler: H,
     clock: Clock,
+    /// Idle limit that the head of the response announced.
+    announced: Duration,
 }
 
 impl<H: HttpHandler> ExchangeGuard<H> {
@@ -32,13 +39,33 @@
             record,
             handler,
             clock,
+            announced: Duration::ZERO,
+        }
+    }
+
+    /// Announces in the head of the response for how long the caller may use the connection again.
+    ///
+    /// Does nothing for limits below a second, as the header counts whole seconds.
+    pub(super) fn announce_idle_limit(&mut self, headers: &mut HeaderMap) {
+        let idle_limit = self.handler.idle_limit();
+        let seconds = idle_limit.as_secs();
+        if seconds == 0 || headers.contains_key(header::CONNECTION) {
+            return;
+        }
+        match HeaderValue::try_from(format!("timeout={seconds}")) {
+            Ok(timeout) => {
+                self.announced = idle_limit;
+                headers.insert(header::CONNECTION, HeaderValue::from_static("keep-alive"));
+                headers.insert(KEEP_ALIVE, timeout);
+            }
+            Err(err) => log::error!("cannot announce the idle limit error=\"{err}\""),
         }
     }
 }
 
 impl<H: HttpHandler> Drop for ExchangeGuard<H> {
     fn drop(&mut self) {
-        let idle_limit = self.handler.idle_limit();
+        let idle_limit = self.handler.idle_limit().max(self.announced);
         self.record.end_exchange(idle_limit, self.clock.now());
     }
 }
--- a/src/forward/listener.rs
+++ b/src/forward/listener.rs
@@ -144,12 +144,14 @@
             let (service, record) = (service.clone(), record.clone());
             let stage = stage.clone();
             async move {
-                let _exchange = ExchangeGuard::begin(record, service.clone(), clock);
+                let mut exchange = ExchangeGuard::begin(record, service.clone(), clock);
                 let mut response = service.handle(req).await;
                 if *stage.borrow() >= DrainStage::Closing {
                     let close = HeaderValue::from_static("close");
                     response.headers_mut().insert(header::CONNECTION, close);
                 }
+                exchange.announce_idle_limit(response.headers_mut());
+                let _exchange = exchange;
                 Ok::<_, Infallible>(response.map(|body| ExchangeBody { body, _exchange }))
             }
         })
--- a/tests/forward/closing.rs
+++ b/tests/forward/closing.rs
@@ -13,6 +13,7 @@
     forward::{full_body, serve, Body, DrainStage, HttpHandler},
     Clock,
 };
+use expect_test::expect;
 use http::{Request, Response};
 use http_body_util::{BodyExt, StreamBody};
 use hyper::body::{Frame, Incoming};
@@ -197,6 +198,34 @@
     assert_eq!(caller.call("/"), "200");
 }
 
+#[test]
+fn callers_are_told_for_how_long_they_may_use_a_connection_again() {
+    let listener = Listener::start(MS(15_000), MAX_CONNECTIONS);
+    let mut caller = listener.connect();
+    caller.request("/");
+    let head = caller.0.by_ref().lines().map_while(Result::ok);
+    let head = head.take_while(|line| !line.is_empty());
+    let is_kept = |line: &String| line.starts_with("connection") || line.starts_with("keep-alive");
+    let lines: Vec<_> = head.filter(is_kept).collect();
+    expect![[r#"
+        connection: keep-alive
+        keep-alive: timeout=15"#]]
+    .assert_eq(&lines.join("\n"));
+}
+
+#[test]
+fn request_within_the_idle_limit_that_was_announced_is_not_lost() {
+    let listener = Listener::start(MS(4_000), MAX_CONNECTIONS);
+    let mut caller = listener.connect();
+    sleep(MS(3_000));
+    caller.request("/stream/2000");
+    sleep(MS(300));
+    listener.set_idle_limit(Duration::ZERO);
+    assert_eq!(caller.answer(), "200");
+    sleep(MS(3_200));
+    assert_eq!(caller.call("/"), "200");
+}
+
 #[test]
 fn idle_connections_are_closed_after_the_limit_of_their_last_response() {
     let listener = Listener::start(MS(500), MAX_CONNECTIONS);
