Take later routes from a router when the store gives out older ones

Callers saw older routes: a router that starts after the store came back from a copy, and before the operator has written a lost change again, took the routes of the copy. If it ranks first, it follows the store and subscribed to nobody, so that it kept them until the rewrite, and fed them to routers that knew none.

Cause: a follower trusts the store alone, which can go back, although live routers have later versions.

Digests name the version of the routes in force, and a follower that is behind a live router subscribes to that one until it has caught up. Its subscribers get the routes from it.

--- a/src/feed/subscribe.rs
+++ b/src/feed/subscribe.rs
@@ -1,6 +1,6 @@
 //! Subscribes to a follower and applies the routes and servers that it sends.
 
-use std::{io, net::SocketAddr, sync::Arc, time::Duration};
+use std::{cmp::Reverse, io, net::SocketAddr, sync::Arc, time::Duration};
 
 use tokio::{io::AsyncWriteExt, net::TcpStream};
 
@@ -33,12 +33,12 @@
 const DELAY_LOG_THRESHOLD: Duration = Duration::from_millis(300);
 
 /// Keeps a feed connection to one of the followers open while this router does not follow the
-/// store itself.
+/// store itself, or to a router with later routes than those in the store.
 pub async fn subscribe(feed: Arc<Feed>, presence: Arc<Presence>, clock: Clock) {
     loop {
         let now = clock.now();
         let mut sources = match feed.role(&presence, now) {
-            Role::Follower if feed.is_known() => Vec::new(),
+            Role::Follower if feed.is_known() => routers_ahead(&feed, &presence, now),
             _ => feed.upstreams(&presence, now),
         };
         if !feed.is_known() {
@@ -62,6 +62,20 @@
     }
 }
 
+/// Returns the addresses of the live routers with later routes than those in force here, the latest
+/// first.
+///
+/// A store that came back from a copy gives out older routes until they are written again.
+fn routers_ahead(feed: &Feed, presence: &Presence, now: Instant) -> Vec<SocketAddr> {
+    let version = feed.routes.version();
+    let mut ahead = presence.map_live(now, |peer| {
+        (peer.digest.routes_version, peer.digest.peer_address)
+    });
+    ahead.retain(|(theirs, _)| *theirs > version);
+    ahead.sort_unstable_by_key(|(theirs, _)| Reverse(*theirs));
+    ahead.into_iter().map(|(_, address)| address).collect()
+}
+
 /// Applies messages until the connection fails, this router has to follow the store, or another
 /// router is to feed it.
 async fn receive_feed(
@@ -89,7 +103,10 @@
             return Err(io::Error::other("the follower is out of date"));
         }
         let now = clock.now();
-        if feed.is_known() && feed.role(presence, now) == Role::Follower {
+        if feed.is_known()
+            && feed.role(presence, now) == Role::Follower
+            && !routers_ahead(feed, presence, now).contains(&follower)
+        {
             return Ok(());
         }
         if now.since(last_checked) >= UPSTREAM_CHECK_PERIOD {
--- a/src/presence/digest.rs
+++ b/src/presence/digest.rs
@@ -75,4 +75,6 @@
     pub stalled_servers: Vec<ServerKey>,
     /// Peer addresses of some other routers from which the sender receives digests.
     pub known_addresses: Vec<SocketAddr>,
+    /// Version of the routes in force at the sender, or 0 when it knows none.
+    pub routes_version: u64,
 }
--- a/tests/feed/main.rs
+++ b/tests/feed/main.rs
@@ -2,6 +2,7 @@
 
 mod delay;
 mod era;
+mod gap;
 mod tree;
 
 use ebonyspur::{
@@ -44,6 +45,7 @@
             stalled_servers: Vec::new(),
             crashes: Vec::new(),
             known_addresses: Vec::new(),
+            routes_version: 0,
         },
         last_received: Instant::default(),
     }
--- a/tests/presence/main.rs
+++ b/tests/presence/main.rs
@@ -36,6 +36,7 @@
         stalled_servers: Vec::new(),
         crashes: Vec::new(),
         known_addresses: Vec::new(),
+        routes_version: 0,
     }
 }
 
@@ -100,6 +101,7 @@
             stalled_servers: Vec::new(),
             crashes: Vec::new(),
             known_addresses: round.known_addresses,
+            routes_version: 0,
         };
         for to in round.targets {
             let is_lost = self.rng.random_bool(self.loss);
