Show that subscribers miss a server that the follower believes again

A server that was removed, that the copy of the store names and that runs renews its entry without a new record. The follower believes the entry 5.8 s after the store came back and sends a longer list at the same position, which subscribers ignore, since of two lists with equal positions the shorter one counts as newer. They hold no entry of their own to believe, as the follower's list had left it out. Callers lose the capacity of the server until the next record of any server.

--- a/tests/feed/era.rs
+++ b/tests/feed/era.rs
@@ -7,12 +7,12 @@
 };
 
 use ebonyspur::{
-    catalog::ServerChange,
+    catalog::{Server, ServerChange},
     feed::{
         follow_servers, Feed, FleetSnapshot, Position, RoutesRead, ServersRead, Store, StoreEra,
     },
     presence::Presence,
-    Clock, Error, Instant, Offset, Result,
+    Clock, EngineName, Error, Instant, Offset, Result,
 };
 use expect_test::expect;
 
@@ -126,3 +126,48 @@
     let age = clock.now().since(current_at);
     assert!(age >= Duration::from_millis(900), "current {age:?} ago");
 }
+
+#[test]
+fn a_removed_server_that_a_restored_store_names_and_that_runs_comes_back_at_subscribers() {
+    let at = Instant::from_millis;
+    let named = |name: &str| Server {
+        name: EngineName::new(name).unwrap(),
+        ..server(false)
+    };
+    let list = |names: &[&str], full, next| ServersRead {
+        changes: names
+            .iter()
+            .map(|n| ServerChange::Present(named(n)))
+            .collect(),
+        full,
+        next,
+    };
+    let follower = Feed::new(&name(1), LINK_MBPS);
+    let subscriber = Feed::new(&name(2), LINK_MBPS);
+    let pass_on = |now| {
+        let (servers, next) = follower.servers().expect("a list");
+        subscriber.replace_servers(servers, next, now);
+        subscriber.record_current(now, now);
+        let count = |feed: &Feed| feed.servers().expect("a list").0.len();
+        format!("{} {}", count(&follower), count(&subscriber))
+    };
+    let mut lines = Vec::new();
+    follower.apply_server_list(list(&["a", "b"], true, at_era(1, 10)), at(100));
+    lines.push(format!("both known: {}", pass_on(at(100))));
+    let gone = ServersRead {
+        changes: vec![ServerChange::Absent(EngineName::new("a").unwrap())],
+        full: false,
+        next: at_era(1, 11),
+    };
+    follower.apply_server_list(gone, at(500));
+    lines.push(format!("one removed: {}", pass_on(at(500))));
+    // Renewals of the restored entry of `a` change nothing in the list.
+    follower.apply_server_list(list(&["a", "b"], true, at_era(2, 8)), at(1_000));
+    lines.push(format!("restored: {}", pass_on(at(1_000))));
+    for now in (1_400..=9_000).step_by(400) {
+        follower.apply_server_list(list(&[], false, at_era(2, 8)), at(now));
+        lines.push(format!("{now}: {}", pass_on(at(now))));
+    }
+    let last = lines.pop().expect("a line");
+    expect!["9000: 2 2"].assert_eq(&last);
+}
