Close a connection whose first head never ends

Callers saw nothing; a caller that sent half of the first head of a fresh connection held one of the listener's slots until it left by itself.

Cause: after the idle limit the connection was asked to shut down and then awaited. The HTTP library closes a connection with part of a head in its buffer only if an exchange has ended on it before; on a fresh one it awaits the rest of the head, without limit.

Change: such a connection is dropped when it is due.

--- a/src/forward/activity.rs
+++ b/src/forward/activity.rs
@@ -101,6 +101,11 @@
         }
     }
 
+    /// Returns whether part of a request has arrived.
+    pub fn is_receiving(&self) -> bool {
+        matches!(self.phase, Phase::Receiving(_))
+    }
+
     /// Returns whether an exchange is in progress.
     pub fn is_exchange(&self) -> bool {
         matches!(self.phase, Phase::Exchange)
--- a/src/forward/caller_connection.rs
+++ b/src/forward/caller_connection.rs
@@ -105,6 +105,11 @@
         lock(&self.0).activity.expire();
     }
 
+    /// Returns whether part of a request has arrived.
+    pub(super) fn is_receiving(&self) -> bool {
+        lock(&self.0).activity.is_receiving()
+    }
+
     /// Records that this router starts to close the connection at `now`.
     pub(super) fn record_close(&self, reason: CloseReason, now: Instant) {
         let mut state = lock(&self.0);
--- a/src/forward/listener.rs
+++ b/src/forward/listener.rs
@@ -201,6 +201,10 @@
                     };
                     record.record_close(reason, clock.now());
                     connection.as_mut().graceful_shutdown();
+                    if record.is_receiving() {
+                        // The rest of a first head would be awaited without end.
+                        break Ok(());
+                    }
                     break connection.await;
                 }
             }
--- a/tests/forward/closing.rs
+++ b/tests/forward/closing.rs
@@ -343,3 +343,12 @@
     assert_eq!(first.answer(), "200 close");
     listener.thread.join().expect("the listener ends");
 }
+
+#[test]
+fn connection_with_half_of_its_first_head_does_not_stay_open_forever() {
+    let listener = Listener::start(MS(100), MAX_CONNECTIONS);
+    let mut connection = listener.connect();
+    connection.send("GET / HT");
+    let read = connection.0.read(&mut [0; 64]);
+    assert!(matches!(read, Ok(0)), "still open: {read:?}");
+}
