Try another server when the one asked in place of a late one is dead

A caller waited until its deadline, and then got 504, when the server of its request was late and the one asked next accepted no connection: the failover timeouts had been used up, and no further server was asked although the request had been sent to one only. Found in the review of the failover.

A server to which the request could not be sent is replaced at once, as before a failover, within the attempts of the route. The retry that was spent for it pays for the next one.

Before the change, eight sessions whose first server never answers, beside a server without a listener:

pauses::a_stream_whose_server_starts_late_is_answered_when_the_server_asked_next_is_dead left: [200, 200, 504, 504, 200, 200, 200, 200]

--- a/src/forward/attempts.rs
+++ b/src/forward/attempts.rs
@@ -22,7 +22,7 @@
 const DEFAULT_RESPONSE_TIMEOUT: Duration = Duration::from_secs(10);
 
 /// Number of failed attempts to send the request to a server after which the request itself fails.
-const MAX_UNSENT_ATTEMPTS: u32 = 4;
+pub(super) const MAX_UNSENT_ATTEMPTS: u32 = 4;
 
 /// Mean retry delay given to a caller whose request no server ran.
 const RETRY_AFTER_MEAN: Duration = Duration::from_millis(400);
@@ -50,7 +50,7 @@
     /// Number of servers to which the request was sent.
     pub(super) sent_count: u32,
     /// Number of servers to which the request could not be sent.
-    unsent_count: u32,
+    pub(super) unsent_count: u32,
     /// Combined verdict of the failed attempts.
     pub(super) verdict: Verdict,
     /// Address from which the server that was chosen last can copy its cached prompt prefix.
--- a/src/forward/failover.rs
+++ b/src/forward/failover.rs
@@ -8,7 +8,7 @@
 use futures_util::stream::{FuturesUnordered, StreamExt};
 
 use super::{
-    attempts::Attempts,
+    attempts::{Attempts, MAX_UNSENT_ATTEMPTS},
     exchange::{AttemptFailure, Exchange},
     ForwardParams, Forwarder, Observation, ProxyRequest, Routed, Wire,
 };
@@ -97,6 +97,15 @@
                 return Err(failure);
             }
             self.record_failure(cx, &failure, attempts);
+            let now = cx.clock.now();
+            if let Some(other) = self.unsent_server(cx, &failure, attempts, now) {
+                latest = other;
+                sent_at = now;
+                failover_timeouts = self.failover_timeouts(attempts).into_iter().peekable();
+                attempts.sent_count += 1;
+                let source = attempts.prompt_source;
+                pending.push(self.send_to(cx, latest.clone(), source, last_event));
+            }
         }
     }
 
@@ -161,6 +170,28 @@
         Some(other)
     }
 
+    /// Returns the server to which the request is sent in place of the one of `failure`, to which it
+    /// could not be sent, and records its placement there.
+    ///
+    /// The retry that was spent for that one pays for this one.
+    fn unsent_server<W: Wire>(
+        &self,
+        cx: &Forwarder<W>,
+        failure: &AttemptFailure,
+        attempts: &mut Attempts,
+        now: Instant,
+    ) -> Option<Arc<Server>> {
+        let may_send = !failure.sent
+            && attempts.unsent_count < MAX_UNSENT_ATTEMPTS
+            && attempts.sent_count < self.state.max_attempts;
+        if !may_send || cx.check_not_poison(&self.state, now).is_err() {
+            return None;
+        }
+        let other = self.other_server(cx, attempts, now)?;
+        self.record_placement(cx, &other, attempts, now);
+        Some(other)
+    }
+
     /// Returns the times after which the request may be sent to another server as well.
     fn failover_timeouts(&self, attempts: &Attempts) -> Vec<Duration> {
         if !self.state.kind.allows_rerun() || attempts.sent_count + 1 >= self.state.max_attempts {
