Await a late server when the other one claims not to have run the request

A caller got 502 although the first server of its request would have answered: another one, asked because the first was late, answered 429 without saying that it had not run the request. Such a response is not passed on, but it ended the wait for the first server, as only server errors were kept apart. Found in the review of the failover.

--- a/src/forward/attempts.rs
+++ b/src/forward/attempts.rs
@@ -36,7 +36,7 @@
 /// Statuses that tell callers that the request did not run.
 ///
 /// Servers may send them even for a request that they ran.
-const NOT_RUN_STATUSES: [StatusCode; 3] = [
+pub(super) const NOT_RUN_STATUSES: [StatusCode; 3] = [
     StatusCode::REQUEST_TIMEOUT,
     StatusCode::TOO_MANY_REQUESTS,
     StatusCode::SERVICE_UNAVAILABLE,
--- a/src/forward/failover.rs
+++ b/src/forward/failover.rs
@@ -6,9 +6,10 @@
 use std::{net::SocketAddr, sync::Arc, time::Duration};
 
 use futures_util::stream::{FuturesUnordered, StreamExt};
+use http::StatusCode;
 
 use super::{
-    attempts::{Attempts, MAX_UNSENT_ATTEMPTS},
+    attempts::{Attempts, MAX_UNSENT_ATTEMPTS, NOT_RUN_STATUSES},
     exchange::{AttemptFailure, Exchange},
     ForwardParams, Forwarder, Observation, ProxyRequest, Routed, Wire,
 };
@@ -54,7 +55,7 @@
             let wait = failover.map_or(time_left, |timeout| (sent_at + timeout).since(now));
             let failure = match tokio::time::timeout(wait, pending.next()).await {
                 Ok(Some(Ok(exchange))) => match exchange.ensure_ran() {
-                    Ok(()) if pending.is_empty() || !exchange.status.is_server_error() => {
+                    Ok(()) if pending.is_empty() || !is_failure(exchange.status) => {
                         return Ok(exchange);
                     }
                     checked => AttemptFailure {
@@ -207,3 +208,9 @@
         }
     }
 }
+
+/// Returns whether another server may still give the caller a better response than one with
+/// `status`.
+fn is_failure(status: StatusCode) -> bool {
+    status.is_server_error() || NOT_RUN_STATUSES.contains(&status)
+}
