Send to the next server in one place of the failover

Two branches of the wait for a head sent the request on in the same way. Some comments say more plainly what the runtime may not know yet. No change of behaviour.

--- a/src/forward/caller_connection.rs
+++ b/src/forward/caller_connection.rs
@@ -19,7 +19,7 @@
 use super::Activity;
 use crate::{sync::lock, Clock, Instant};
 
-/// Largest number of unread bytes that a log line tells.
+/// Largest number of unread bytes that is counted for a log line.
 const MAX_COUNTED_BYTES: usize = 1024;
 
 /// Why this router closes a connection.
@@ -203,7 +203,7 @@
         if !state.activity.is_exchange() {
             state.partial_bytes += len;
         }
-        // The runtime may not have been told of bytes that the socket has.
+        // The socket may have bytes of which the runtime has no event yet.
         if len > 0 || state.activity.is_expired() && self.unread_bytes() > 0 {
             state.activity.record_data(self.clock.now());
         }
--- a/src/forward/exchange_body.rs
+++ b/src/forward/exchange_body.rs
@@ -13,7 +13,7 @@
 use super::{caller_connection::ConnectionRecord, Body, HttpHandler};
 use crate::{Clock, Error};
 
-/// Header that tells callers for how long an idle connection stays open.
+/// Header with the time for which an idle connection stays open.
 const KEEP_ALIVE: HeaderName = HeaderName::from_static("keep-alive");
 
 /// Body of a response, whose exchange ends when the body was written or is dropped.
--- a/src/forward/failover.rs
+++ b/src/forward/failover.rs
@@ -53,23 +53,33 @@
             let failover = failover_timeouts.peek().copied();
             let failover = failover.filter(|timeout| (sent_at + *timeout).since(now) < time_left);
             let wait = failover.map_or(time_left, |timeout| (sent_at + timeout).since(now));
-            let failure = match tokio::time::timeout(wait, pending.next()).await {
-                Ok(Some(Ok(exchange))) => match exchange.ensure_ran() {
-                    Ok(()) if pending.is_empty() || !is_failure(exchange.status) => {
-                        return Ok(exchange);
+            let other = match tokio::time::timeout(wait, pending.next()).await {
+                Ok(Some(outcome)) => {
+                    let failure = match outcome {
+                        Ok(exchange) => match exchange.ensure_ran() {
+                            Ok(()) if pending.is_empty() || !is_failure(exchange.status) => {
+                                return Ok(exchange);
+                            }
+                            checked => AttemptFailure {
+                                server: exchange.server.clone(),
+                                err: checked.err().unwrap_or_else(|| {
+                                    let message =
+                                        format!("the server answered {}", exchange.status);
+                                    Error::may_have_run(Category::Backend, message)
+                                }),
+                                sent: true,
+                            },
+                        },
+                        Err(failure) => {
+                            attempts.sent_count -= u32::from(!failure.sent);
+                            failure
+                        }
+                    };
+                    if pending.is_empty() {
+                        return Err(failure);
                     }
-                    checked => AttemptFailure {
-                        server: exchange.server.clone(),
-                        err: checked.err().unwrap_or_else(|| {
-                            let message = format!("the server answered {}", exchange.status);
-                            Error::may_have_run(Category::Backend, message)
-                        }),
-                        sent: true,
-                    },
-                },
-                Ok(Some(Err(failure))) => {
-                    attempts.sent_count -= u32::from(!failure.sent);
-                    failure
+                    self.record_failure(cx, &failure, attempts);
+                    self.unsent_server(cx, &failure, attempts, cx.clock.now())
                 }
                 Ok(None) | Err(_) => {
                     let Some(failover_timeout) = failover else {
@@ -81,27 +91,12 @@
                         });
                     };
                     failover_timeouts.next();
-                    let now = cx.clock.now();
-                    let other = self.failover_server(cx, &latest, failover_timeout, attempts, now);
-                    if let Some(other) = other {
-                        latest = other;
-                        sent_at = now;
-                        failover_timeouts = self.failover_timeouts(attempts).into_iter().peekable();
-                        attempts.sent_count += 1;
-                        let source = attempts.prompt_source;
-                        pending.push(self.send_to(cx, latest.clone(), source, last_event));
-                    }
-                    continue;
+                    self.failover_server(cx, &latest, failover_timeout, attempts, cx.clock.now())
                 }
             };
-            if pending.is_empty() {
-                return Err(failure);
-            }
-            self.record_failure(cx, &failure, attempts);
-            let now = cx.clock.now();
-            if let Some(other) = self.unsent_server(cx, &failure, attempts, now) {
+            if let Some(other) = other {
                 latest = other;
-                sent_at = now;
+                sent_at = cx.clock.now();
                 failover_timeouts = self.failover_timeouts(attempts).into_iter().peekable();
                 attempts.sent_count += 1;
                 let source = attempts.prompt_source;
--- a/src/forward/listener.rs
+++ b/src/forward/listener.rs
@@ -103,7 +103,7 @@
 
 /// Closes `listener` and returns the connections that the kernel had accepted by then.
 ///
-/// The runtime may not have been told of them, so the kernel is asked.
+/// The runtime may have no event of them yet, so the kernel is asked.
 fn close(listener: TcpListener) -> Vec<(TcpStream, SocketAddr)> {
     let mut queued = Vec::new();
     let closed = listener.into_std().and_then(|listener| loop {
@@ -186,8 +186,8 @@
                 if !is_due() {
                     continue;
                 }
-                // With this, the next read also finds bytes that the runtime has not been told
-                // of. Only those still on their way can cross the close.
+                // The next read then also finds bytes of which the runtime has no event yet. Only
+                // those still on their way can cross the close.
                 record.expire();
                 let polled = std::future::poll_fn(|cx| Poll::Ready(connection.as_mut().poll(cx)));
                 if let Poll::Ready(ended) = polled.await {
