--- a/src/catalog/registry.rs
+++ b/src/catalog/registry.rs
@@ -62,12 +62,10 @@
     /// Replaces the servers by those that another router knew at `now`; returns whether the
     /// servers changed.
     pub fn replace(&mut self, servers: Vec<Server>, now: Instant) -> bool {
-        if now < self.doubted_until {
-            let listed = servers.into_iter().map(ServerChange::Present).collect();
-            return self.apply_changes(listed, true, now);
+        if now >= self.doubted_until {
+            self.last_answer = None;
+            self.removals_allowed_at = Instant::default();
         }
-        self.last_answer = None;
-        self.removals_allowed_at = Instant::default();
         let listed = servers.into_iter().map(ServerChange::Present).collect();
         self.apply_changes(listed, true, now)
     }
