Decide in one place when a response closes its connection

The listener announced the close of a connection from one stage of a drain on, and the forwarder from an earlier one, of its own state. The listener now gets the stage when the drain begins and decides alone. What callers get is the same; the tests of the drain and of the closing listener are unchanged.

--- a/src/forward/listener.rs
+++ b/src/forward/listener.rs
@@ -146,7 +146,7 @@
             async move {
                 let mut exchange = ExchangeGuard::begin(record, service.clone(), clock);
                 let mut response = service.handle(req).await;
-                if *stage.borrow() >= DrainStage::Closing {
+                if *stage.borrow() != DrainStage::Serving {
                     let close = HeaderValue::from_static("close");
                     response.headers_mut().insert(header::CONNECTION, close);
                 }
--- a/src/forward/serve.rs
+++ b/src/forward/serve.rs
@@ -3,13 +3,13 @@
 use std::{sync::Arc, time::Duration};
 
 use bytes::Bytes;
-use http::{header, request, HeaderValue, Response};
+use http::{request, Response};
 use http_body_util::{BodyExt, LengthLimitError, Limited};
 use hyper::body::Incoming;
 
 use super::{
     unanswered::{Progress, Unanswered},
-    Body, DrainStage, Forwarder, ProxyRequest, Received, RequestHead, Wire,
+    Body, Forwarder, ProxyRequest, Received, RequestHead, Wire,
 };
 use crate::{routes::CallerLimits, Category, Error, Instant, Result};
 
@@ -29,7 +29,7 @@
             self.clone()
                 .run(parts, body, head, arrived, unanswered.progress()),
         );
-        let mut response = match run.await {
+        let response = match run.await {
             Ok(response) => response,
             Err(err) => {
                 let id = attempt.as_ref().map_or("-", |id| id.as_str());
@@ -42,10 +42,6 @@
                 self.wire.error_response(&err, attempt.as_ref())
             }
         };
-        if self.drain_stage(self.clock.now()) != DrainStage::Serving {
-            let close = HeaderValue::from_static("close");
-            response.headers_mut().insert(header::CONNECTION, close);
-        }
         unanswered.guard(response)
     }
 
