Set aside servers that say that they leave or reject requests for a while

What callers saw: requests went on to engines that had said in a response that they leave, for as long as the list of servers did not say so, and to servers that had rejected all requests of the router for a time that they named, which cost an attempt each.

Cause: neither header was read.

Change: a server's word that it leaves counts from the first response, at this router and, by the digests, at the others; it ends with a new incarnation, or after 120 s if the list still names the server as running. The word of other routers alone does not empty a pool. A rejection with Retry-After pauses the server for this router, for 60 s at most, where the limits that servers name are kept; when all servers of a pool are at their limits, callers get the earliest end. Prompts are no longer copied from leaving engines.

Tests: set_aside (adapter), departures (catalog), server_limits (admission).

--- a/src/admission/server_limits.rs
+++ b/src/admission/server_limits.rs
@@ -48,6 +48,9 @@
 /// Time for which this router announces the limit in a response that it received itself.
 const ANNOUNCE_TIME: Duration = Duration::from_secs(2);
 
+/// Longest time for which a server that rejects requests is believed to take none.
+const MAX_PAUSE: Duration = Duration::from_secs(60);
+
 /// Maximum number of servers in one digest.
 const MAX_REPORTS_PER_DIGEST: usize = 32;
 
@@ -108,6 +111,8 @@
 #[derive(Debug, Default)]
 pub struct ServerLimits {
     servers: Mutex<BTreeMap<ServerKey, Entry>>,
+    /// Servers that take no requests of this router, and until when.
+    pauses: Mutex<BTreeMap<ServerKey, Instant>>,
 }
 
 /// What is known of a server that names a limit, or did so lately.
@@ -147,6 +152,28 @@
         }
     }
 
+    /// Records that a server rejected a request and takes none of this router for `pause`, of which
+    /// at most 60 s count.
+    pub fn record_rejection(&self, server: &Server, pause: Duration, now: Instant) {
+        let until = now + pause.min(MAX_PAUSE);
+        let mut pauses = lock(&self.pauses);
+        pauses.retain(|_, until| *until > now);
+        let known = pauses.insert(server.key(), until);
+        if known.is_none() {
+            log::info!(
+                "server set aside server={} reason=retry_after for_ms={}",
+                server.name,
+                until.since(now).as_millis()
+            );
+        }
+    }
+
+    /// Returns the number of servers that take no requests of this router.
+    pub fn paused_count(&self, now: Instant) -> usize {
+        let pauses = lock(&self.pauses);
+        pauses.values().filter(|until| **until > now).count()
+    }
+
     /// Records that this router sends a request to a server.
     pub fn record_sent(&self, server: ServerKey, now: Instant) {
         if let Some(entry) = lock(&self.servers).get_mut(&server) {
@@ -215,12 +242,18 @@
         let waits = levels
             .into_iter()
             .map(|(server, (limit, level))| (server, limit.wait(level)));
-        waits.filter(|(_, wait)| !wait.is_zero()).collect()
+        let mut waits: BTreeMap<_, _> = waits.collect();
+        for (server, until) in lock(&self.pauses).iter() {
+            let wait = waits.entry(*server).or_default();
+            *wait = until.since(now).max(*wait);
+        }
+        waits.retain(|_, wait| !wait.is_zero());
+        waits
     }
 
-    /// Returns whether no server is known to name a limit.
+    /// Returns whether no server is known to name a limit or to take no requests.
     pub fn is_empty(&self) -> bool {
-        lock(&self.servers).is_empty()
+        lock(&self.servers).is_empty() && lock(&self.pauses).is_empty()
     }
 }
 
--- a/src/catalog/registry.rs
+++ b/src/catalog/registry.rs
@@ -5,7 +5,7 @@
     time::Duration,
 };
 
-use super::Server;
+use super::{Departures, Server, ServerKey};
 use crate::{EngineName, Incarnation, Instant};
 
 /// Time after an outage of the list within which running servers register again.
@@ -56,6 +56,8 @@
     doubted: BTreeMap<EngineName, Server>,
     /// Time until which entries of a restored list may be those of servers that are gone.
     doubted_until: Instant,
+    /// Servers that have announced themselves that they leave.
+    departures: Departures,
 }
 
 impl ServerRegistry {
@@ -135,14 +137,14 @@
                 }
             }
         }
-        self.settle(now);
-        before != self.servers
+        let has_settled = self.settle(now);
+        has_settled || before != self.servers
     }
 
-    /// Removes missing servers and believes doubted entries, if it is time for either; returns
-    /// whether the servers changed.
+    /// Removes missing servers, believes doubted entries and forgets old announcements of servers
+    /// that they leave, if it is time for any; returns whether the servers changed.
     pub fn settle(&mut self, now: Instant) -> bool {
-        let mut changed = false;
+        let mut changed = self.departures.expire(now);
         if now >= self.removals_allowed_at {
             for name in std::mem::take(&mut self.missing) {
                 if let Some(server) = self.servers.remove(&name) {
@@ -175,11 +177,38 @@
         }
     }
 
-    /// Returns the servers that are assumed to be running.
+    /// Records that a server announced to this router that it leaves; returns whether that changes
+    /// what is known.
+    pub fn record_leaving(&mut self, key: ServerKey, now: Instant) -> bool {
+        self.departures.record(key, now)
+    }
+
+    /// Records the servers that announced to another router that they leave; returns whether that
+    /// changes what is known.
+    pub fn receive_leaving(&mut self, keys: &[ServerKey], now: Instant) -> bool {
+        self.departures.receive(keys, now)
+    }
+
+    /// Returns the servers that announced to this router that they leave and that the list names as
+    /// running.
+    pub fn announced_leaving(&self) -> Vec<ServerKey> {
+        let listed = self.servers.values().filter(|server| !server.leaving);
+        let running: BTreeSet<_> = listed.map(Server::key).collect();
+        let own = self.departures.own();
+        own.filter(|key| running.contains(key)).collect()
+    }
+
+    /// Returns the servers that are assumed to be running, as the list names them.
     pub fn servers(&self) -> impl Iterator<Item = &Server> {
         self.servers.values()
     }
 
+    /// Returns the servers that are assumed to be running; those that have announced themselves that
+    /// they leave are marked as leaving.
+    pub fn effective_servers(&self) -> Vec<Server> {
+        self.departures.apply(self.servers.values())
+    }
+
     fn mark_unlisted(&mut self, changes: &[ServerChange]) {
         let is_listed = |name: &EngineName| {
             let mut present = changes.iter();
--- a/src/catalog/state.rs
+++ b/src/catalog/state.rs
@@ -38,6 +38,13 @@
             .unwrap_or_default()
     }
 
+    /// Returns the number of servers that are shutting down.
+    pub fn leaving_count(&self) -> usize {
+        let inner = lock(&self.inner);
+        let servers = inner.pools.values().flat_map(|pool| pool.iter());
+        servers.filter(|server| server.leaving).count()
+    }
+
     /// Replaces all servers of all pools.
     pub fn replace<'a>(&self, servers: impl IntoIterator<Item = &'a Server>) {
         let mut pools: BTreeMap<PoolName, Vec<Arc<Server>>> = BTreeMap::new();
--- a/src/feed/state.rs
+++ b/src/feed/state.rs
@@ -13,7 +13,7 @@
 
 use super::{frame, upstreams, FeedNode, FeedRank, Position, Role, ServersRead, StoreEra};
 use crate::{
-    catalog::{Catalog, Server, ServerRegistry},
+    catalog::{Catalog, Server, ServerKey, ServerRegistry},
     presence::{Presence, StoreStatus},
     routes::{ActiveRoutes, RouteTable},
     sync::lock,
@@ -293,6 +293,34 @@
         }
     }
 
+    /// Records that a server announced in a response to this router that it leaves; returns whether
+    /// that was unknown.
+    pub fn record_leaving(&self, server: ServerKey, now: Instant) -> bool {
+        let mut server_list = lock(&self.server_list);
+        let is_new = server_list.registry.record_leaving(server, now);
+        if is_new {
+            self.replace_catalog(&server_list);
+        }
+        is_new
+    }
+
+    /// Records the servers that announced to another router that they leave.
+    pub fn receive_leaving(&self, servers: &[ServerKey], now: Instant) {
+        if servers.is_empty() {
+            return;
+        }
+        let mut server_list = lock(&self.server_list);
+        if server_list.registry.receive_leaving(servers, now) {
+            log::info!("servers leaving servers={servers:?} source=digest");
+            self.replace_catalog(&server_list);
+        }
+    }
+
+    /// Returns the servers that announced to this router that they leave, until the list says so.
+    pub fn announced_leaving(&self) -> Vec<ServerKey> {
+        lock(&self.server_list).registry.announced_leaving()
+    }
+
     /// Returns all servers and the position in the store before which all changes are included.
     pub fn servers(&self) -> Option<(Vec<Server>, Position)> {
         let server_list = lock(&self.server_list);
@@ -362,7 +390,7 @@
 
     fn publish(&self, server_list: &ServerList, source: &str) {
         let registry = &server_list.registry;
-        self.catalog.replace(registry.servers());
+        self.replace_catalog(server_list);
         let count = registry.servers().count();
         let leaving = registry.servers().filter(|s| s.leaving).count();
         let next = server_list.next.unwrap_or_default();
@@ -373,6 +401,14 @@
         self.notify_change();
     }
 
+    fn replace_catalog(&self, server_list: &ServerList) {
+        // A router that knows no list yet has no catalog either.
+        if server_list.next.is_some() {
+            self.catalog
+                .replace(&server_list.registry.effective_servers());
+        }
+    }
+
     fn notify_change(&self) {
         self.revision.send_modify(|revision| revision.changes += 1);
     }
--- a/src/forward/attempts.rs
+++ b/src/forward/attempts.rs
@@ -316,23 +316,31 @@
     }
 
     fn no_server_error<W: Wire>(&self, cx: &Forwarder<W>, attempts: &Attempts) -> Error {
-        let err = match cx.shortest_limit_wait(&self.state.pool, cx.clock.now()) {
-            Some(wait) => {
-                let message = "the servers of the pool have reached the limits that they named";
-                cx.retry_later_error(Category::Overloaded, message, wait.max(RETRY_AFTER_MEAN))
-            }
-            None => {
-                let message = "no server of the pool can take the request";
-                cx.retry_later_error(Category::Unavailable, message, RETRY_AFTER_MEAN)
-            }
+        let wait = cx.limit_wait(&self.state.pool, cx.clock.now());
+        let err = if wait.is_some() {
+            let message = "the servers of the pool have reached the limits that they named";
+            Error::not_run(Category::Overloaded, message)
+        } else {
+            let message = "no server of the pool can take the request";
+            Error::not_run(Category::Unavailable, message)
         };
-        err.with_verdict_at_least(attempts.verdict)
+        err.with_retry_after(self.return_delay(cx, wait))
+            .with_verdict_at_least(attempts.verdict)
+    }
+
+    /// Returns when a caller may return whose request no server took: after `limit_wait`, the time
+    /// until the first server of the pool may get a request, and a random delay.
+    fn return_delay<W: Wire>(&self, cx: &Forwarder<W>, limit_wait: Option<Duration>) -> Duration {
+        limit_wait.unwrap_or_default() + cx.jittered_delay(RETRY_AFTER_MEAN)
     }
 
     fn final_error<W: Wire>(&self, cx: &Forwarder<W>, err: Error, attempts: &Attempts) -> Error {
         let err = err.with_verdict_at_least(attempts.verdict);
         match err.verdict() {
-            Verdict::NotRun => err.with_retry_after(cx.jittered_delay(RETRY_AFTER_MEAN)),
+            Verdict::NotRun => {
+                let wait = cx.limit_wait(&self.state.pool, cx.clock.now());
+                err.with_retry_after(self.return_delay(cx, wait))
+            }
             _ => err,
         }
     }
--- a/src/forward/exchange.rs
+++ b/src/forward/exchange.rs
@@ -152,6 +152,12 @@
         if head.outcome != RunOutcome::Misdirected {
             self.poison_parts.record_alive(server.key(), now);
             self.server_limits.record_response(server, head.limit, now);
+            if let Some(pause) = head.retry_after {
+                self.server_limits.record_rejection(server, pause, now);
+            }
+            if head.is_leaving {
+                self.record_leaving(server, now);
+            }
         }
     }
 
--- a/src/forward/state.rs
+++ b/src/forward/state.rs
@@ -252,14 +252,34 @@
             .with_limit_reports(now, |reports| self.server_limits.waits(reports, now))
     }
 
-    /// Returns the time until a server of `pool` may get a request that has reached its limit, or
-    /// `None` if there is none.
-    pub(super) fn shortest_limit_wait(&self, pool: &PoolName, now: Instant) -> Option<Duration> {
+    /// Returns the time until the first server of `pool` may get a request, or `None` if one may get
+    /// it now or there is none.
+    pub(super) fn limit_wait(&self, pool: &PoolName, now: Instant) -> Option<Duration> {
         let waits = self.limit_waits(now);
         let pool_servers = self.feed.catalog.pool(pool);
         let in_pool = pool_servers.iter().filter(|server| !server.leaving);
-        let at_limit = in_pool.filter_map(|server| waits.get(&server.key()).copied());
-        at_limit.min()
+        let waits: Option<Vec<_>> = in_pool
+            .map(|server| waits.get(&server.key()).copied())
+            .collect();
+        waits?.into_iter().min()
+    }
+
+    /// Encodes the metrics in the OpenMetrics text format, with the gauges as of `now`.
+    pub fn encode_metrics(&self, now: Instant) -> String {
+        let metrics = &self.metrics;
+        metrics.set_servers_set_aside("leaving", self.feed.catalog.leaving_count());
+        metrics.set_servers_set_aside("retry_after", self.server_limits.paused_count(now));
+        metrics.set_servers_set_aside("limit", self.limit_waits(now).len());
+        metrics.encode()
+    }
+
+    /// Records that a server announced in a response that it leaves, and announces it to the other
+    /// routers without delay.
+    pub(super) fn record_leaving(&self, server: &Server, now: Instant) {
+        if self.feed.record_leaving(server.key(), now) {
+            log::info!("server set aside server={} reason=leaving", server.name);
+            self.announce_signal.notify_one();
+        }
     }
 
     /// Records that the connection to a server broke while the server ran a request.
@@ -347,7 +367,10 @@
     ) -> Option<SocketAddr> {
         let pool_servers = self.feed.catalog.pool(pool);
         let is_healthy = |key: &ServerKey| !self.health.is_avoided(*key, now);
-        let find_server = |key: ServerKey| pool_servers.iter().find(|server| server.key() == key);
+        let find_server = |key: ServerKey| {
+            let mut running = pool_servers.iter().filter(|server| !server.leaving);
+            running.find(|server| server.key() == key)
+        };
         for prefix in [Some(prompt.session), prompt.common_prefix]
             .into_iter()
             .flatten()
--- a/src/forward/wire.rs
+++ b/src/forward/wire.rs
@@ -64,6 +64,10 @@
     pub keep_alive: Option<Duration>,
     /// Limit on the requests that the server takes from all routers together, if it names one.
     pub limit: Option<RateLimit>,
+    /// Whether the server announces that it is shutting down.
+    pub is_leaving: bool,
+    /// Time for which a server that rejects the request takes none of this router, if it names one.
+    pub retry_after: Option<Duration>,
 }
 
 /// Parses and writes the heads of requests and responses.
--- a/src/inspect/forward_metrics.rs
+++ b/src/inspect/forward_metrics.rs
@@ -4,7 +4,7 @@
 
 use prometheus_client::{
     encoding::{text::encode, EncodeLabelSet},
-    metrics::{counter::Counter, family::Family, histogram::Histogram},
+    metrics::{counter::Counter, family::Family, gauge::Gauge, histogram::Histogram},
     registry::{Registry, Unit},
 };
 
@@ -38,6 +38,12 @@
     cause: &'static str,
 }
 
+/// Labels of the gauge of servers that get no new requests.
+#[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct SetAsideLabels {
+    reason: &'static str,
+}
+
 /// Counters and histograms of forwarded requests.
 #[derive(Debug)]
 pub struct ForwardMetrics {
@@ -47,6 +53,7 @@
     failures: Family<FailureLabels, Counter<u64, AtomicU64>>,
     retries: Family<RetryLabels, Counter<u64, AtomicU64>>,
     unanswered: Family<UnansweredLabels, Counter<u64, AtomicU64>>,
+    servers_set_aside: Family<SetAsideLabels, Gauge>,
     /// Connections opened to backend servers.
     pub connections: Counter<u64, AtomicU64>,
 }
@@ -61,6 +68,7 @@
             failures: Family::default(),
             retries: Family::default(),
             unanswered: Family::default(),
+            servers_set_aside: Family::default(),
             connections: Counter::default(),
             registry: Registry::default(),
         };
@@ -84,6 +92,8 @@
         registry.register("unanswered", help, metrics.unanswered.clone());
         let help = "Connections opened to backend servers";
         registry.register("server_connections", help, metrics.connections.clone());
+        let help = "Servers that get no new requests of this router, by reason";
+        registry.register("servers_set_aside", help, metrics.servers_set_aside.clone());
         ForwardMetrics {
             registry,
             ..metrics
@@ -105,6 +115,13 @@
         self.unanswered.get_or_create(&labels).inc();
     }
 
+    /// Sets the number of servers that get no new requests of this router for `reason`.
+    pub fn set_servers_set_aside(&self, reason: &'static str, count: usize) {
+        let labels = SetAsideLabels { reason };
+        let gauge = self.servers_set_aside.get_or_create(&labels);
+        gauge.set(i64::try_from(count).unwrap_or(i64::MAX));
+    }
+
     /// Records that a request was answered `took` after its arrival.
     pub fn observe_answer(&self, took: Duration) {
         self.answer_seconds.observe(took.as_secs_f64());
--- a/src/presence/digest.rs
+++ b/src/presence/digest.rs
@@ -73,6 +73,8 @@
     pub server_limits: Vec<LimitReport>,
     /// Servers that have stopped sending within a stream of the sender.
     pub stalled_servers: Vec<ServerKey>,
+    /// Servers that announced to the sender that they leave, until the list of servers says so.
+    pub leaving_servers: Vec<ServerKey>,
     /// Peer addresses of some other routers from which the sender receives digests.
     pub known_addresses: Vec<SocketAddr>,
     /// Version of the routes in force at the sender, or 0 when it knows none.
--- a/tests/admission/server_limits.rs
+++ b/tests/admission/server_limits.rs
@@ -326,3 +326,35 @@
     });
     expect!["[true, false]"].assert_eq(&format!("{is_known:?}"));
 }
+
+#[test]
+fn a_server_that_rejects_requests_gets_none_for_the_time_that_it_names() {
+    let limits = ServerLimits::default();
+    let mut lines = Vec::new();
+    limits.record_rejection(&server(), Duration::from_secs(3), time(1_000));
+    for ms in [1_000, 3_999, 4_000] {
+        lines.push(format!("{ms}: {:?}", wait(&limits, ms)));
+    }
+    limits.record_rejection(&server(), Duration::from_secs(3), time(5_000));
+    limits.record_response(&server(), None, time(5_100));
+    let others = limits.reports(time(5_100)).len();
+    lines.push(format!(
+        "response to an earlier request: {:?}, reported to {others} others",
+        wait(&limits, 5_100)
+    ));
+    limits.record_rejection(&server(), Duration::MAX, time(10_000));
+    lines.push(format!("without end: {:?}", wait(&limits, 10_000)));
+    limits.record_response(&server(), limit(0.0), time(69_000));
+    limits.record_sent(server().key(), time(69_000));
+    limits.record_sent(server().key(), time(69_000));
+    let is_longer = wait(&limits, 69_000) > Some(Duration::from_secs(1));
+    lines.push(format!("with a limit that waits longer: {is_longer}"));
+    expect![[r#"
+        1000: Some(3s)
+        3999: Some(1ms)
+        4000: None
+        response to an earlier request: Some(2.9s), reported to 0 others
+        without end: Some(60s)
+        with a limit that waits longer: true"#]]
+    .assert_eq(&lines.join("\n"));
+}
--- a/tests/catalog/main.rs
+++ b/tests/catalog/main.rs
@@ -1,5 +1,6 @@
 //! The server registry across changes and outages of the server list.
 
+mod departures;
 mod restored;
 
 use ebonyspur::{
--- a/tests/feed/main.rs
+++ b/tests/feed/main.rs
@@ -43,6 +43,7 @@
             server_limits: Vec::new(),
             part_updates: Default::default(),
             stalled_servers: Vec::new(),
+            leaving_servers: Vec::new(),
             crashes: Vec::new(),
             known_addresses: Vec::new(),
             routes_version: 0,
