--- a/src/presence/peers.rs
+++ b/src/presence/peers.rs
@@ -88,11 +88,6 @@
             if announced.is_silent || self.peers.len() >= MAX_PEERS {
                 return PeerChange::Outdated;
             }
-            log::info!(
-                "router discovered name={} life={}",
-                state.name,
-                state.incarnation.0
-            );
             self.insert(announced, now);
             return PeerChange::Urgent;
         };
@@ -106,11 +101,6 @@
             if !is_accepted {
                 return PeerChange::Outdated;
             }
-            log::info!(
-                "router discovered name={} life={}",
-                state.name,
-                state.incarnation.0
-            );
             self.insert(announced, now);
             return PeerChange::Urgent;
         }
@@ -215,6 +205,11 @@
     fn insert(&mut self, announced: &KnownRouter, now: Instant) {
         self.changes += 1;
         let state = announced.state.clone();
+        log::info!(
+            "router discovered name={} life={}",
+            state.name,
+            state.incarnation.0
+        );
         let peer = Peer {
             sequence: announced.sequence,
             last_received: now - Duration::from_millis(announced.age_ms.into()),
--- a/src/presence/state.rs
+++ b/src/presence/state.rs
@@ -340,10 +340,10 @@
             self.for_clients.merge(&summary.updates);
             self.relays.entry(sender.name.clone()).or_default()
         };
-        // A sequence number far below the known one is that of another incarnation or relay.
-        let is_restarted = !usage.is_fresh(now) || summary.is_for_client;
+        // The next relay of this router counts its summaries by itself, as one that has restarted does.
+        let is_other_count = summary.is_for_client || !usage.is_fresh(now);
         if let Some(range) = &summary.loads {
-            if summary.sequence >= usage.sequence || is_restarted {
+            if summary.sequence >= usage.sequence || is_other_count {
                 usage.replace(range, &summary.server_limits, summary.sequence, now);
             }
         }
@@ -435,14 +435,11 @@
         let upstream = self.relay_choice.decide(own, live, now);
         let relay = upstream.and_then(|upstream| self.peers.get(&upstream.relay));
         let relay = relay.map(|peer| peer.state.peer_address);
-        self.set_role(
-            if relay.is_some() {
-                RelayRole::Client
-            } else {
-                RelayRole::Relay
-            },
-            now,
-        );
+        let role = match relay {
+            Some(_) => RelayRole::Client,
+            None => RelayRole::Relay,
+        };
+        self.set_role(role, now);
         relay
     }
 
