Add up the loads that routers announce without overflow

What could happen: two digests with impossible loads stopped a router whose build checks for overflow; a release build placed requests by a wrapped sum. Found by reading, after the report of operators that one malformed message took a process down.

Test: seen failing before (attempt to add with overflow).

--- a/src/forward/state.rs
+++ b/src/forward/state.rs
@@ -202,7 +202,10 @@
         let is_eligible = |s: &&Arc<Server>| !s.leaving && !tried.contains(&s.key());
         let servers: Vec<_> = pool_servers.iter().filter(is_eligible).collect();
         let loads = self.presence.loads(now);
-        let load = |key| self.in_flight.count(key) + loads.get(&key).copied().unwrap_or_default();
+        let load = |key| {
+            let of_others = loads.get(&key).copied().unwrap_or_default();
+            self.in_flight.count(key).saturating_add(of_others)
+        };
         let candidate = |server: &&Arc<Server>| (server.key(), load(server.key()));
         let loads_by_server: BTreeMap<ServerKey, u32> = servers.iter().map(candidate).collect();
         let pending = self.prefills.pending_tokens(now);
@@ -424,7 +427,8 @@
         let rates: Vec<f64> = rates.collect();
         let mean_rate = rates.iter().sum::<f64>() / rates.len().max(1) as f64;
         for (candidate, rate) in candidates.iter_mut().zip(rates) {
-            candidate.load += (rate * FAILURE_RATE_WEIGHT) as u32;
+            let penalty = (rate * FAILURE_RATE_WEIGHT) as u32;
+            candidate.load = candidate.load.saturating_add(penalty);
             candidate.is_avoided |= HealthTracker::is_outlier(rate, mean_rate);
         }
     }
--- a/src/presence/state.rs
+++ b/src/presence/state.rs
@@ -170,7 +170,8 @@
         let mut sum = BTreeMap::new();
         for usage in inner.usages(now) {
             for (key, load) in &usage.loads {
-                *sum.entry(*key).or_default() += load;
+                let total: &mut u32 = sum.entry(*key).or_default();
+                *total = total.saturating_add(*load);
             }
         }
         sum
--- a/src/presence/sums.rs
+++ b/src/presence/sums.rs
@@ -48,7 +48,8 @@
     /// Adds another report to a sum as of `now`.
     pub(super) fn add(&mut self, other: &Usage, now: Instant) {
         for (key, load) in &other.loads {
-            *self.loads.entry(*key).or_default() += load;
+            let sum = self.loads.entry(*key).or_default();
+            *sum = sum.saturating_add(*load);
         }
         let age = now.since(other.received);
         for report in &other.server_limits {
--- a/tests/presence/decode.rs
+++ b/tests/presence/decode.rs
@@ -1,7 +1,10 @@
 //! Datagrams that are truncated, foreign or altered.
 
-use ebonyspur::presence::Presence;
-use ebonyspur::{presence::Message, Instant, RouterName};
+use ebonyspur::{
+    catalog::ServerKey,
+    presence::{Message, Presence},
+    Instant, RouterName,
+};
 use expect_test::expect;
 use proptest::prelude::*;
 
@@ -26,6 +29,21 @@
     .assert_eq(&errors.join("\n"));
 }
 
+#[test]
+fn loads_beyond_any_number_of_requests_are_not_added_up_beyond_the_largest_number() {
+    let presence = Presence::new(RouterName::new("me").unwrap(), address(1));
+    for name in ["other", "third"] {
+        let Message::Digest(mut forged) = digest(1, 1) else {
+            panic!("a digest");
+        };
+        forged.router.name = RouterName::new(name).unwrap();
+        forged.loads = vec![(ServerKey(7), u32::MAX)];
+        presence.receive(&Message::Digest(forged), Instant::default());
+    }
+    let loads = presence.loads(Instant::default());
+    assert_eq!(loads[&ServerKey(7)], u32::MAX);
+}
+
 proptest! {
     #[test]
     fn altered_datagrams_do_no_harm(
