Avoid servers that reject requests

What callers saw: with half of the engines of a pool rejecting all requests, a request went to two of them and was refused, while the other half had room.

Cause: a rejection counted as a sign of life only, so that the sessions of a rejecting engine went on to it.

Change: a server is avoided for 250 ms after a rejection, twice as long after each one in a row, 2 s at most, until it runs a request. It is used all the same when no other can take the request.

--- a/src/forward/exchange.rs
+++ b/src/forward/exchange.rs
@@ -145,7 +145,8 @@
             RunOutcome::Ran if status.is_server_error() => Observation::Failed,
             RunOutcome::Ran => Observation::Answered,
             RunOutcome::Misdirected => Observation::Unreachable,
-            RunOutcome::NotRun | RunOutcome::AttemptMismatch => Observation::Progress,
+            RunOutcome::NotRun => Observation::Rejected,
+            RunOutcome::AttemptMismatch => Observation::Progress,
         };
         let now = self.clock.now();
         self.health.record(server.key(), observation, now);
--- a/src/forward/health.rs
+++ b/src/forward/health.rs
@@ -4,6 +4,10 @@
 //! next request that is placed after that time tries it again. Health follows from the
 //! traffic alone; servers are not probed.
 //!
+//! Load pattern: some servers of a pool reject all requests while the others have room. Each request
+//! that goes to one of them loses an attempt, so that a server is avoided after a rejection, for a
+//! time that doubles with each one in a row.
+//!
 //! Load pattern: an engine stops responding in the middle of its streams. Streams that may
 //! not be repeated are lost, and so is each one that is sent there until the routers avoid
 //! the engine. The first router that misses the events of a stream therefore announces the
@@ -19,6 +23,9 @@
 /// Longest time for which a server is avoided; a crashed server restarts within seconds.
 const MAX_AVOID_TIME: Duration = Duration::from_millis(2_000);
 
+/// Time for which a server is avoided after it rejected a request once.
+const MIN_REJECTION_AVOID_TIME: Duration = Duration::from_millis(250);
+
 /// Time without data from a server in the middle of a stream after which it gets no new
 /// requests.
 ///
@@ -51,6 +58,8 @@
     Answered,
     /// The server answered with an error of its own.
     Failed,
+    /// The server rejected a request, which did not run.
+    Rejected,
     /// The server refused the connection, closed it early or did not respond.
     Unreachable,
     /// The server sent part of a response.
@@ -70,6 +79,8 @@
 struct Record {
     /// Number of times in a row that the server was unreachable.
     consecutive_unreachable: u32,
+    /// Number of requests in a row that the server rejected.
+    consecutive_rejections: u32,
     avoid_until: Instant,
     /// End of the time for which the server is avoided as stalled in a stream of this router.
     stalled_until: Instant,
@@ -178,11 +189,19 @@
                 self.consecutive_unreachable += 1;
                 self.avoid_until = now + avoid_time.min(MAX_AVOID_TIME);
             }
+            Observation::Rejected => {
+                self.record_response(now);
+                let avoid_time =
+                    MIN_REJECTION_AVOID_TIME * (1 << self.consecutive_rejections.min(8));
+                self.consecutive_rejections += 1;
+                self.avoid_until = now + avoid_time.min(MAX_AVOID_TIME);
+            }
             Observation::Stalled => self.stalled_until = now + STALL_AVOID_TIME,
             Observation::Progress => self.record_response(now),
             Observation::Answered | Observation::Failed => {
                 self.record_response(now);
                 self.consecutive_unreachable = 0;
+                self.consecutive_rejections = 0;
                 self.avoid_until = Instant::default();
                 let failed = if observation == Observation::Failed {
                     1.0
