--- a/src/presence/digest.rs
+++ b/src/presence/digest.rs
@@ -25,3 +25,18 @@
     /// Peer addresses of some other routers that the sender knows.
     pub known_addresses: Vec<SocketAddr>,
 }
+
+impl Digest {
+    /// Creates a digest that announces only the state of `router`.
+    pub fn new(router: RouterState) -> Self {
+        Digest {
+            router,
+            sequence: 0,
+            is_for_relay: false,
+            loads: Vec::new(),
+            server_limits: Vec::new(),
+            updates: Updates::default(),
+            known_addresses: Vec::new(),
+        }
+    }
+}
--- a/src/presence/router_state.rs
+++ b/src/presence/router_state.rs
@@ -76,6 +76,30 @@
 }
 
 impl RouterState {
+    /// Creates the state of a router that has just started, whose link is unknown.
+    pub fn new(
+        name: RouterName,
+        incarnation: Incarnation,
+        domain: DomainName,
+        address: SocketAddr,
+        peer_address: SocketAddr,
+    ) -> Self {
+        RouterState {
+            name,
+            incarnation,
+            version: 0,
+            address,
+            peer_address,
+            domain,
+            phase: RouterPhase::Starting,
+            store_status: StoreStatus::Reachable,
+            is_current: false,
+            link_mbps: 0,
+            relay_role: RelayRole::Direct,
+            routes_version: 0,
+        }
+    }
+
     /// Returns the key of this incarnation of the router.
     pub fn key(&self) -> RouterKey {
         let mut hash = Xxh3Default::new();
--- a/src/presence/state.rs
+++ b/src/presence/state.rs
@@ -241,12 +241,7 @@
 
     fn receive_digest(&mut self, digest: &Digest, now: Instant) -> Reception {
         let router = &digest.router;
-        let announced = KnownRouter {
-            state: router.clone(),
-            sequence: digest.sequence,
-            age_ms: 0,
-            is_silent: false,
-        };
+        let announced = KnownRouter::new(router.clone(), digest.sequence);
         let change = self.peers.apply(&announced, now);
         let mut reception = Reception {
             is_new: change != PeerChange::Outdated,
@@ -256,12 +251,7 @@
         if known.is_none_or(|known| known.state.incarnation != router.incarnation) {
             return reception;
         }
-        let usage = Usage {
-            loads: digest.loads.iter().copied().collect(),
-            server_limits: digest.server_limits.clone(),
-            sequence: digest.sequence,
-            received: now,
-        };
+        let usage = Usage::new(digest, now);
         if router.is_current {
             self.current_at = Some(now);
         }
@@ -301,12 +291,7 @@
 
     fn receive_summary(&mut self, summary: &Summary, me: &RouterName, now: Instant) -> Reception {
         let sender = &summary.sender;
-        let announced = KnownRouter {
-            state: sender.clone(),
-            sequence: summary.sequence,
-            age_ms: 0,
-            is_silent: false,
-        };
+        let announced = KnownRouter::new(sender.clone(), summary.sequence);
         let mut change = self.peers.apply(&announced, now);
         let mut reception = Reception {
             is_new: change != PeerChange::Outdated,
@@ -500,13 +485,7 @@
 
     /// Returns what this router passes on as a relay.
     fn summaries(&mut self, own: &Digest, is_periodic: bool, now: Instant) -> Vec<Outgoing> {
-        let own_usage = Usage {
-            loads: own.loads.iter().copied().collect(),
-            server_limits: own.server_limits.clone(),
-            sequence: own.sequence,
-            received: now,
-        };
-        let mut covered = own_usage;
+        let mut covered = Usage::new(own, now);
         for client in self.clients.values() {
             covered.add(&client.usage, now);
         }
--- a/src/presence/summary.rs
+++ b/src/presence/summary.rs
@@ -18,6 +18,18 @@
     pub is_silent: bool,
 }
 
+impl KnownRouter {
+    /// Creates the entry of a router whose digest or summary has just been received.
+    pub fn new(state: RouterState, sequence: u64) -> Self {
+        KnownRouter {
+            state,
+            sequence,
+            age_ms: 0,
+            is_silent: false,
+        }
+    }
+}
+
 /// The loads of all servers whose keys are in a range.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct LoadRange {
--- a/src/presence/sums.rs
+++ b/src/presence/sums.rs
@@ -2,7 +2,7 @@
 
 use std::{collections::BTreeMap, time::Duration};
 
-use super::{LoadRange, PEER_TIMEOUT};
+use super::{Digest, LoadRange, PEER_TIMEOUT};
 use crate::{admission::LimitReport, catalog::ServerKey, Instant};
 
 /// Maximum number of servers in one datagram; two such ranges do not fit into one.
@@ -22,6 +22,16 @@
 }
 
 impl Usage {
+    /// Creates the report in a digest that was received, or is sent, at `now`.
+    pub(super) fn new(digest: &Digest, now: Instant) -> Self {
+        Usage {
+            loads: digest.loads.iter().copied().collect(),
+            server_limits: digest.server_limits.clone(),
+            sequence: digest.sequence,
+            received: now,
+        }
+    }
+
     /// Returns whether the report is recent enough to count.
     pub(super) fn is_fresh(&self, now: Instant) -> bool {
         now.since(self.received) < PEER_TIMEOUT
--- a/tests/feed/main.rs
+++ b/tests/feed/main.rs
@@ -10,9 +10,7 @@
     feed::{
         Feed, FeedNode, FeedRank, Position, Role, ServersRead, StoreEra, StorePoll, FOLLOWER_COUNT,
     },
-    presence::{
-        Digest, Message, Presence, RelayRole, RouterPhase, RouterState, StoreStatus, Updates,
-    },
+    presence::{Digest, Message, Presence, RouterPhase, RouterState, StoreStatus},
     routes::TableBuilder,
     Category, DomainName, EngineName, Error, Incarnation, Instant, Offset, PoolName, RouterName,
 };
@@ -27,32 +25,22 @@
 
 fn state(number: usize, store_status: StoreStatus) -> RouterState {
     let address = ([10, 0, 0, number as u8], 7340).into();
+    let domain = DomainName::new("d1").unwrap();
     RouterState {
-        name: name(number),
-        incarnation: Incarnation(1),
         version: 1,
-        address,
-        peer_address: address,
-        domain: DomainName::new("d1").unwrap(),
         phase: RouterPhase::Serving,
         store_status,
         is_current: true,
         link_mbps: LINK_MBPS,
-        relay_role: RelayRole::Direct,
-        routes_version: 0,
+        ..RouterState::new(name(number), Incarnation(1), domain, address, address)
     }
 }
 
 /// Returns the digest of a router with the given sequence number.
 fn digest(router: RouterState, sequence: u64) -> Message {
     Message::Digest(Box::new(Digest {
-        router,
         sequence,
-        is_for_relay: false,
-        loads: Vec::new(),
-        server_limits: Vec::new(),
-        updates: Updates::default(),
-        known_addresses: Vec::new(),
+        ..Digest::new(router)
     }))
 }
 
--- a/tests/presence/fleet.rs
+++ b/tests/presence/fleet.rs
@@ -10,8 +10,7 @@
 use ebonyspur::{
     catalog::ServerKey,
     presence::{
-        Digest, Message, Presence, RelayRole, RouterPhase, RouterState, StoreStatus, Updates,
-        DIGEST_PERIOD,
+        Digest, Message, Presence, RelayRole, RouterPhase, RouterState, Updates, DIGEST_PERIOD,
     },
     DomainName, Incarnation, Instant, RouterName,
 };
@@ -55,11 +54,10 @@
     /// Updates that the next digest announces.
     pub updates: Updates,
     pub is_dead: bool,
-    /// Prefills of which this router has learned, and when.
+    /// Updates that this router has received, and when.
     pub heard: Vec<(Updates, Instant)>,
     pub sent_bytes: usize,
     pub received_bytes: usize,
-    pub sent_datagrams: usize,
     has_urgent_round: bool,
 }
 
@@ -113,19 +111,14 @@
         let presence = Presence::new(name.clone(), address(number));
         presence.add_seeds((1..=seeds).map(address), self.now);
         let domain = format!("d{}", number % domains + 1);
+        let domain = DomainName::new(&domain).unwrap();
+        let (incarnation, at) = (Incarnation(incarnation), address(number));
         let state = RouterState {
-            name,
-            incarnation: Incarnation(incarnation),
-            version: 0,
-            address: address(number),
-            peer_address: address(number),
-            domain: DomainName::new(&domain).unwrap(),
             phase: RouterPhase::Serving,
-            store_status: StoreStatus::Reachable,
             is_current: true,
             link_mbps: [20, 100, 200][number % 3],
-            relay_role: RelayRole::default(),
             routes_version: 1,
+            ..RouterState::new(name, incarnation, domain, at, at)
         };
         let router = Router {
             presence,
@@ -136,7 +129,6 @@
             heard: Vec::new(),
             sent_bytes: 0,
             received_bytes: 0,
-            sent_datagrams: 0,
             has_urgent_round: false,
         };
         let is_restart = self.routers.insert(number, router).is_some();
@@ -250,13 +242,9 @@
             return;
         }
         let digest = Digest {
-            router: router.state.clone(),
-            sequence: 0,
-            is_for_relay: false,
             loads: router.loads.clone(),
-            server_limits: Vec::new(),
             updates: std::mem::take(&mut router.updates),
-            known_addresses: Vec::new(),
+            ..Digest::new(router.state.clone())
         };
         let outgoing = router.presence.next_round(digest, is_periodic, self.now);
         for datagram in outgoing {
@@ -276,7 +264,6 @@
     fn send(&mut self, from: usize, to: SocketAddr, bytes: Vec<u8>) {
         let sender = self.routers.get_mut(&from).unwrap();
         sender.sent_bytes += bytes.len() + HEADER_BYTES;
-        sender.sent_datagrams += 1;
         let domain = sender.state.domain.clone();
         let number = number_of(to);
         let Some(receiver) = self.routers.get(&number) else {
--- a/tests/presence/main.rs
+++ b/tests/presence/main.rs
@@ -9,9 +9,7 @@
 
 use ebonyspur::{
     catalog::ServerKey,
-    presence::{
-        Digest, Message, Presence, RelayRole, RouterPhase, RouterState, StoreStatus, Updates,
-    },
+    presence::{Digest, Message, Presence, RouterPhase, RouterState},
     DomainName, Incarnation, Instant, RouterName,
 };
 use expect_test::expect;
@@ -20,27 +18,19 @@
 
 /// Returns a digest of the router `other` in the given incarnation.
 fn digest(incarnation: u64, sequence: u64) -> Message {
+    let name = RouterName::new("other").unwrap();
+    let domain = DomainName::new("d1").unwrap();
+    let incarnation = Incarnation(incarnation);
+    let router = RouterState {
+        version: sequence,
+        phase: RouterPhase::Serving,
+        is_current: true,
+        link_mbps: 100,
+        ..RouterState::new(name, incarnation, domain, address(2), address(2))
+    };
     Message::Digest(Box::new(Digest {
-        router: RouterState {
-            name: RouterName::new("other").unwrap(),
-            incarnation: Incarnation(incarnation),
-            version: sequence,
-            address: address(2),
-            peer_address: address(2),
-            domain: DomainName::new("d1").unwrap(),
-            phase: RouterPhase::Serving,
-            store_status: StoreStatus::Reachable,
-            is_current: true,
-            link_mbps: 100,
-            relay_role: RelayRole::Direct,
-            routes_version: 0,
-        },
         sequence,
-        is_for_relay: false,
-        loads: Vec::new(),
-        server_limits: Vec::new(),
-        updates: Updates::default(),
-        known_addresses: Vec::new(),
+        ..Digest::new(router)
     }))
 }
 
