--- a/src/forward/health.rs
+++ b/src/forward/health.rs
@@ -185,16 +185,14 @@
         self.last_update = now;
         match observation {
             Observation::Unreachable => {
-                let avoid_time = MIN_AVOID_TIME * (1 << self.consecutive_unreachable.min(8));
+                self.avoid_until = now + avoid_time(MIN_AVOID_TIME, self.consecutive_unreachable);
                 self.consecutive_unreachable += 1;
-                self.avoid_until = now + avoid_time.min(MAX_AVOID_TIME);
             }
             Observation::Rejected => {
                 self.record_response(now);
-                let avoid_time =
-                    MIN_REJECTION_AVOID_TIME * (1 << self.consecutive_rejections.min(8));
+                let avoid_time = avoid_time(MIN_REJECTION_AVOID_TIME, self.consecutive_rejections);
+                self.avoid_until = now + avoid_time;
                 self.consecutive_rejections += 1;
-                self.avoid_until = now + avoid_time.min(MAX_AVOID_TIME);
             }
             Observation::Stalled => self.stalled_until = now + STALL_AVOID_TIME,
             Observation::Progress => self.record_response(now),
@@ -213,3 +211,9 @@
         }
     }
 }
+
+/// Returns the time for which a server is avoided, which starts at `min` and doubles with each
+/// failure `before` this one, up to [`MAX_AVOID_TIME`].
+fn avoid_time(min: Duration, before: u32) -> Duration {
+    (min * (1 << before.min(8))).min(MAX_AVOID_TIME)
+}
