Do the work of a period only in the rounds that need it

A relay summed the loads of its clients and of all other relays in each urgent round, of which there may be 50 a second, although only the periodic ones send them. Each digest hashed all servers to find those that announced that they leave, and each round looked for seeds to forget, mostly among none. No change of what is sent.

--- a/src/catalog/departures.rs
+++ b/src/catalog/departures.rs
@@ -51,13 +51,16 @@
         has_news
     }
 
-    /// Returns the servers whose announcements this router has received itself.
-    pub fn own(&self) -> impl Iterator<Item = ServerKey> + '_ {
-        let own = self
-            .servers
-            .iter()
-            .filter(|(_, departure)| departure.is_own);
-        own.map(|(key, _)| *key)
+    /// Returns the servers among `listed` that the list names as running and whose announcements this
+    /// router has received itself.
+    pub fn own_among<'a>(&self, listed: impl Iterator<Item = &'a Server>) -> Vec<ServerKey> {
+        // Each digest asks, and hardly ever is there one.
+        if self.servers.is_empty() {
+            return Vec::new();
+        }
+        let running = listed.filter(|server| !server.leaving).map(Server::key);
+        let is_own = |key: &ServerKey| self.servers.get(key).is_some_and(|known| known.is_own);
+        running.filter(is_own).collect()
     }
 
     /// Forgets announcements older than 120 s; returns whether there were any.
--- a/src/catalog/registry.rs
+++ b/src/catalog/registry.rs
@@ -192,10 +192,7 @@
     /// Returns the servers that announced to this router that they leave and that the list names as
     /// running.
     pub fn announced_leaving(&self) -> Vec<ServerKey> {
-        let listed = self.servers.values().filter(|server| !server.leaving);
-        let running: BTreeSet<_> = listed.map(Server::key).collect();
-        let own = self.departures.own();
-        own.filter(|key| running.contains(key)).collect()
+        self.departures.own_among(self.servers.values())
     }
 
     /// Returns the servers that are assumed to be running, as the list names them.
--- a/src/presence/packing.rs
+++ b/src/presence/packing.rs
@@ -32,7 +32,7 @@
     mut first: Summary,
     routers: Vec<KnownRouter>,
     usage: Option<&Usage>,
-    updates: &mut Updates,
+    mut updates: Updates,
 ) -> Vec<Summary> {
     let empty = Summary {
         clients: Vec::new(),
--- a/src/presence/seeds.rs
+++ b/src/presence/seeds.rs
@@ -37,6 +37,10 @@
         }
     }
 
+    pub(super) fn is_empty(&self) -> bool {
+        self.0.is_empty()
+    }
+
     /// Removes the address of a router that has answered.
     pub(super) fn remove(&mut self, address: SocketAddr) {
         self.0.remove(&address);
--- a/src/presence/state.rs
+++ b/src/presence/state.rs
@@ -461,8 +461,10 @@
                 .map(|peer| (&peer.state, peer.last_received));
             to.extend(relay_addresses(known, now));
         }
-        for peer in self.peers.iter() {
-            self.seeds.remove(peer.state.peer_address);
+        if !self.seeds.is_empty() {
+            for peer in self.peers.iter() {
+                self.seeds.remove(peer.state.peer_address);
+            }
         }
         to.extend(self.seeds.take_due(now));
         to.retain(|address| Some(*address) != relay);
@@ -485,6 +487,13 @@
 
     /// Returns what this router passes on as a relay.
     fn summaries(&mut self, own: &Digest, is_periodic: bool, now: Instant) -> Vec<Outgoing> {
+        let repeated = is_periodic.then(|| self.repeated_parts(own, now));
+        let mut outgoing = self.summaries_for_relays(own, repeated.as_ref(), now);
+        outgoing.extend(self.summaries_for_clients(own, repeated.as_ref(), now));
+        outgoing
+    }
+
+    fn repeated_parts(&self, own: &Digest, now: Instant) -> RepeatedParts {
         let mut covered = Usage::new(own, now);
         for client in self.clients.values() {
             covered.add(&client.usage, now);
@@ -493,38 +502,33 @@
         for usage in self.relays.values() {
             fleet.add(usage, now);
         }
-        let rotated = match is_periodic {
-            true => rotated(&self.peers, self.sequence, now),
-            false => Vec::new(),
-        };
-        let mut outgoing = self.summaries_for_relays(own, &covered, &rotated, is_periodic, now);
-        outgoing.extend(self.summaries_for_clients(own, &fleet, &rotated, is_periodic, now));
-        outgoing
+        RepeatedParts {
+            covered,
+            fleet,
+            routers: rotated(&self.peers, self.sequence, now),
+        }
     }
 
     fn summaries_for_relays(
         &mut self,
         own: &Digest,
-        covered: &Usage,
-        rotated: &[KnownRouter],
-        is_periodic: bool,
+        repeated: Option<&RepeatedParts>,
         now: Instant,
     ) -> Vec<Outgoing> {
         let live = self.peers.live(now);
         let live = live.map(|peer| (&peer.state, peer.last_received));
         let to: Vec<_> = relay_addresses(live, now).into_iter().collect();
-        let mut updates = std::mem::take(&mut self.for_relays);
+        let updates = std::mem::take(&mut self.for_relays);
         let is_client = |name: &RouterName| self.clients.contains_key(name);
         let is_covered =
             |peer: &Peer| is_client(&peer.state.name) || peer.state.relay_role == RelayRole::Relay;
-        let changes = self
+        let mut routers = self
             .told_relays
             .next_changes(&self.peers, None, is_covered, now);
-        if to.is_empty() || !is_periodic && updates.is_empty() && changes.is_empty() {
+        if to.is_empty() || repeated.is_none() && updates.is_empty() && routers.is_empty() {
             return Vec::new();
         }
-        let mut routers = changes;
-        routers.extend(rotated.iter().cloned());
+        routers.extend(repeated.into_iter().flat_map(|r| r.routers.iter().cloned()));
         let is_recent = |client: &Client| now.since(client.usage.received) < MAX_VOUCHED_AGE;
         let clients = self.clients.iter().filter(|(_, client)| is_recent(client));
         let clients = clients.filter_map(|(name, client)| {
@@ -533,17 +537,14 @@
         });
         let mut summary = self.empty_summary(own, false, now);
         summary.clients = clients.collect();
-        let usage = is_periodic.then_some(covered);
-        let messages = pack(summary, routers, usage, &mut updates);
-        send_all(messages, &to)
+        let usage = repeated.map(|repeated| &repeated.covered);
+        send_all(pack(summary, routers, usage, updates), &to)
     }
 
     fn summaries_for_clients(
         &mut self,
         own: &Digest,
-        fleet: &Usage,
-        rotated: &[KnownRouter],
-        is_periodic: bool,
+        repeated: Option<&RepeatedParts>,
         now: Instant,
     ) -> Vec<Outgoing> {
         let updates = std::mem::take(&mut self.for_clients);
@@ -552,14 +553,13 @@
         for (name, client) in &mut self.clients {
             let domain = Some(&client.domain);
             let mut routers = client.told.next_changes(&self.peers, domain, |_| true, now);
-            if !is_periodic && updates.is_empty() && routers.is_empty() {
+            if repeated.is_none() && updates.is_empty() && routers.is_empty() {
                 continue;
             }
-            routers.extend(rotated.iter().cloned());
+            routers.extend(repeated.into_iter().flat_map(|r| r.routers.iter().cloned()));
             let routers = without(routers, name);
-            let others = is_periodic.then(|| fleet.without(&client.usage));
-            let mut updates = updates.clone();
-            let messages = pack(template.clone(), routers, others.as_ref(), &mut updates);
+            let usage = repeated.map(|repeated| repeated.fleet.without(&client.usage));
+            let messages = pack(template.clone(), routers, usage.as_ref(), updates.clone());
             outgoing.extend(send_all(messages, &[client.address]));
         }
         outgoing
@@ -581,6 +581,15 @@
     }
 }
 
+/// Parts of summaries that are sent in each period, whether or not they changed.
+struct RepeatedParts {
+    /// Sum over this router and its clients.
+    covered: Usage,
+    /// Sum over the whole fleet.
+    fleet: Usage,
+    routers: Vec<KnownRouter>,
+}
+
 fn send_all(messages: Vec<Summary>, to: &[SocketAddr]) -> Vec<Outgoing> {
     let outgoing = messages.into_iter().map(|summary| Outgoing {
         to: to.to_vec(),
