--- a/src/catalog/departures.rs
+++ b/src/catalog/departures.rs
@@ -1,7 +1,7 @@
 //! Servers that announce in their responses that they leave.
 //!
 //! Load pattern: a server leaves while this router cannot reach the list of servers, or before the
-//! list says so. Its last responses are then all that tells it.
+//! list says so. Only its last responses show it then.
 
 use std::{
     collections::{BTreeMap, BTreeSet},
@@ -54,7 +54,7 @@
     /// Returns the servers among `listed` that the list names as running and whose announcements this
     /// router has received itself.
     pub fn own_among<'a>(&self, listed: impl Iterator<Item = &'a Server>) -> Vec<ServerKey> {
-        // Each digest asks, and hardly ever is there one.
+        // The common case, on the path of each digest.
         if self.servers.is_empty() {
             return Vec::new();
         }
--- a/src/catalog/mod.rs
+++ b/src/catalog/mod.rs
@@ -2,7 +2,8 @@
 //!
 //! The list can be wrong for a while after an outage: entries expire although their servers
 //! are running. [`ServerRegistry`] delays removals until servers have had time to register
-//! again; [`Departures`] has those that announced in their responses that they leave; [`Catalog`] holds the servers among which requests are placed.
+//! again; [`Departures`] has those that announced in their responses that they leave;
+//! [`Catalog`] holds the servers among which requests are placed.
 
 mod departures;
 mod registry;
--- a/src/presence/clients.rs
+++ b/src/presence/clients.rs
@@ -1,4 +1,4 @@
-//! The routers whose relay this one is, and what each of them has been told.
+//! The clients of a relay, and the state changes that each of them has been sent.
 
 use std::net::SocketAddr;
 
@@ -28,12 +28,12 @@
     pub(super) address: SocketAddr,
     pub(super) domain: DomainName,
     pub(super) usage: Usage,
-    pub(super) told: Told,
+    pub(super) cursor: ChangeCursor,
 }
 
 /// Which changes of router states a receiver has been sent.
 #[derive(Debug, Clone, Copy, Default)]
-pub(super) struct Told {
+pub(super) struct ChangeCursor {
     urgent: SentChanges,
     other: SentChanges,
 }
@@ -70,7 +70,7 @@
     }
 }
 
-impl Told {
+impl ChangeCursor {
     /// Returns the states to send in this round among those that `is_covered` selects.
     ///
     /// Changes are sent once as soon as possible and again in the next round, urgent ones first; a
--- a/src/presence/mod.rs
+++ b/src/presence/mod.rs
@@ -16,6 +16,7 @@
 mod peers;
 mod pending_updates;
 mod relays;
+mod round;
 mod router_state;
 mod seeds;
 mod state;
@@ -23,6 +24,7 @@
 mod sums;
 mod task;
 mod updates;
+mod view;
 
 pub(crate) use self::pending_updates::PendingUpdates;
 pub use self::{
--- a/src/presence/peers.rs
+++ b/src/presence/peers.rs
@@ -11,12 +11,12 @@
 /// once in a day and not once in a minute.
 pub const PEER_TIMEOUT: Duration = Duration::from_millis(1_500);
 
-/// Time since the latest summary of its relay for which a router still believes what it said.
+/// Time since the latest summary of its relay for which that summary still vouches for the others.
 ///
 /// In that time it finds another relay, even if the next two that it tries are lost as well.
-const COVER_TIMEOUT: Duration = Duration::from_millis(3_000);
+const VOUCH_TIMEOUT: Duration = Duration::from_millis(3_000);
 
-/// Time without news of a router after which it is forgotten.
+/// Time without an update about a router after which it is removed.
 pub const PEER_REMOVAL_TIMEOUT: Duration = Duration::from_secs(20);
 
 /// Maximum number of routers known at once.
@@ -56,7 +56,7 @@
     /// The announcement is not newer than what is known.
     Outdated,
     /// Only the sequence number is newer.
-    Heard,
+    Sequence,
     /// The state has changed in what may reach other routers later.
     State,
     /// The state has changed in what other routers have to learn without delay.
@@ -72,7 +72,7 @@
     changes: u64,
     /// Time of the latest summary of this router's relay, which vouches for all routers that it does
     /// not report as silent.
-    covered_at: Option<Instant>,
+    vouched_at: Option<Instant>,
 }
 
 impl PeerTable {
@@ -109,7 +109,7 @@
 
     /// Records the sequence number of the latest digest of a router that a relay has received;
     /// returns the router's name if it is newer than the known one.
-    pub(super) fn hear(
+    pub(super) fn record_sequence(
         &mut self,
         key: RouterKey,
         sequence: u64,
@@ -130,16 +130,16 @@
     }
 
     /// Records a summary of this router's relay.
-    pub(super) fn cover(&mut self, now: Instant) {
-        self.covered_at = Some(now);
+    pub(super) fn record_vouched(&mut self, now: Instant) {
+        self.vouched_at = Some(now);
     }
 
     /// Counts all live routers as heard at `now`.
     pub(super) fn renew(&mut self, now: Instant) {
-        let covered_at = self.covered_at.take();
-        let is_covered = covered_at.is_some_and(|at| now.since(at) < COVER_TIMEOUT);
+        let vouched_at = self.vouched_at.take();
+        let is_vouched = vouched_at.is_some_and(|at| now.since(at) < VOUCH_TIMEOUT);
         for peer in self.peers.values_mut().filter(|peer| !peer.is_silent) {
-            if is_covered {
+            if is_vouched {
                 peer.last_received = now;
             }
         }
@@ -147,9 +147,9 @@
 
     /// Returns whether a digest of the router arrived lately, at this router or at its relay.
     pub(super) fn is_live(&self, peer: &Peer, now: Instant) -> bool {
-        let is_covered = |at: Instant| now.since(at) < COVER_TIMEOUT;
+        let is_vouched = |at: Instant| now.since(at) < VOUCH_TIMEOUT;
         let is_recent = now.since(peer.last_received) < PEER_TIMEOUT;
-        !peer.is_silent && (is_recent || self.covered_at.is_some_and(is_covered))
+        !peer.is_silent && (is_recent || self.vouched_at.is_some_and(is_vouched))
     }
 
     /// Returns the live routers.
@@ -160,7 +160,7 @@
     }
 
     /// Marks the routers of which no digest arrived lately as silent, and removes those without any
-    /// news for longer.
+    /// update for longer.
     pub(super) fn mark_silent(&mut self, now: Instant) {
         for (name, peer) in &mut self.peers {
             if !peer.is_silent && now.since(peer.last_received) >= PEER_TIMEOUT {
@@ -173,7 +173,7 @@
         self.remove_old(now);
     }
 
-    /// Removes the routers without any news for [`PEER_REMOVAL_TIMEOUT`].
+    /// Removes the routers without any update for [`PEER_REMOVAL_TIMEOUT`].
     pub(super) fn remove_old(&mut self, now: Instant) {
         let names = &mut self.names;
         self.peers.retain(|name, peer| {
@@ -233,7 +233,7 @@
             peer.sequence = announced.sequence;
             let received = now - Duration::from_millis(announced.age_ms.into());
             peer.last_received = peer.last_received.max(received);
-            result = PeerChange::Heard;
+            result = PeerChange::Sequence;
             if peer.is_silent != announced.is_silent {
                 peer.is_silent = announced.is_silent;
                 result = PeerChange::Urgent;
--- a/src/presence/relays.rs
+++ b/src/presence/relays.rs
@@ -33,7 +33,7 @@
 /// The same for a relay that has not answered yet; it answers a new client without delay.
 const FIRST_ANSWER_TIMEOUT: Duration = Duration::from_millis(250);
 
-/// Time for which a relay that fell silent is not chosen again.
+/// Time for which a relay that timed out is not chosen again.
 const RELAY_AVOID_TIME: Duration = Duration::from_secs(5);
 
 /// Maximum number of routers of a domain that get summaries as relays beyond the number of its relays.
@@ -65,7 +65,7 @@
 #[derive(Debug, Default)]
 pub(super) struct RelayChoice {
     upstream: Option<Upstream>,
-    /// Relays that have fallen silent, and when.
+    /// Relays that have timed out, and when.
     silent: BTreeMap<RouterName, Instant>,
 }
 
--- a/src/presence/task.rs
+++ b/src/presence/task.rs
@@ -81,7 +81,7 @@
 }
 
 /// Receives datagrams, passes what each says to `on_received` and applies it to `presence`;
-/// notifies `changed` when this router has to pass news on.
+/// notifies `changed` when this router has to forward updates.
 ///
 /// Datagrams that cannot be decoded are passed to `on_dropped`.
 pub async fn receive(
