--- a/tests/presence/relays.rs
+++ b/tests/presence/relays.rs
@@ -87,7 +87,7 @@
     fleet.start(ROUTERS + 1, 1, DOMAINS, 3);
     let knows_all = |fleet: &Fleet| fleet.serving_counts() == (ROUTERS, ROUTERS);
     let took = fleet.time_until(knows_all);
-    assert!(took <= Duration::from_millis(1_300), "{took:?}");
+    assert!(took <= Duration::from_secs(1), "{took:?}");
 }
 
 #[test]
