--- a/src/forward/state.rs
+++ b/src/forward/state.rs
@@ -271,8 +271,11 @@
     pub fn encode_metrics(&self, now: Instant) -> String {
         let metrics = &self.metrics;
         metrics.set_servers_set_aside("leaving", self.feed.catalog.leaving_count());
-        metrics.set_servers_set_aside("retry_after", self.server_limits.paused_count(now));
-        metrics.set_servers_set_aside("limit", self.limit_waits(now).len());
+        // A server that rejects requests waits as well as one that has reached its limit.
+        let paused = self.server_limits.paused_count(now);
+        let limited = self.limit_waits(now).len().saturating_sub(paused);
+        metrics.set_servers_set_aside("retry_after", paused);
+        metrics.set_servers_set_aside("limit", limited);
         metrics.encode()
     }
 
