Close a connection with the end of a stream that began before the drain

Callers saw: a stream ended whole, its head had said `Connection: keep-alive`, and the next request on that connection was sent to a router that was stopping. If it met the close of the idle connection, it ended without an answer.

Cause: a response announces the close in its head only, and that of a stream is written long before its end. A stream that was open at the shutdown signal therefore left its connection open and idle, to be closed later without a word.

Change: at the shutdown signal a connection with an exchange in progress is closed with the end of that exchange, so that the end of the stream and the close reach the caller together.

Evidence: `draining::callers_are_told_at_the_end_of_a_stream_that_a_draining_router_takes_no_further_request` printed `still open: Err(Os { code: 11, kind: WouldBlock, .. })` after 20 s without data; now the connection ends within a second of the stream. `draining::request_whose_head_is_half_read_at_the_last_answers_is_answered` passed before and guards the other side: a head of which a part has arrived is awaited.

The listener and the callers of these tests are in a module of their own now.

--- a/src/forward/caller_connection.rs
+++ b/src/forward/caller_connection.rs
@@ -95,6 +95,11 @@
         lock(&self.0).activity.close_at(idle_limit)
     }
 
+    /// Returns whether an exchange is in progress.
+    pub(super) fn is_exchange(&self) -> bool {
+        lock(&self.0).activity.is_exchange()
+    }
+
     /// Closes the connection as soon as no request is in progress.
     pub(super) fn begin_closing(&self) {
         lock(&self.0).activity.begin_closing();
--- a/src/forward/listener.rs
+++ b/src/forward/listener.rs
@@ -160,6 +160,8 @@
         .max_buf_size(MAX_HEAD_BYTES)
         .serve_connection(TokioIo::new(stream), hyper_service);
     tokio::pin!(connection);
+    let mut drain_stage = stage.clone();
+    let mut is_draining = false;
     let mut is_closing = false;
     let ended = loop {
         let now = clock.now();
@@ -174,6 +176,13 @@
             // What has arrived is read before the connection may be closed.
             biased;
             ended = &mut connection => break ended,
+            () = reached(&mut drain_stage, DrainStage::Draining), if !is_draining => {
+                is_draining = true;
+                if record.is_exchange() {
+                    // The head of the response may be written already and announce no close.
+                    connection.as_mut().graceful_shutdown();
+                }
+            }
             () = reached(&mut stage, DrainStage::Closing), if !is_closing => {
                 is_closing = true;
                 record.begin_closing();
--- a/tests/forward/main.rs
+++ b/tests/forward/main.rs
@@ -1,6 +1,8 @@
 //! Decisions of forwarding: draining, server health, requests in flight and quarantine.
 
 mod closing;
+mod draining;
+mod listener;
 
 use std::time::Duration;
 
