Keep idle connections open up to the last responses of a drain

Besides, a connection opened late in a drain was closed after a second without a request.

Cause: 5.6 s into a grace period of 8 s all idle connections were closed. Their callers had not been told, and keep the router's address for up to 6 s, or longer if they get no new one. The router could have answered for another 1.75 s.

Change: idle connections stay open up to the last responses, or up to the idle limit that was announced on them; the next response on them announces the close, as before. The process exits when no connection is open and 6 s have passed, the time for which callers keep its address (before: 70 % of the grace period at the most).

--- a/src/forward/activity.rs
+++ b/src/forward/activity.rs
@@ -9,7 +9,7 @@
 /// The caller counts its idle time from the arrival of the response, which is later.
 const IDLE_SLACK: Duration = Duration::from_secs(2);
 
-/// Time that a new connection has for its first request while its listener closes.
+/// Time that a new connection has for its first request after the last responses of the router.
 const FIRST_REQUEST_TIMEOUT: Duration = Duration::from_secs(1);
 
 /// Activity of a caller's connection.
--- a/src/forward/drain.rs
+++ b/src/forward/drain.rs
@@ -17,9 +17,9 @@
 /// for longer.
 const ACCEPT_ALL_PERIOD: Duration = Duration::from_millis(2_800);
 
-/// Longest time for which callers keep connections open after address lookups have stopped
-/// returning this router.
-const IDLE_CLOSE_DELAY: Duration = Duration::from_secs(6);
+/// Longest time for which callers keep an address after lookups have stopped returning it, unless
+/// they get no other answer.
+const ADDRESS_EXPIRY: Duration = Duration::from_secs(6);
 
 /// Stage of a router between normal operation and the end of its process.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
@@ -28,9 +28,9 @@
     Serving,
     /// The router accepts requests that it can answer before its last responses.
     Draining,
-    /// The router closes idle connections, and others after their next response.
+    /// The router ends as soon as no connection is open, as callers no longer have its address.
     Closing,
-    /// The router answers all requests at once and accepts no connections.
+    /// The router answers all requests at once, closes idle connections and accepts no new ones.
     Finishing,
     /// The process has to exit.
     Ended,
@@ -72,11 +72,10 @@
         self.started + self.grace.saturating_sub(SHUTDOWN_MARGIN + ANSWER_MARGIN)
     }
 
-    /// Returns the time at which idle connections are closed, at the latest when 70 % of the grace
-    /// period have passed.
-    pub fn close_idle_at(&self) -> Instant {
-        let idle_time = IDLE_CLOSE_DELAY.min(self.grace.mul_f64(0.7));
-        self.started + idle_time
+    /// Returns the time from which the process exits when no connection is open, at the latest that
+    /// of the last responses.
+    pub fn address_expires_at(&self) -> Instant {
+        (self.started + ADDRESS_EXPIRY).min(self.last_answer_at())
     }
 
     /// Returns the stage of the drain at `now`.
@@ -85,7 +84,7 @@
             DrainStage::Ended
         } else if now >= self.last_answer_at() {
             DrainStage::Finishing
-        } else if now >= self.close_idle_at() {
+        } else if now >= self.address_expires_at() {
             DrainStage::Closing
         } else {
             DrainStage::Draining
--- a/src/forward/listener.rs
+++ b/src/forward/listener.rs
@@ -26,7 +26,7 @@
 /// Shortest time between two checks whether a connection is idle.
 const MIN_CHECK_INTERVAL: Duration = Duration::from_millis(100);
 
-/// Interval between two checks whether a connection can be closed while the listener closes.
+/// Interval between two checks whether a connection can be closed after the last responses.
 const CLOSING_CHECK_INTERVAL: Duration = Duration::from_millis(100);
 
 /// Largest head of a request, in bytes; also the limit to which read buffers grow.
@@ -44,8 +44,8 @@
 /// Serves the connections of `listener` until `stage` is [`DrainStage::Closing`] and all of them
 /// have ended.
 ///
-/// New ones are accepted until then, at the latest until `stage` is [`DrainStage::Finishing`]. At
-/// most `max_connections` are open at a time.
+/// New ones are accepted until then, at the latest until `stage` is [`DrainStage::Finishing`], when
+/// idle ones are closed. At most `max_connections` are open at a time.
 pub async fn serve(
     listener: TcpListener,
     service: impl HttpHandler,
@@ -183,7 +183,7 @@
                     connection.as_mut().graceful_shutdown();
                 }
             }
-            () = reached(&mut stage, DrainStage::Closing), if !is_closing => {
+            () = reached(&mut stage, DrainStage::Finishing), if !is_closing => {
                 is_closing = true;
                 record.begin_closing();
             }
--- a/tests/forward/draining.rs
+++ b/tests/forward/draining.rs
@@ -20,6 +20,63 @@
     assert!(ended.elapsed() < MS(1_000), "{:?}", ended.elapsed());
 }
 
+#[test]
+fn request_on_an_idle_connection_late_in_a_drain_is_answered() {
+    let listener = Listener::start(MS(60_000), MAX_CONNECTIONS);
+    let mut callers: Vec<_> = (0..2).map(|_| listener.connect()).collect();
+    for caller in &mut callers {
+        assert_eq!(caller.call("/"), "200");
+    }
+    listener.enter(DrainStage::Draining);
+    assert_eq!(callers[0].call("/"), "200 close");
+    listener.enter(DrainStage::Closing);
+    sleep(MS(1_000));
+    assert_eq!(callers[1].call("/"), "200 close");
+    listener.thread.join().expect("the listener ends");
+}
+
+#[test]
+fn request_on_a_connection_that_was_silent_since_it_was_opened_in_a_drain_is_answered() {
+    let listener = Listener::start(MS(60_000), MAX_CONNECTIONS);
+    listener.enter(DrainStage::Draining);
+    let mut caller = listener.connect();
+    listener.enter(DrainStage::Closing);
+    sleep(MS(2_500));
+    assert_eq!(caller.call("/"), "200 close");
+    listener.thread.join().expect("the listener ends");
+}
+
+#[test]
+fn idle_connections_and_the_listener_end_with_the_last_answers() {
+    let listener = Listener::start(MS(60_000), MAX_CONNECTIONS);
+    let mut caller = listener.connect();
+    assert_eq!(caller.call("/"), "200");
+    let mut streaming = listener.connect();
+    streaming.request("/stream/1000");
+    sleep(MS(300));
+    listener.enter(DrainStage::Finishing);
+    let started = Instant::now();
+    assert_eq!(caller.answer(), "unanswered");
+    assert_eq!(streaming.answer(), "200");
+    listener.thread.join().expect("the listener ends");
+    assert!(started.elapsed() < MS(8_000), "{:?}", started.elapsed());
+}
+
+#[test]
+fn draining_listener_ends_before_the_last_answers_when_callers_use_it_no_longer() {
+    let listener = Listener::start(MS(500), MAX_CONNECTIONS);
+    let mut callers: Vec<_> = (0..2).map(|_| listener.connect()).collect();
+    for caller in &mut callers {
+        assert_eq!(caller.call("/"), "200");
+    }
+    drop(callers.pop());
+    listener.enter(DrainStage::Draining);
+    listener.enter(DrainStage::Closing);
+    let started = Instant::now();
+    listener.thread.join().expect("the listener ends");
+    assert!(started.elapsed() < MS(8_000), "{:?}", started.elapsed());
+}
+
 #[test]
 fn request_whose_head_is_half_read_at_the_last_answers_is_answered() {
     let listener = Listener::start(MS(60_000), MAX_CONNECTIONS);
