Answer a request that no server got as "not run" at the end of a drain

Callers saw: a request that the stopping router had only held, for example while an engine prefilled its prompt for another request, was answered 504, which promises nothing. A request that must not run twice could not be sent again, although no server had received it.

Cause: at the last responses every request was answered "may have run", whatever had become of its attempts. A request that was woken in that moment was even sent to a server and dropped at once.

Change: the progress of a request counts the attempts in which a server may run it; the answer at the last responses follows from that. From then on no request is sent to a server.

The stage in `request unanswered` is `unsent` now up to the moment in which the request is written, and again after all servers have refused it.

--- a/src/forward/attempts.rs
+++ b/src/forward/attempts.rs
@@ -7,7 +7,7 @@
 use super::{
     buffered::BufferedResponse,
     exchange::{AttemptFailure, Exchange},
-    full_body, stream, Body, Forwarder, ProxyRequest, Routed, Wire,
+    full_body, stream, Body, DrainStage, Forwarder, ProxyRequest, Routed, Wire,
 };
 use crate::{
     catalog::{Server, ServerKey},
@@ -141,8 +141,9 @@
     ///
     /// # Errors
     ///
-    /// Returns [`Category::Timeout`] when too little time is left, and
-    /// [`Category::Quarantined`] when the request has crashed servers.
+    /// Returns [`Category::Timeout`] when too little time is left, [`Category::NotServing`] when
+    /// the last responses of the router are due, and [`Category::Quarantined`] when the request has
+    /// crashed servers.
     async fn choose_next_server<W: Wire>(
         &self,
         cx: &Forwarder<W>,
@@ -151,6 +152,9 @@
         loop {
             let prefill_ended = cx.prefills.ended();
             let now = cx.clock.now();
+            if cx.drain_stage(now) >= DrainStage::Finishing {
+                return Err(cx.shutdown_error(attempts.verdict));
+            }
             if self
                 .time_left(now)
                 .is_some_and(|time_left| time_left < MIN_TIME_LEFT)
@@ -222,7 +226,7 @@
         attempts: &mut Attempts,
         now: Instant,
     ) {
-        self.progress.record_sent(server);
+        self.progress.record_server(server);
         attempts.tried.push(server.key());
         if let Some(prompt) = &self.state.prompt {
             attempts.prompt_source = cx.prompt_source(&self.state.pool, prompt, server, now);
@@ -280,6 +284,9 @@
         attempts: &Attempts,
         now: Instant,
     ) -> Option<Arc<Server>> {
+        if cx.drain_stage(now) >= DrainStage::Finishing {
+            return None;
+        }
         let routed = &self.state;
         cx.choose(
             &routed.pool,
--- a/src/forward/exchange.rs
+++ b/src/forward/exchange.rs
@@ -9,6 +9,7 @@
 
 use super::{
     connection::{Connection, SendError},
+    unanswered::Progress,
     ForwardParams, Forwarder, InFlightGuard, Observation, ResponseHead, RunOutcome, Wire,
 };
 use crate::{catalog::Server, Category, Error, Instant, RequestId, Result};
@@ -51,6 +52,7 @@
     pub(super) async fn exchange(
         &self,
         template: &RequestTemplate,
+        progress: &Progress,
         server: &Arc<Server>,
         params: &ForwardParams<'_>,
     ) -> std::result::Result<Exchange, AttemptFailure> {
@@ -61,7 +63,7 @@
         *req.method_mut() = template.method.clone();
         *req.uri_mut() = template.uri.clone();
         *req.headers_mut() = self.wire.request_headers(&template.headers, params);
-        let (connection, response) = self.send(req, server).await?;
+        let (connection, response) = self.send(req, progress, server).await?;
         let (parts, body) = response.into_parts();
         let mut head =
             self.wire
@@ -70,6 +72,9 @@
         if connection.is_reused() && !head.names_attempt && template.attempt.is_some() {
             head.outcome = RunOutcome::AttemptMismatch;
         }
+        if let RunOutcome::NotRun | RunOutcome::Misdirected = head.outcome {
+            progress.record_not_run();
+        }
         self.record_response(server, &head, parts.status);
         Ok(Exchange {
             server: server.clone(),
@@ -88,6 +93,7 @@
     async fn send(
         &self,
         mut req: Request<Full<Bytes>>,
+        progress: &Progress,
         server: &Arc<Server>,
     ) -> std::result::Result<(Connection, http::Response<Incoming>), AttemptFailure> {
         loop {
@@ -106,7 +112,12 @@
             if !connection.is_reused() {
                 self.metrics.connections.inc();
             }
-            match connection.send(req).await {
+            progress.record_sent();
+            let sent = connection.send(req).await;
+            if let Err(SendError::NotSent(_)) = sent {
+                progress.record_not_run();
+            }
+            match sent {
                 Ok(response) => return Ok((connection, response)),
                 Err(SendError::NotSent(unsent)) if connection.is_reused() => req = *unsent,
                 Err(SendError::NotSent(_)) => {
--- a/src/forward/failover.rs
+++ b/src/forward/failover.rs
@@ -120,7 +120,8 @@
             last_event,
             prompt_source,
         };
-        cx.exchange(&self.template, &server, &params).await
+        cx.exchange(&self.template, &self.progress, &server, &params)
+            .await
     }
 
     /// Returns the server to which the request is sent as well because `server` exceeded
--- a/src/forward/request.rs
+++ b/src/forward/request.rs
@@ -12,7 +12,7 @@
     admission::{Fingerprint, PartKey},
     placement::SharedPrompt,
     routes::{PoolSettings, RouteKind, RouteTable},
-    Category, Error, Instant, PoolName, Result, TeamName,
+    Category, Error, Instant, PoolName, Result, TeamName, Verdict,
 };
 
 /// Smallest mean retry delay given to callers while a router starts, which takes some 50 ms.
@@ -124,11 +124,7 @@
             .drain()
             .is_some_and(|drain| !drain.accepts(max_time, now))
         {
-            return Err(cx.retry_later_error(
-                Category::NotServing,
-                "the router is shutting down",
-                Duration::ZERO,
-            ));
+            return Err(cx.shutdown_error(Verdict::NotRun));
         }
         let prompt = SharedPrompt::from_parts(&self.head.prompt).filter(|_| route.sticky);
         let pool_hash = prompt.map_or_else(|| cx.random(), |prompt| prompt.session);
--- a/src/forward/serve.rs
+++ b/src/forward/serve.rs
@@ -11,7 +11,7 @@
     unanswered::{Progress, Unanswered},
     Body, Forwarder, ProxyRequest, Received, RequestHead, Wire,
 };
-use crate::{routes::CallerLimits, Category, Error, Instant, Result};
+use crate::{routes::CallerLimits, Category, Error, Instant, Result, Verdict};
 
 /// Longest time to read the body of a request, unless the caller's own timeout is shorter.
 const BODY_TIMEOUT: Duration = Duration::from_secs(10);
@@ -60,18 +60,15 @@
         // bytes may discard the response.
         let body = read_body(body, limits.max_body_bytes, timeout).await?;
         progress.record_read();
-        let req = ProxyRequest::<Received>::new(parts, body, head?, arrived, progress);
+        let req = ProxyRequest::<Received>::new(parts, body, head?, arrived, progress.clone());
         // Reading the body takes time, so the route table is looked up only now.
         let table = self.feed.routes.current();
         let req = req.route(&self, table.as_deref())?;
         tokio::select! {
             biased;
             response = req.forward(&self) => response,
-            // Ends the exchange with the server, if any; the server may have run the request.
-            () = self.last_answer_due() => Err(Error::may_have_run(
-                Category::Timeout,
-                "the router shuts down before a server has answered",
-            )),
+            // Ends the exchange with the server, if any.
+            () = self.last_answer_due() => Err(self.shutdown_error(progress.verdict())),
         }
     }
 
@@ -81,6 +78,16 @@
         table.map_or(CallerLimits::DEFAULT, |table| table.limits())
     }
 
+    /// Returns the error of a request that this router no longer forwards, as it shuts down.
+    pub(super) fn shutdown_error(&self, verdict: Verdict) -> Error {
+        if verdict == Verdict::NotRun {
+            let message = "the router is shutting down";
+            return self.retry_later_error(Category::NotServing, message, Duration::ZERO);
+        }
+        let message = "the router shuts down before a server has answered";
+        Error::new(Category::Timeout, verdict, message)
+    }
+
     /// Returns an error that asks the caller to retry after a randomized delay around `mean`.
     pub(super) fn retry_later_error(
         &self,
--- a/src/forward/unanswered.rs
+++ b/src/forward/unanswered.rs
@@ -12,16 +12,16 @@
 use http_body_util::BodyExt;
 
 use super::{Body, DrainStage, Forwarder, Wire};
-use crate::{catalog::Server, sync::lock, Error, Instant, RequestId};
+use crate::{catalog::Server, sync::lock, Error, Instant, RequestId, Verdict};
 
 /// How far a request has come.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 enum Stage {
     /// Its body is being read.
     Reading,
-    /// It was read and has not been sent to a server.
+    /// It was read; no server has received it, other than those that did not run it.
     Unsent,
-    /// It was sent to a server whose response is not complete, or not yet streamed.
+    /// It may have been sent to a server whose response is not complete, or not yet streamed.
     Sent,
     /// Its response is being forwarded event by event.
     Streaming,
@@ -41,7 +41,10 @@
 #[derive(Debug)]
 struct State {
     stage: Stage,
+    /// Server chosen last.
     server: Option<Arc<Server>>,
+    /// Number of attempts in which a server may run the request or has run it.
+    may_run: u32,
 }
 
 /// Progress of one request.
@@ -53,6 +56,7 @@
         Progress(Arc::new(Mutex::new(State {
             stage: Stage::Reading,
             server: None,
+            may_run: 0,
         })))
     }
 
@@ -61,13 +65,35 @@
         lock(&self.0).stage = Stage::Unsent;
     }
 
-    /// Records that the request is sent to `server`, or that its stream is resumed there.
-    pub(super) fn record_sent(&self, server: &Arc<Server>) {
+    /// Records that `server` is to run the request or to resume its stream.
+    pub(super) fn record_server(&self, server: &Arc<Server>) {
+        lock(&self.0).server = Some(server.clone());
+    }
+
+    /// Records that the request is being sent to a server.
+    pub(super) fn record_sent(&self) {
         let mut state = lock(&self.0);
-        if state.stage != Stage::Streaming {
+        state.may_run += 1;
+        if state.stage == Stage::Unsent {
             state.stage = Stage::Sent;
         }
-        state.server = Some(server.clone());
+    }
+
+    /// Records that a server to which the request was being sent has not run it and will not.
+    pub(super) fn record_not_run(&self) {
+        let mut state = lock(&self.0);
+        state.may_run = state.may_run.saturating_sub(1);
+        if state.may_run == 0 && state.stage == Stage::Sent {
+            state.stage = Stage::Unsent;
+        }
+    }
+
+    /// Returns whether the request may have run.
+    pub(super) fn verdict(&self) -> Verdict {
+        match lock(&self.0).stage {
+            Stage::Reading | Stage::Unsent => Verdict::NotRun,
+            Stage::Sent | Stage::Streaming => Verdict::MayHaveRun,
+        }
     }
 }
 
