Refuse a request whose body is incomplete when the router exits

Callers saw: a request whose body was still arriving at the end of a drain got no answer; its connection ended with the process.

Evidence: `closing::request_whose_body_is_incomplete_at_the_last_answers_of_a_router_is_answered` printed `left: 0`, `right: 503`, and the log `request unanswered id=half server=- took_ms=3901 stage=reading cause=process_end drain=ended`.

--- a/src/forward/drain.rs
+++ b/src/forward/drain.rs
@@ -72,6 +72,14 @@
         self.started + self.grace.saturating_sub(SHUTDOWN_MARGIN + ANSWER_MARGIN)
     }
 
+    /// Returns the time up to which the rest of a request is awaited that has arrived in part.
+    pub fn last_read_at(&self) -> Instant {
+        self.started
+            + self
+                .grace
+                .saturating_sub(SHUTDOWN_MARGIN + ANSWER_MARGIN / 2)
+    }
+
     /// Returns the time from which the process exits when no connection is open, at the latest that
     /// of the last responses.
     pub fn address_expires_at(&self) -> Instant {
--- a/src/forward/serve.rs
+++ b/src/forward/serve.rs
@@ -9,7 +9,7 @@
 
 use super::{
     unanswered::{Progress, Unanswered},
-    Body, Forwarder, ProxyRequest, Received, RequestHead, Wire,
+    Body, Drain, Forwarder, ProxyRequest, Received, RequestHead, Wire,
 };
 use crate::{routes::CallerLimits, Category, Error, Instant, Result, Verdict};
 
@@ -58,7 +58,13 @@
         let timeout = caller_timeout.unwrap_or(BODY_TIMEOUT).min(BODY_TIMEOUT);
         // The body is read even if the request is refused: closing a connection with unread
         // bytes may discard the response.
-        let body = read_body(body, limits.max_body_bytes, timeout).await?;
+        let body = tokio::select! {
+            biased;
+            body = read_body(body, limits.max_body_bytes, timeout) => body?,
+            () = self.drain_reaches(Drain::last_read_at) => {
+                return Err(self.shutdown_error(Verdict::NotRun));
+            }
+        };
         progress.record_read();
         let req = ProxyRequest::<Received>::new(parts, body, head?, arrived, progress.clone());
         // Reading the body takes time, so the route table is looked up only now.
@@ -68,7 +74,7 @@
             biased;
             response = req.forward(&self) => response,
             // Ends the exchange with the server, if any.
-            () = self.last_answer_due() => Err(self.shutdown_error(progress.verdict())),
+            () = self.drain_reaches(Drain::last_answer_at) => Err(self.shutdown_error(progress.verdict())),
         }
     }
 
--- a/src/forward/state.rs
+++ b/src/forward/state.rs
@@ -148,14 +148,13 @@
         *self.drain.borrow()
     }
 
-    /// Waits until a drain is in progress and its last responses are due.
-    pub(super) async fn last_answer_due(&self) {
+    /// Waits until a drain is in progress and has come to `time`.
+    pub(super) async fn drain_reaches(&self, time: fn(&Drain) -> Instant) {
         let mut drains = self.drain.subscribe();
         let drain = drains.wait_for(Option::is_some).await;
         let drain = drain.ok().and_then(|drain| *drain);
         if let Some(drain) = drain {
-            let wait = drain.last_answer_at().since(self.clock.now());
-            tokio::time::sleep(wait).await;
+            tokio::time::sleep(time(&drain).since(self.clock.now())).await;
         }
     }
 
