Keep connections whose peer is alive and reads slowly

What callers saw: one that read nothing for 2.5 s lost the rest of a large response; a request with a large body failed at a sound server that read nothing for 2.5 s.

Cause: TCP_USER_TIMEOUT. The kernel also applies it to probes of a closed receive window, although the peer answers them.

Change: PeerStream checks the state of the connection in the kernel (TCP_INFO) every 500 ms while data is unacknowledged. The peer is gone when it has acknowledged nothing for 2.5 s and data was sent again, or two probes of its window are unanswered. Keepalive probes find a peer that is gone while all data is acknowledged, after 3 s as before. A caller that leaves no room for more of its response for 10 s is given up; a server that reads nothing is bounded by the request's deadline. TCP_INFO needs the only unsafe block of the workspace, in forward::tcp_info; libc was in the lock file already.

Evidence, tests/forward/peers.rs with a pause of 4 s and 16 MiB. Before: a_caller_that_pauses_within_a_large_response_gets_all_of_it: left: (Err(ConnectionReset), 32631), right: (Ok) a_server_that_pauses_within_a_large_request_gets_all_of_it: left: Err(ConnectionReset), right: Ok(()) After: both pass. Peers that drop all packets (a socket filter) are noticed after 2.5 to 3.0 s (before: all within 4.2 s), a caller that never reads after 11.0 s (before: within 4.2 s).

--- a/src/forward/caller_connection.rs
+++ b/src/forward/caller_connection.rs
@@ -10,15 +10,17 @@
     time::Duration,
 };
 
-use socket2::SockRef;
 use tokio::{
     io::{AsyncRead, AsyncWrite, ReadBuf},
     net::TcpStream,
 };
 
-use super::Activity;
+use super::{peer_stream::PeerStream, Activity};
 use crate::{sync::lock, Clock, Instant};
 
+/// Longest time for which a caller may leave no room for more of its response.
+const WRITE_TIMEOUT: Duration = Duration::from_secs(10);
+
 /// Largest number of unread bytes that is counted for a log line.
 const MAX_COUNTED_BYTES: usize = 1024;
 
@@ -129,7 +131,7 @@
 
 /// The stream of a caller's connection; logs the end of the connection if this router closed it.
 pub(super) struct CallerStream {
-    stream: TcpStream,
+    stream: PeerStream,
     peer: SocketAddr,
     record: ConnectionRecord,
     clock: Clock,
@@ -144,7 +146,7 @@
         clock: Clock,
     ) -> Self {
         CallerStream {
-            stream,
+            stream: PeerStream::new(stream, peer).with_write_timeout(WRITE_TIMEOUT),
             peer,
             record,
             clock,
@@ -155,7 +157,7 @@
     fn unread_bytes(&self) -> usize {
         let mut bytes = [MaybeUninit::uninit(); MAX_COUNTED_BYTES];
         // An error means that there are none.
-        SockRef::from(&self.stream).peek(&mut bytes).unwrap_or(0)
+        self.stream.socket().peek(&mut bytes).unwrap_or(0)
     }
 }
 
--- a/src/forward/connection.rs
+++ b/src/forward/connection.rs
@@ -16,6 +16,7 @@
     task::JoinHandle,
 };
 
+use super::peer_stream::PeerStream;
 use crate::{
     catalog::{Server, ServerKey},
     sync::lock,
@@ -28,14 +29,11 @@
 /// before that.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(350);
 
-/// Time for which sent data may stay unacknowledged before the connection is closed.
-const TCP_USER_TIMEOUT: Duration = Duration::from_millis(2_500);
-
 /// Idle time before the first TCP keepalive probe, and time between probes.
 const KEEPALIVE_INTERVAL: Duration = Duration::from_secs(1);
 
 /// Number of unanswered keepalive probes after which a connection is closed.
-const KEEPALIVE_PROBES: u32 = 3;
+const KEEPALIVE_PROBES: u32 = 2;
 
 /// Time before the close that a server announces from which an idle connection is not used.
 const IDLE_EXPIRY_MARGIN: Duration = Duration::from_millis(350);
@@ -220,7 +218,7 @@
     })
 }
 
-async fn connect(address: SocketAddr) -> std::io::Result<TcpStream> {
+async fn connect(address: SocketAddr) -> std::io::Result<PeerStream> {
     let socket = match address {
         SocketAddr::V4(_) => TcpSocket::new_v4()?,
         SocketAddr::V6(_) => TcpSocket::new_v6()?,
@@ -228,21 +226,19 @@
     socket.set_nodelay(true)?;
     let stream = socket.connect(address).await?;
     set_keepalive(&stream)?;
-    Ok(stream)
+    Ok(PeerStream::new(stream, address))
 }
 
 /// Sets the TCP options by which the operating system detects a peer that is gone without
-/// closing the connection.
+/// closing a connection on which all data is acknowledged.
 ///
 /// # Errors
 ///
 /// Fails when the operating system rejects the options.
 pub(super) fn set_keepalive(stream: &TcpStream) -> std::io::Result<()> {
-    let socket = SockRef::from(stream);
     let keepalive = TcpKeepalive::new()
         .with_time(KEEPALIVE_INTERVAL)
         .with_interval(KEEPALIVE_INTERVAL)
         .with_retries(KEEPALIVE_PROBES);
-    socket.set_tcp_keepalive(&keepalive)?;
-    socket.set_tcp_user_timeout(Some(TCP_USER_TIMEOUT))
+    SockRef::from(stream).set_tcp_keepalive(&keepalive)
 }
--- a/src/forward/mod.rs
+++ b/src/forward/mod.rs
@@ -16,12 +16,14 @@
 mod health;
 mod in_flight;
 mod listener;
+mod peer_stream;
 mod poison;
 mod request;
 mod resume;
 mod serve;
 mod state;
 mod stream;
+mod tcp_info;
 mod unanswered;
 mod wire;
 
--- /dev/null
+++ b/src/forward/peer_stream.rs
@@ -0,0 +1,193 @@
+//! TCP streams that detect a peer that is gone without closing the connection.
+//!
+//! The kernel's own limit on unacknowledged data (`TCP_USER_TIMEOUT`) also ends a connection whose
+//! peer acknowledges but has no room in its receive buffer. Here only missing acknowledgements count.
+
+use std::{
+    future::Future,
+    io,
+    net::SocketAddr,
+    pin::Pin,
+    task::{Context, Poll},
+    time::Duration,
+};
+
+use socket2::SockRef;
+use tokio::{
+    io::{AsyncRead, AsyncWrite, ReadBuf},
+    net::TcpStream,
+    time::{Instant, Sleep},
+};
+
+use super::tcp_info::TcpInfo;
+
+/// Time for which sent data may stay unacknowledged before the connection ends.
+const ACK_TIMEOUT: Duration = Duration::from_millis(2_500);
+
+/// Time between two checks of a connection that has unacknowledged data.
+const CHECK_INTERVAL: Duration = Duration::from_millis(500);
+
+/// Number of unanswered probes of a closed receive window after which a peer may be gone; a single
+/// one may have been lost.
+const MIN_LOST_PROBES: u8 = 2;
+
+/// A TCP stream that fails once its peer is gone.
+#[derive(Debug)]
+pub(super) struct PeerStream {
+    stream: TcpStream,
+    peer: SocketAddr,
+    /// Longest time for which the peer may leave no room for further data.
+    write_timeout: Option<Duration>,
+    /// Time since which there is no room for further data.
+    blocked_since: Option<Instant>,
+    /// Check of the data that was sent; `None` while all of it is acknowledged.
+    check: Option<AckCheck>,
+}
+
+#[derive(Debug)]
+struct AckCheck {
+    /// Time from which on data is unacknowledged.
+    since: Instant,
+    next: Pin<Box<Sleep>>,
+}
+
+impl PeerStream {
+    /// Creates a stream over a connection to `peer`.
+    pub(super) fn new(stream: TcpStream, peer: SocketAddr) -> Self {
+        PeerStream {
+            stream,
+            peer,
+            write_timeout: None,
+            blocked_since: None,
+            check: None,
+        }
+    }
+
+    /// Fails as well when the peer leaves no room for further data for `timeout`.
+    #[must_use]
+    pub(super) fn with_write_timeout(mut self, timeout: Duration) -> Self {
+        self.write_timeout = Some(timeout);
+        self
+    }
+
+    /// Returns the socket.
+    pub(super) fn socket(&self) -> SockRef<'_> {
+        SockRef::from(&self.stream)
+    }
+
+    /// Fails if the peer is gone; otherwise the task of `cx` is woken for the next check.
+    fn poll_peer(&mut self, cx: &mut Context<'_>) -> io::Result<()> {
+        while let Some(check) = &mut self.check {
+            if check.next.as_mut().poll(cx).is_pending() {
+                return Ok(());
+            }
+            let now = Instant::now();
+            let info = match TcpInfo::of(&self.stream) {
+                Ok(info) if !info.is_all_acknowledged() => info,
+                Ok(_) => {
+                    self.check = None;
+                    return Ok(());
+                }
+                Err(err) => {
+                    log::debug!("cannot check peer peer={} error=\"{err}\"", self.peer);
+                    self.check = None;
+                    return Ok(());
+                }
+            };
+            let waiting = now.duration_since(check.since);
+            if waiting >= ACK_TIMEOUT && is_gone(&info) {
+                return Err(self.lost("no_acknowledgement", waiting));
+            }
+            check.next.as_mut().reset(now + CHECK_INTERVAL);
+            let blocked = self.blocked_since.map(|since| now.duration_since(since));
+            let blocked = blocked.filter(|blocked| {
+                self.write_timeout
+                    .is_some_and(|write_timeout| *blocked >= write_timeout)
+            });
+            if let Some(blocked) = blocked {
+                return Err(self.lost("nothing_read", blocked));
+            }
+        }
+        Ok(())
+    }
+
+    fn lost(&self, reason: &str, after: Duration) -> io::Error {
+        let after_ms = after.as_millis();
+        log::info!(
+            "peer lost peer={} reason={reason} after_ms={after_ms}",
+            self.peer
+        );
+        io::Error::new(io::ErrorKind::TimedOut, format!("peer lost: {reason}"))
+    }
+
+    /// Records the outcome of a write, and checks later whether its data was acknowledged.
+    fn record_write(
+        &mut self,
+        cx: &mut Context<'_>,
+        written: Poll<io::Result<usize>>,
+    ) -> Poll<io::Result<usize>> {
+        let now = Instant::now();
+        match written {
+            Poll::Pending => {
+                self.blocked_since.get_or_insert(now);
+            }
+            Poll::Ready(_) => self.blocked_since = None,
+        }
+        self.check.get_or_insert_with(|| AckCheck {
+            since: now,
+            next: Box::pin(tokio::time::sleep_until(now + CHECK_INTERVAL)),
+        });
+        self.poll_peer(cx)?;
+        written
+    }
+}
+
+/// Returns whether the peer answers neither the data that was sent nor the probes of its window.
+fn is_gone(info: &TcpInfo) -> bool {
+    let is_unanswered = info.retransmits > 0 || info.probes >= MIN_LOST_PROBES;
+    is_unanswered && info.since_last_ack >= ACK_TIMEOUT
+}
+
+impl AsyncRead for PeerStream {
+    fn poll_read(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        buf: &mut ReadBuf<'_>,
+    ) -> Poll<io::Result<()>> {
+        self.poll_peer(cx)?;
+        Pin::new(&mut self.stream).poll_read(cx, buf)
+    }
+}
+
+impl AsyncWrite for PeerStream {
+    fn poll_write(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        buf: &[u8],
+    ) -> Poll<io::Result<usize>> {
+        let written = Pin::new(&mut self.stream).poll_write(cx, buf);
+        self.record_write(cx, written)
+    }
+
+    fn poll_write_vectored(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        bufs: &[io::IoSlice<'_>],
+    ) -> Poll<io::Result<usize>> {
+        let written = Pin::new(&mut self.stream).poll_write_vectored(cx, bufs);
+        self.record_write(cx, written)
+    }
+
+    fn is_write_vectored(&self) -> bool {
+        self.stream.is_write_vectored()
+    }
+
+    fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        self.poll_peer(cx)?;
+        Pin::new(&mut self.stream).poll_flush(cx)
+    }
+
+    fn poll_shutdown(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.stream).poll_shutdown(cx)
+    }
+}
--- /dev/null
+++ b/src/forward/tcp_info.rs
@@ -0,0 +1,61 @@
+//! State of a TCP connection in the kernel.
+
+use std::{
+    io,
+    mem::{size_of, MaybeUninit},
+    os::fd::{AsFd, AsRawFd},
+    time::Duration,
+};
+
+/// What the kernel tells about the data that was sent on a connection.
+#[derive(Debug, Clone, Copy)]
+pub(super) struct TcpInfo {
+    /// Number of times in a row that the oldest unacknowledged data was sent again.
+    pub(super) retransmits: u8,
+    /// Number of unanswered probes of a closed receive window, or of an idle peer.
+    pub(super) probes: u8,
+    /// Time since the last acknowledgement.
+    pub(super) since_last_ack: Duration,
+    unacknowledged_segments: u32,
+    unsent_bytes: u32,
+}
+
+impl TcpInfo {
+    /// Reads the state of a connection.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the operating system does not tell the state of the socket.
+    pub(super) fn of(socket: &impl AsFd) -> io::Result<Self> {
+        let mut info = MaybeUninit::<libc::tcp_info>::zeroed();
+        let mut len = size_of::<libc::tcp_info>() as libc::socklen_t;
+        // SAFETY: the pointers are valid for writes of `len` bytes and of `len` itself, and the
+        // descriptor is open for the duration of the call.
+        let status = unsafe {
+            libc::getsockopt(
+                socket.as_fd().as_raw_fd(),
+                libc::IPPROTO_TCP,
+                libc::TCP_INFO,
+                info.as_mut_ptr().cast(),
+                &mut len,
+            )
+        };
+        if status != 0 {
+            return Err(io::Error::last_os_error());
+        }
+        // SAFETY: all fields are integers, for which zeroes are valid where the kernel wrote none.
+        let info = unsafe { info.assume_init() };
+        Ok(TcpInfo {
+            retransmits: info.tcpi_retransmits,
+            probes: info.tcpi_probes,
+            since_last_ack: Duration::from_millis(info.tcpi_last_ack_recv.into()),
+            unacknowledged_segments: info.tcpi_unacked,
+            unsent_bytes: info.tcpi_notsent_bytes,
+        })
+    }
+
+    /// Returns whether the peer has acknowledged all data.
+    pub(super) fn is_all_acknowledged(&self) -> bool {
+        self.unacknowledged_segments == 0 && self.unsent_bytes == 0
+    }
+}
--- a/tests/forward/main.rs
+++ b/tests/forward/main.rs
@@ -1,6 +1,7 @@
 //! Decisions of forwarding: draining, server health, requests in flight and quarantine.
 
 mod closing;
+mod peers;
 
 use std::time::Duration;
 
--- /dev/null
+++ b/tests/forward/peers.rs
@@ -0,0 +1,221 @@
+//! Peers that read slowly or not at all, and peers that are gone without closing their connection.
+
+use std::{
+    io::{BufRead, BufReader, Read, Write},
+    net::{SocketAddr, TcpListener, TcpStream},
+    sync::mpsc,
+    thread::sleep,
+    time::{Duration, Instant},
+};
+
+use bytes::Bytes;
+use ebonyspur::{
+    forward::{full_body, open_connection, serve, Body, DrainStage, HttpHandler},
+    Clock,
+};
+use http::{Request, Response};
+use http_body_util::{BodyExt, Full, StreamBody};
+use hyper::body::{Frame, Incoming};
+use socket2::{SockFilter, SockRef};
+use tokio::sync::watch;
+
+/// Size of a message that fits into no socket buffer.
+const LARGE: usize = 16 << 20;
+
+/// Size of the receive buffer of a peer that reads slowly, in bytes.
+const SMALL_BUFFER_BYTES: usize = 16 << 10;
+
+/// Time for which a slow peer reads nothing.
+const PAUSE: Duration = Duration::from_millis(4_000);
+
+/// Time within which a lost peer is noticed on a machine that is busy.
+const NOTICE_TIMEOUT: Duration = Duration::from_secs(8);
+
+/// Time without data after which a test fails.
+const READ_TIMEOUT: Duration = Duration::from_secs(30);
+
+/// Tells a test when it is dropped.
+struct DropSignal(mpsc::Sender<()>);
+
+impl Drop for DropSignal {
+    fn drop(&mut self) {
+        // The test may have ended.
+        let _ = self.0.send(());
+    }
+}
+
+/// Answers `/large` with a large body, and other requests with parts of `part` bytes without end.
+#[derive(Clone)]
+struct Handler {
+    dropped: mpsc::Sender<()>,
+    part: usize,
+}
+
+impl HttpHandler for Handler {
+    async fn handle(&self, req: Request<Incoming>) -> Response<Body> {
+        if req.uri().path() == "/large" {
+            return Response::new(full_body(vec![b'x'; LARGE]));
+        }
+        let (signal, part) = (DropSignal(self.dropped.clone()), self.part);
+        let parts = futures_util::stream::unfold(signal, move |signal| async move {
+            tokio::time::sleep(Duration::from_millis(50)).await;
+            let bytes = Bytes::from(vec![b'x'; part]);
+            Some((Ok(Frame::data(bytes)), signal))
+        });
+        Response::new(StreamBody::new(parts).boxed_unsync())
+    }
+
+    fn idle_limit(&self) -> Duration {
+        Duration::from_secs(60)
+    }
+}
+
+/// Starts a listener; returns its address and what tells when the body of a stream is dropped.
+fn start_listener(part: usize) -> (SocketAddr, mpsc::Receiver<()>) {
+    let (dropped, is_dropped) = mpsc::channel();
+    let (tx, rx) = mpsc::channel();
+    std::thread::spawn(move || {
+        runtime().block_on(async {
+            let listener = tokio::net::TcpListener::bind("127.0.0.1:0").await;
+            let listener = listener.expect("a listener");
+            tx.send(listener.local_addr().expect("an address"))
+                .expect("a test");
+            let (_stages, stage) = watch::channel(DrainStage::Serving);
+            let handler = Handler { dropped, part };
+            serve(listener, handler, 4, Clock::new(), stage).await;
+        });
+    });
+    (rx.recv().expect("an address"), is_dropped)
+}
+
+fn runtime() -> tokio::runtime::Runtime {
+    tokio::runtime::Builder::new_current_thread()
+        .enable_all()
+        .build()
+        .expect("a runtime")
+}
+
+/// Connects with a small receive buffer and requests `path`.
+fn request(address: SocketAddr, path: &str) -> TcpStream {
+    let socket = socket2::Socket::new(socket2::Domain::IPV4, socket2::Type::STREAM, None);
+    let socket = socket.expect("a socket");
+    socket
+        .set_recv_buffer_size(SMALL_BUFFER_BYTES)
+        .expect("a buffer");
+    socket.connect(&address.into()).expect("a connection");
+    let mut stream = TcpStream::from(socket);
+    stream
+        .set_read_timeout(Some(READ_TIMEOUT))
+        .expect("a timeout");
+    let head = format!("GET {path} HTTP/1.1\r\nhost: h\r\nconnection: close\r\n\r\n");
+    stream.write_all(head.as_bytes()).expect("a request");
+    stream
+}
+
+/// Makes a socket drop all packets that it receives, as if its host were gone.
+fn vanish(stream: &TcpStream) {
+    const RETURN: u16 = 0x06;
+    let drop_all = SockFilter::new(RETURN, 0, 0, 0);
+    SockRef::from(stream)
+        .attach_filter(&[drop_all])
+        .expect("a filter");
+}
+
+#[test]
+fn a_caller_that_pauses_within_a_large_response_gets_all_of_it() {
+    let (address, _) = start_listener(1);
+    let mut reader = BufReader::new(request(address, "/large"));
+    let mut line = String::new();
+    while line != "\r\n" {
+        line.clear();
+        reader.read_line(&mut line).expect("a line of the head");
+    }
+    sleep(PAUSE);
+    let mut body = Vec::new();
+    let read = reader.read_to_end(&mut body).map_err(|err| err.kind());
+    assert_eq!((read, body.len()), (Ok(LARGE), LARGE));
+}
+
+#[test]
+fn a_server_that_pauses_within_a_large_request_gets_all_of_it() {
+    let listener = TcpListener::bind("127.0.0.1:0").expect("a listener");
+    SockRef::from(&listener)
+        .set_recv_buffer_size(SMALL_BUFFER_BYTES)
+        .expect("a buffer");
+    let address = listener.local_addr().expect("an address");
+    let server = std::thread::spawn(move || {
+        let (mut stream, _) = listener.accept().expect("a connection");
+        let mut head = BufReader::new(stream.try_clone().expect("a stream"));
+        let mut line = String::new();
+        while line != "\r\n" {
+            line.clear();
+            head.read_line(&mut line).expect("a line of the head");
+        }
+        sleep(PAUSE);
+        let mut body = vec![0; LARGE];
+        let read = head.read_exact(&mut body).map_err(|err| err.kind());
+        let answer = b"HTTP/1.1 200 OK\r\ncontent-length: 0\r\n\r\n";
+        read.and_then(|()| stream.write_all(answer).map_err(|err| err.kind()))
+    });
+    let status = runtime().block_on(async {
+        let mut connection = open_connection(address).await.expect("a connection");
+        let mut req = Request::new(Full::new(Bytes::from(vec![b'x'; LARGE])));
+        req.headers_mut()
+            .insert("host", http::HeaderValue::from_static("h"));
+        let response = connection.send(req).await;
+        response.map(|response| response.status().as_u16())
+    });
+    assert_eq!(server.join().expect("no panic"), Ok(()));
+    assert_eq!(status.expect("a response"), 200);
+}
+
+#[test]
+fn a_caller_whose_host_is_gone_within_a_stream_is_noticed() {
+    let (address, dropped) = start_listener(1);
+    let mut stream = request(address, "/stream");
+    let mut byte = [0];
+    stream.read_exact(&mut byte).expect("a response");
+    vanish(&stream);
+    let noticed = dropped.recv_timeout(NOTICE_TIMEOUT);
+    assert_eq!(noticed, Ok(()));
+}
+
+#[test]
+fn a_caller_whose_host_is_gone_while_it_reads_nothing_is_noticed() {
+    let (address, dropped) = start_listener(64 << 10);
+    let mut stream = request(address, "/stream");
+    let mut byte = [0];
+    stream.read_exact(&mut byte).expect("a response");
+    sleep(Duration::from_millis(500));
+    vanish(&stream);
+    let noticed = dropped.recv_timeout(NOTICE_TIMEOUT);
+    assert_eq!(noticed, Ok(()));
+}
+
+#[test]
+fn a_server_whose_host_is_gone_before_a_request_arrives_is_noticed() {
+    let listener = TcpListener::bind("127.0.0.1:0").expect("a listener");
+    let address = listener.local_addr().expect("an address");
+    let sent = runtime().block_on(async {
+        let mut connection = open_connection(address).await.expect("a connection");
+        let (stream, _) = listener.accept().expect("a connection");
+        vanish(&stream);
+        let mut req = Request::new(Full::new(Bytes::from_static(b"body")));
+        req.headers_mut()
+            .insert("host", http::HeaderValue::from_static("h"));
+        let sent = tokio::time::timeout(NOTICE_TIMEOUT, connection.send(req)).await;
+        drop(stream);
+        sent
+    });
+    assert!(matches!(sent, Ok(Err(_))), "{sent:?}");
+}
+
+#[test]
+fn a_stream_whose_caller_never_reads_is_given_up() {
+    let (address, dropped) = start_listener(256 << 10);
+    let stream = request(address, "/stream");
+    let started = Instant::now();
+    let given_up = dropped.recv_timeout(READ_TIMEOUT);
+    assert_eq!(given_up, Ok(()), "after {:?}", started.elapsed());
+    drop(stream);
+}
