Keep a silent server until another one has sent an event

What callers saw: a stream was cut although its server, silent for a second or two, would have gone on: the server that was asked next sent the head of a response and broke off, and no attempt was left.

Cause: the exchange with the silent server was dropped at the head of the other one's response.

Change: both are read until one of them sends; the other server takes the stream with its first event or its end, and the silent one is dropped at that moment. While a third server may be asked, the second takes the stream after 1.7 s without an event, so that this happens.

Two servers that both go on: each event once.

--- a/src/forward/mod.rs
+++ b/src/forward/mod.rs
@@ -23,6 +23,7 @@
 mod serve;
 mod state;
 mod stream;
+mod successor;
 mod tcp_info;
 mod unanswered;
 mod wire;
--- a/src/forward/resume.rs
+++ b/src/forward/resume.rs
@@ -1,34 +1,42 @@
 //! Resumption of streams at another server.
 //!
-//! A server that is only silent may still go on. Its response is read until another server has
-//! taken the stream, and the one that sends first is forwarded to the caller.
+//! A server that is only silent may still go on. Its response is read until another server has sent
+//! an event, and the one that sends first is forwarded to the caller.
 
-use std::sync::Arc;
+use std::{sync::Arc, time::Duration};
 
 use http_body_util::BodyExt;
 
 use super::{
     exchange::Exchange,
-    stream::{ResponseStream, StreamRead, STALL_CHECK_INTERVAL},
+    stream::{ResponseStream, StreamRead, EVENT_TIMEOUT, STALL_CHECK_INTERVAL},
+    successor::Successor,
     Observation, Wire,
 };
 use crate::{catalog::Server, relay::EventReader, Category, Error, Result};
 
+/// Reason for which another server does not take a stream.
+const FIRST_WENT_ON: &str = "the server before sent data first";
+
 impl<W: Wire> ResponseStream<W> {
     /// Drops the exchange whose response broke off with `error`, which closes its connection, so
     /// that the server stops the request.
     pub(super) fn drop_exchange(&mut self, error: &Error) {
         self.events = EventReader::new();
-        let Some(exchange) = self.exchange.take() else {
-            return;
-        };
+        if let Some(exchange) = self.exchange.take() {
+            self.record_break(&exchange, self.has_data, error);
+        }
+    }
+
+    /// Records that a response broke off with `error`.
+    fn record_break(&self, exchange: &Exchange, has_data: bool, error: &Error) {
         let now = self.cx.clock.now();
         self.cx
             .health
             .record(exchange.server.key(), Observation::Unreachable, now);
         if error.classify() == Category::Cut {
             self.cx
-                .record_crash(&self.req, &exchange.server, self.has_data, now);
+                .record_crash(&self.req, &exchange.server, has_data, now);
         }
     }
 
@@ -75,17 +83,20 @@
             }
             self.req
                 .record_placement(&cx, &server, &mut self.attempts, now);
-            if let Some(exchange) = self.ask(server).await {
+            if let Some(successor) = self.ask(server).await {
                 log::info!(
                     "stream resumed id={} server={} after={:?} cause=\"{cause}\"",
                     self.req.id(),
-                    exchange.server.name,
+                    successor.exchange.server.name,
                     self.last_event
                 );
                 self.drop_exchange(&cause);
                 self.last_received = cx.clock.now();
-                self.has_data = false;
-                self.exchange = Some(exchange);
+                self.has_data = successor.has_data();
+                if self.has_data {
+                    self.pending = Some(StreamRead::Bytes(successor.received.freeze()));
+                }
+                self.exchange = Some(successor.exchange);
                 return Ok(());
             }
             self.attempts.prefill = None;
@@ -107,7 +118,7 @@
     ///
     /// Returns `None` if `server` does not take the stream or the current server sends first; what
     /// that one sent is then pending.
-    async fn ask(&mut self, server: Arc<Server>) -> Option<Exchange> {
+    async fn ask(&mut self, server: Arc<Server>) -> Option<Successor> {
         let (cx, req) = (self.cx.clone(), self.req.clone());
         let mut attempts = std::mem::take(&mut self.attempts);
         let asked = {
@@ -138,10 +149,15 @@
         };
         self.attempts = attempts;
         let refusal = match asked {
-            Some(Ok(exchange)) if exchange.status == self.status => return Some(exchange),
+            Some(Ok(exchange)) if exchange.status == self.status => {
+                match self.await_event(Successor::new(exchange)).await {
+                    Ok(successor) => return Some(successor),
+                    Err(reason) => reason,
+                }
+            }
             Some(Ok(exchange)) => format!("the server answered {}", exchange.status),
             Some(Err(failure)) => failure.err.to_string(),
-            None => "the server before sent data first".to_string(),
+            None => FIRST_WENT_ON.to_string(),
         };
         log::info!(
             "stream not taken id={} server={} reason=\"{refusal}\"",
@@ -150,4 +166,64 @@
         );
         None
     }
+
+    /// Reads from `successor` and from the current server until one of them sends.
+    ///
+    /// `successor` is returned once it has sent an event or has ended, once the current server has
+    /// no exchange any more, and once yet another server may be asked.
+    ///
+    /// # Errors
+    ///
+    /// Returns why the stream stays at the current server; what that one sent is then pending.
+    async fn await_event(
+        &mut self,
+        mut successor: Successor,
+    ) -> std::result::Result<Successor, String> {
+        let cx = self.cx.clone();
+        let asked = cx.clock.now();
+        loop {
+            let now = cx.clock.now();
+            let time_left = self.req.time_left(now).unwrap_or(Duration::MAX);
+            if time_left.is_zero() {
+                return Err("the deadline of the stream has passed".to_string());
+            }
+            if self.may_resume() && now.since(asked) >= EVENT_TIMEOUT {
+                return Ok(successor);
+            }
+            let Some(exchange) = &mut self.exchange else {
+                return Ok(successor);
+            };
+            tokio::select! {
+                biased;
+                frame = exchange.body.frame() => match self.receive(frame) {
+                    None => {}
+                    Some(StreamRead::Broken(err)) => self.drop_exchange(&err),
+                    Some(read) => {
+                        self.pending = Some(read);
+                        return Err(FIRST_WENT_ON.to_string());
+                    }
+                },
+                read = successor.read(self.last_event) => {
+                    let now = cx.clock.now();
+                    match read {
+                        Ok(has_taken_over) => {
+                            let is_first = successor.record_data();
+                            self.record_data(successor.exchange.server.key(), is_first, now);
+                            if has_taken_over {
+                                return Ok(successor);
+                            }
+                        }
+                        Err(err) => {
+                            self.record_break(&successor.exchange, successor.has_data(), &err);
+                            return Err(err.to_string());
+                        }
+                    }
+                }
+                () = tokio::time::sleep(time_left.min(STALL_CHECK_INTERVAL)) => {
+                    cx.record_stall(&exchange.server, cx.clock.now());
+                    cx.record_stall(&successor.exchange.server, cx.clock.now());
+                }
+            }
+        }
+    }
 }
--- a/src/forward/stream.rs
+++ b/src/forward/stream.rs
@@ -16,6 +16,7 @@
     ProxyRequest, Routed, Wire,
 };
 use crate::{
+    catalog::ServerKey,
     relay::{EventBoundary, EventReader},
     routes::RouteKind,
     Category, Error, Instant, Result,
@@ -29,7 +30,7 @@
 /// server answers other requests.
 ///
 /// Callers abandon a stream after two seconds or more without an event.
-const EVENT_TIMEOUT: Duration = Duration::from_millis(1_700);
+pub(super) const EVENT_TIMEOUT: Duration = Duration::from_millis(1_700);
 
 /// Time between two checks of a server that stays silent; at each one another server may be asked
 /// to go on with the stream.
@@ -115,6 +116,13 @@
     Broken(Error),
 }
 
+/// An event that the caller does not have yet.
+pub(super) struct NewEvent {
+    raw: Bytes,
+    /// Whether it is a comment, which carries no data.
+    pub(super) is_comment: bool,
+}
+
 impl<W: Wire> ResponseStream<W> {
     /// Returns the next bytes for the caller, or `None` after the end of the stream.
     async fn next(&mut self) -> Option<Result<Bytes>> {
@@ -269,12 +277,18 @@
         let bytes = frame.into_data().ok()?;
         let now = self.cx.clock.now();
         self.last_received = now;
-        if !bytes.is_empty() && !std::mem::replace(&mut self.has_data, true) {
+        let is_first = !bytes.is_empty() && !std::mem::replace(&mut self.has_data, true);
+        self.record_data(key, is_first, now);
+        Some(StreamRead::Bytes(bytes))
+    }
+
+    /// Records that a server sent part of the body of a response.
+    pub(super) fn record_data(&self, key: ServerKey, is_first: bool, now: Instant) {
+        if is_first {
             self.cx.record_first_data(&self.req, now);
         }
         self.cx.poison_parts.record_alive(key, now);
         self.cx.health.record(key, Observation::Progress, now);
-        Some(StreamRead::Bytes(bytes))
     }
 
     /// Takes the complete events that the caller does not have yet.
@@ -283,8 +297,8 @@
     fn take_new_events(&mut self) -> Result<Bytes> {
         let mut events = BytesMut::new();
         loop {
-            match self.next_new_event() {
-                Ok(Some(event)) => events.extend_from_slice(&event),
+            match next_new_event(&mut self.events, &mut self.last_event) {
+                Ok(Some(event)) => events.extend_from_slice(&event.raw),
                 Ok(None) => return Ok(events.freeze()),
                 Err(err) if events.is_empty() => return Err(err),
                 Err(err) => {
@@ -294,32 +308,38 @@
             }
         }
     }
+}
 
-    /// Takes the next complete event that the caller does not have yet.
-    ///
-    /// # Errors
-    ///
-    /// Returns [`Category::Backend`] for an event that is too large, and for one without a number
-    /// in a stream of numbered events.
-    fn next_new_event(&mut self) -> Result<Option<Bytes>> {
-        loop {
-            let event = self.events.next_event();
-            let event = event
-                .map_err(|_| Error::may_have_run(Category::Backend, "an event is too large"))?;
-            let Some(event) = event else {
-                return Ok(None);
-            };
-            let number = event.id.as_deref().and_then(|id| id.parse::<u64>().ok());
-            let is_comment = event.raw.starts_with(b":");
-            if number.is_none() && self.last_event.is_some() && !is_comment {
-                let message = "an event has no number";
-                return Err(Error::may_have_run(Category::Backend, message));
-            }
-            if number.is_some() && number <= self.last_event {
-                continue;
-            }
-            self.last_event = number.or(self.last_event);
-            return Ok(Some(event.raw));
+/// Takes the next complete event after `last_event`, which becomes the number of that event.
+///
+/// # Errors
+///
+/// Returns [`Category::Backend`] for an event that is too large, and for one without a number
+/// in a stream of numbered events.
+pub(super) fn next_new_event(
+    events: &mut EventReader,
+    last_event: &mut Option<u64>,
+) -> Result<Option<NewEvent>> {
+    loop {
+        let event = events
+            .next_event()
+            .map_err(|_| Error::may_have_run(Category::Backend, "an event is too large"))?;
+        let Some(event) = event else {
+            return Ok(None);
+        };
+        let number = event.id.as_deref().and_then(|id| id.parse::<u64>().ok());
+        let is_comment = event.raw.starts_with(b":");
+        if number.is_none() && last_event.is_some() && !is_comment {
+            let message = "an event has no number";
+            return Err(Error::may_have_run(Category::Backend, message));
+        }
+        if number.is_some() && number <= *last_event {
+            continue;
         }
+        *last_event = number.or(*last_event);
+        return Ok(Some(NewEvent {
+            raw: event.raw,
+            is_comment,
+        }));
     }
 }
--- /dev/null
+++ b/src/forward/successor.rs
@@ -0,0 +1,73 @@
+//! The response of a server that is asked to go on with a stream, until its first event.
+
+use bytes::BytesMut;
+use http_body_util::BodyExt;
+
+use super::{exchange::Exchange, stream::next_new_event};
+use crate::{relay::EventReader, Category, Error, Result};
+
+/// An exchange that goes on with a stream once it has sent an event.
+pub(super) struct Successor {
+    pub(super) exchange: Exchange,
+    /// Part of the body that was received.
+    pub(super) received: BytesMut,
+    /// Splits `received` into events.
+    events: EventReader,
+    has_recorded_data: bool,
+}
+
+impl Successor {
+    /// Creates the successor from an exchange that has received the head of the response.
+    pub(super) fn new(exchange: Exchange) -> Self {
+        Successor {
+            exchange,
+            received: BytesMut::new(),
+            events: EventReader::new(),
+            has_recorded_data: false,
+        }
+    }
+
+    /// Returns whether part of the body was received.
+    pub(super) fn has_data(&self) -> bool {
+        !self.received.is_empty()
+    }
+
+    /// Records that data was received; returns whether it was the first.
+    pub(super) fn record_data(&mut self) -> bool {
+        self.has_data() && !std::mem::replace(&mut self.has_recorded_data, true)
+    }
+
+    /// Reads the next part of the body.
+    ///
+    /// Returns whether an event after `last_event` or the end of the stream was received.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`Category::Cut`] when the response breaks off, and [`Category::Backend`] when it
+    /// cannot go on with the stream.
+    pub(super) async fn read(&mut self, last_event: Option<u64>) -> Result<bool> {
+        let frame = self.exchange.body.frame().await.transpose();
+        let frame = frame.map_err(|err| Error::may_have_run(Category::Cut, err.to_string()))?;
+        let Some(frame) = frame else {
+            let is_complete =
+                self.events.is_empty() && (self.exchange.is_framed || self.has_data());
+            let message = "the response ended before its first event or inside an event";
+            return match is_complete {
+                true => Ok(true),
+                false => Err(Error::may_have_run(Category::Cut, message)),
+            };
+        };
+        let Ok(bytes) = frame.into_data() else {
+            return Ok(false);
+        };
+        self.received.extend_from_slice(&bytes);
+        self.events.push(&bytes);
+        let mut last_event = last_event;
+        while let Some(event) = next_new_event(&mut self.events, &mut last_event)? {
+            if !event.is_comment {
+                return Ok(true);
+            }
+        }
+        Ok(false)
+    }
+}
