Resume streams whose server sends bytes but no event

What callers saw: a stream whose server sent a comment or a few bytes of an event now and then, and never an event, stayed there until its deadline, although another server could have gone on.

Cause: each byte restarted the time after which another server is asked, and counted as going on while another one was asked.

Change: for streams that may be resumed only events count that are no comments. The times at which a server is checked no longer move with the bytes that it sends.

--- a/src/forward/resume.rs
+++ b/src/forward/resume.rs
@@ -5,6 +5,8 @@
 
 use std::{sync::Arc, time::Duration};
 
+use bytes::Bytes;
+use http_body::Frame;
 use http_body_util::BodyExt;
 
 use super::{
@@ -16,7 +18,7 @@
 use crate::{catalog::Server, relay::EventReader, Category, Error, Result};
 
 /// Reason for which another server does not take a stream.
-const FIRST_WENT_ON: &str = "the server before sent data first";
+const FIRST_WENT_ON: &str = "the server before has gone on";
 
 impl<W: Wire> ResponseStream<W> {
     /// Drops the exchange whose response broke off with `error`, which closes its connection, so
@@ -91,7 +93,7 @@
                     self.last_event
                 );
                 self.drop_exchange(&cause);
-                self.last_received = cx.clock.now();
+                self.last_progress = cx.clock.now();
                 self.has_data = successor.has_data();
                 if self.has_data {
                     self.pending = Some(StreamRead::Bytes(successor.received.freeze()));
@@ -114,10 +116,35 @@
             && self.attempts.sent_count < self.req.state.max_attempts
     }
 
+    /// Records a frame of the current server's response while another server is asked; returns
+    /// whether the current one has sent an event or the end of the stream, which is then kept.
+    fn has_gone_on(
+        &mut self,
+        frame: Option<std::result::Result<Frame<Bytes>, hyper::Error>>,
+    ) -> bool {
+        match self.receive(frame) {
+            None => false,
+            Some(StreamRead::Bytes(bytes)) => {
+                let has_event = self.take_new_events(&bytes);
+                has_event.unwrap_or_else(|err| {
+                    self.drop_exchange(&err);
+                    false
+                })
+            }
+            Some(StreamRead::Broken(err)) => {
+                self.drop_exchange(&err);
+                false
+            }
+            Some(read) => {
+                self.pending = Some(read);
+                true
+            }
+        }
+    }
+
     /// Asks `server` to go on with the stream, and reads from the current server meanwhile.
     ///
-    /// Returns `None` if `server` does not take the stream or the current server sends first; what
-    /// that one sent is then pending.
+    /// Returns `None` if `server` does not take the stream or the current server goes on first.
     async fn ask(&mut self, server: Arc<Server>) -> Option<Successor> {
         let (cx, req) = (self.cx.clone(), self.req.clone());
         let mut attempts = std::mem::take(&mut self.attempts);
@@ -137,13 +164,8 @@
                         continue;
                     }
                 };
-                match self.receive(frame) {
-                    None => {}
-                    Some(StreamRead::Broken(err)) => self.drop_exchange(&err),
-                    Some(read) => {
-                        self.pending = Some(read);
-                        break None;
-                    }
+                if self.has_gone_on(frame) {
+                    break None;
                 }
             }
         };
@@ -167,14 +189,14 @@
         None
     }
 
-    /// Reads from `successor` and from the current server until one of them sends.
+    /// Reads from `successor` and from the current server until one of them goes on.
     ///
     /// `successor` is returned once it has sent an event or has ended, once the current server has
     /// no exchange any more, and once yet another server may be asked.
     ///
     /// # Errors
     ///
-    /// Returns why the stream stays at the current server; what that one sent is then pending.
+    /// Returns why the stream stays at the current server.
     async fn await_event(
         &mut self,
         mut successor: Successor,
@@ -195,13 +217,8 @@
             };
             tokio::select! {
                 biased;
-                frame = exchange.body.frame() => match self.receive(frame) {
-                    None => {}
-                    Some(StreamRead::Broken(err)) => self.drop_exchange(&err),
-                    Some(read) => {
-                        self.pending = Some(read);
-                        return Err(FIRST_WENT_ON.to_string());
-                    }
+                frame = exchange.body.frame() => if self.has_gone_on(frame) {
+                    return Err(FIRST_WENT_ON.to_string());
                 },
                 read = successor.read(self.last_event) => {
                     let now = cx.clock.now();
--- a/src/forward/stream.rs
+++ b/src/forward/stream.rs
@@ -57,12 +57,13 @@
     }
     let response_stream = ResponseStream {
         last_event: req.head.last_event,
-        last_received: cx.clock.now(),
+        last_progress: cx.clock.now(),
         has_data: false,
         cx,
         req: Arc::new(req),
         exchange: Some(exchange),
         events: EventReader::new(),
+        ready: BytesMut::new(),
         pending: None,
         boundary: EventBoundary::default(),
         attempts,
@@ -88,14 +89,16 @@
     pub(super) exchange: Option<Exchange>,
     /// Splits the response into events, if the stream can be resumed.
     pub(super) events: EventReader,
+    /// Complete events that were not forwarded yet, if the stream can be resumed.
+    ready: BytesMut,
     /// Read to handle before the next one.
     pub(super) pending: Option<StreamRead>,
     /// Where the response stands between events, if it cannot be resumed.
     boundary: EventBoundary,
     /// Number of the last event that was forwarded to the caller.
     pub(super) last_event: Option<u64>,
-    /// Time at which the server last sent data.
-    pub(super) last_received: Instant,
+    /// Time at which the server last sent an event, or data if the stream cannot be resumed.
+    pub(super) last_progress: Instant,
     /// Whether the current server has sent part of the body of its response.
     pub(super) has_data: bool,
     pub(super) attempts: Attempts,
@@ -127,23 +130,23 @@
     /// Returns the next bytes for the caller, or `None` after the end of the stream.
     async fn next(&mut self) -> Option<Result<Bytes>> {
         loop {
+            if !self.ready.is_empty() {
+                let events = self.ready.split().freeze();
+                return Some(Ok(self.record_delivery(events)));
+            }
             let read = match self.pending.take() {
                 Some(read) => read,
                 None if self.exchange.is_some() => self.read().await,
                 None => return None,
             };
             let error = match read {
-                StreamRead::Bytes(bytes) if self.resumable => {
-                    self.events.push(&bytes);
-                    match self.take_new_events() {
-                        Ok(events) if events.is_empty() => continue,
-                        Ok(events) => return Some(Ok(self.record_delivery(events))),
-                        Err(err) => {
-                            self.drop_exchange(&err);
-                            err
-                        }
+                StreamRead::Bytes(bytes) if self.resumable => match self.take_new_events(&bytes) {
+                    Ok(_) => continue,
+                    Err(err) => {
+                        self.drop_exchange(&err);
+                        err
                     }
-                }
+                },
                 StreamRead::Bytes(bytes) => {
                     self.boundary.push(&bytes);
                     return Some(Ok(self.record_delivery(bytes)));
@@ -206,14 +209,13 @@
             };
             let now = self.cx.clock.now();
             let time_left = self.req.time_left(now).unwrap_or(Duration::MAX);
-            let silence = now.since(self.last_received);
+            let silence = now.since(self.last_progress);
             let timeouts: &[Duration] = if self.resumable {
                 &[STALL_TIMEOUT, SILENT_SERVER_TIMEOUT, EVENT_TIMEOUT]
             } else {
                 &[STALL_TIMEOUT]
             };
-            let timeout = timeouts.iter().find(|timeout| silence < **timeout);
-            let wait = timeout.map_or(STALL_CHECK_INTERVAL, |timeout| *timeout - silence);
+            let wait = time_to_check(silence, timeouts);
             let frame = tokio::time::timeout(wait.min(time_left), exchange.body.frame()).await;
             let server = exchange.server.clone();
             let now = self.cx.clock.now();
@@ -233,7 +235,7 @@
                     return StreamRead::Broken(Error::may_have_run(Category::Timeout, message));
                 }
                 Err(_) => {
-                    let silence = now.since(self.last_received);
+                    let silence = now.since(self.last_progress);
                     if silence >= STALL_TIMEOUT {
                         self.cx.record_stall(&server, now);
                     }
@@ -276,7 +278,9 @@
         };
         let bytes = frame.into_data().ok()?;
         let now = self.cx.clock.now();
-        self.last_received = now;
+        if !self.resumable {
+            self.last_progress = now;
+        }
         let is_first = !bytes.is_empty() && !std::mem::replace(&mut self.has_data, true);
         self.record_data(key, is_first, now);
         Some(StreamRead::Bytes(bytes))
@@ -291,25 +295,52 @@
         self.cx.health.record(key, Observation::Progress, now);
     }
 
-    /// Takes the complete events that the caller does not have yet.
+    /// Takes the complete events that the caller does not have yet from those received and `bytes`.
+    ///
+    /// Returns whether there is one that is no comment. A failure behind such an event is kept for
+    /// the next call of [`next`](Self::next).
+    ///
+    /// # Errors
     ///
-    /// A failure behind such events is kept for the next call of [`next`](Self::next).
-    fn take_new_events(&mut self) -> Result<Bytes> {
-        let mut events = BytesMut::new();
+    /// Returns [`Category::Backend`] for an event that does not fit into the stream.
+    pub(super) fn take_new_events(&mut self, bytes: &[u8]) -> Result<bool> {
+        self.events.push(bytes);
+        let mut has_event = false;
         loop {
             match next_new_event(&mut self.events, &mut self.last_event) {
-                Ok(Some(event)) => events.extend_from_slice(&event.raw),
-                Ok(None) => return Ok(events.freeze()),
-                Err(err) if events.is_empty() => return Err(err),
+                Ok(Some(event)) => {
+                    has_event |= !event.is_comment;
+                    self.ready.extend_from_slice(&event.raw);
+                }
+                Ok(None) => break,
+                Err(err) if !has_event => return Err(err),
                 Err(err) => {
                     self.pending = Some(StreamRead::Broken(err));
-                    return Ok(events.freeze());
+                    break;
                 }
             }
         }
+        if has_event {
+            self.last_progress = self.cx.clock.now();
+        }
+        Ok(has_event)
     }
 }
 
+/// Returns the time to the next check of a server that has been silent for `silence`: at each of
+/// `timeouts`, which ascend, and at intervals after the last one.
+fn time_to_check(silence: Duration, timeouts: &[Duration]) -> Duration {
+    let next = timeouts.iter().find(|timeout| silence < **timeout);
+    next.map_or_else(
+        || {
+            let over = silence.saturating_sub(timeouts.last().copied().unwrap_or_default());
+            let since_check = over.as_millis() % STALL_CHECK_INTERVAL.as_millis();
+            STALL_CHECK_INTERVAL - Duration::from_millis(since_check as u64)
+        },
+        |timeout| *timeout - silence,
+    )
+}
+
 /// Takes the next complete event after `last_event`, which becomes the number of that event.
 ///
 /// # Errors
