--- a/src/forward/mod.rs
+++ b/src/forward/mod.rs
@@ -16,12 +16,15 @@
 mod health;
 mod in_flight;
 mod listener;
+mod peer_stream;
 mod poison;
 mod request;
 mod resume;
 mod serve;
 mod state;
 mod stream;
+mod successor;
+mod tcp_info;
 mod unanswered;
 mod wire;
 
--- a/tests/forward/main.rs
+++ b/tests/forward/main.rs
@@ -3,6 +3,7 @@
 mod closing;
 mod draining;
 mod listener;
+mod peers;
 
 use std::time::Duration;
 
