Answer requests whose handling panics, and log panics in one line

Callers saw: the connection closed without an answer, and no line in the router's log; with several requests in a row on the connection, each of them.

Cause: a panic in the handler unwound the task of the caller's connection. The default hook writes several lines to standard error only.

Change: handling runs behind catch_unwind. The request fails as `internal`: "not run" before it was placed at a server, "may have run" from then on. A panic while a stream is forwarded ends the body as broken, with a line that names the id. The panic hook logs one line with the task, the place and the message.

--- a/src/error.rs
+++ b/src/error.rs
@@ -134,6 +134,8 @@
     Protocol,
     /// An operation of the operating system failed.
     Io,
+    /// This program failed, by a fault of its own.
+    Internal,
 }
 
 impl Category {
@@ -158,6 +160,7 @@
             Category::Settings => "settings",
             Category::Protocol => "protocol",
             Category::Io => "io",
+            Category::Internal => "internal",
         }
     }
 }
--- a/src/forward/serve.rs
+++ b/src/forward/serve.rs
@@ -11,7 +11,11 @@
     unanswered::{Progress, Unanswered},
     Body, Forwarder, ProxyRequest, Received, RequestHead, Wire,
 };
-use crate::{routes::CallerLimits, Category, Error, Instant, Result};
+use crate::{
+    routes::CallerLimits,
+    tasks::{self, Panicked},
+    Category, Error, Instant, Result, Verdict,
+};
 
 /// Longest time to read the body of a request, unless the caller's own timeout is shorter.
 const BODY_TIMEOUT: Duration = Duration::from_secs(10);
@@ -21,15 +25,20 @@
     pub async fn serve(self: Arc<Self>, req: http::Request<Incoming>) -> Response<Body> {
         let arrived = self.clock.now();
         let (parts, body) = req.into_parts();
-        let head = self.wire.parse_request_head(&parts);
+        let head = tasks::catch(|| self.wire.parse_request_head(&parts));
+        let head = head.unwrap_or_else(|Panicked| Err(panic_error(Verdict::NotRun)));
         let attempt = head.as_ref().ok().and_then(|head| head.attempt.clone());
         let unanswered = Unanswered::new(self.clone(), attempt.clone(), arrived);
+        let progress = unanswered.progress();
         // Boxed because a connection holds the memory of its service's future while it is open.
-        let run = Box::pin(
+        let run = Box::pin(tasks::run(
+            "request",
             self.clone()
-                .run(parts, body, head, arrived, unanswered.progress()),
-        );
-        let response = match run.await {
+                .run(parts, body, head, arrived, progress.clone()),
+        ));
+        let outcome = run.await;
+        let outcome = outcome.unwrap_or_else(|Panicked| Err(panic_error(progress.verdict())));
+        let response = match outcome {
             Ok(response) => response,
             Err(err) => {
                 let id = attempt.as_ref().map_or("-", |id| id.as_str());
@@ -92,6 +101,11 @@
     }
 }
 
+/// Returns the error of a request whose handling panicked.
+pub(super) fn panic_error(verdict: Verdict) -> Error {
+    Error::new(Category::Internal, verdict, "the router failed")
+}
+
 async fn read_body(body: Incoming, limit: usize, timeout: Duration) -> Result<Bytes> {
     let read = Limited::new(body, limit).collect();
     match tokio::time::timeout(timeout, read).await {
--- a/src/forward/unanswered.rs
+++ b/src/forward/unanswered.rs
@@ -11,8 +11,13 @@
 use http_body::{Frame, SizeHint};
 use http_body_util::BodyExt;
 
-use super::{Body, DrainStage, Forwarder, Wire};
-use crate::{catalog::Server, sync::lock, Error, Instant, RequestId};
+use super::{serve::panic_error, Body, DrainStage, Forwarder, Wire};
+use crate::{
+    catalog::Server,
+    sync::lock,
+    tasks::{self, Panicked},
+    Error, Instant, RequestId, Verdict,
+};
 
 /// How far a request has come.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -56,6 +61,14 @@
         })))
     }
 
+    /// Returns whether the request may have run.
+    pub(super) fn verdict(&self) -> Verdict {
+        match lock(&self.0).stage {
+            Stage::Reading | Stage::Unsent => Verdict::NotRun,
+            Stage::Sent | Stage::Streaming => Verdict::MayHaveRun,
+        }
+    }
+
     /// Records that the whole request was read.
     pub(super) fn record_read(&self) {
         lock(&self.0).stage = Stage::Unsent;
@@ -113,6 +126,17 @@
     }
 }
 
+impl<W: Wire> Unanswered<W> {
+    /// Records that forwarding the response panicked; returns the error that ends the response.
+    fn record_panic(&self) -> Error {
+        let err = panic_error(Verdict::MayHaveRun);
+        let id = self.id.as_ref().map_or("-", |id| id.as_str());
+        log::error!("stream broken off id={id} error=\"{err}\"");
+        self.cx.metrics.count_failure(&err);
+        err
+    }
+}
+
 impl<W: Wire> Drop for Unanswered<W> {
     fn drop(&mut self) {
         if self.is_answered {
@@ -156,7 +180,11 @@
         mut self: Pin<&mut Self>,
         cx: &mut Context<'_>,
     ) -> Poll<Option<Result<Frame<Bytes>, Error>>> {
-        let frame = ready!(Pin::new(&mut self.body).poll_frame(cx));
+        let polled = tasks::catch(|| Pin::new(&mut self.body).poll_frame(cx));
+        let frame = match polled {
+            Ok(polled) => ready!(polled),
+            Err(Panicked) => Some(Err(self.guard.record_panic())),
+        };
         // A stream that breaks off has a log line of its own.
         if !matches!(frame, Some(Ok(_))) || self.body.is_end_stream() {
             self.guard.is_answered = true;
--- a/src/http/response.rs
+++ b/src/http/response.rs
@@ -91,6 +91,8 @@
         }
         Category::Backend | Category::Cut => StatusCode::BAD_GATEWAY,
         Category::Timeout => StatusCode::GATEWAY_TIMEOUT,
-        Category::Settings | Category::Protocol | Category::Io => StatusCode::INTERNAL_SERVER_ERROR,
+        Category::Settings | Category::Protocol | Category::Io | Category::Internal => {
+            StatusCode::INTERNAL_SERVER_ERROR
+        }
     }
 }
--- a/src/inspect/log.rs
+++ b/src/inspect/log.rs
@@ -9,7 +9,7 @@
 use log::{Level, Log, Metadata, Record};
 use tracing_appender::non_blocking::{NonBlocking, NonBlockingBuilder, WorkerGuard};
 
-use crate::{sync::lock, Clock, Error, Instant, Result};
+use crate::{sync::lock, tasks, Clock, Error, Instant, Result};
 
 /// Sustained rate of log lines: about ten lines for each of 20 requests a second.
 const LINES_PER_SECOND: f64 = 200.0;
@@ -116,7 +116,7 @@
 #[must_use]
 pub struct LogGuard(#[expect(dead_code, reason = "kept to be dropped")] WorkerGuard);
 
-/// Installs the logger, which writes to standard output.
+/// Installs the logger, which writes to standard output, also for panics.
 ///
 /// `RUST_LOG` sets the level, which is `info` by default. Lines are dropped while the queue of
 /// lines to write is full, which happens when the reader of standard output is slow.
@@ -140,5 +140,6 @@
         clock,
     };
     log::set_boxed_logger(Box::new(log)).map_err(|err| Error::from(io::Error::other(err)))?;
+    tasks::log_panics();
     Ok(LogGuard(guard))
 }
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -55,6 +55,7 @@
 pub mod routes;
 pub mod steward;
 mod sync;
+pub mod tasks;
 mod time;
 mod verdict;
 
--- a/tests/forward/main.rs
+++ b/tests/forward/main.rs
@@ -1,6 +1,7 @@
 //! Decisions of forwarding: draining, server health, requests in flight and quarantine.
 
 mod closing;
+mod panics;
 
 use std::time::Duration;
 
