--- a/tests/forward/main.rs
+++ b/tests/forward/main.rs
@@ -3,6 +3,7 @@
 mod closing;
 mod draining;
 mod listener;
+mod panics;
 mod peers;
 
 use std::time::Duration;
