Accept the connections that the kernel has in spite of failed accepts

Callers saw: a request on a connection that the kernel had accepted ended with a reset when the listener closed, if one accept failed in that moment.

Cause: the loop that takes the last connections ended with its first error, for a single connection as well as for a lack of file descriptors, and closed the listener. When the connection limit is reached before a stop, the queue of the kernel and the open connections together can need more descriptors than there are. Besides, a listener whose accepts fail did not look at the drain between them.

Change: the failure of one connection is logged and the next one is taken; other errors are logged and tried again after 50 ms, in which connections end and free their descriptors, while those already taken are served. After 100 failures the rest is given up with a line.

That one connection is aborted in the queue was not produced: Linux hands out such connections without an error.

--- a/src/forward/listener.rs
+++ b/src/forward/listener.rs
@@ -23,6 +23,10 @@
 /// Delay after a failed accept, for example when file descriptors have run out.
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(50);
 
+/// Largest number of failed accepts after which a closing listener gives up the connections that
+/// the kernel still has.
+const MAX_QUEUE_FAILURES: u32 = 100;
+
 /// Shortest time between two checks whether a connection is idle.
 const MIN_CHECK_INTERVAL: Duration = Duration::from_millis(100);
 
@@ -70,56 +74,88 @@
     loop {
         let slot = tokio::select! {
             biased;
-            slot = slots.clone().acquire_owned() => slot.expect("never closed"),
             () = reached(&mut last_stage, DrainStage::Finishing) => break,
+            slot = slots.clone().acquire_owned() => slot.expect("never closed"),
         };
-        tokio::select! {
+        let accepted = tokio::select! {
             // Connections that the kernel has accepted may hold whole requests.
             biased;
-            accepted = listener.accept() => match accepted {
-                Ok((stream, peer)) => spawn(stream, peer, slot),
-                Err(err) => {
-                    log::warn!("cannot accept caller connection error=\"{err}\"");
-                    tokio::time::sleep(ACCEPT_RETRY_DELAY).await;
-                }
-            },
-            () = reached(&mut stage, DrainStage::Closing), if !is_closing => is_closing = true,
+            accepted = listener.accept() => accepted,
+            () = reached(&mut stage, DrainStage::Closing), if !is_closing => {
+                is_closing = true;
+                continue;
+            }
             () = reached(&mut last_stage, DrainStage::Finishing) => break,
             _ = slots.acquire_many(other_slots), if is_closing => break,
+        };
+        match accepted {
+            Ok((stream, peer)) => spawn(stream, peer, slot),
+            Err(err) => pause_after(&err).await,
         }
     }
-    let queued = close(listener);
-    let open = max_connections - slots.available_permits();
-    log::info!("listener closed connections={open} queued={}", queued.len());
-    // They have been accepted and cannot wait for others to end.
-    slots.add_permits(queued.len());
-    let all_slots = max_connections + queued.len();
-    for (stream, peer) in queued {
-        let slot = slots.clone().acquire_owned().await.expect("never closed");
-        spawn(stream, peer, slot);
-    }
+    let queued = accept_queued(listener, |stream, peer| {
+        // They have been accepted and cannot wait for others to end.
+        slots.add_permits(1);
+        let slot = slots.clone().try_acquire_owned();
+        spawn(stream, peer, slot.expect("a slot was added"));
+    });
+    let queued = queued.await;
+    let all_slots = max_connections + queued;
+    let open = all_slots - slots.available_permits();
+    log::info!("listener closed connections={open} queued={queued}");
     let _ = slots.acquire_many(all_slots as u32).await;
 }
 
-/// Closes `listener` and returns the connections that the kernel had accepted by then.
+/// Logs a failed accept, and waits until another one may succeed.
+async fn pause_after(err: &io::Error) {
+    log::warn!("cannot accept caller connection error=\"{err}\"");
+    // Other errors concern all connections, for example when file descriptors have run out.
+    if err.kind() != io::ErrorKind::ConnectionAborted {
+        tokio::time::sleep(ACCEPT_RETRY_DELAY).await;
+    }
+}
+
+/// Closes `listener` after it has passed the connections that the kernel has accepted by then to
+/// `spawn`; returns their number.
 ///
 /// The runtime may have no event of them yet, so the kernel is asked.
-fn close(listener: TcpListener) -> Vec<(TcpStream, SocketAddr)> {
-    let mut queued = Vec::new();
-    let closed = listener.into_std().and_then(|listener| loop {
+async fn accept_queued(
+    listener: TcpListener,
+    mut spawn: impl FnMut(TcpStream, SocketAddr),
+) -> usize {
+    let listener = match listener.into_std() {
+        Ok(listener) => listener,
+        Err(err) => {
+            log::warn!("cannot accept the last caller connections error=\"{err}\"");
+            return 0;
+        }
+    };
+    let (mut count, mut failures) = (0, 0);
+    while failures < MAX_QUEUE_FAILURES {
         match listener.accept() {
             Ok((stream, peer)) => {
-                stream.set_nonblocking(true)?;
-                queued.push((TcpStream::from_std(stream)?, peer));
+                let stream = stream
+                    .set_nonblocking(true)
+                    .and_then(|()| TcpStream::from_std(stream));
+                match stream {
+                    Ok(stream) => {
+                        spawn(stream, peer);
+                        count += 1;
+                    }
+                    Err(err) => {
+                        log::warn!("cannot serve caller connection peer={peer} error=\"{err}\"");
+                    }
+                }
+            }
+            Err(err) if err.kind() == io::ErrorKind::WouldBlock => return count,
+            Err(err) => {
+                failures += 1;
+                pause_after(&err).await;
             }
-            Err(err) if err.kind() == io::ErrorKind::WouldBlock => return Ok(()),
-            Err(err) => return Err(err),
         }
-    });
-    if let Err(err) = closed {
-        log::warn!("cannot accept the last caller connections error=\"{err}\"");
     }
-    queued
+    log::warn!("caller connections given up that the kernel has accepted failures={failures}");
+    count
 }
 
 async fn serve_connection(
--- a/tests/forward/listener.rs
+++ b/tests/forward/listener.rs
@@ -68,7 +68,7 @@
 
 /// A listener in a thread of its own.
 pub struct Listener {
-    address: SocketAddr,
+    pub address: SocketAddr,
     idle_limit: Arc<Mutex<Duration>>,
     stages: watch::Sender<DrainStage>,
     pub thread: JoinHandle<()>,
