Answer streams that break off before their first data with an error

What callers saw: the head of a success and then a closed connection, when a server broke off, or sent nothing until the deadline, after the head of its response.

Cause: the head was passed on at once.

Change: it is passed on with the first data. The response time goal of a stream counts to its first event, so callers lose nothing. A caller that leaves in the meantime still ends the exchange (a_server_stops_work_on_a_request_whose_caller_disconnects has that case as well), and so does the deadline.

Evidence, platform/tests/adapter/truncated.rs. Before, both a_stream_that_breaks_off_before_its_first_event_has_a_complete_answer a_stream_without_an_event_at_its_deadline_has_a_complete_answer printed for /stream/tip/1 and /stream/draft/1 "200 signed true whole false". After: "502 signed false whole true" and "504 signed false whole true".

--- a/src/forward/attempts.rs
+++ b/src/forward/attempts.rs
@@ -86,12 +86,7 @@
             match self.attempt_at(cx, server, &mut attempts).await {
                 AttemptOutcome::Answered(response) => return Ok(self.finish(cx, *response)),
                 AttemptOutcome::Streaming(exchange) => {
-                    return Ok(stream::forward_stream(
-                        cx.clone(),
-                        self,
-                        *exchange,
-                        attempts,
-                    ));
+                    return stream::forward_stream(cx.clone(), self, *exchange, attempts).await;
                 }
                 AttemptOutcome::ServerFailed(response) => {
                     attempts.verdict = attempts.verdict.strongest(Verdict::MayHaveRun);
--- a/src/forward/stream.rs
+++ b/src/forward/stream.rs
@@ -6,7 +6,7 @@
 use std::{sync::Arc, time::Duration};
 
 use bytes::{Bytes, BytesMut};
-use futures_util::stream;
+use futures_util::stream::{self, StreamExt};
 use http::{HeaderMap, Response, StatusCode};
 use http_body::Frame;
 use http_body_util::{BodyExt, StreamBody};
@@ -39,12 +39,19 @@
 pub(super) const STALL_CHECK_INTERVAL: Duration = Duration::from_secs(1);
 
 /// Returns the response to the caller, whose body forwards the events of `exchange`.
-pub(super) fn forward_stream<W: Wire>(
+///
+/// The head is held back until the first data, so that a stream that breaks off before gets an
+/// error response.
+///
+/// # Errors
+///
+/// Fails when the stream has broken off without data and no other server has gone on with it.
+pub(super) async fn forward_stream<W: Wire>(
     cx: Arc<Forwarder<W>>,
     mut req: ProxyRequest<Routed>,
     mut exchange: Exchange,
     attempts: Attempts,
-) -> Response<Body> {
+) -> Result<Response<Body>> {
     let status = exchange.status;
     let headers = cx
         .wire
@@ -55,7 +62,7 @@
         req.template.body = Bytes::new();
         req.template.headers = HeaderMap::new();
     }
-    let response_stream = ResponseStream {
+    let mut response_stream = ResponseStream {
         last_event: req.head.last_event,
         last_progress: cx.clock.now(),
         has_data: false,
@@ -71,14 +78,19 @@
         resumable,
         started: false,
     };
-    let frames = stream::unfold(response_stream, |mut response_stream| async move {
+    let first = response_stream.next().await.transpose()?;
+    let first = stream::iter(first.map(|bytes| Ok(Frame::data(bytes))));
+    let rest = stream::unfold(response_stream, |mut response_stream| async move {
         let next = response_stream.next().await?;
+        if let Err(err) = &next {
+            response_stream.record_failure(err);
+        }
         Some((next.map(Frame::data), response_stream))
     });
-    let mut response = Response::new(StreamBody::new(frames).boxed_unsync());
+    let mut response = Response::new(StreamBody::new(first.chain(rest)).boxed_unsync());
     *response.status_mut() = status;
     *response.headers_mut() = headers;
-    response
+    Ok(response)
 }
 
 /// A streamed response that is being forwarded to a caller.
@@ -165,14 +177,18 @@
             };
             // Boxed so that the streams that are never resumed need no memory for the future.
             if let Err(err) = Box::pin(self.resume(error)).await {
-                log::info!("stream broken off id={} error=\"{err}\"", self.req.id());
-                self.cx.metrics.count_failure(&err);
                 self.exchange = None;
                 return Some(Err(err));
             }
         }
     }
 
+    /// Records that the stream has broken off after data was forwarded to the caller.
+    fn record_failure(&self, err: &Error) {
+        log::info!("stream broken off id={} error=\"{err}\"", self.req.id());
+        self.cx.metrics.count_failure(err);
+    }
+
     /// Returns whether a response that has ended is complete.
     ///
     /// One without length or chunks also ends when its server crashes, which leaves it inside an
