Write what has arrived before a stream is broken off

What callers saw: a server that sent events and broke off at once left them with a closed connection, without the head and the events.

Cause: an error of the body makes the HTTP library drop what it has not written yet.

Change: the body yields once before its error, so that the connection writes first.

--- a/src/forward/stream.rs
+++ b/src/forward/stream.rs
@@ -84,6 +84,8 @@
         let next = response_stream.next().await?;
         if let Err(err) = &next {
             response_stream.record_failure(err);
+            // The connection first writes what it has, which the error would discard.
+            tokio::task::yield_now().await;
         }
         Some((next.map(Frame::data), response_stream))
     });
