Send requests that name no attempt on a connection of their own

What callers saw: the answer to an earlier request, when a server sent a copy of it on a connection that was in use again and neither request named its attempt.

Cause: an answer is told from a copy by the attempt that it names, and the absence of a name counted as equal.

Change: such requests are sent on a new connection. Those that name their attempt use connections again as before.

Evidence, platform/tests/adapter/copies.rs: a_copy_of_an_answer_to_a_request_without_an_id_does_not_reach_another_ caller printed "200 own , 200 copy" before, "200 own , 200 own " after. Passed before and after: copies with the id of the earlier answer, copies without an id on a connection of a request with one (502 each), and copies 0 to 3 ms after the answer in 300 requests.

--- a/src/forward/exchange.rs
+++ b/src/forward/exchange.rs
@@ -8,7 +8,7 @@
 use hyper::body::Incoming;
 
 use super::{
-    connection::{Connection, SendError},
+    connection::{open_connection, Connection, SendError},
     ForwardParams, Forwarder, InFlightGuard, Observation, ResponseHead, RunOutcome, Wire,
 };
 use crate::{catalog::Server, Category, Error, Instant, RequestId, Result};
@@ -61,7 +61,7 @@
         *req.method_mut() = template.method.clone();
         *req.uri_mut() = template.uri.clone();
         *req.headers_mut() = self.wire.request_headers(&template.headers, params);
-        let (connection, response) = self.send(req, server).await?;
+        let (connection, response) = self.send(req, server, template.attempt.is_some()).await?;
         let (parts, body) = response.into_parts();
         let mut head =
             self.wire
@@ -85,13 +85,21 @@
     }
 
     /// Sends a request on an idle connection, or on a new one when no idle one is usable.
+    ///
+    /// A request that names no attempt is sent on a new one, as a late copy of an earlier answer
+    /// could not be told from its own answer.
     async fn send(
         &self,
         mut req: Request<Full<Bytes>>,
         server: &Arc<Server>,
+        names_attempt: bool,
     ) -> std::result::Result<(Connection, http::Response<Incoming>), AttemptFailure> {
         loop {
-            let mut connection = match self.connections.acquire(server, self.clock.now()).await {
+            let acquired = match names_attempt {
+                true => self.connections.acquire(server, self.clock.now()).await,
+                false => open_connection(server.address).await,
+            };
+            let mut connection = match acquired {
                 Ok(connection) => connection,
                 Err(err) => {
                     self.health
