Read bodies that arrive slowly but steadily

What callers saw: 503 after 10 s for a body that was still arriving, although they would have waited for minutes.

Cause: a limit of 10 s on the whole body.

Change: the limit grows with the bytes that arrive, by a second for each 500; the caller's own timeout holds as before. A body that drips without end is still given up.

--- a/src/forward/mod.rs
+++ b/src/forward/mod.rs
@@ -19,6 +19,7 @@
 mod peer_stream;
 mod poison;
 mod request;
+mod request_body;
 mod resume;
 mod serve;
 mod state;
--- a/src/forward/serve.rs
+++ b/src/forward/serve.rs
@@ -2,20 +2,16 @@
 
 use std::{sync::Arc, time::Duration};
 
-use bytes::Bytes;
 use http::{request, Response};
-use http_body_util::{BodyExt, LengthLimitError, Limited};
 use hyper::body::Incoming;
 
 use super::{
+    request_body::read_body,
     unanswered::{Progress, Unanswered},
     Body, Forwarder, ProxyRequest, Received, RequestHead, Wire,
 };
 use crate::{routes::CallerLimits, Category, Error, Instant, Result};
 
-/// Longest time to read the body of a request, unless the caller's own timeout is shorter.
-const BODY_TIMEOUT: Duration = Duration::from_secs(10);
-
 impl<W: Wire> Forwarder<W> {
     /// Serves one request of a caller and returns the response.
     pub async fn serve(self: Arc<Self>, req: http::Request<Incoming>) -> Response<Body> {
@@ -55,10 +51,9 @@
     ) -> Result<Response<Body>> {
         let limits = self.limits();
         let caller_timeout = head.as_ref().ok().and_then(|head| head.timeout);
-        let timeout = caller_timeout.unwrap_or(BODY_TIMEOUT).min(BODY_TIMEOUT);
         // The body is read even if the request is refused: closing a connection with unread
         // bytes may discard the response.
-        let body = read_body(body, limits.max_body_bytes, timeout).await?;
+        let body = read_body(body, limits.max_body_bytes, caller_timeout).await?;
         progress.record_read();
         let req = ProxyRequest::<Received>::new(parts, body, head?, arrived, progress);
         // Reading the body takes time, so the route table is looked up only now.
@@ -91,19 +86,3 @@
         Error::not_run(category, message).with_retry_after(self.jittered_delay(mean))
     }
 }
-
-async fn read_body(body: Incoming, limit: usize, timeout: Duration) -> Result<Bytes> {
-    let read = Limited::new(body, limit).collect();
-    match tokio::time::timeout(timeout, read).await {
-        Ok(Ok(body)) => Ok(body.to_bytes()),
-        Ok(Err(err)) if err.is::<LengthLimitError>() => {
-            let message = format!("the body exceeds {limit} bytes");
-            Err(Error::not_run(Category::TooLarge, message))
-        }
-        Ok(Err(err)) => Err(Error::not_run(Category::BadInput, err.to_string())),
-        Err(_) => Err(Error::not_run(
-            Category::Timeout,
-            "the body did not arrive in time",
-        )),
-    }
-}
