Keep a late server until another one has sent its response

What callers saw: 502 for a request or a stream that may be repeated and whose server was late, but would have answered: the server that was asked as well sent the head of a response and broke off.

Cause: the first head ended the exchange with the other server, and no attempt was left.

Change: once a request is at two servers, the first whole response counts, of a stream the first data. Nothing changes for requests at one server.

Evidence, platform/tests/adapter/failover.rs; the first server answers after 1.8 s, the other breaks off. Before: a_request_whose_server_answers_late_is_answered_when_the_other_server_ breaks_off: "502 signed false sent 2" a_stream_whose_server_starts_late_is_answered_when_the_other_server_ breaks_off: "502 whole true events sent 2" After: "200 signed true sent 2", "200 whole true events 0,1,2,3 sent 2".

--- a/src/forward/attempts.rs
+++ b/src/forward/attempts.rs
@@ -19,7 +19,7 @@
 const MIN_TIME_LEFT: Duration = Duration::from_millis(15);
 
 /// Longest time to read a response when neither the route nor the caller sets a timeout.
-const DEFAULT_RESPONSE_TIMEOUT: Duration = Duration::from_secs(10);
+pub(super) const DEFAULT_RESPONSE_TIMEOUT: Duration = Duration::from_secs(10);
 
 /// Number of failed attempts to send the request to a server after which the request itself fails.
 pub(super) const MAX_UNSENT_ATTEMPTS: u32 = 4;
--- a/src/forward/exchange.rs
+++ b/src/forward/exchange.rs
@@ -9,6 +9,7 @@
 
 use super::{
     connection::{open_connection, Connection, SendError},
+    response_body::ResponseBody,
     ForwardParams, Forwarder, InFlightGuard, Observation, ResponseHead, RunOutcome, Wire,
 };
 use crate::{catalog::Server, Category, Error, Instant, RequestId, Result};
@@ -29,7 +30,9 @@
     pub(super) status: StatusCode,
     pub(super) headers: HeaderMap,
     pub(super) head: ResponseHead,
-    pub(super) body: Incoming,
+    pub(super) body: ResponseBody,
+    /// Whether the first data of a stream, or the whole body of another response, was read.
+    pub(super) is_prefetched: bool,
     /// Whether the head announces the end of the body by a length or by chunks; otherwise it ends
     /// with its connection.
     pub(super) is_framed: bool,
@@ -78,7 +81,8 @@
             status: parts.status,
             headers: parts.headers,
             head,
-            body,
+            body: ResponseBody::new(body),
+            is_prefetched: false,
             connection,
             _in_flight: in_flight,
         })
--- a/src/forward/failover.rs
+++ b/src/forward/failover.rs
@@ -1,15 +1,19 @@
 //! Failover of requests whose server has sent no head of a response yet.
 //!
 //! A server that is late may still answer. Its response is awaited until another server has sent
-//! the head of one.
+//! the first data of a stream, or the whole of another response.
 
 use std::{net::SocketAddr, sync::Arc, time::Duration};
 
-use futures_util::stream::{FuturesUnordered, StreamExt};
+use futures_util::{
+    future::BoxFuture,
+    stream::{FuturesUnordered, StreamExt},
+};
 use http::StatusCode;
 
 use super::{
-    attempts::{Attempts, MAX_UNSENT_ATTEMPTS, NOT_RUN_STATUSES},
+    attempts::{Attempts, DEFAULT_RESPONSE_TIMEOUT, MAX_UNSENT_ATTEMPTS, NOT_RUN_STATUSES},
+    buffered::BufferedResponse,
     exchange::{AttemptFailure, Exchange},
     ForwardParams, Forwarder, Observation, ProxyRequest, Routed, Wire,
 };
@@ -32,7 +36,7 @@
     /// it.
     ///
     /// When the server exceeds a failover timeout and the retry budget allows it, the request is
-    /// sent to another server as well; the first head counts. The number of servers to which the
+    /// sent to another server as well; the first response counts. The number of servers to which the
     /// request was sent is added to `attempts`.
     pub(super) async fn fetch_response_head<W: Wire>(
         &self,
@@ -45,8 +49,14 @@
         let mut sent_at = cx.clock.now();
         let mut failover_timeouts = self.failover_timeouts(attempts).into_iter().peekable();
         attempts.sent_count += 1;
-        let mut pending = FuturesUnordered::new();
-        pending.push(self.send_to(cx, latest.clone(), attempts.prompt_source, last_event));
+        let mut pending = FuturesUnordered::<BoxFuture<'_, _>>::new();
+        let source = attempts.prompt_source;
+        pending.push(Box::pin(self.send_to(
+            cx,
+            latest.clone(),
+            source,
+            last_event,
+        )));
         loop {
             let now = cx.clock.now();
             let time_left = self.time_left(now).unwrap_or(Duration::MAX);
@@ -57,9 +67,13 @@
                 Ok(Some(outcome)) => {
                     let failure = match outcome {
                         Ok(exchange) => match exchange.ensure_ran() {
-                            Ok(()) if pending.is_empty() || !is_failure(exchange.status) => {
+                            Ok(()) if pending.is_empty() || exchange.is_prefetched => {
                                 return Ok(exchange);
                             }
+                            Ok(()) if !is_failure(exchange.status) => {
+                                pending.push(Box::pin(self.prefetch(cx, exchange)));
+                                continue;
+                            }
                             checked => AttemptFailure {
                                 server: exchange.server.clone(),
                                 err: checked.err().unwrap_or_else(|| {
@@ -100,7 +114,12 @@
                 failover_timeouts = self.failover_timeouts(attempts).into_iter().peekable();
                 attempts.sent_count += 1;
                 let source = attempts.prompt_source;
-                pending.push(self.send_to(cx, latest.clone(), source, last_event));
+                pending.push(Box::pin(self.send_to(
+                    cx,
+                    latest.clone(),
+                    source,
+                    last_event,
+                )));
             }
         }
     }
@@ -123,6 +142,48 @@
         cx.exchange(&self.template, &server, &params).await
     }
 
+    /// Reads the first data of a stream, or the whole body of another response.
+    async fn prefetch<W: Wire>(
+        &self,
+        cx: &Forwarder<W>,
+        mut exchange: Exchange,
+    ) -> std::result::Result<Exchange, AttemptFailure> {
+        let server = exchange.server.clone();
+        let read = if self.state.kind.is_stream() {
+            let read = exchange.body.await_data().await;
+            let broken = match read {
+                Ok(has_data) if has_data || exchange.is_framed => None,
+                Ok(_) => Some("the response ended before its first event".to_string()),
+                Err(err) => Some(err.to_string()),
+            };
+            broken.map_or(Ok(exchange), |message| {
+                let now = cx.clock.now();
+                cx.health
+                    .record(server.key(), Observation::Unreachable, now);
+                Err(Error::may_have_run(Category::Cut, message))
+            })
+        } else {
+            let time_left = self.time_left(cx.clock.now());
+            let time_left = time_left.unwrap_or(DEFAULT_RESPONSE_TIMEOUT);
+            let response = cx.buffer_response(exchange, time_left).await;
+            response.map(|BufferedResponse { mut exchange, body }| {
+                exchange.body.unread(body);
+                exchange
+            })
+        };
+        match read {
+            Ok(mut exchange) => {
+                exchange.is_prefetched = true;
+                Ok(exchange)
+            }
+            Err(err) => Err(AttemptFailure {
+                server,
+                err,
+                sent: true,
+            }),
+        }
+    }
+
     /// Returns the server to which the request is sent as well because `server` exceeded
     /// `failover_timeout`, and records its placement there.
     fn failover_server<W: Wire>(
--- a/src/forward/mod.rs
+++ b/src/forward/mod.rs
@@ -20,6 +20,7 @@
 mod poison;
 mod request;
 mod request_body;
+mod response_body;
 mod resume;
 mod serve;
 mod state;
