--- a/src/forward/exchange.rs
+++ b/src/forward/exchange.rs
@@ -8,7 +8,8 @@
 use hyper::body::Incoming;
 
 use super::{
-    connection::{Connection, SendError},
+    connection::{open_connection, Connection, SendError},
+    response_body::ResponseBody,
     unanswered::Progress,
     ForwardParams, Forwarder, InFlightGuard, Observation, ResponseHead, RunOutcome, Wire,
 };
@@ -30,7 +31,9 @@
     pub(super) status: StatusCode,
     pub(super) headers: HeaderMap,
     pub(super) head: ResponseHead,
-    pub(super) body: Incoming,
+    pub(super) body: ResponseBody,
+    /// Whether the first data of a stream, or the whole body of another response, was read.
+    pub(super) is_prefetched: bool,
     /// Whether the head announces the end of the body by a length or by chunks; otherwise it ends
     /// with its connection.
     pub(super) is_framed: bool,
@@ -63,7 +66,8 @@
         *req.method_mut() = template.method.clone();
         *req.uri_mut() = template.uri.clone();
         *req.headers_mut() = self.wire.request_headers(&template.headers, params);
-        let (connection, response) = self.send(req, progress, server).await?;
+        let names_attempt = template.attempt.is_some();
+        let (connection, response) = self.send(req, progress, server, names_attempt).await?;
         let (parts, body) = response.into_parts();
         let mut head =
             self.wire
@@ -83,21 +87,30 @@
             status: parts.status,
             headers: parts.headers,
             head,
-            body,
+            body: ResponseBody::new(body),
+            is_prefetched: false,
             connection,
             _in_flight: in_flight,
         })
     }
 
     /// Sends a request on an idle connection, or on a new one when no idle one is usable.
+    ///
+    /// A request that names no attempt is sent on a new one, as a late copy of an earlier answer
+    /// could not be told from its own answer.
     async fn send(
         &self,
         mut req: Request<Full<Bytes>>,
         progress: &Progress,
         server: &Arc<Server>,
+        names_attempt: bool,
     ) -> std::result::Result<(Connection, http::Response<Incoming>), AttemptFailure> {
         loop {
-            let mut connection = match self.connections.acquire(server, self.clock.now()).await {
+            let acquired = match names_attempt {
+                true => self.connections.acquire(server, self.clock.now()).await,
+                false => open_connection(server.address).await,
+            };
+            let mut connection = match acquired {
                 Ok(connection) => connection,
                 Err(err) => {
                     self.health
--- a/src/forward/mod.rs
+++ b/src/forward/mod.rs
@@ -19,6 +19,8 @@
 mod peer_stream;
 mod poison;
 mod request;
+mod request_body;
+mod response_body;
 mod resume;
 mod serve;
 mod state;
--- a/src/forward/serve.rs
+++ b/src/forward/serve.rs
@@ -2,12 +2,11 @@
 
 use std::{sync::Arc, time::Duration};
 
-use bytes::Bytes;
 use http::{request, Response};
-use http_body_util::{BodyExt, LengthLimitError, Limited};
 use hyper::body::Incoming;
 
 use super::{
+    request_body::read_body,
     unanswered::{Progress, Unanswered},
     Body, Drain, Forwarder, ProxyRequest, Received, RequestHead, Wire,
 };
@@ -17,9 +16,6 @@
     Category, Error, Instant, Result, Verdict,
 };
 
-/// Longest time to read the body of a request, unless the caller's own timeout is shorter.
-const BODY_TIMEOUT: Duration = Duration::from_secs(10);
-
 impl<W: Wire> Forwarder<W> {
     /// Serves one request of a caller and returns the response.
     pub async fn serve(self: Arc<Self>, req: http::Request<Incoming>) -> Response<Body> {
@@ -64,12 +60,11 @@
     ) -> Result<Response<Body>> {
         let limits = self.limits();
         let caller_timeout = head.as_ref().ok().and_then(|head| head.timeout);
-        let timeout = caller_timeout.unwrap_or(BODY_TIMEOUT).min(BODY_TIMEOUT);
         // The body is read even if the request is refused: closing a connection with unread
         // bytes may discard the response.
         let body = tokio::select! {
             biased;
-            body = read_body(body, limits.max_body_bytes, timeout) => body?,
+            body = read_body(body, limits.max_body_bytes, caller_timeout) => body?,
             () = self.drain_reaches(Drain::last_read_at) => {
                 return Err(self.shutdown_error(Verdict::NotRun));
             }
@@ -118,19 +113,3 @@
 pub(super) fn panic_error(verdict: Verdict) -> Error {
     Error::new(Category::Internal, verdict, "the router failed")
 }
-
-async fn read_body(body: Incoming, limit: usize, timeout: Duration) -> Result<Bytes> {
-    let read = Limited::new(body, limit).collect();
-    match tokio::time::timeout(timeout, read).await {
-        Ok(Ok(body)) => Ok(body.to_bytes()),
-        Ok(Err(err)) if err.is::<LengthLimitError>() => {
-            let message = format!("the body exceeds {limit} bytes");
-            Err(Error::not_run(Category::TooLarge, message))
-        }
-        Ok(Err(err)) => Err(Error::not_run(Category::BadInput, err.to_string())),
-        Err(_) => Err(Error::not_run(
-            Category::Timeout,
-            "the body did not arrive in time",
-        )),
-    }
-}
