Start a background task of a router again when it ends

Callers saw: nothing at once. A router whose task had panicked went on without it: with the settings, configuration or servers that it had, or unknown to the others, until it was restarted by hand. Its log had no line.

Cause: the tasks ran in a set that nobody polled.

Change: each background task has a name, and a supervisor that logs its end as an error, counts it and starts it again after 0.5 s with the state that its slice holds. Ending the process instead was weighed: a message that reaches all routers would end them all.

With tasks run once, as before, tasks::background_task_that_panics_or_returns_... printed `1 runs, ended []`; now 3 runs, both ends logged and counted.

--- a/src/feed/serve.rs
+++ b/src/feed/serve.rs
@@ -26,7 +26,7 @@
 const READING_LEN: usize = size_of::<u64>();
 
 /// Accepts connections of other routers and feeds each of them in its own task.
-pub async fn serve_subscribers(feed: Arc<Feed>, listener: TcpListener, clock: Clock) {
+pub async fn serve_subscribers(feed: Arc<Feed>, listener: Arc<TcpListener>, clock: Clock) {
     let slots = Arc::new(Semaphore::new(feed.max_subscribers()));
     loop {
         let (stream, from) = match listener.accept().await {
--- a/src/inspect/forward_metrics.rs
+++ b/src/inspect/forward_metrics.rs
@@ -38,6 +38,12 @@
     cause: &'static str,
 }
 
+/// Labels of the counter of background tasks that ended.
+#[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct TaskLabels {
+    task: &'static str,
+}
+
 /// Labels of the gauge of servers that get no new requests.
 #[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
 struct SetAsideLabels {
@@ -54,6 +60,7 @@
     retries: Family<RetryLabels, Counter<u64, AtomicU64>>,
     unanswered: Family<UnansweredLabels, Counter<u64, AtomicU64>>,
     servers_set_aside: Family<SetAsideLabels, Gauge>,
+    tasks_ended: Family<TaskLabels, Counter<u64, AtomicU64>>,
     /// Connections opened to backend servers.
     pub connections: Counter<u64, AtomicU64>,
     /// Datagrams of other routers that could not be decoded.
@@ -71,6 +78,7 @@
             retries: Family::default(),
             unanswered: Family::default(),
             servers_set_aside: Family::default(),
+            tasks_ended: Family::default(),
             connections: Counter::default(),
             datagrams_dropped: Counter::default(),
             registry: Registry::default(),
@@ -99,6 +107,8 @@
         registry.register("datagrams_dropped", help, metrics.datagrams_dropped.clone());
         let help = "Servers that get no new requests of this router, by reason";
         registry.register("servers_set_aside", help, metrics.servers_set_aside.clone());
+        let help = "Background tasks that ended and were started again";
+        registry.register("tasks_ended", help, metrics.tasks_ended.clone());
         ForwardMetrics {
             registry,
             ..metrics
@@ -127,6 +137,11 @@
         gauge.set(i64::try_from(count).unwrap_or(i64::MAX));
     }
 
+    /// Counts an unexpected end of the background task `task`.
+    pub fn count_task_end(&self, task: &'static str) {
+        self.tasks_ended.get_or_create(&TaskLabels { task }).inc();
+    }
+
     /// Records that a request was answered `took` after its arrival.
     pub fn observe_answer(&self, took: Duration) {
         self.answer_seconds.observe(took.as_secs_f64());
--- a/src/tasks.rs
+++ b/src/tasks.rs
@@ -1,13 +1,22 @@
-//! Logs panics with the name of their task, and confines them to it.
+//! Logs panics with the name of their task, and starts background tasks again when they end.
+//!
+//! A router keeps what it knows while one of its tasks starts again. Ending the process instead
+//! would end all routers at once when the same message reaches each of them.
 
 use std::{
     any::Any,
     future::Future,
     panic::{self, AssertUnwindSafe, PanicHookInfo},
+    time::Duration,
 };
 
 use futures_util::FutureExt;
 
+/// Time from the unexpected end of a background task until it is started again.
+///
+/// Less than the time after which other routers take one without digests for silent.
+pub const RESTART_DELAY: Duration = Duration::from_millis(500);
+
 /// Name in the log of code that runs outside of the named tasks.
 const UNNAMED: &str = "-";
 
@@ -52,6 +61,30 @@
     caught.await.map_err(|_| Panicked)
 }
 
+/// Runs the task that `start` returns, and a new one each time it ends, which it never should.
+///
+/// `on_end` is called with the name each time.
+pub async fn keep_running<F>(
+    name: &'static str,
+    start: impl Fn() -> F,
+    on_end: impl Fn(&'static str),
+) where
+    F: Future<Output = ()>,
+{
+    loop {
+        let reason = match run(name, async { start().await }).await {
+            Ok(()) => "returned",
+            Err(Panicked) => "panicked",
+        };
+        log::error!(
+            "task ended task={name} reason={reason} restart_ms={}",
+            RESTART_DELAY.as_millis()
+        );
+        on_end(name);
+        tokio::time::sleep(RESTART_DELAY).await;
+    }
+}
+
 fn message<'a>(info: &'a PanicHookInfo<'_>) -> &'a str {
     let payload: &dyn Any = info.payload();
     let text = payload.downcast_ref::<&str>().copied();
--- a/tests/feed/delay.rs
+++ b/tests/feed/delay.rs
@@ -64,7 +64,11 @@
     let follower = Arc::new(Feed::new(&name(1), LINK_MBPS));
     let listener = TcpListener::bind("127.0.0.1:0").await.expect("a listener");
     let follower_address = listener.local_addr().expect("an address");
-    tokio::spawn(serve_subscribers(follower.clone(), listener, clock));
+    tokio::spawn(serve_subscribers(
+        follower.clone(),
+        Arc::new(listener),
+        clock,
+    ));
     tokio::spawn(async move {
         for answer in 1.. {
             let now = clock.now();
--- a/tests/feed/gap.rs
+++ b/tests/feed/gap.rs
@@ -75,7 +75,11 @@
     let mut router = state(1, StoreStatus::Reachable);
     router.routes_version = LOST_VERSION;
     router.peer_address = listener.local_addr().expect("an address");
-    tokio::spawn(serve_subscribers(running.clone(), listener, clock));
+    tokio::spawn(serve_subscribers(
+        running.clone(),
+        Arc::new(listener),
+        clock,
+    ));
 
     let own_address = ([127, 0, 0, 1], 1).into();
     let presence = Arc::new(Presence::new(name(2), own_address));
--- a/tests/feed/tree.rs
+++ b/tests/feed/tree.rs
@@ -142,7 +142,7 @@
     feed.record_current(clock.now(), clock.now());
     let listener = TcpListener::bind("127.0.0.1:0").await.expect("a listener");
     let address = listener.local_addr().expect("an address");
-    tokio::spawn(serve_subscribers(feed.clone(), listener, clock));
+    tokio::spawn(serve_subscribers(feed.clone(), Arc::new(listener), clock));
     let mut fed = Vec::new();
     let mut refused = 0;
     for _ in 0..2 * feed.max_subscribers() {
--- a/tests/tasks/main.rs
+++ b/tests/tasks/main.rs
@@ -1,6 +1,12 @@
-//! Panics of tasks and their log lines.
+//! Panics of tasks, and tasks that end: what is logged, and what is started again.
 
-use std::sync::{Mutex, Once};
+use std::{
+    sync::{
+        atomic::{AtomicU32, Ordering},
+        Mutex, Once,
+    },
+    time::Duration,
+};
 
 use ebonyspur::tasks;
 use expect_test::expect;
@@ -59,3 +65,41 @@
         panic task=decode error="two\nlines""#]]
     .assert_eq(&format!("{outcome:?}\n{line}"));
 }
+
+#[tokio::test]
+async fn background_task_that_panics_or_returns_is_logged_and_started_again() {
+    start_log();
+    let (runs, ended) = (AtomicU32::new(0), Mutex::new(Vec::new()));
+    let start = || {
+        let run = runs.fetch_add(1, Ordering::SeqCst);
+        async move {
+            match run {
+                0 => panic!("first"),
+                1 => {}
+                _ => std::future::pending().await,
+            }
+        }
+    };
+    let running = tasks::keep_running("follow", start, |name| ended.lock().unwrap().push(name));
+    let started_twice = async {
+        while runs.load(Ordering::SeqCst) < 3 {
+            tokio::time::sleep(Duration::from_millis(10)).await;
+        }
+    };
+    tokio::select! {
+        () = running => {}
+        () = started_twice => {}
+        () = tokio::time::sleep(Duration::from_secs(20)) => {}
+    }
+    let runs = runs.load(Ordering::SeqCst);
+    let lines = lines_of("follow").join("\n");
+    expect![[r#"
+        3 runs, ended ["follow", "follow"]
+        panic task=follow error="first"
+        task ended task=follow reason=panicked restart_ms=500
+        task ended task=follow reason=returned restart_ms=500"#]]
+    .assert_eq(&format!(
+        "{runs} runs, ended {:?}\n{lines}",
+        ended.lock().unwrap()
+    ));
+}
