Keep granting retries after the window of the retry budget was lengthened

Callers saw: in a checked build, requests that were to be sent again failed inside the router once the settings named a longer window. In a release build the difference wrapped around, which gave the intended result.

Cause: slices are numbered by the length of the window, so that those from before the change have higher numbers; the age of a slice was subtracted without a check.

Evidence: shared_retries::a_longer_window_neither_fails_retries_... panicked before with `attempt to subtract with overflow`.

--- a/src/admission/shared_retries.rs
+++ b/src/admission/shared_retries.rs
@@ -78,9 +78,11 @@
         let Some(slices) = pools.get(pool) else {
             return (0, 0);
         };
+        // After a longer window was set, the numbers of earlier slices are higher.
+        let age = |slice: &Slice| number.checked_sub(slice.number);
         let recent = slices
             .iter()
-            .filter(|slice| number - slice.number < SLICES_PER_WINDOW);
+            .filter(|slice| age(slice).is_some_and(|age| age < SLICES_PER_WINDOW));
         recent.fold((0, 0), |(first_attempts, retries), slice| {
             (
                 first_attempts + slice.first_attempts,
--- a/tests/admission/shared_retries.rs
+++ b/tests/admission/shared_retries.rs
@@ -67,3 +67,18 @@
     let budget = ALLOWANCE.ratio * f64::from(first_attempts) + ALLOWANCE.extra;
     assert!(f64::from(retries) >= 0.6 * budget, "{retries} of {budget}");
 }
+
+#[test]
+fn a_longer_window_neither_fails_retries_nor_counts_earlier_ones_for_it() {
+    let pool = PoolName::new("writers").unwrap();
+    let retries = SharedRetries::default();
+    let longer = RetryAllowance {
+        window: ALLOWANCE.window * 3,
+        ..ALLOWANCE
+    };
+    for second in 20..40 {
+        retries.earn(&pool, &ALLOWANCE, Instant::from_millis(second * 1_000));
+    }
+    let now = Instant::from_millis(40_000);
+    assert!(retries.spend(&pool, &longer, 19, now));
+}
