Take the latest routes of all live routers when starting in an outage

Callers saw: a router that started while the store was away could accept a withdrawn key, or a route that had been dropped, until the store was back, although other live routers had the later configuration.

Cause: a starting router takes the table of the first router that serves. If that one had been cut off before the last change, no later one was taken: only followers compared versions, and no router follows in an outage.

Change: a router without a router that feeds it takes later routes from those that announce them, whatever its role.

Evidence: outage::a_router_that_starts_takes_the_latest_routes_of_all_live_... printed before `known true: version 5, then 5` within 3 s; now 5, then 9.

--- a/src/feed/subscribe.rs
+++ b/src/feed/subscribe.rs
@@ -33,17 +33,19 @@
 const DELAY_LOG_THRESHOLD: Duration = Duration::from_millis(300);
 
 /// Keeps a feed connection to one of the followers open while this router does not follow the
-/// store itself, or to a router with later routes than those in the store.
+/// store itself, or to a router with later routes while no other router follows.
 pub async fn subscribe(feed: Arc<Feed>, presence: Arc<Presence>, clock: Clock) {
     loop {
         let now = clock.now();
         let mut sources = match feed.role(&presence, now) {
-            Role::Follower if feed.is_known() => routers_ahead(&feed, &presence, now),
+            Role::Follower if feed.is_known() => Vec::new(),
             _ => feed.upstreams(&presence, now),
         };
         if !feed.is_known() {
             // Until it can serve callers, a router accepts a feed from any router that serves.
             sources.extend(presence.serving_peers(now));
+        } else if sources.is_empty() {
+            sources = routers_ahead(&feed, &presence, now);
         }
         let mut pause = ROLE_CHECK_PERIOD;
         for address in sources {
@@ -65,7 +67,8 @@
 /// Returns the addresses of the live routers with later routes than those in force here, the latest
 /// first.
 ///
-/// A store that came back from a copy gives out older routes until they are written again.
+/// A store that came back from a copy gives out older routes until they are written again. While
+/// no router reaches the store, the first one that fed this router may have been behind the others.
 fn routers_ahead(feed: &Feed, presence: &Presence, now: Instant) -> Vec<SocketAddr> {
     let version = feed.routes.version();
     let mut ahead = presence.map_live(now, |state| (state.routes_version, state.peer_address));
--- a/tests/feed/main.rs
+++ b/tests/feed/main.rs
@@ -3,6 +3,7 @@
 mod delay;
 mod era;
 mod gap;
+mod outage;
 mod tree;
 
 use ebonyspur::{
--- /dev/null
+++ b/tests/feed/outage.rs
@@ -0,0 +1,146 @@
+//! Routers that start while the store is down learn what the others know.
+
+use std::{net::SocketAddr, sync::Arc, time::Duration};
+
+use ebonyspur::{
+    catalog::Server,
+    feed::{
+        follow_servers, serve_subscribers, subscribe, Feed, FleetSnapshot, Position, RoutesRead,
+        ServersRead, Store,
+    },
+    presence::{Presence, StoreStatus},
+    routes::TableBuilder,
+    Category, Clock, EngineName, Error, Result,
+};
+use expect_test::expect;
+use tokio::{net::TcpListener, time::sleep};
+
+use crate::{digest, name, position, server, state, LINK_MBPS};
+
+/// Time within which a router that starts knows what the others do.
+const LEARNING_TIME: Duration = Duration::from_secs(3);
+
+const TICK: Duration = Duration::from_millis(50);
+
+/// A store that fails all calls.
+struct DownStore;
+
+fn down<T>() -> Result<T> {
+    Err(Error::not_run(Category::LogUnavailable, "down"))
+}
+
+impl Store for DownStore {
+    async fn read_servers(&self, _: Option<Position>, _: Duration) -> Result<ServersRead> {
+        down()
+    }
+
+    async fn read_routes(&self, _: Option<Position>, _: Duration) -> Result<RoutesRead> {
+        down()
+    }
+
+    async fn save_snapshot(&self, _: &FleetSnapshot) -> Result<()> {
+        down()
+    }
+
+    async fn load_snapshot(&self) -> Result<FleetSnapshot> {
+        down()
+    }
+}
+
+/// A router that runs since before the outage.
+struct Running {
+    number: usize,
+    address: SocketAddr,
+    version: u64,
+}
+
+impl Running {
+    /// Starts a router with the routes of `version`, which were last current at the start of `clock`.
+    async fn start(number: usize, version: u64, clock: Clock) -> Self {
+        let feed = Arc::new(Feed::new(&name(number), LINK_MBPS));
+        let table = TableBuilder::new(version).build().expect("routes");
+        feed.replace_routes_if_newer(table, "store");
+        let other = Server {
+            name: EngineName::new("e-2").expect("a name"),
+            ..server(false)
+        };
+        feed.replace_servers(vec![server(false), other], position(9), clock.now());
+        feed.record_current(clock.now(), clock.now());
+        let listener = TcpListener::bind("127.0.0.1:0").await.expect("a listener");
+        let address = listener.local_addr().expect("an address");
+        tokio::spawn(serve_subscribers(feed, Arc::new(listener), clock));
+        Running {
+            number,
+            address,
+            version,
+        }
+    }
+
+    /// Passes the digest of this router to `presence`.
+    fn announce(&self, presence: &Presence, clock: Clock) {
+        let mut router = state(self.number, StoreStatus::Unreachable);
+        router.is_current = false;
+        router.routes_version = self.version;
+        router.peer_address = self.address;
+        let sequence = clock.now().as_micros();
+        presence.receive(&digest(router, sequence), clock.now());
+    }
+}
+
+/// A router that starts in the outage.
+struct Starting {
+    feed: Arc<Feed>,
+    presence: Arc<Presence>,
+    clock: Clock,
+}
+
+impl Starting {
+    /// Starts a router that has already found that the store is down.
+    async fn start(clock: Clock) -> Self {
+        let feed = Arc::new(Feed::new(&name(7), LINK_MBPS));
+        let presence = Arc::new(Presence::new(name(7), ([127, 0, 0, 1], 1).into()));
+        let following = follow_servers(Arc::new(DownStore), feed.clone(), presence.clone(), clock);
+        tokio::spawn(following);
+        while feed.is_store_reachable(clock.now()) {
+            sleep(TICK).await;
+        }
+        tokio::spawn(subscribe(feed.clone(), presence.clone(), clock));
+        Starting {
+            feed,
+            presence,
+            clock,
+        }
+    }
+
+    /// Waits until `condition` holds while `live` routers announce themselves; returns whether it
+    /// did in time.
+    async fn wait(&self, live: &[&Running], condition: impl Fn(&Feed) -> bool) -> bool {
+        let started = self.clock.now();
+        while !condition(&self.feed) {
+            if self.clock.now().since(started) >= LEARNING_TIME {
+                return false;
+            }
+            for router in live {
+                router.announce(&self.presence, self.clock);
+            }
+            sleep(TICK).await;
+        }
+        true
+    }
+}
+
+#[tokio::test]
+async fn a_router_that_starts_takes_the_latest_routes_of_all_live_routers() {
+    let clock = Clock::new();
+    let cut_off = Running::start(1, 5, clock).await;
+    let later = Running::start(2, 9, clock).await;
+    sleep(Duration::from_secs(3)).await;
+    let starting = Starting::start(clock).await;
+    let is_known = starting.wait(&[&cut_off], Feed::is_known).await;
+    let first = starting.feed.routes.version();
+    let has_latest = |feed: &Feed| feed.routes.version() == 9;
+    starting.wait(&[&cut_off, &later], has_latest).await;
+    let last = starting.feed.routes.version();
+    expect!["known true: version 5, then 9"]
+        .assert_eq(&format!("known {is_known}: version {first}, then {last}"));
+}
