--- a/stand-in/src/replica.rs
+++ b/stand-in/src/replica.rs
@@ -1,6 +1,8 @@
 //! A simulated backend server of the users' platform: a transactional server or an engine.
 //!
-//! Paths that contain `stream` are answered as a model engine does, with numbered events.
+//! Paths that contain `stream` are answered as a model engine does, with numbered events. The
+//! query may set `wait_ms` before the answer, `size` added to its body, and for streams `events`,
+//! `interval_ms` between them and a text to `echo` in each.
 //! The header `x-fault: SERVER=FAULT` of a request injects a fault at the server of that
 //! name; `*` matches each server.
 
@@ -21,11 +23,11 @@
 
 use crate::web::{self, Req};
 
-/// Number of the last event of a stream; the first one is 0.
-const LAST_EVENT: u64 = 6;
+/// Number of events of a stream, unless the query sets it.
+const EVENTS: u64 = 7;
 
-/// Time between two events of a stream.
-const EVENT_INTERVAL: Duration = Duration::from_millis(20);
+/// Time between two events of a stream in milliseconds, unless the query sets it.
+const EVENT_INTERVAL_MS: u64 = 20;
 
 /// Time between two registrations in the store.
 const REGISTRATION_INTERVAL: Duration = Duration::from_millis(300);
@@ -44,6 +46,9 @@
     /// Address of the store.
     #[arg(long)]
     store: SocketAddr,
+    /// Address under which the server registers, if it is not the one that it listens on.
+    #[arg(long)]
+    advertise: Option<SocketAddr>,
     /// Requests that run at once; further ones are refused.
     #[arg(long, default_value_t = 6)]
     slots: usize,
@@ -103,6 +108,7 @@
 
 async fn register(replica: Arc<Replica>, args: Args) {
     let http = web::client();
+    let address = args.advertise.unwrap_or(args.listen);
     let url = format!("http://{}/record/keyed.servers/{}", args.store, args.name);
     for sequence in 0_u64.. {
         let (leaving, started_ms) = {
@@ -111,7 +117,7 @@
         };
         let state = if leaving { "draining" } else { "ready" };
         let entry = json!({
-            "service": args.pool, "address": args.listen, "zone": "zone-1", "version": "v1",
+            "service": args.pool, "address": address, "zone": "zone-1", "version": "v1",
             "slots": args.slots, "state": state, "cold_remaining_ms": 0,
             "sequence": sequence, "born": started_ms,
         });
@@ -193,9 +199,11 @@
         "slow" => tokio::time::sleep(Duration::from_millis(800)).await,
         _ => {}
     }
+    tokio::time::sleep(Duration::from_millis(req.number("wait_ms", 0))).await;
     if !req.uri.path().contains("stream") {
         run.is_complete = true;
-        let body = format!("{} answers {}", replica.name, req.uri);
+        let filler = ".".repeat(req.number("size", 0) as usize);
+        let body = format!("{} answers {}{filler}", replica.name, req.uri);
         return replica.respond(&req, StatusCode::OK, false, full_body(body));
     }
     let first = req
@@ -204,7 +212,13 @@
         .map_or(0, |last: u64| last + 1);
     let faults = Faults::parse(&fault, first > 0);
     let responder = replica.clone();
-    let body = events(run, first, faults);
+    let plan = EventPlan {
+        first,
+        count: req.number("events", EVENTS),
+        interval: Duration::from_millis(req.number("interval_ms", EVENT_INTERVAL_MS)),
+        echo: req.text("echo"),
+    };
+    let body = events(run, plan, faults);
     let mut answer = responder.respond(&req, StatusCode::OK, false, body);
     let media_type = "text/event-stream".parse().unwrap();
     answer.headers_mut().insert("content-type", media_type);
@@ -219,6 +233,8 @@
             return None;
         }
         state.running += 1;
+        // Survives a kill of this process.
+        println!("ran id={}", req.header("x-attempt-id"));
         let headers: BTreeMap<_, _> = req
             .headers
             .iter()
@@ -306,11 +322,24 @@
     }
 }
 
-/// Returns a body with the events from number `first` on.
-fn events(run: Run, first: u64, faults: Faults) -> Body {
+/// Events of a stream.
+struct EventPlan {
+    /// Number of the first event to send; the first one of a whole stream is 0.
+    first: u64,
+    /// Number of events of the whole stream.
+    count: u64,
+    interval: Duration,
+    /// Text at the end of each event.
+    echo: String,
+}
+
+/// Returns a body with the events of `plan`.
+fn events(run: Run, plan: EventPlan, faults: Faults) -> Body {
     let Faults { cut, mute, stop } = faults;
-    let frames = stream::unfold((run, first), move |(mut run, number)| async move {
-        tokio::time::sleep(EVENT_INTERVAL).await;
+    let first = plan.first;
+    let plan = Arc::new(plan);
+    let next = move |(mut run, number): (Run, u64), plan: Arc<EventPlan>| async move {
+        tokio::time::sleep(plan.interval).await;
         if mute == Some(number) {
             std::future::pending::<()>().await;
         }
@@ -318,12 +347,12 @@
             let err = std::io::Error::other("broken off on purpose");
             return Some((Err(err), (run, number)));
         }
-        if number > LAST_EVENT || stop.is_some_and(|stop| number > stop) {
+        if number >= plan.count || stop.is_some_and(|stop| number > stop) {
             run.is_complete = true;
             drop(run);
             return None;
         }
-        let text = format!("id: {number}\ndata: word-{number}\n\n");
+        let text = format!("id: {number}\ndata: word-{number}{}\n\n", plan.echo);
         let len = if cut == Some(number) || stop == Some(number) {
             text.len() / 2
         } else {
@@ -331,6 +360,7 @@
         };
         let bytes = Bytes::from(text).slice(..len);
         Some((Ok(Frame::data(bytes)), (run, number + 1)))
-    });
+    };
+    let frames = stream::unfold((run, first), move |state| next(state, plan.clone()));
     StreamBody::new(frames).boxed_unsync()
 }
