Leave the limit of the kernel in force until it tells of unacknowledged data

Cause: the check of connections in the kernel replaced its limit (TCP_USER_TIMEOUT), and took the missing information for acknowledgement.

Change: the limit is set on each connection as before, and is removed by the first check that finds unacknowledged data, from which on the checks decide.

--- a/src/forward/peer_stream.rs
+++ b/src/forward/peer_stream.rs
@@ -1,7 +1,8 @@
 //! TCP streams that detect a peer that is gone without closing the connection.
 //!
 //! The kernel's own limit on unacknowledged data (`TCP_USER_TIMEOUT`) also ends a connection whose
-//! peer acknowledges but has no room in its receive buffer. Here only missing acknowledgements count.
+//! peer acknowledges but has no room in its receive buffer. Here only missing acknowledgements count,
+//! once the kernel has told that data is unacknowledged; where it tells nothing, its limit stays.
 
 use std::{
     future::Future,
@@ -42,6 +43,8 @@
     blocked_since: Option<Instant>,
     /// Check of the data that was sent; `None` while all of it is acknowledged.
     check: Option<AckCheck>,
+    /// Whether the limit of the kernel is in force.
+    has_kernel_limit: bool,
 }
 
 #[derive(Debug)]
@@ -54,12 +57,23 @@
 impl PeerStream {
     /// Creates a stream over a connection to `peer`.
     pub(super) fn new(stream: TcpStream, peer: SocketAddr) -> Self {
-        PeerStream {
+        let mut stream = PeerStream {
             stream,
             peer,
             write_timeout: None,
             blocked_since: None,
             check: None,
+            has_kernel_limit: false,
+        };
+        stream.set_kernel_limit(Some(ACK_TIMEOUT));
+        stream
+    }
+
+    /// Sets or removes the limit of the kernel on the time for which data is unacknowledged.
+    fn set_kernel_limit(&mut self, limit: Option<Duration>) {
+        match self.socket().set_tcp_user_timeout(limit) {
+            Ok(()) => self.has_kernel_limit = limit.is_some(),
+            Err(err) => log::debug!("cannot limit connection peer={} error=\"{err}\"", self.peer),
         }
     }
 
@@ -95,10 +109,13 @@
                 }
             };
             let waiting = now.duration_since(check.since);
+            check.next.as_mut().reset(now + CHECK_INTERVAL);
+            if self.has_kernel_limit {
+                self.set_kernel_limit(None);
+            }
             if waiting >= ACK_TIMEOUT && is_gone(&info) {
                 return Err(self.lost("no_acknowledgement", waiting));
             }
-            check.next.as_mut().reset(now + CHECK_INTERVAL);
             let blocked = self.blocked_since.map(|since| now.duration_since(since));
             let blocked = blocked.filter(|blocked| {
                 self.write_timeout
