Test the last answers of a drain with full sockets and slow callers

Three cases in which a drain might cut requests, none of which could be made to fail: requests that arrive on idle connections while the process is held up over the last responses, requests on connections that the kernel has accepted beyond the connection limit, and a response of 32 MiB whose caller begins to read after the last responses.

--- a/tests/forward/draining.rs
+++ b/tests/forward/draining.rs
@@ -4,7 +4,7 @@
 
 use ebonyspur::forward::DrainStage;
 
-use crate::listener::{Listener, MAX_CONNECTIONS, MS};
+use crate::listener::{Connection, Listener, MAX_CONNECTIONS, MS};
 
 #[test]
 fn callers_are_told_at_the_end_of_a_stream_that_a_draining_router_takes_no_further_request() {
@@ -91,3 +91,60 @@
     assert_eq!(caller.answer(), "200 close");
     listener.thread.join().expect("the listener ends");
 }
+
+#[test]
+fn requests_that_wait_in_the_sockets_of_idle_connections_at_the_last_answers_are_answered() {
+    let listener = Listener::start(MS(60_000), MAX_CONNECTIONS);
+    let mut callers: Vec<_> = (0..20).map(|_| listener.connect()).collect();
+    for caller in &mut callers {
+        assert_eq!(caller.call("/"), "200");
+    }
+    listener.enter(DrainStage::Draining);
+    let mut blocker = listener.connect();
+    blocker.request("/block/1500");
+    sleep(MS(500));
+    for caller in &mut callers {
+        caller.request("/");
+    }
+    listener.enter(DrainStage::Finishing);
+    let answers: Vec<_> = callers.iter_mut().map(Connection::answer).collect();
+    assert_eq!(answers, vec!["200 close"; 20]);
+    listener.thread.join().expect("the listener ends");
+}
+
+#[test]
+fn requests_that_wait_for_a_free_connection_are_answered_at_the_last_answers() {
+    let listener = Listener::start(MS(60_000), 2);
+    let mut busy = listener.connect();
+    busy.request("/wait/4000");
+    let mut idle = listener.connect();
+    assert_eq!(idle.call("/"), "200");
+    let mut callers: Vec<_> = (0..10).map(|_| listener.connect()).collect();
+    for caller in &mut callers {
+        caller.request("/");
+    }
+    listener.enter(DrainStage::Draining);
+    listener.enter(DrainStage::Closing);
+    sleep(MS(500));
+    listener.enter(DrainStage::Finishing);
+    let answers: Vec<_> = callers.iter_mut().map(Connection::answer).collect();
+    assert_eq!(answers, vec!["200 close"; 10]);
+    assert_eq!(busy.answer(), "200 close");
+    listener.thread.join().expect("the listener ends");
+}
+
+#[test]
+fn large_response_that_its_caller_reads_slowly_is_whole_after_the_last_answers() {
+    let listener = Listener::start(MS(60_000), MAX_CONNECTIONS);
+    let mut caller = listener.connect();
+    caller.request("/large/32");
+    sleep(MS(500));
+    listener.enter(DrainStage::Draining);
+    sleep(MS(500));
+    listener.enter(DrainStage::Finishing);
+    sleep(MS(500));
+    let mut bytes = Vec::new();
+    let read = caller.0.read_to_end(&mut bytes);
+    assert!(read.is_ok() && bytes.len() > 32 << 20, "{read:?}");
+    listener.thread.join().expect("the listener ends");
+}
--- a/tests/forward/listener.rs
+++ b/tests/forward/listener.rs
@@ -26,8 +26,8 @@
 
 pub const MS: fn(u64) -> Duration = Duration::from_millis;
 
-/// Answers `/` at once, `/wait/MS` after a time and `/stream/MS` with a body that takes a time;
-/// `/block/MS` blocks the whole listener.
+/// Answers `/` at once, `/wait/MS` after a time, `/stream/MS` with a body that takes a time and
+/// `/large/MIB` with a large one; `/block/MS` blocks the whole listener.
 #[derive(Clone)]
 struct Handler {
     idle_limit: Arc<Mutex<Duration>>,
@@ -38,12 +38,16 @@
         let path = req.uri().path().to_string();
         let mut parts = path.split('/').skip(1);
         let kind = parts.next().unwrap_or_default();
-        let time = MS(parts.next().map_or(0, |ms| ms.parse().expect("a number")));
+        let number = parts
+            .next()
+            .map_or(0, |text| text.parse().expect("a number"));
+        let time = MS(number);
         drop(req.into_body().collect().await);
         match kind {
             "wait" => tokio::time::sleep(time).await,
             "block" => sleep(time),
             "stream" => return Response::new(slow_body(time)),
+            "large" => return Response::new(full_body(vec![b'x'; (number as usize) << 20])),
             _ => {}
         }
         Response::new(full_body("ok"))
