Count the idle time of a connection from the last write of a response

Callers saw: a caller that had read a large response slowly used its connection again within the announced idle limit, and the request ended without an answer.

Cause: the idle time counted from the moment in which the end of the body was handed to the writer. The bytes of a large response wait there for a caller that reads slowly, and that time was taken from the idle limit; the connection was closed as soon as the response was written.

Change: each write of the rest of a response starts the idle time again.

Evidence: `closing::request_within_the_idle_limit_after_a_response_that_was_read_slowly_is_not_lost` (32 MiB read in 4 s, a limit of 1 s, the next request 0.5 s later) printed `left: "unanswered"`, `right: "200"` before.

--- a/src/forward/activity.rs
+++ b/src/forward/activity.rs
@@ -29,7 +29,7 @@
 enum Phase {
     /// The connection was accepted at the given time and no byte has arrived.
     Opened(Instant),
-    /// No exchange is in progress since the given time.
+    /// No exchange is in progress and nothing was written since the given time.
     Idle(Instant),
     /// The connection may be closed, unless a request has arrived in the meantime.
     Expired(Instant),
@@ -78,12 +78,20 @@
         self.phase = Phase::Exchange;
     }
 
-    /// Records that the whole response to a request was written while `idle_limit` was in force.
+    /// Records that the whole response to a request was passed on to be written while `idle_limit`
+    /// was in force.
     pub fn end_exchange(&mut self, idle_limit: Duration, now: Instant) {
         self.phase = Phase::Idle(now);
         self.idle_limit = idle_limit;
     }
 
+    /// Records that part of a response was written, of which the rest may still be buffered.
+    pub fn record_write(&mut self, now: Instant) {
+        if let Phase::Idle(_) | Phase::Expired(_) = self.phase {
+            self.phase = Phase::Idle(now);
+        }
+    }
+
     /// Returns the time from which the connection may be closed while `idle_limit` is in force,
     /// `None` during an exchange.
     ///
--- a/src/forward/caller_connection.rs
+++ b/src/forward/caller_connection.rs
@@ -83,8 +83,8 @@
         state.partial_bytes = 0;
     }
 
-    /// Records that the whole response to a request was written while `idle_limit` was in force, or
-    /// that it was given up.
+    /// Records that the whole response to a request was passed on to be written while `idle_limit`
+    /// was in force, or that it was given up.
     pub(super) fn end_exchange(&self, idle_limit: Duration, now: Instant) {
         lock(&self.0).activity.end_exchange(idle_limit, now);
     }
@@ -156,6 +156,13 @@
         }
     }
 
+    /// Records the outcome of a write.
+    fn record_write(&self, written: &Poll<io::Result<usize>>) {
+        if matches!(written, Poll::Ready(Ok(len)) if *len > 0) {
+            lock(&self.record.0).activity.record_write(self.clock.now());
+        }
+    }
+
     /// Returns the number of bytes that have arrived and were not read, up to a limit.
     fn unread_bytes(&self) -> usize {
         let mut bytes = [MaybeUninit::uninit(); MAX_COUNTED_BYTES];
@@ -223,7 +230,9 @@
         cx: &mut Context<'_>,
         buf: &[u8],
     ) -> Poll<io::Result<usize>> {
-        Pin::new(&mut self.stream).poll_write(cx, buf)
+        let written = Pin::new(&mut self.stream).poll_write(cx, buf);
+        self.record_write(&written);
+        written
     }
 
     fn poll_write_vectored(
@@ -231,7 +240,9 @@
         cx: &mut Context<'_>,
         bufs: &[io::IoSlice<'_>],
     ) -> Poll<io::Result<usize>> {
-        Pin::new(&mut self.stream).poll_write_vectored(cx, bufs)
+        let written = Pin::new(&mut self.stream).poll_write_vectored(cx, bufs);
+        self.record_write(&written);
+        written
     }
 
     fn is_write_vectored(&self) -> bool {
--- a/tests/forward/closing.rs
+++ b/tests/forward/closing.rs
@@ -70,6 +70,25 @@
     assert_eq!(caller.call("/"), "200");
 }
 
+#[test]
+fn request_within_the_idle_limit_after_a_response_that_was_read_slowly_is_not_lost() {
+    const LEN: usize = 32 << 20;
+    let listener = Listener::start(MS(1_000), MAX_CONNECTIONS);
+    let mut caller = listener.connect();
+    caller.request("/large/32");
+    let mut head = String::new();
+    while !head.ends_with("\r\n\r\n") {
+        assert_ne!(caller.0.read_line(&mut head).expect("a head"), 0);
+    }
+    let mut part = vec![0; LEN / 8];
+    for _ in 0..8 {
+        sleep(MS(500));
+        caller.0.read_exact(&mut part).expect("a body");
+    }
+    sleep(MS(500));
+    assert_eq!(caller.call("/"), "200");
+}
+
 #[test]
 fn idle_connections_are_closed_after_the_limit_of_their_last_response() {
     let listener = Listener::start(MS(500), MAX_CONNECTIONS);
