Answer a request that was sent ahead of the end of a stream in a drain

Callers saw: a caller that had sent its next request before the end of a stream, as HTTP/1.1 allows, got no answer to it when the router began to drain within the stream. The router had read the request.

Change: the connection is closed right after the stream only if no further request is in progress; the response to that one announces the close.

Evidence: `draining::request_that_was_sent_ahead_of_the_end_of_a_stream_is_answered_in_a_drain` printed `left: "unanswered"`, `right: "200 close"` before.

--- a/src/forward/listener.rs
+++ b/src/forward/listener.rs
@@ -198,6 +198,7 @@
     tokio::pin!(connection);
     let mut drain_stage = stage.clone();
     let mut is_draining = false;
+    let mut closes_unannounced = false;
     let mut is_closing = false;
     let ended = loop {
         let now = clock.now();
@@ -214,10 +215,12 @@
             ended = &mut connection => break ended,
             () = reached(&mut drain_stage, DrainStage::Draining), if !is_draining => {
                 is_draining = true;
-                if record.is_exchange() {
-                    // The head of the response may be written already and announce no close.
-                    connection.as_mut().graceful_shutdown();
-                }
+                // The head of the response may be written already and announce no close.
+                closes_unannounced = record.is_exchange();
+            }
+            () = exchange_ended(&record), if closes_unannounced => {
+                closes_unannounced = false;
+                connection.as_mut().graceful_shutdown();
             }
             () = reached(&mut stage, DrainStage::Finishing), if !is_closing => {
                 is_closing = true;
@@ -261,6 +264,17 @@
     }
 }
 
+/// Waits until the last request that was read has its response.
+///
+/// The record changes only while the connection is polled, which the same task does.
+async fn exchange_ended(record: &ConnectionRecord) {
+    std::future::poll_fn(|_| match record.is_exchange() {
+        true => Poll::Pending,
+        false => Poll::Ready(()),
+    })
+    .await;
+}
+
 /// Waits until `stage` is at least `awaited` or its sender is dropped.
 async fn reached(stage: &mut watch::Receiver<DrainStage>, awaited: DrainStage) {
     drop(stage.wait_for(|stage| *stage >= awaited).await);
--- a/tests/forward/draining.rs
+++ b/tests/forward/draining.rs
@@ -148,3 +148,17 @@
     assert!(read.is_ok() && bytes.len() > 32 << 20, "{read:?}");
     listener.thread.join().expect("the listener ends");
 }
+
+#[test]
+fn request_that_was_sent_ahead_of_the_end_of_a_stream_is_answered_in_a_drain() {
+    let listener = Listener::start(MS(60_000), MAX_CONNECTIONS);
+    let mut caller = listener.connect();
+    caller.request("/stream/1500");
+    caller.request("/");
+    sleep(MS(500));
+    listener.enter(DrainStage::Draining);
+    assert_eq!(caller.answer(), "200");
+    assert_eq!(caller.answer(), "200 close");
+    listener.enter(DrainStage::Closing);
+    listener.thread.join().expect("the listener ends");
+}
