Keep connections over two seconds without a packet

What callers saw: a request failed, or the rest of a response was lost, when the host of the server or caller received nothing for 2 s and then went on.

Cause: data counted as lost after 2.5 s, but TCP sends it again after some 0.2, 0.6, 1.4 and 3 s, so that an outage of 1.4 s was enough. An idle peer was given up after two unanswered probes, at 3 s.

Change: 3.5 s without acknowledgement, and three probes, at 4 s.

Evidence, tests/forward/peers.rs, a socket filter drops what a peer receives for 2.2 s.

--- a/src/forward/connection.rs
+++ b/src/forward/connection.rs
@@ -33,7 +33,7 @@
 const KEEPALIVE_INTERVAL: Duration = Duration::from_secs(1);
 
 /// Number of unanswered keepalive probes after which a connection is closed.
-const KEEPALIVE_PROBES: u32 = 2;
+const KEEPALIVE_PROBES: u32 = 3;
 
 /// Time before the close that a server announces from which an idle connection is not used.
 const IDLE_EXPIRY_MARGIN: Duration = Duration::from_millis(350);
--- a/src/forward/peer_stream.rs
+++ b/src/forward/peer_stream.rs
@@ -22,7 +22,9 @@
 use super::tcp_info::TcpInfo;
 
 /// Time for which sent data may stay unacknowledged before the connection ends.
-const ACK_TIMEOUT: Duration = Duration::from_millis(2_500);
+///
+/// TCP sends lost data again after some 0.2, 0.6, 1.4 and 3 s.
+const ACK_TIMEOUT: Duration = Duration::from_millis(3_500);
 
 /// Time between two checks of a connection that has unacknowledged data.
 const CHECK_INTERVAL: Duration = Duration::from_millis(500);
--- a/tests/forward/peers.rs
+++ b/tests/forward/peers.rs
@@ -219,3 +219,78 @@
     assert_eq!(given_up, Ok(()), "after {:?}", started.elapsed());
     drop(stream);
 }
+
+/// Time for which a host receives nothing and then goes on.
+const OUTAGE: Duration = Duration::from_millis(2_200);
+
+/// Ends what [`vanish`] began.
+fn come_back(stream: &TcpStream) {
+    SockRef::from(stream).detach_filter().expect("a filter");
+}
+
+/// Sends a request to a server whose host receives nothing for a while, at first if `at_first`, or
+/// after the request has arrived; returns the status of the answer.
+fn status_beside_outage(at_first: bool) -> Option<u16> {
+    let listener = TcpListener::bind("127.0.0.1:0").expect("a listener");
+    let address = listener.local_addr().expect("an address");
+    let (opened, is_opened) = mpsc::channel();
+    let server = std::thread::spawn(move || {
+        let (mut stream, _) = listener.accept().expect("a connection");
+        let read = |stream: &TcpStream| {
+            let mut lines = BufReader::new(stream).lines();
+            while !lines.next().expect("a line").expect("a line").is_empty() {}
+        };
+        if at_first {
+            vanish(&stream);
+            opened.send(()).expect("a test");
+            sleep(OUTAGE);
+            come_back(&stream);
+            read(&stream);
+        } else {
+            opened.send(()).expect("a test");
+            read(&stream);
+            sleep(Duration::from_millis(100));
+            vanish(&stream);
+            sleep(OUTAGE);
+            come_back(&stream);
+            sleep(Duration::from_millis(2_500));
+        }
+        let answer = b"HTTP/1.1 200 OK\r\ncontent-length: 0\r\n\r\n";
+        // A failure shows at the other end.
+        drop(stream.write_all(answer));
+    });
+    let status = runtime().block_on(async {
+        let mut connection = open_connection(address).await.expect("a connection");
+        is_opened.recv().expect("a server");
+        let mut req = Request::new(Full::new(Bytes::new()));
+        req.headers_mut()
+            .insert("host", http::HeaderValue::from_static("h"));
+        let response = connection.send(req).await;
+        response.ok().map(|response| response.status().as_u16())
+    });
+    server.join().expect("no panic");
+    status
+}
+
+#[test]
+fn a_server_whose_host_receives_nothing_for_two_seconds_gets_the_request_then() {
+    assert_eq!(status_beside_outage(true), Some(200));
+}
+
+#[test]
+fn a_server_whose_host_receives_nothing_for_two_seconds_after_the_request_answers_it() {
+    assert_eq!(status_beside_outage(false), Some(200));
+}
+
+#[test]
+fn a_caller_whose_host_receives_nothing_for_two_seconds_within_a_stream_gets_the_rest() {
+    let (address, dropped) = start_listener(1);
+    let mut stream = request(address, "/stream");
+    let mut byte = [0];
+    stream.read_exact(&mut byte).expect("a response");
+    vanish(&stream);
+    sleep(OUTAGE);
+    come_back(&stream);
+    assert_eq!(dropped.recv_timeout(Duration::from_secs(4)).ok(), None);
+    stream.read_exact(&mut [0; 200]).expect("the rest");
+}
