Read responses without a time limit as long as they arrive steadily

What callers saw: 504 after 10 s for a response that was still arriving, when neither the route nor the caller set a time limit.

Cause: a limit of 10 s on the whole body in that case.

Change: requests and responses share one reader (forward::whole_body), whose limit grows with the bytes that arrive. Responses with a deadline have the time until then, as before.

--- a/src/forward/attempts.rs
+++ b/src/forward/attempts.rs
@@ -18,9 +18,6 @@
 /// Time left below which a request is no longer sent to a server.
 const MIN_TIME_LEFT: Duration = Duration::from_millis(15);
 
-/// Longest time to read a response when neither the route nor the caller sets a timeout.
-pub(super) const DEFAULT_RESPONSE_TIMEOUT: Duration = Duration::from_secs(10);
-
 /// Number of failed attempts to send the request to a server after which the request itself fails.
 pub(super) const MAX_UNSENT_ATTEMPTS: u32 = 4;
 
@@ -249,9 +246,7 @@
                 sent: true,
             })
         };
-        let time_left = self
-            .time_left(cx.clock.now())
-            .unwrap_or(DEFAULT_RESPONSE_TIMEOUT);
+        let time_left = self.time_left(cx.clock.now());
         match cx.buffer_response(exchange, time_left).await {
             Ok(response) if NOT_RUN_STATUSES.contains(&response.exchange.status) => {
                 let message = format!(
--- a/src/forward/buffered.rs
+++ b/src/forward/buffered.rs
@@ -3,9 +3,12 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use http_body_util::{BodyExt, Limited};
 
-use super::{exchange::Exchange, Forwarder, Observation, Wire};
+use super::{
+    exchange::Exchange,
+    whole_body::{read_whole, steady_timeout, ReadError},
+    Forwarder, Observation, Wire,
+};
 use crate::{Category, Error, Result};
 
 /// Largest response that is buffered, in bytes.
@@ -18,7 +21,8 @@
 }
 
 impl<W: Wire> Forwarder<W> {
-    /// Reads the body of a response within `time_left`.
+    /// Reads the body of a response within `time_left`, or, without a limit, as long as it arrives
+    /// steadily.
     ///
     /// # Errors
     ///
@@ -27,25 +31,25 @@
     pub(super) async fn buffer_response(
         &self,
         mut exchange: Exchange,
-        time_left: Duration,
+        time_left: Option<Duration>,
     ) -> Result<BufferedResponse> {
-        let read = Limited::new(&mut exchange.body, MAX_BUFFERED_RESPONSE_BYTES).collect();
-        match tokio::time::timeout(time_left, read).await {
-            Ok(Ok(body)) => Ok(BufferedResponse {
-                body: body.to_bytes(),
-                exchange,
-            }),
-            Ok(Err(err)) => {
-                let now = self.clock.now();
-                self.health
-                    .record(exchange.server.key(), Observation::Failed, now);
-                let message = format!("the response is incomplete: {err}");
-                Err(Error::may_have_run(Category::Cut, message))
+        let timeout = |received| time_left.unwrap_or_else(|| steady_timeout(received));
+        let body = read_whole(&mut exchange.body, MAX_BUFFERED_RESPONSE_BYTES, timeout).await;
+        let reason = match body {
+            Ok(body) => return Ok(BufferedResponse { exchange, body }),
+            Err(ReadError::Timeout) => {
+                return Err(Error::may_have_run(
+                    Category::Timeout,
+                    "the rest of the response did not arrive in time",
+                ));
             }
-            Err(_) => Err(Error::may_have_run(
-                Category::Timeout,
-                "the rest of the response did not arrive in time",
-            )),
-        }
+            Err(ReadError::TooLarge) => "it exceeds the size limit".to_string(),
+            Err(ReadError::Broken(err)) => err.to_string(),
+        };
+        let now = self.clock.now();
+        self.health
+            .record(exchange.server.key(), Observation::Failed, now);
+        let message = format!("the response is incomplete: {reason}");
+        Err(Error::may_have_run(Category::Cut, message))
     }
 }
--- a/src/forward/failover.rs
+++ b/src/forward/failover.rs
@@ -12,7 +12,7 @@
 use http::StatusCode;
 
 use super::{
-    attempts::{Attempts, DEFAULT_RESPONSE_TIMEOUT, MAX_UNSENT_ATTEMPTS, NOT_RUN_STATUSES},
+    attempts::{Attempts, MAX_UNSENT_ATTEMPTS, NOT_RUN_STATUSES},
     buffered::BufferedResponse,
     exchange::{AttemptFailure, Exchange},
     ForwardParams, Forwarder, Observation, ProxyRequest, Routed, Wire,
@@ -164,7 +164,6 @@
             })
         } else {
             let time_left = self.time_left(cx.clock.now());
-            let time_left = time_left.unwrap_or(DEFAULT_RESPONSE_TIMEOUT);
             let response = cx.buffer_response(exchange, time_left).await;
             response.map(|BufferedResponse { mut exchange, body }| {
                 exchange.body.unread(body);
--- a/src/forward/mod.rs
+++ b/src/forward/mod.rs
@@ -19,7 +19,6 @@
 mod peer_stream;
 mod poison;
 mod request;
-mod request_body;
 mod response_body;
 mod resume;
 mod serve;
@@ -28,6 +27,7 @@
 mod successor;
 mod tcp_info;
 mod unanswered;
+mod whole_body;
 mod wire;
 
 pub use self::{
--- a/src/forward/serve.rs
+++ b/src/forward/serve.rs
@@ -2,12 +2,13 @@
 
 use std::{sync::Arc, time::Duration};
 
+use bytes::Bytes;
 use http::{request, Response};
 use hyper::body::Incoming;
 
 use super::{
-    request_body::read_body,
     unanswered::{Progress, Unanswered},
+    whole_body::{read_whole, steady_timeout, ReadError},
     Body, Forwarder, ProxyRequest, Received, RequestHead, Wire,
 };
 use crate::{routes::CallerLimits, Category, Error, Instant, Result};
@@ -86,3 +87,22 @@
         Error::not_run(category, message).with_retry_after(self.jittered_delay(mean))
     }
 }
+
+/// Reads the body of a request, within `caller_timeout` if there is one.
+async fn read_body(
+    body: Incoming,
+    limit: usize,
+    caller_timeout: Option<Duration>,
+) -> Result<Bytes> {
+    let caller_timeout = caller_timeout.unwrap_or(Duration::MAX);
+    let timeout = |received| steady_timeout(received).min(caller_timeout);
+    let body = read_whole(body, limit, timeout).await;
+    body.map_err(|err| match err {
+        ReadError::TooLarge => {
+            let message = format!("the body exceeds {limit} bytes");
+            Error::not_run(Category::TooLarge, message)
+        }
+        ReadError::Timeout => Error::not_run(Category::Timeout, "the body did not arrive in time"),
+        ReadError::Broken(err) => Error::not_run(Category::BadInput, err.to_string()),
+    })
+}
