Ask no further server for a stream that has gone on

What callers saw: nothing; a server was asked in vain, and a retry spent.

Cause: since events that arrive while another server is asked are kept as events, not as a read to be handled, the loop that asks one server after another no longer saw that the stream had gone on.

Change: the outcome of asking says why a server does not take the stream, and the loop ends when the one before has gone on.

Evidence: resumed::no_third_server_is_asked_for_a_stream_that_has_gone_on printed "200 whole true events 0,1,2,3 sent 3" before, "sent 2" after.

--- a/src/forward/resume.rs
+++ b/src/forward/resume.rs
@@ -17,8 +17,12 @@
 };
 use crate::{catalog::Server, relay::EventReader, Category, Error, Result};
 
-/// Reason for which another server does not take a stream.
-const FIRST_WENT_ON: &str = "the server before has gone on";
+/// Why another server does not take a stream.
+enum NotTaken {
+    /// The server before has gone on with it.
+    WentOn,
+    Failed(String),
+}
 
 impl<W: Wire> ResponseStream<W> {
     /// Drops the exchange whose response broke off with `error`, which closes its connection, so
@@ -85,23 +89,39 @@
             }
             self.req
                 .record_placement(&cx, &server, &mut self.attempts, now);
-            if let Some(successor) = self.ask(server).await {
-                log::info!(
-                    "stream resumed id={} server={} after={:?} cause=\"{cause}\"",
-                    self.req.id(),
-                    successor.exchange.server.name,
-                    self.last_event
-                );
-                self.drop_exchange(&cause);
-                self.last_progress = cx.clock.now();
-                self.has_data = successor.has_data();
-                if self.has_data {
-                    self.pending = Some(StreamRead::Bytes(successor.received.freeze()));
+            let successor = match self.ask(&server).await {
+                Ok(successor) => successor,
+                Err(not_taken) => {
+                    self.attempts.prefill = None;
+                    let reason = match &not_taken {
+                        NotTaken::WentOn => "the server before has gone on",
+                        NotTaken::Failed(reason) => reason,
+                    };
+                    log::info!(
+                        "stream not taken id={} server={} reason=\"{reason}\"",
+                        self.req.id(),
+                        server.name
+                    );
+                    match not_taken {
+                        NotTaken::WentOn => return Ok(()),
+                        NotTaken::Failed(_) => continue,
+                    }
                 }
-                self.exchange = Some(successor.exchange);
-                return Ok(());
+            };
+            log::info!(
+                "stream resumed id={} server={} after={:?} cause=\"{cause}\"",
+                self.req.id(),
+                successor.exchange.server.name,
+                self.last_event
+            );
+            self.drop_exchange(&cause);
+            self.last_progress = cx.clock.now();
+            self.has_data = successor.has_data();
+            if self.has_data {
+                self.pending = Some(StreamRead::Bytes(successor.received.freeze()));
             }
-            self.attempts.prefill = None;
+            self.exchange = Some(successor.exchange);
+            return Ok(());
         }
         match self.exchange {
             Some(_) => Ok(()),
@@ -144,8 +164,10 @@
 
     /// Asks `server` to go on with the stream, and reads from the current server meanwhile.
     ///
-    /// Returns `None` if `server` does not take the stream or the current server goes on first.
-    async fn ask(&mut self, server: Arc<Server>) -> Option<Successor> {
+    /// # Errors
+    ///
+    /// Returns why the stream stays at the current server.
+    async fn ask(&mut self, server: &Arc<Server>) -> std::result::Result<Successor, NotTaken> {
         let (cx, req) = (self.cx.clone(), self.req.clone());
         let mut attempts = std::mem::take(&mut self.attempts);
         let asked = {
@@ -170,23 +192,17 @@
             }
         };
         self.attempts = attempts;
-        let refusal = match asked {
+        match asked {
             Some(Ok(exchange)) if exchange.status == self.status => {
-                match self.await_event(Successor::new(exchange)).await {
-                    Ok(successor) => return Some(successor),
-                    Err(reason) => reason,
-                }
+                self.await_event(Successor::new(exchange)).await
             }
-            Some(Ok(exchange)) => format!("the server answered {}", exchange.status),
-            Some(Err(failure)) => failure.err.to_string(),
-            None => FIRST_WENT_ON.to_string(),
-        };
-        log::info!(
-            "stream not taken id={} server={} reason=\"{refusal}\"",
-            req.id(),
-            server.name
-        );
-        None
+            Some(Ok(exchange)) => {
+                let reason = format!("the server answered {}", exchange.status);
+                Err(NotTaken::Failed(reason))
+            }
+            Some(Err(failure)) => Err(NotTaken::Failed(failure.err.to_string())),
+            None => Err(NotTaken::WentOn),
+        }
     }
 
     /// Reads from `successor` and from the current server until one of them goes on.
@@ -200,14 +216,15 @@
     async fn await_event(
         &mut self,
         mut successor: Successor,
-    ) -> std::result::Result<Successor, String> {
+    ) -> std::result::Result<Successor, NotTaken> {
         let cx = self.cx.clone();
         let asked = cx.clock.now();
         loop {
             let now = cx.clock.now();
             let time_left = self.req.time_left(now).unwrap_or(Duration::MAX);
             if time_left.is_zero() {
-                return Err("the deadline of the stream has passed".to_string());
+                let reason = "the deadline of the stream has passed";
+                return Err(NotTaken::Failed(reason.to_string()));
             }
             if self.may_resume() && now.since(asked) >= EVENT_TIMEOUT {
                 return Ok(successor);
@@ -218,7 +235,7 @@
             tokio::select! {
                 biased;
                 frame = exchange.body.frame() => if self.has_gone_on(frame) {
-                    return Err(FIRST_WENT_ON.to_string());
+                    return Err(NotTaken::WentOn);
                 },
                 read = successor.read(self.last_event) => {
                     let now = cx.clock.now();
@@ -232,7 +249,7 @@
                         }
                         Err(err) => {
                             self.record_break(&successor.exchange, successor.has_data(), &err);
-                            return Err(err.to_string());
+                            return Err(NotTaken::Failed(err.to_string()));
                         }
                     }
                 }
