Tell a router that starts which servers have said that they leave

Callers saw: a request went to a server that had said that it leaves, from a router that had started since. While the store is away, that lasted until the server answered this router with the same word, or closed its port.

Cause: digests repeat the word of a server only from the router that received the response. Once that one has ended or restarted, the others still know and tell nobody; the list that they feed says what the store said.

Change: the list that a router feeds carries the servers that are known to leave, each with the rest of the 120 s after which the word ends, so that it ends at all routers at once, however often others start.

Evidence: outage::a_server_that_said_that_it_leaves_gets_nothing_from_a_... printed before `known true: e-1 leaving false, e-2 leaving false`; now `e-1 leaving true`.

--- a/src/catalog/departures.rs
+++ b/src/catalog/departures.rs
@@ -8,6 +8,8 @@
     time::Duration,
 };
 
+use serde::{Deserialize, Serialize};
+
 use super::{Server, ServerKey};
 use crate::{Instant, PoolName};
 
@@ -26,10 +28,19 @@
     servers: BTreeMap<ServerKey, Departure>,
 }
 
+/// What a router tells one that starts of a server that has announced that it leaves.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub struct DepartureReport {
+    /// The server.
+    pub server: ServerKey,
+    /// Time until its last known announcement ends, in milliseconds.
+    pub remaining_millis: u64,
+}
+
 /// The announcements of one server.
 #[derive(Debug, Clone, Copy)]
 struct Departure {
-    announced: Instant,
+    ends_at: Instant,
     /// Whether this router received a response with the announcement itself.
     is_own: bool,
 }
@@ -38,7 +49,38 @@
     /// Records that this router received a response in which a server announces that it leaves;
     /// returns whether this router had received none before.
     pub fn record(&mut self, key: ServerKey, now: Instant) -> bool {
-        self.insert(key, true, now)
+        self.insert(key, true, now + DEPARTURE_TTL)
+    }
+
+    /// Returns what is known of the servers among `listed` that the list names as running.
+    pub fn reports<'a>(
+        &self,
+        listed: impl Iterator<Item = &'a Server>,
+        now: Instant,
+    ) -> Vec<DepartureReport> {
+        let running = listed.filter(|server| !server.leaving).map(Server::key);
+        let report = |server| {
+            let departure = self.servers.get(&server)?;
+            let remaining = departure.ends_at.since(now).as_millis();
+            Some(DepartureReport {
+                server,
+                remaining_millis: remaining as u64,
+            })
+        };
+        running.filter_map(report).collect()
+    }
+
+    /// Records what another router reports; returns whether any server was unknown.
+    ///
+    /// The announcements end when they do at that router.
+    pub fn receive_reports(&mut self, reports: &[DepartureReport], now: Instant) -> bool {
+        let mut has_news = false;
+        for report in reports {
+            let remaining = Duration::from_millis(report.remaining_millis);
+            let ends_at = now + remaining.min(DEPARTURE_TTL);
+            has_news |= self.insert(report.server, false, ends_at);
+        }
+        has_news
     }
 
     /// Records the servers whose announcements another router has received; returns whether any was
@@ -46,7 +88,7 @@
     pub fn receive(&mut self, keys: &[ServerKey], now: Instant) -> bool {
         let mut has_news = false;
         for key in keys {
-            has_news |= self.insert(*key, false, now);
+            has_news |= self.insert(*key, false, now + DEPARTURE_TTL);
         }
         has_news
     }
@@ -66,8 +108,7 @@
     /// Forgets announcements older than 120 s; returns whether there were any.
     pub fn expire(&mut self, now: Instant) -> bool {
         let before = self.servers.len();
-        self.servers
-            .retain(|_, departure| now.since(departure.announced) < DEPARTURE_TTL);
+        self.servers.retain(|_, departure| now < departure.ends_at);
         self.servers.len() < before
     }
 
@@ -94,14 +135,14 @@
         servers
     }
 
-    fn insert(&mut self, key: ServerKey, is_own: bool, now: Instant) -> bool {
+    fn insert(&mut self, key: ServerKey, is_own: bool, ends_at: Instant) -> bool {
         if self.servers.len() >= MAX_DEPARTURES && !self.servers.contains_key(&key) {
             return false;
         }
         let known = self.servers.get(&key).copied();
         let is_own_known = known.is_some_and(|known| known.is_own);
         let departure = Departure {
-            announced: now,
+            ends_at: known.map_or(ends_at, |known| known.ends_at.max(ends_at)),
             is_own: is_own || is_own_known,
         };
         self.servers.insert(key, departure);
--- a/src/catalog/mod.rs
+++ b/src/catalog/mod.rs
@@ -11,7 +11,7 @@
 mod state;
 
 pub use self::{
-    departures::Departures,
+    departures::{DepartureReport, Departures},
     registry::{ServerChange, ServerRegistry},
     server::{Server, ServerKey},
     state::Catalog,
--- a/src/catalog/registry.rs
+++ b/src/catalog/registry.rs
@@ -5,7 +5,7 @@
     time::Duration,
 };
 
-use super::{Departures, Server, ServerKey};
+use super::{DepartureReport, Departures, Server, ServerKey};
 use crate::{EngineName, Incarnation, Instant};
 
 /// Time after an outage of the list within which running servers register again.
@@ -189,6 +189,18 @@
         self.departures.receive(keys, now)
     }
 
+    /// Returns what is known of servers that announced that they leave and that the list names as
+    /// running.
+    pub fn departure_reports(&self, now: Instant) -> Vec<DepartureReport> {
+        self.departures.reports(self.servers.values(), now)
+    }
+
+    /// Records what another router reports of servers that leave; returns whether that changes what
+    /// is known.
+    pub fn receive_departure_reports(&mut self, reports: &[DepartureReport], now: Instant) -> bool {
+        self.departures.receive_reports(reports, now)
+    }
+
     /// Returns the servers that announced to this router that they leave and that the list names as
     /// running.
     pub fn announced_leaving(&self) -> Vec<ServerKey> {
--- a/src/feed/frame.rs
+++ b/src/feed/frame.rs
@@ -6,7 +6,11 @@
 use tokio::io::{AsyncRead, AsyncReadExt};
 
 use super::StoreEra;
-use crate::{catalog::Server, routes::RouteTable, Offset};
+use crate::{
+    catalog::{DepartureReport, Server},
+    routes::RouteTable,
+    Offset,
+};
 
 /// Maximum size of a frame in bytes, enough for a table of some ten thousand routes.
 pub const MAX_FRAME_BYTES: usize = 4 << 20;
@@ -22,8 +26,11 @@
         servers: Vec<Server>,
         /// Offset in the store before which all changes are included.
         next: Offset,
-        /// Era of the store; routers that do not know of eras skip this last field.
+        /// Era of the store.
         era: StoreEra,
+        /// What is known of servers that have announced that they leave; builds from before this
+        /// last field skip it.
+        departures: Vec<DepartureReport>,
     },
     /// The data sent so far was current in the store at this time.
     Current {
--- a/src/feed/mod.rs
+++ b/src/feed/mod.rs
@@ -6,6 +6,7 @@
 //! it, from the digests of the others: the first ones by [rank](FeedRank) that reach the store.
 //! A router whose data is too old reads the store itself.
 
+mod departures;
 mod follow;
 mod frame;
 mod peer_clock;
--- a/src/feed/serve.rs
+++ b/src/feed/serve.rs
@@ -73,6 +73,7 @@
                     servers,
                     next: next.offset,
                     era: next.era,
+                    departures: feed.departure_reports(clock.now()),
                 };
                 send(&mut tx, &frame::encode(&message)?).await?;
                 sent_changes = Some(revision.changes);
--- a/src/feed/state.rs
+++ b/src/feed/state.rs
@@ -13,7 +13,7 @@
 
 use super::{frame, upstreams, FeedNode, FeedRank, Position, Role, ServersRead, StoreEra};
 use crate::{
-    catalog::{Catalog, Server, ServerKey, ServerRegistry},
+    catalog::{Catalog, Server, ServerRegistry},
     presence::{Presence, StoreStatus},
     routes::{ActiveRoutes, RouteTable},
     sync::lock,
@@ -55,7 +55,7 @@
     rank: FeedRank,
     /// Whether this router is shutting down.
     leaving: AtomicBool,
-    server_list: Mutex<ServerList>,
+    pub(super) server_list: Mutex<ServerList>,
     sync_state: Mutex<SyncState>,
     /// Version of a route table and the frame that carries it, once a subscriber got one.
     routes_frame: Mutex<Option<(u64, Arc<[u8]>)>>,
@@ -74,8 +74,8 @@
 
 /// The list of servers, with the changes applied so far.
 #[derive(Debug, Default)]
-struct ServerList {
-    registry: ServerRegistry,
+pub(super) struct ServerList {
+    pub(super) registry: ServerRegistry,
     /// Position in the store before which all changes are applied; `None` before the first read.
     next: Option<Position>,
 }
@@ -293,34 +293,6 @@
         }
     }
 
-    /// Records that a server announced in a response to this router that it leaves; returns whether
-    /// that was unknown.
-    pub fn record_leaving(&self, server: ServerKey, now: Instant) -> bool {
-        let mut server_list = lock(&self.server_list);
-        let is_new = server_list.registry.record_leaving(server, now);
-        if is_new {
-            self.replace_catalog(&server_list);
-        }
-        is_new
-    }
-
-    /// Records the servers that announced to another router that they leave.
-    pub fn receive_leaving(&self, servers: &[ServerKey], now: Instant) {
-        if servers.is_empty() {
-            return;
-        }
-        let mut server_list = lock(&self.server_list);
-        if server_list.registry.receive_leaving(servers, now) {
-            log::info!("servers leaving servers={servers:?} source=digest");
-            self.replace_catalog(&server_list);
-        }
-    }
-
-    /// Returns the servers that announced to this router that they leave, until the list says so.
-    pub fn announced_leaving(&self) -> Vec<ServerKey> {
-        lock(&self.server_list).registry.announced_leaving()
-    }
-
     /// Returns all servers and the position in the store before which all changes are included.
     pub fn servers(&self) -> Option<(Vec<Server>, Position)> {
         let server_list = lock(&self.server_list);
@@ -401,7 +373,7 @@
         self.notify_change();
     }
 
-    fn replace_catalog(&self, server_list: &ServerList) {
+    pub(super) fn replace_catalog(&self, server_list: &ServerList) {
         // A router that knows no list yet has no catalog either.
         if server_list.next.is_some() {
             self.catalog
--- a/src/feed/subscribe.rs
+++ b/src/feed/subscribe.rs
@@ -136,7 +136,13 @@
             let table = postcard::from_bytes(&bytes).map_err(io::Error::other)?;
             feed.replace_routes_if_newer(table, "router");
         }
-        FeedMessage::Servers { servers, next, era } => {
+        FeedMessage::Servers {
+            servers,
+            next,
+            era,
+            departures,
+        } => {
+            feed.receive_departure_reports(&departures, now);
             feed.replace_servers(servers, Position::new(era, next), now);
         }
         FeedMessage::Current {
--- a/tests/catalog/departures.rs
+++ b/tests/catalog/departures.rs
@@ -80,3 +80,22 @@
         one by its own word: a b-leaving c announced 1"#]]
     .assert_eq(&lines.join("\n"));
 }
+
+#[test]
+fn the_word_that_a_router_which_starts_is_told_ends_when_it_does_at_the_others() {
+    let (mut running, mut started) = (registry_with_three_servers(), registry_with_three_servers());
+    running.receive_leaving(&[key("a")], time(0));
+    let mut lines = Vec::new();
+    // The clock of the one that starts is 90 s behind.
+    started.receive_departure_reports(&running.departure_reports(time(100_000)), time(10_000));
+    for ms in [10_000, 29_000, 30_000] {
+        running.settle(time(ms + 90_000));
+        started.settle(time(ms));
+        lines.push(format!("{ms}: {} | {}", seen(&running), seen(&started)));
+    }
+    expect![[r#"
+        10000: a-leaving b c announced 0 | a-leaving b c announced 0
+        29000: a-leaving b c announced 0 | a-leaving b c announced 0
+        30000: a b c announced 0 | a b c announced 0"#]]
+    .assert_eq(&lines.join("\n"));
+}
--- a/tests/feed/outage.rs
+++ b/tests/feed/outage.rs
@@ -50,6 +50,7 @@
 /// A router that runs since before the outage.
 struct Running {
     number: usize,
+    feed: Arc<Feed>,
     address: SocketAddr,
     version: u64,
 }
@@ -68,9 +69,10 @@
         feed.record_current(clock.now(), clock.now());
         let listener = TcpListener::bind("127.0.0.1:0").await.expect("a listener");
         let address = listener.local_addr().expect("an address");
-        tokio::spawn(serve_subscribers(feed, Arc::new(listener), clock));
+        tokio::spawn(serve_subscribers(feed.clone(), Arc::new(listener), clock));
         Running {
             number,
+            feed,
             address,
             version,
         }
@@ -144,3 +146,22 @@
     expect!["known true: version 5, then 9"]
         .assert_eq(&format!("known {is_known}: version {first}, then {last}"));
 }
+
+#[tokio::test]
+async fn a_server_that_said_that_it_leaves_gets_nothing_from_a_router_that_starts_later() {
+    let clock = Clock::new();
+    // The router that received the response is gone, and this one knows it from its digest.
+    let running = Running::start(1, 5, clock).await;
+    running
+        .feed
+        .receive_leaving(&[server(false).key()], clock.now());
+    let starting = Starting::start(clock).await;
+    let is_known = starting.wait(&[&running], Feed::is_known).await;
+    let pool = starting.feed.catalog.pool(&server(false).pool);
+    let servers = pool
+        .iter()
+        .map(|s| format!("{} leaving {}", s.name, s.leaving));
+    let servers: Vec<_> = servers.collect();
+    expect!["known true: e-1 leaving true, e-2 leaving false"]
+        .assert_eq(&format!("known {is_known}: {}", servers.join(", ")));
+}
