Do not take old data as current in the first seconds of a router

Callers saw: nothing directly. A router that started in an outage of the store counted data of any age as current until it had run for 1.3 s, and said so in its digests. The others took that for an answer of the store, so that an outage which ended within the next 2.4 s was no outage for them: servers whose entries had lapsed in it were removed at once instead of after 2.2 s.

Cause: the age of what a subscriber is fed was taken as a time on its clock, which starts at zero with the process; an earlier time became zero, and the age that of the process.

Change: the age that the feeder states is a lower bound, and data from before the start of the process is used without counting as current.

The consequence at the other routers is read from the code, not measured.

--- a/src/feed/subscribe.rs
+++ b/src/feed/subscribe.rs
@@ -151,15 +151,19 @@
         } => {
             // The follower's estimate runs ahead of the clock of a router that was suspended.
             let at = Instant::from_micros(at_micros).min(now);
-            let age = now.since(at);
-            let delay = age.saturating_sub(Duration::from_millis(age_millis));
+            let stated_age = Duration::from_millis(age_millis);
+            let age = now.since(at).max(stated_age);
+            let delay = age - stated_age;
             if delay >= DELAY_LOG_THRESHOLD {
                 let delay_ms = delay.as_millis();
                 log::info!(
                     "feed delayed follower={follower} delay_ms={delay_ms} age_ms={age_millis}"
                 );
             }
-            feed.record_current(at, now);
+            // Data from before the start of this process has no time on its clock.
+            if age <= now.since(Instant::default()) {
+                feed.record_current(now - age, now);
+            }
             return Ok(Some(age));
         }
     }
--- a/tests/feed/outage.rs
+++ b/tests/feed/outage.rs
@@ -10,7 +10,7 @@
     },
     presence::{Presence, StoreStatus},
     routes::TableBuilder,
-    Category, Clock, EngineName, Error, Result,
+    Category, Clock, EngineName, Error, Instant, Result,
 };
 use expect_test::expect;
 use tokio::{net::TcpListener, time::sleep};
@@ -165,3 +165,24 @@
     expect!["known true: e-1 leaving true, e-2 leaving false"]
         .assert_eq(&format!("known {is_known}: {}", servers.join(", ")));
 }
+
+#[tokio::test]
+async fn old_data_does_not_count_as_current_at_a_router_that_has_just_started() {
+    let running_clock = Clock::new();
+    let running = Running::start(1, 5, running_clock).await;
+    sleep(Duration::from_secs(3)).await;
+    let clock = Clock::new();
+    let feed = Arc::new(Feed::new(&name(7), LINK_MBPS));
+    let presence = Arc::new(Presence::new(name(7), ([127, 0, 0, 1], 1).into()));
+    tokio::spawn(subscribe(feed.clone(), presence.clone(), clock));
+    let mut was_current = false;
+    while clock.now().since(Instant::default()) < LEARNING_TIME {
+        running.announce(&presence, clock);
+        was_current |= feed.is_current(clock.now());
+        sleep(Duration::from_millis(10)).await;
+    }
+    expect!["known true, was current false"].assert_eq(&format!(
+        "known {}, was current {was_current}",
+        feed.is_known()
+    ));
+}
