Order lists of servers with equal positions by whether they are settled

Callers saw: after the store had come back from a copy, routers other than the follower lacked a running server until the next record of any server: a server that was taken as removed and is renewed after all came back at the follower only.

Cause: of two lists with equal positions the longer one counted as the older, which holds for removals that are delayed and not for entries that are believed again.

Change: a list has a version: its position, and whether it is settled, that is, whether its router and those before it in the tree have waited for the renewal of all entries, since a restoration or since their start. A settled list is newer than one that is not. The list of servers moves out of the state of the feed into a file of its own.

--- a/src/catalog/registry.rs
+++ b/src/catalog/registry.rs
@@ -56,6 +56,11 @@
     doubted: BTreeMap<EngineName, Server>,
     /// Time until which entries of a restored list may be those of servers that are gone.
     doubted_until: Instant,
+    /// Time from which all entries of a list are of running servers, as far as this router can
+    /// tell.
+    settled_from: Instant,
+    /// Time at which delayed changes were applied last.
+    settled_at: Instant,
     /// Servers that have announced themselves that they leave.
     departures: Departures,
 }
@@ -72,12 +77,24 @@
         self.apply_changes(listed, true, now)
     }
 
+    /// Records that the first list was received at `now`, which may have come back from a copy just
+    /// before.
+    pub fn record_first_list(&mut self, now: Instant) {
+        self.settled_from = now + RENEWAL_TIME;
+    }
+
     /// Records that the list came back at `now` from a copy.
     ///
     /// It may lack running servers, and name leaving and removed ones as running.
     pub fn record_restoration(&mut self, now: Instant) {
         self.removals_allowed_at = now + REREGISTRATION_TIME;
         self.doubted_until = now + RENEWAL_TIME;
+        self.settled_from = self.doubted_until;
+    }
+
+    /// Returns whether no entry of a list that came back from a copy can be in doubt any more.
+    pub fn is_settled(&self) -> bool {
+        self.settled_at >= self.settled_from
     }
 
     /// Records that the list failed to answer at `now`.
@@ -144,6 +161,7 @@
     /// Removes missing servers, believes doubted entries and forgets old announcements of servers
     /// that they leave, if it is time for any; returns whether the servers changed.
     pub fn settle(&mut self, now: Instant) -> bool {
+        self.settled_at = now;
         let mut changed = self.departures.expire(now);
         if now >= self.removals_allowed_at {
             for name in std::mem::take(&mut self.missing) {
--- a/src/feed/frame.rs
+++ b/src/feed/frame.rs
@@ -28,9 +28,11 @@
         next: Offset,
         /// Era of the store.
         era: StoreEra,
-        /// What is known of servers that have announced that they leave; builds from before this
-        /// last field skip it.
+        /// What is known of servers that have announced that they leave.
         departures: Vec<DepartureReport>,
+        /// Whether the list is [settled](super::ListVersion::is_settled); builds from before this
+        /// last field skip it.
+        is_settled: bool,
     },
     /// The data sent so far was current in the store at this time.
     Current {
--- a/src/feed/mod.rs
+++ b/src/feed/mod.rs
@@ -14,6 +14,7 @@
 mod position;
 mod role;
 mod serve;
+mod server_list;
 mod snapshot;
 mod state;
 mod store;
@@ -25,7 +26,7 @@
     frame::{FeedMessage, MAX_FRAME_BYTES},
     peer_clock::PeerClock,
     poll::StorePoll,
-    position::{Position, StoreEra},
+    position::{ListVersion, Position, StoreEra},
     role::{FeedNode, FeedRank, Role, FOLLOWER_COUNT},
     serve::serve_subscribers,
     snapshot::run_snapshots,
--- a/src/feed/position.rs
+++ b/src/feed/position.rs
@@ -33,6 +33,28 @@
     }
 }
 
+/// Version of a list of servers; of two lists the one with the later version is newer.
+///
+/// Lists of routers differ at equal positions while a router still waits whether an entry of a store
+/// that came back from a copy is renewed, or has known the store for too short a time to tell.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, PartialOrd, Ord)]
+pub struct ListVersion {
+    /// Position in the store before which all changes are included.
+    pub position: Position,
+    /// Whether the router waits for nothing of that kind.
+    pub is_settled: bool,
+}
+
+impl From<Position> for ListVersion {
+    /// Returns the version of a list that is not settled.
+    fn from(position: Position) -> Self {
+        ListVersion {
+            position,
+            is_settled: false,
+        }
+    }
+}
+
 impl fmt::Display for StoreEra {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         self.0.fmt(f)
--- a/src/feed/serve.rs
+++ b/src/feed/serve.rs
@@ -68,12 +68,13 @@
             }
         }
         if sent_changes != Some(revision.changes) {
-            if let Some((servers, next)) = feed.servers() {
+            if let Some((servers, version)) = feed.servers() {
                 let message = FeedMessage::Servers {
                     servers,
-                    next: next.offset,
-                    era: next.era,
+                    next: version.position.offset,
+                    era: version.position.era,
                     departures: feed.departure_reports(clock.now()),
+                    is_settled: version.is_settled,
                 };
                 send(&mut tx, &frame::encode(&message)?).await?;
                 sent_changes = Some(revision.changes);
--- a/src/feed/state.rs
+++ b/src/feed/state.rs
@@ -11,9 +11,9 @@
 
 use tokio::sync::watch;
 
-use super::{frame, upstreams, FeedNode, FeedRank, Position, Role, ServersRead, StoreEra};
+use super::{frame, server_list::ServerList, upstreams, FeedNode, FeedRank, Role};
 use crate::{
-    catalog::{Catalog, Server, ServerRegistry},
+    catalog::Catalog,
     presence::{Presence, StoreStatus},
     routes::{ActiveRoutes, RouteTable},
     sync::lock,
@@ -72,14 +72,6 @@
     pub answers: u64,
 }
 
-/// The list of servers, with the changes applied so far.
-#[derive(Debug, Default)]
-pub(super) struct ServerList {
-    pub(super) registry: ServerRegistry,
-    /// Position in the store before which all changes are applied; `None` before the first read.
-    next: Option<Position>,
-}
-
 /// Times at which the known data was current, and failures of the store.
 #[derive(Debug, Default)]
 struct SyncState {
@@ -233,35 +225,6 @@
         }
     }
 
-    /// Returns the position from which the next read of the list of servers continues.
-    pub fn next_servers(&self) -> Option<Position> {
-        lock(&self.server_list).next
-    }
-
-    /// Returns the latest era of the store that is known from a list of servers.
-    pub fn store_era(&self) -> Option<StoreEra> {
-        self.next_servers().map(|next| next.era)
-    }
-
-    /// Applies a read of the list of servers that ended at `now`; returns whether what is known
-    /// is at least as new as the read.
-    ///
-    /// A read that ends before the position already received from another router is ignored. If
-    /// it is of an earlier era, it proves nothing about the present contents of the store.
-    pub fn apply_server_list(&self, read: ServersRead, now: Instant) -> bool {
-        let mut server_list = lock(&self.server_list);
-        if let Some(known) = server_list.next.filter(|known| *known > read.next) {
-            log_ignored("store", read.next, known);
-            return known.era == read.next.era;
-        }
-        server_list.advance(read.next, now);
-        let changed = server_list.registry.apply(read.changes, read.full, now);
-        if changed || !self.catalog.is_known() {
-            self.publish(&server_list, "store");
-        }
-        true
-    }
-
     /// Records that the known servers were current at `at`.
     pub fn record_servers_current(&self, at: Instant) {
         let mut sync_state = lock(&self.sync_state);
@@ -270,36 +233,6 @@
         self.notify_answer();
     }
 
-    /// Replaces the servers by the list of another router, with all changes before `next`, which
-    /// arrived at `now`.
-    ///
-    /// Routers read the store at different times; an older list does not replace a newer one.
-    /// Of two lists with equal positions the shorter one is newer, as removals are delayed after
-    /// an outage of the store.
-    pub fn replace_servers(&self, servers: Vec<Server>, next: Position, now: Instant) {
-        let mut server_list = lock(&self.server_list);
-        let recency = |next: Position, count: usize| (next, std::cmp::Reverse(count));
-        if let Some(known) = server_list.next {
-            let count = server_list.registry.servers().count();
-            if recency(known, count) >= recency(next, servers.len()) {
-                log_ignored("router", next, known);
-                return;
-            }
-        }
-        server_list.advance(next, now);
-        let changed = server_list.registry.replace(servers, now);
-        if changed || !self.catalog.is_known() {
-            self.publish(&server_list, "router");
-        }
-    }
-
-    /// Returns all servers and the position in the store before which all changes are included.
-    pub fn servers(&self) -> Option<(Vec<Server>, Position)> {
-        let server_list = lock(&self.server_list);
-        let servers = server_list.registry.servers().cloned().collect();
-        server_list.next.map(|next| (servers, next))
-    }
-
     /// Records that the routes in force were current at `at`.
     pub fn record_routes_current(&self, at: Instant) {
         let mut sync_state = lock(&self.sync_state);
@@ -312,12 +245,7 @@
     ///
     /// `now` is the time at which that router's statement was received.
     pub fn record_current(&self, at: Instant, now: Instant) {
-        let mut server_list = lock(&self.server_list);
-        server_list.registry.record_answer_between(at, now);
-        if server_list.registry.settle(now) {
-            self.publish(&server_list, "delay");
-        }
-        drop(server_list);
+        self.settle_servers(at, now);
         let mut sync_state = lock(&self.sync_state);
         let before = (sync_state.servers_current_at, sync_state.routes_current_at);
         sync_state.servers_current_at = sync_state.servers_current_at.max(Some(at));
@@ -360,28 +288,7 @@
         }
     }
 
-    fn publish(&self, server_list: &ServerList, source: &str) {
-        let registry = &server_list.registry;
-        self.replace_catalog(server_list);
-        let count = registry.servers().count();
-        let leaving = registry.servers().filter(|s| s.leaving).count();
-        let next = server_list.next.unwrap_or_default();
-        let (era, next) = (next.era, next.offset);
-        log::info!(
-            "servers known count={count} leaving={leaving} era={era} next={next} source={source}"
-        );
-        self.notify_change();
-    }
-
-    pub(super) fn replace_catalog(&self, server_list: &ServerList) {
-        // A router that knows no list yet has no catalog either.
-        if server_list.next.is_some() {
-            self.catalog
-                .replace(&server_list.registry.effective_servers());
-        }
-    }
-
-    fn notify_change(&self) {
+    pub(super) fn notify_change(&self) {
         self.revision.send_modify(|revision| revision.changes += 1);
     }
 
@@ -389,23 +296,3 @@
         self.revision.send_modify(|revision| revision.answers += 1);
     }
 }
-
-impl ServerList {
-    /// Moves on to `next`, which is not before the known position.
-    fn advance(&mut self, next: Position, now: Instant) {
-        if self.next.is_some_and(|known| known.era < next.era) {
-            self.registry.record_restoration(now);
-        }
-        self.next = Some(next);
-    }
-}
-
-fn log_ignored(source: &str, next: Position, known: Position) {
-    log::info!(
-        "server list ignored source={source} era={} next={} known_era={} known={}",
-        next.era,
-        next.offset,
-        known.era,
-        known.offset
-    );
-}
--- a/src/feed/subscribe.rs
+++ b/src/feed/subscribe.rs
@@ -4,7 +4,7 @@
 
 use tokio::{io::AsyncWriteExt, net::TcpStream};
 
-use super::{frame, role::ROLE_CHECK_PERIOD, Feed, FeedMessage, Position, Role};
+use super::{frame, role::ROLE_CHECK_PERIOD, Feed, FeedMessage, ListVersion, Position, Role};
 use crate::{presence::Presence, Clock, Instant};
 
 /// Maximum time to open a connection to a follower.
@@ -141,9 +141,14 @@
             next,
             era,
             departures,
+            is_settled,
         } => {
             feed.receive_departure_reports(&departures, now);
-            feed.replace_servers(servers, Position::new(era, next), now);
+            let version = ListVersion {
+                position: Position::new(era, next),
+                is_settled,
+            };
+            feed.replace_servers(servers, version, now);
         }
         FeedMessage::Current {
             at_micros,
--- a/tests/feed/era.rs
+++ b/tests/feed/era.rs
@@ -171,3 +171,87 @@
     let last = lines.pop().expect("a line");
     expect!["9000: 2 2"].assert_eq(&last);
 }
+
+#[test]
+fn a_router_that_starts_after_the_restoration_drops_the_removed_servers_of_the_copy() {
+    let at = Instant::from_millis;
+    let other = Server {
+        name: EngineName::new("e-2").unwrap(),
+        ..server(false)
+    };
+    let both = |next| ServersRead {
+        changes: vec![
+            ServerChange::Present(server(false)),
+            ServerChange::Present(other.clone()),
+        ],
+        full: true,
+        next,
+    };
+    let running = Feed::new(&name(1), LINK_MBPS);
+    running.apply_server_list(both(at_era(1, 10)), at(100));
+    let gone = ServersRead {
+        changes: vec![ServerChange::Absent(server(false).name)],
+        full: false,
+        next: at_era(1, 11),
+    };
+    running.apply_server_list(gone, at(500));
+    running.apply_server_list(both(at_era(2, 8)), at(1_000));
+    let started = Feed::new(&name(2), LINK_MBPS);
+    started.apply_server_list(both(at_era(2, 8)), at(50));
+    let names = |feed: &Feed| {
+        let (servers, _) = feed.servers().expect("a list");
+        let names: Vec<_> = servers.iter().map(|s| s.name.to_string()).collect();
+        names.join(" ")
+    };
+    let mut lines = vec![format!("from the store: {}", names(&started))];
+    let pass_on = |now| {
+        let (servers, version) = running.servers().expect("a list");
+        started.replace_servers(servers, version, at(now));
+        names(&started)
+    };
+    lines.push(format!("fed by the other: {}", pass_on(300)));
+    // The entry was renewed after all.
+    running.apply_server_list(both(at_era(2, 8)), at(6_800));
+    lines.push(format!("believed by the other: {}", pass_on(6_100)));
+    expect![[r#"
+        from the store: e-1 e-2
+        fed by the other: e-2
+        believed by the other: e-1 e-2"#]]
+    .assert_eq(&lines.join("\n"));
+}
+
+#[test]
+fn a_removed_server_that_runs_comes_back_at_routers_that_are_fed_by_a_subscriber() {
+    let at = Instant::from_millis;
+    let running = || vec![ServerChange::Present(server(false))];
+    let list = |changes, full, next| ServersRead {
+        changes,
+        full,
+        next,
+    };
+    let feeds = [1, 2, 3].map(|number| Feed::new(&name(number), LINK_MBPS));
+    let pass_on = |from: usize, now: u64| {
+        let (servers, version) = feeds[from].servers().expect("a list");
+        feeds[from + 1].replace_servers(servers, version, at(now));
+        feeds[from + 1].record_current(at(now), at(now));
+    };
+    let gone = vec![ServerChange::Absent(server(false).name)];
+    feeds[0].apply_server_list(list(running(), true, at_era(1, 10)), at(100));
+    pass_on(0, 150);
+    pass_on(1, 200);
+    feeds[0].apply_server_list(list(gone, false, at_era(1, 11)), at(500));
+    pass_on(0, 550);
+    pass_on(1, 600);
+    // Each router learns of the restoration later than the one before it.
+    feeds[0].apply_server_list(list(running(), true, at_era(2, 8)), at(1_000));
+    pass_on(0, 1_100);
+    pass_on(1, 1_200);
+    feeds[0].apply_server_list(list(Vec::new(), false, at_era(2, 8)), at(6_800));
+    pass_on(0, 6_810);
+    pass_on(1, 6_820);
+    feeds[1].record_current(at(6_900), at(6_900));
+    pass_on(1, 6_910);
+    feeds[2].record_current(at(7_000), at(7_000));
+    let counts = feeds.map(|feed| feed.servers().expect("a list").0.len());
+    assert_eq!(counts, [1, 1, 1]);
+}
