--- a/src/feed/subscribe.rs
+++ b/src/feed/subscribe.rs
@@ -4,7 +4,7 @@
 
 use tokio::{io::AsyncWriteExt, net::TcpStream};
 
-use super::{frame, role::ROLE_CHECK_PERIOD, Feed, FeedMessage, Position, Role};
+use super::{frame, role::ROLE_CHECK_PERIOD, Feed, FeedMessage, ListVersion, Position, Role};
 use crate::{presence::Presence, Clock, Instant};
 
 /// Maximum time to open a connection to a follower.
@@ -136,8 +136,19 @@
             let table = postcard::from_bytes(&bytes).map_err(io::Error::other)?;
             feed.replace_routes_if_newer(table, "router");
         }
-        FeedMessage::Servers { servers, next, era } => {
-            feed.replace_servers(servers, Position::new(era, next), now);
+        FeedMessage::Servers {
+            servers,
+            next,
+            era,
+            departures,
+            is_settled,
+        } => {
+            feed.receive_departure_reports(&departures, now);
+            let version = ListVersion {
+                position: Position::new(era, next),
+                is_settled,
+            };
+            feed.replace_servers(servers, version, now);
         }
         FeedMessage::Current {
             at_micros,
@@ -145,15 +156,19 @@
         } => {
             // The follower's estimate runs ahead of the clock of a router that was suspended.
             let at = Instant::from_micros(at_micros).min(now);
-            let age = now.since(at);
-            let delay = age.saturating_sub(Duration::from_millis(age_millis));
+            let stated_age = Duration::from_millis(age_millis);
+            let age = now.since(at).max(stated_age);
+            let delay = age - stated_age;
             if delay >= DELAY_LOG_THRESHOLD {
                 let delay_ms = delay.as_millis();
                 log::info!(
                     "feed delayed follower={follower} delay_ms={delay_ms} age_ms={age_millis}"
                 );
             }
-            feed.record_current(at, now);
+            // Data from before the start of this process has no time on its clock.
+            if age <= now.since(Instant::default()) {
+                feed.record_current(now - age, now);
+            }
             return Ok(Some(age));
         }
     }
