Count the rest of a saved quarantine from when it was saved

Callers saw: requests with a quarantined part of a prompt were refused for longer than the quarantine. With each restart of any router it began again at what had been left when it was saved, at all routers, as they take the later end; at a router that knows no other one it never ended.

A saved record without it, as those of earlier builds, counts as ended.

--- a/src/admission/part_updates.rs
+++ b/src/admission/part_updates.rs
@@ -1,5 +1,7 @@
 //! Keys of prompt parts, and what routers tell each other about parts that crash servers.
 
+use std::time::Duration;
+
 use serde::{Deserialize, Serialize};
 use xxhash_rust::xxh3::xxh3_64;
 
@@ -58,6 +60,18 @@
     pub length_ms: u32,
 }
 
+impl QuarantinedParts {
+    /// Returns what is left of the quarantine after `elapsed`, `None` if it has ended.
+    pub fn after(self, elapsed: Duration) -> Option<Self> {
+        let elapsed_ms = u32::try_from(elapsed.as_millis()).unwrap_or(u32::MAX);
+        let remaining_ms = self.remaining_ms.saturating_sub(elapsed_ms);
+        (remaining_ms > 0).then_some(QuarantinedParts {
+            remaining_ms,
+            ..self
+        })
+    }
+}
+
 /// What a digest says about prompt parts.
 #[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct PartUpdates {
--- a/src/feed/snapshot.rs
+++ b/src/feed/snapshot.rs
@@ -4,7 +4,9 @@
 use std::{net::SocketAddr, sync::Arc, time::Duration};
 
 use super::{Feed, FleetSnapshot, Store};
-use crate::{admission::PoisonParts, placement::SessionAffinity, presence::Presence, Clock};
+use crate::{
+    admission::PoisonParts, placement::SessionAffinity, presence::Presence, Clock, UnixMillis,
+};
 
 /// Time between two saves.
 ///
@@ -63,6 +65,7 @@
             routers,
             placements: affinity.snapshot(now),
             quarantined_parts: poison_parts.quarantined(now),
+            saved_at: clock.wall(),
         };
         // What was saved in an earlier era of the store may be gone.
         let saving = (feed.store_era(), sorted(&snapshot));
@@ -94,8 +97,13 @@
             routers,
             placements,
             quarantined_parts,
+            saved_at,
         }) = saved
         {
+            // It may be older than the process, and is not saved again while it only ages.
+            let age = clock.wall().since(saved_at);
+            let quarantined_parts = quarantined_parts.into_iter().filter_map(|q| q.after(age));
+            let quarantined_parts: Vec<_> = quarantined_parts.collect();
             log::info!(
                 "restored fleet snapshot routers={} placements={} quarantined_parts={}",
                 routers.len(),
@@ -111,10 +119,11 @@
     }
 }
 
-/// Returns `snapshot` with sorted placements and without the remaining times of quarantines, so
-/// that snapshots of the same state are equal.
+/// Returns `snapshot` with sorted placements and without its time and the remaining times of
+/// quarantines, so that snapshots of the same state are equal.
 fn sorted(snapshot: &FleetSnapshot) -> FleetSnapshot {
     let mut sorted = snapshot.clone();
+    sorted.saved_at = UnixMillis::default();
     sorted.placements.sort_unstable();
     for quarantined in &mut sorted.quarantined_parts {
         quarantined.remaining_ms = 0;
--- a/src/feed/store.rs
+++ b/src/feed/store.rs
@@ -5,7 +5,7 @@
 use super::Position;
 use crate::{
     admission::QuarantinedParts, catalog::ServerChange, placement::SessionPlacement,
-    routes::RouteTable, Result,
+    routes::RouteTable, Result, UnixMillis,
 };
 
 /// Result of a read of the list of servers.
@@ -35,8 +35,10 @@
     pub routers: Vec<SocketAddr>,
     /// Sessions and the engines that hold their prompts, for each session the latest first.
     pub placements: Vec<SessionPlacement>,
-    /// Prompt parts in quarantine.
+    /// Prompt parts in quarantine, with the times that were left when the snapshot was saved.
     pub quarantined_parts: Vec<QuarantinedParts>,
+    /// Wall time at which the snapshot was saved.
+    pub saved_at: UnixMillis,
 }
 
 /// Reads and writes records in the platform's store.
--- a/tests/feed/main.rs
+++ b/tests/feed/main.rs
@@ -4,6 +4,7 @@
 mod era;
 mod gap;
 mod outage;
+mod snapshot;
 mod tree;
 
 use ebonyspur::{
--- /dev/null
+++ b/tests/feed/snapshot.rs
@@ -0,0 +1,92 @@
+//! What a router takes over from the snapshot of the fleet.
+
+use std::{
+    sync::{Arc, Mutex},
+    time::Duration,
+};
+
+use ebonyspur::{
+    admission::{PartKey, PoisonParts, QuarantinedParts},
+    feed::{run_snapshots, Feed, FleetSnapshot, Position, RoutesRead, ServersRead, Store},
+    placement::{PromptPart, SessionAffinity},
+    presence::Presence,
+    Category, Clock, Error, PoolName, Result,
+};
+use tokio::time::sleep;
+
+use crate::{name, LINK_MBPS};
+
+/// Length of the quarantine, several times that between two saves.
+const QUARANTINE: Duration = Duration::from_secs(6);
+
+/// A store that only keeps the snapshot.
+#[derive(Default)]
+struct SnapshotStore(Mutex<FleetSnapshot>);
+
+fn unused<T>() -> Result<T> {
+    Err(Error::not_run(Category::LogUnavailable, "not used"))
+}
+
+impl Store for SnapshotStore {
+    async fn read_servers(&self, _: Option<Position>, _: Duration) -> Result<ServersRead> {
+        unused()
+    }
+
+    async fn read_routes(&self, _: Option<Position>, _: Duration) -> Result<RoutesRead> {
+        unused()
+    }
+
+    async fn save_snapshot(&self, saved: &FleetSnapshot) -> Result<()> {
+        *self.0.lock().expect("a snapshot") = saved.clone();
+        Ok(())
+    }
+
+    async fn load_snapshot(&self) -> Result<FleetSnapshot> {
+        Ok(self.0.lock().expect("a snapshot").clone())
+    }
+}
+
+/// Runs the snapshots of a router that knows no other; returns its quarantines.
+fn start(store: &Arc<SnapshotStore>, number: usize, clock: Clock) -> Arc<PoisonParts> {
+    let address = ([127, 0, 0, 1], number as u16).into();
+    let poison_parts = Arc::new(PoisonParts::default());
+    tokio::spawn(run_snapshots(
+        store.clone(),
+        Arc::new(Feed::new(&name(number), LINK_MBPS)),
+        Arc::new(Presence::new(name(number), address)),
+        Arc::new(SessionAffinity::default()),
+        poison_parts.clone(),
+        address,
+        clock,
+    ));
+    poison_parts
+}
+
+#[tokio::test]
+async fn a_saved_quarantine_does_not_begin_again_with_each_restart() {
+    let clock = Clock::new();
+    let store = Arc::new(SnapshotStore::default());
+    let running = start(&store, 1, clock);
+    let prompt = [1, 2].map(|id| PromptPart { id, tokens: 9 });
+    let pool = PoolName::new("writers").expect("a name");
+    let millis = QUARANTINE.as_millis() as u32;
+    let quarantined = QuarantinedParts {
+        parts: PartKey::shared_parts(&pool, &prompt),
+        remaining_ms: millis,
+        length_ms: 10 * millis,
+    };
+    running.restore(&[quarantined], clock.now());
+    let mut restarted = Vec::new();
+    for _ in 0..5 {
+        sleep(QUARANTINE / 3).await;
+        restarted.push(start(&store, 2, clock));
+    }
+    sleep(QUARANTINE / 3).await;
+    let is_quarantined = |parts: &PoisonParts| !parts.quarantined(clock.now()).is_empty();
+    assert!(!is_quarantined(&running), "after twice its time");
+    let restarted: Vec<_> = restarted
+        .iter()
+        .map(|parts| is_quarantined(parts))
+        .collect();
+    assert_eq!(restarted, [false; 5], "after twice its time");
+}
