Pass altered datagrams to each part of a router that reads them

20,000 rounds of up to three digests or summaries with all fields filled and up to four bytes changed, to the parts that receive them and on to the next round of sending.

--- a/tests/presence/decode.rs
+++ b/tests/presence/decode.rs
@@ -1,12 +1,20 @@
 //! Datagrams that are truncated, foreign or altered.
 
 use ebonyspur::{
+    admission::{
+        Crash, Fingerprint, LimitReport, PartCrash, PartKey, PartUpdates, PoisonParts,
+        QuarantinedParts, RateLimit, ServerLimits,
+    },
     catalog::ServerKey,
-    presence::{Message, Presence},
-    Instant, RouterName,
+    feed::Feed,
+    forward::{HealthTracker, PoisonRequests},
+    placement::{Prefills, PromptPart, SessionAffinity, SessionKey},
+    presence::{Digest, KnownRouter, LoadRange, Message, Presence, Summary, Updates},
+    EngineName, Incarnation, Instant, PoolName, RouterName,
 };
 use expect_test::expect;
 use proptest::prelude::*;
+use rand::{rngs::SmallRng, RngExt, SeedableRng};
 
 use super::{digest, fleet::address};
 
@@ -73,3 +81,131 @@
         prop_assert_eq!(versions, vec![6]);
     }
 }
+
+/// Returns updates of each kind.
+fn updates() -> Updates {
+    let pool = PoolName::new("writers").unwrap();
+    let prompt = [1, 2, 3].map(|id| PromptPart { id, tokens: 9 });
+    let parts = PartKey::shared_parts(&pool, &prompt);
+    let placement = (SessionKey(3), ServerKey(7));
+    let tokens = 900;
+    Updates {
+        placements: vec![placement],
+        prefills: vec![ebonyspur::placement::PrefillUpdate { placement, tokens }],
+        crashes: vec![Crash {
+            fingerprint: Fingerprint(5),
+            engine: EngineName::new("e-1").unwrap(),
+            incarnation: Incarnation(9),
+        }],
+        part_updates: PartUpdates {
+            crashes: vec![PartCrash {
+                server: ServerKey(7),
+                parts: parts.clone(),
+            }],
+            known_good: vec![parts[0]],
+            alive: vec![ServerKey(8)],
+            quarantined: vec![QuarantinedParts {
+                parts,
+                remaining_ms: 5_000,
+                length_ms: 60_000,
+            }],
+        },
+        stalled_servers: vec![ServerKey(7)],
+        leaving_servers: vec![ServerKey(7)],
+    }
+}
+
+/// Returns a digest and a summary whose fields are all filled.
+fn full_messages() -> [Message; 2] {
+    let Message::Digest(own) = digest(1, 4) else {
+        panic!("a digest");
+    };
+    let limits = vec![LimitReport {
+        server: ServerKey(7),
+        limit: RateLimit::from_per_second(0.4),
+        age_ms: 300,
+        level_milli: 900,
+    }];
+    let loads = vec![(ServerKey(7), 3), (ServerKey(9), 2)];
+    let mut third = own.router.clone();
+    third.name = RouterName::new("third").unwrap();
+    let summary = Summary {
+        sender: own.router.clone(),
+        sequence: 6,
+        is_for_client: false,
+        clients: vec![(third.key(), 5)],
+        routers: vec![KnownRouter::new(third, 4)],
+        loads: Some(LoadRange {
+            first: ServerKey(0),
+            last: ServerKey(u32::MAX),
+            loads: loads.clone(),
+        }),
+        server_limits: limits.clone(),
+        current_age_ms: Some(200),
+        updates: updates(),
+    };
+    let full = Digest {
+        loads,
+        server_limits: limits,
+        updates: updates(),
+        known_addresses: vec![address(3)],
+        ..*own
+    };
+    [
+        Message::Digest(Box::new(full)),
+        Message::Summary(Box::new(summary)),
+    ]
+}
+
+#[test]
+fn altered_datagrams_fail_no_part_of_a_router() {
+    let mut rng = SmallRng::seed_from_u64(7);
+    let originals = full_messages().map(|message| message.encode().unwrap());
+    let mut decoded = 0;
+    for round in 0..20_000_u64 {
+        let presence = Presence::new(RouterName::new("me").unwrap(), address(1));
+        let feed = Feed::new(&RouterName::new("me").unwrap(), 100);
+        let (affinity, prefills) = (SessionAffinity::default(), Prefills::default());
+        let (requests, parts) = (PoisonRequests::default(), PoisonParts::default());
+        let (limits, health) = (ServerLimits::default(), HealthTracker::default());
+        for step in 0..3 {
+            let now = Instant::from_millis(round % 7 * 400 + step * 500);
+            let mut bytes = originals[rng.random_range(0..2)].clone();
+            for _ in 0..rng.random_range(0..5) {
+                let at = rng.random_range(1..bytes.len());
+                bytes[at] = rng.random();
+            }
+            let Ok(message) = Message::decode(&bytes) else {
+                continue;
+            };
+            decoded += 1;
+            let received = message.received();
+            if let Some(age) = received.current_age {
+                feed.record_peer_current(now - age);
+            }
+            let updates = received.updates;
+            affinity.receive(&updates.placements, now);
+            prefills.receive(&updates.prefills, now);
+            requests.receive(&updates.crashes, now);
+            parts.receive(&updates.part_updates, now);
+            limits.receive(received.server_limits, now);
+            health.receive_stalled(&updates.stalled_servers, now);
+            feed.receive_leaving(&updates.leaving_servers, now);
+            presence.receive(&message, now);
+            let Message::Digest(mut own) = digest(1, 1) else {
+                panic!("a digest");
+            };
+            own.router.name = RouterName::new("me").unwrap();
+            own.server_limits = limits.reports(now);
+            own.updates.part_updates = parts.next_updates(now);
+            own.updates.prefills = prefills.next_updates();
+            for outgoing in presence.next_round(*own, true, now) {
+                outgoing.message.encode().unwrap();
+            }
+            presence.loads(now);
+            prefills.pending_tokens(now);
+            parts.quarantined(now);
+        }
+    }
+    assert!(decoded > 10_000, "{decoded} decoded");
+}
