Announce urgent changes of routers in four rounds

Callers were sent for some seconds to routers that had died, by the few routers of a large fleet that had lost both announcements.

Cause: a relay sends an urgent change in two rounds, and at 1 in 40 datagrams lost one in 1,600 receivers gets neither; the state comes again in turn after up to 5 s. Besides, the second round was the next period or the next urgent change, so that a death noticed after 1.85 s was often told once within 2 s.

Change: urgent changes are sent in four rounds, and the next round is due after 30 ms while few of them have rounds left. Many at once, as when a fleet starts, are sent twice as before, and their last eight up to twice more.

--- a/src/presence/mod.rs
+++ b/src/presence/mod.rs
@@ -35,6 +35,6 @@
     router_state::{RelayRole, RouterKey, RouterPhase, RouterState, StoreStatus},
     state::{Outgoing, Presence, Received, Reception, DIGEST_PERIOD},
     summary::{KnownRouter, LoadRange, Summary},
-    task::{announce, receive},
+    task::{announce, receive, CHANGE_REPEAT_DELAY},
     updates::Updates,
 };
--- a/src/presence/round.rs
+++ b/src/presence/round.rs
@@ -3,7 +3,7 @@
 use std::{net::SocketAddr, time::Duration};
 
 use super::{
-    clients::{rotated, without, Client},
+    clients::{rotated, without, ChangeCursor, Client},
     packing::pack,
     peers::Peer,
     relays::{relay_addresses, DIRECT_FLEET_SIZE},
@@ -61,6 +61,13 @@
         outgoing
     }
 
+    /// Returns whether urgent changes are to be sent again to a client or another relay.
+    pub(super) fn has_repeats(&self) -> bool {
+        let cursors = self.clients.values().map(|client| &client.cursor);
+        let mut cursors = cursors.chain([&self.relay_cursor]);
+        self.role == RelayRole::Relay && cursors.any(ChangeCursor::has_repeats)
+    }
+
     fn forget_old(&mut self, now: Instant) {
         self.clients.retain(|_, client| client.usage.is_fresh(now));
         self.relays.retain(|_, usage| usage.is_fresh(now));
--- a/src/presence/state.rs
+++ b/src/presence/state.rs
@@ -100,6 +100,12 @@
         self.lock().next_round(own, is_periodic, now)
     }
 
+    /// Returns whether this router, as a relay, has urgent changes to send again; the next round is
+    /// then due within [`CHANGE_REPEAT_DELAY`](super::CHANGE_REPEAT_DELAY).
+    pub fn has_repeats(&self) -> bool {
+        self.lock().has_repeats()
+    }
+
     /// Returns how this router exchanges digests with the others.
     pub fn relay_role(&self) -> RelayRole {
         self.lock().role
--- a/src/presence/task.rs
+++ b/src/presence/task.rs
@@ -15,6 +15,11 @@
 /// Delay of the urgent summaries of a relay, which each go to all of its clients.
 const URGENT_SUMMARY_DELAY: Duration = Duration::from_millis(20);
 
+/// Time after which a relay sends urgent changes again.
+///
+/// All rounds of a change fit into a fraction of the digest period.
+pub const CHANGE_REPEAT_DELAY: Duration = Duration::from_millis(30);
+
 /// Pause after a failed receive on the socket.
 const RETRY_PAUSE: Duration = Duration::from_millis(100);
 
@@ -49,7 +54,10 @@
                 Err(err) => log::warn!("cannot encode datagram error=\"{err}\""),
             }
         }
-        let wait = next_period.since(clock.now());
+        let mut wait = next_period.since(clock.now());
+        if presence.has_repeats() {
+            wait = wait.min(CHANGE_REPEAT_DELAY);
+        }
         if tokio::time::timeout(wait, changed.notified()).await.is_ok() {
             let delay = match presence.relay_role() {
                 RelayRole::Relay => URGENT_SUMMARY_DELAY,
--- a/tests/presence/fleet.rs
+++ b/tests/presence/fleet.rs
@@ -10,7 +10,8 @@
 use ebonyspur::{
     catalog::ServerKey,
     presence::{
-        Digest, Message, Presence, RelayRole, RouterPhase, RouterState, Updates, DIGEST_PERIOD,
+        Digest, Message, Presence, RelayRole, RouterPhase, RouterState, Updates,
+        CHANGE_REPEAT_DELAY, DIGEST_PERIOD,
     },
     DomainName, Incarnation, Instant, RouterName,
 };
@@ -247,6 +248,14 @@
             ..Digest::new(router.state.clone())
         };
         let outgoing = router.presence.next_round(digest, is_periodic, self.now);
+        if router.presence.has_repeats() && !router.has_urgent_round {
+            router.has_urgent_round = true;
+            let round = Event::Round {
+                of,
+                is_periodic: false,
+            };
+            self.schedule(CHANGE_REPEAT_DELAY, round);
+        }
         for datagram in outgoing {
             let bytes = datagram.message.encode().expect("encoded");
             assert!(
