--- a/src/forward/listener.rs
+++ b/src/forward/listener.rs
@@ -268,9 +268,12 @@
 ///
 /// The record changes only while the connection is polled, which the same task does.
 async fn exchange_ended(record: &ConnectionRecord) {
-    std::future::poll_fn(|_| match record.is_exchange() {
-        true => Poll::Pending,
-        false => Poll::Ready(()),
+    std::future::poll_fn(|_| {
+        if record.is_exchange() {
+            Poll::Pending
+        } else {
+            Poll::Ready(())
+        }
     })
     .await;
 }
--- a/src/forward/serve.rs
+++ b/src/forward/serve.rs
@@ -74,7 +74,9 @@
             biased;
             response = req.forward(&self) => response,
             // Ends the exchange with the server, if any.
-            () = self.drain_reaches(Drain::last_answer_at) => Err(self.shutdown_error(progress.verdict())),
+            () = self.drain_reaches(Drain::last_answer_at) => {
+                Err(self.shutdown_error(progress.verdict()))
+            }
         }
     }
 
