Reject a route without a pool when a table of another router is decoded

Callers saw: nothing so far. A damaged table of another router would have failed each request to the route inside the router; it now ends the feed connection, and the router reads the store itself.

Cause: the builder rejects such a route, and the decoder did not.

Evidence: a_route_without_a_pool_is_not_decoded (routes) panicked before with `index out of bounds: the len is 0 but the index is 0`.

--- a/src/routes/route.rs
+++ b/src/routes/route.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use serde::{Deserialize, Serialize};
+use serde::{de::Error, Deserialize, Deserializer, Serialize};
 
 use crate::PoolName;
 
@@ -61,6 +61,7 @@
     /// Priority among the routes; 0 is the most urgent.
     pub priority: u8,
     /// Pools that get the requests; at least one.
+    #[serde(deserialize_with = "decode_targets")]
     pub targets: Box<[Target]>,
     /// Largest number of backend servers to which one request is sent.
     pub max_attempts: u32,
@@ -87,3 +88,11 @@
         &self.targets[0].pool
     }
 }
+
+fn decode_targets<'de, D: Deserializer<'de>>(de: D) -> Result<Box<[Target]>, D::Error> {
+    let targets = Box::<[Target]>::deserialize(de)?;
+    if targets.is_empty() {
+        return Err(D::Error::custom("a route has no pool"));
+    }
+    Ok(targets)
+}
--- a/tests/routes/main.rs
+++ b/tests/routes/main.rs
@@ -100,3 +100,17 @@
     expect!["bad_input: /empty/: no pool; two: key of two teams"]
         .assert_eq(&table.build().expect_err("the table has faults").to_string());
 }
+
+#[test]
+fn a_route_without_a_pool_is_not_decoded() {
+    let whole = table(1, &[("a", "/x/", "writers")]);
+    let bytes = postcard::to_stdvec(&whole).unwrap();
+    assert_eq!(postcard::from_bytes(&bytes).ok(), Some(whole));
+    let targets = b"\x01\x07writers\x01";
+    let at = bytes.windows(targets.len()).position(|w| w == targets);
+    let at = at.expect("the targets");
+    let bytes = [&bytes[..at], b"\0", &bytes[at + targets.len()..]].concat();
+    let decoded = postcard::from_bytes::<RouteTable>(&bytes);
+    let pool = decoded.map(|table| table.find("a", "/x/1").map(|r| r.choose_pool(3).clone()));
+    expect!["Err(SerdeDeCustom)"].assert_eq(&format!("{pool:?}"));
+}
