Keep callers that read slowly but steadily

Callers saw: one that read 128 KB/s of a response of 16 MiB was cut after 31 s.

Cause: a caller counted as reading nothing while no write succeeded for 10 s, and the kernel reports a socket as writable only once a good part of its buffer is free.

Change: bytes that the peer acknowledges count as progress.

--- a/src/forward/peer_stream.rs
+++ b/src/forward/peer_stream.rs
@@ -41,7 +41,7 @@
     peer: SocketAddr,
     /// Longest time for which the peer may leave no room for further data.
     write_timeout: Option<Duration>,
-    /// Time since which there is no room for further data.
+    /// Time since which there is no room for further data and the peer acknowledges none.
     blocked_since: Option<Instant>,
     /// Check of the data that was sent; `None` while all of it is acknowledged.
     check: Option<AckCheck>,
@@ -53,6 +53,8 @@
 struct AckCheck {
     /// Time from which on data is unacknowledged.
     since: Instant,
+    /// Number of bytes that were acknowledged at the last check.
+    acknowledged_bytes: u64,
     next: Pin<Box<Sleep>>,
 }
 
@@ -112,6 +114,12 @@
             };
             let waiting = now.duration_since(check.since);
             check.next.as_mut().reset(now + CHECK_INTERVAL);
+            let acknowledged =
+                std::mem::replace(&mut check.acknowledged_bytes, info.acknowledged_bytes);
+            if acknowledged != info.acknowledged_bytes {
+                // The socket becomes writable only when a good part of its buffer is free.
+                self.blocked_since = self.blocked_since.map(|_| now);
+            }
             if self.has_kernel_limit {
                 self.set_kernel_limit(None);
             }
@@ -154,6 +162,7 @@
         }
         self.check.get_or_insert_with(|| AckCheck {
             since: now,
+            acknowledged_bytes: 0,
             next: Box::pin(tokio::time::sleep_until(now + CHECK_INTERVAL)),
         });
         self.poll_peer(cx)?;
--- a/src/forward/tcp_info.rs
+++ b/src/forward/tcp_info.rs
@@ -16,6 +16,8 @@
     pub(super) probes: u8,
     /// Time since the last acknowledgement.
     pub(super) since_last_ack: Duration,
+    /// Number of bytes that the peer has acknowledged since the connection was opened.
+    pub(super) acknowledged_bytes: u64,
     unacknowledged_segments: u32,
     unsent_bytes: u32,
 }
@@ -49,6 +51,7 @@
             retransmits: info.tcpi_retransmits,
             probes: info.tcpi_probes,
             since_last_ack: Duration::from_millis(info.tcpi_last_ack_recv.into()),
+            acknowledged_bytes: info.tcpi_bytes_acked,
             unacknowledged_segments: info.tcpi_unacked,
             unsent_bytes: info.tcpi_notsent_bytes,
         })
--- a/tests/forward/peers.rs
+++ b/tests/forward/peers.rs
@@ -112,6 +112,15 @@
     stream
 }
 
+/// Reads the head of a message.
+fn skip_head(reader: &mut impl BufRead) {
+    let mut line = String::new();
+    while line != "\r\n" {
+        line.clear();
+        reader.read_line(&mut line).expect("a line of the head");
+    }
+}
+
 /// Makes a socket drop all packets that it receives, as if its host were gone.
 fn vanish(stream: &TcpStream) {
     const RETURN: u16 = 0x06;
@@ -125,11 +134,7 @@
 fn a_caller_that_pauses_within_a_large_response_gets_all_of_it() {
     let (address, _) = start_listener(1);
     let mut reader = BufReader::new(request(address, "/large"));
-    let mut line = String::new();
-    while line != "\r\n" {
-        line.clear();
-        reader.read_line(&mut line).expect("a line of the head");
-    }
+    skip_head(&mut reader);
     sleep(PAUSE);
     let mut body = Vec::new();
     let read = reader.read_to_end(&mut body).map_err(|err| err.kind());
@@ -146,11 +151,7 @@
     let server = std::thread::spawn(move || {
         let (mut stream, _) = listener.accept().expect("a connection");
         let mut head = BufReader::new(stream.try_clone().expect("a stream"));
-        let mut line = String::new();
-        while line != "\r\n" {
-            line.clear();
-            head.read_line(&mut line).expect("a line of the head");
-        }
+        skip_head(&mut head);
         sleep(PAUSE);
         let mut body = vec![0; LARGE];
         let read = head.read_exact(&mut body).map_err(|err| err.kind());
@@ -220,6 +221,9 @@
     drop(stream);
 }
 
+/// Time for which a caller reads slowly, longer than one may read nothing.
+const SLOW_READ_TIME: Duration = Duration::from_secs(16);
+
 /// Time for which a host receives nothing and then goes on.
 const OUTAGE: Duration = Duration::from_millis(2_200);
 
@@ -294,3 +298,21 @@
     assert_eq!(dropped.recv_timeout(Duration::from_secs(4)).ok(), None);
     stream.read_exact(&mut [0; 200]).expect("the rest");
 }
+
+#[test]
+fn a_caller_that_reads_slowly_but_steadily_gets_all_of_a_large_response() {
+    let (address, _) = start_listener(1);
+    let mut reader = BufReader::new(request(address, "/large"));
+    skip_head(&mut reader);
+    let started = Instant::now();
+    let mut body = vec![0; 1_600];
+    let mut len = 0;
+    while started.elapsed() < SLOW_READ_TIME {
+        reader.read_exact(&mut body).expect("a part of the body");
+        len += body.len();
+        sleep(Duration::from_millis(50));
+    }
+    body.clear();
+    let read = reader.read_to_end(&mut body).map_err(|err| err.kind());
+    assert_eq!((read.is_ok(), len + body.len()), (true, LARGE));
+}
