Ask a third server for a stream as soon as the second is silent as well

Callers saw: a stream whose first two servers fell silent ended at its deadline, although a third could have gone on.

Cause: a server that had sent the head of a response only was read beside the first one for 1.7 s, took the stream then, and its silence was counted anew.

Change: its silence counts from the time at which it sent its head, by the same limits as within a stream; it is given up then, and the next server is asked.

Evidence: resumed::a_stream_with_two_silent_servers_goes_on_at_a_third printed "200 whole false events 0,1 sent 2" before, "200 whole true events 0,1,2,3 sent 3" now. The other tests of resumed and pauses pass unchanged.

--- a/src/forward/resume.rs
+++ b/src/forward/resume.rs
@@ -11,12 +11,15 @@
 
 use super::{
     exchange::Exchange,
-    stream::{ResponseStream, StreamRead, EVENT_TIMEOUT, STALL_CHECK_INTERVAL},
+    stream::{ResponseStream, StreamRead, STALL_CHECK_INTERVAL},
     successor::Successor,
     Observation, Wire,
 };
 use crate::{catalog::Server, relay::EventReader, Category, Error, Result};
 
+/// Interval between two checks of a server that has been asked to go on with a stream.
+const SUCCESSOR_CHECK_INTERVAL: Duration = Duration::from_millis(100);
+
 /// Why another server does not take a stream.
 enum NotTaken {
     /// The server before has gone on with it.
@@ -207,8 +210,8 @@
 
     /// Reads from `successor` and from the current server until one of them goes on.
     ///
-    /// `successor` is returned once it has sent an event or has ended, once the current server has
-    /// no exchange any more, and once yet another server may be asked.
+    /// `successor` is returned once it has sent an event or has ended, and once the current server
+    /// has no exchange any more.
     ///
     /// # Errors
     ///
@@ -226,9 +229,13 @@
                 let reason = "the deadline of the stream has passed";
                 return Err(NotTaken::Failed(reason.to_string()));
             }
-            if self.may_resume() && now.since(asked) >= EVENT_TIMEOUT {
+            if self.exchange.is_none() {
                 return Ok(successor);
             }
+            let silence = now.since(asked);
+            if self.may_resume() && self.is_silent(&successor.exchange.server, silence, now) {
+                return Err(NotTaken::Failed("the server sent no event in time".into()));
+            }
             let Some(exchange) = &mut self.exchange else {
                 return Ok(successor);
             };
@@ -253,9 +260,11 @@
                         }
                     }
                 }
-                () = tokio::time::sleep(time_left.min(STALL_CHECK_INTERVAL)) => {
-                    cx.record_stall(&exchange.server, cx.clock.now());
-                    cx.record_stall(&successor.exchange.server, cx.clock.now());
+                () = tokio::time::sleep(time_left.min(SUCCESSOR_CHECK_INTERVAL)) => {
+                    if silence >= STALL_CHECK_INTERVAL {
+                        cx.record_stall(&exchange.server, cx.clock.now());
+                        cx.record_stall(&successor.exchange.server, cx.clock.now());
+                    }
                 }
             }
         }
--- a/src/forward/stream.rs
+++ b/src/forward/stream.rs
@@ -16,7 +16,7 @@
     ProxyRequest, Routed, Wire,
 };
 use crate::{
-    catalog::ServerKey,
+    catalog::{Server, ServerKey},
     relay::{EventBoundary, EventReader},
     routes::RouteKind,
     Category, Error, Instant, Result,
@@ -30,7 +30,7 @@
 /// server answers other requests.
 ///
 /// Callers abandon a stream after two seconds or more without an event.
-pub(super) const EVENT_TIMEOUT: Duration = Duration::from_millis(1_700);
+const EVENT_TIMEOUT: Duration = Duration::from_millis(1_700);
 
 /// Time between two checks of a server that stays silent; at each one another server may be asked
 /// to go on with the stream.
@@ -220,6 +220,15 @@
         }
     }
 
+    /// Returns whether another server may be asked in place of `server`, which has sent no event for
+    /// `silence`.
+    pub(super) fn is_silent(&self, server: &Server, silence: Duration, now: Instant) -> bool {
+        let server_silence = self.cx.health.silent_for(server.key(), now);
+        let is_server_silent =
+            server_silence.is_none_or(|server_silence| server_silence >= SILENT_SERVER_TIMEOUT);
+        silence >= EVENT_TIMEOUT || is_server_silent && silence >= SILENT_SERVER_TIMEOUT
+    }
+
     async fn read(&mut self) -> StreamRead {
         loop {
             let Some(exchange) = &mut self.exchange else {
@@ -260,12 +269,7 @@
                     if !self.may_resume() {
                         continue;
                     }
-                    let server_silence = self.cx.health.silent_for(server.key(), now);
-                    let is_server_silent = server_silence
-                        .is_none_or(|server_silence| server_silence >= SILENT_SERVER_TIMEOUT);
-                    if silence >= EVENT_TIMEOUT
-                        || is_server_silent && silence >= SILENT_SERVER_TIMEOUT
-                    {
+                    if self.is_silent(&server, silence, now) {
                         return StreamRead::Silent;
                     }
                 }
