Pass on responses to streams that have no body by their status

Callers saw: 204 of a server became 502, and the server and the request counted towards a crash.

Cause: a response without length or chunks that ends before its first data counts as broken off; the head alone ends one with 204 or to HEAD.

Change: a body that has ended with the head is complete.

The tests' reader of responses knows that 204 has no body.

--- a/src/forward/exchange.rs
+++ b/src/forward/exchange.rs
@@ -5,7 +5,7 @@
 use bytes::Bytes;
 use http::{header, HeaderMap, Method, Request, StatusCode, Uri};
 use http_body_util::Full;
-use hyper::body::Incoming;
+use hyper::body::{Body as _, Incoming};
 
 use super::{
     connection::{open_connection, Connection, SendError},
@@ -34,8 +34,8 @@
     pub(super) body: ResponseBody,
     /// Whether the first data of a stream, or the whole body of another response, was read.
     pub(super) is_prefetched: bool,
-    /// Whether the head announces the end of the body by a length or by chunks; otherwise it ends
-    /// with its connection.
+    /// Whether the head tells the end of the body, by a length, by chunks, or as there is none;
+    /// otherwise the body ends with its connection.
     pub(super) is_framed: bool,
     connection: Connection,
     _in_flight: InFlightGuard,
@@ -83,7 +83,8 @@
         Ok(Exchange {
             server: server.clone(),
             is_framed: parts.headers.contains_key(header::CONTENT_LENGTH)
-                || parts.headers.contains_key(header::TRANSFER_ENCODING),
+                || parts.headers.contains_key(header::TRANSFER_ENCODING)
+                || body.is_end_stream(),
             status: parts.status,
             headers: parts.headers,
             head,
--- a/tests/support/http.rs
+++ b/tests/support/http.rs
@@ -17,7 +17,7 @@
     pub status: u16,
     pub headers: BTreeMap<String, String>,
     pub body: String,
-    /// Whether the body is complete by its length or its chunks.
+    /// Whether the body is complete by its length, its chunks or its status.
     pub whole: bool,
 }
 
@@ -114,12 +114,14 @@
     let headers: BTreeMap<_, _> = pairs
         .map(|(key, value)| (key.to_ascii_lowercase(), value.to_string()))
         .collect();
+    let status = status.and_then(|text| text.parse().ok()).unwrap_or(0);
     let (body, whole) = match headers.get("content-length") {
         Some(len) => (rest.to_string(), len.parse() == Ok(rest.len())),
+        None if status == 204 => (rest.to_string(), rest.is_empty()),
         None => decode_chunks(rest),
     };
     Answer {
-        status: status.and_then(|text| text.parse().ok()).unwrap_or(0),
+        status,
         headers,
         body,
         whole,
