Give up bodies that stall, however much of them has arrived

Callers saw: a request of which 50,000 of 60,000 bytes had arrived had no answer after 25 s; by the lowest rate that is allowed it would have waited for 110 s, and one of 1 MiB for 35 min.

Cause: the time to read a body grows with the bytes that have arrived.

Change: no two parts of it may be more than 10 s apart.

Evidence: slow_bodies::a_body_that_stalls_after_most_of_it_has_arrived_is_given_up printed left: Err(WouldBlock), right: Ok(1) before; it passes now.

--- a/src/forward/whole_body.rs
+++ b/src/forward/whole_body.rs
@@ -7,7 +7,8 @@
 use http_body_util::{BodyExt, LengthLimitError, Limited};
 use tokio::time::Instant;
 
-/// Time to read a body, in addition to that which its bytes take at [`MIN_RATE`].
+/// Time to read a body, in addition to that which its bytes take at [`MIN_RATE`], and longest time
+/// between two parts of it.
 const READ_TIMEOUT: Duration = Duration::from_secs(10);
 
 /// Lowest rate at which a body may arrive, in bytes a second.
@@ -24,7 +25,15 @@
     Broken(Box<dyn std::error::Error + Send + Sync>),
 }
 
-/// Reads a body of at most `limit` bytes, within `timeout` of the number of bytes received so far.
+/// Part of a body that was received so far.
+#[derive(Debug, Clone, Copy, Default)]
+pub(super) struct Received {
+    bytes: usize,
+    /// Time from the start to the latest part.
+    latest: Duration,
+}
+
+/// Reads a body of at most `limit` bytes, within `timeout` of what was received so far.
 ///
 /// # Errors
 ///
@@ -32,7 +41,7 @@
 pub(super) async fn read_whole<B>(
     body: B,
     limit: usize,
-    timeout: impl Fn(usize) -> Duration,
+    timeout: impl Fn(Received) -> Duration,
 ) -> Result<Bytes, ReadError>
 where
     B: Body<Data = Bytes> + Unpin,
@@ -41,14 +50,19 @@
     let started = Instant::now();
     let mut body = Limited::new(body, limit);
     let mut bytes = BytesMut::new();
+    let mut received = Received::default();
     loop {
-        let left = timeout(bytes.len()).saturating_sub(started.elapsed());
+        let left = timeout(received).saturating_sub(started.elapsed());
         match tokio::time::timeout(left, body.frame()).await {
             Ok(None) => return Ok(bytes.freeze()),
             Ok(Some(Ok(frame))) => {
                 // Trailers are not passed on.
                 if let Ok(part) = frame.into_data() {
                     bytes.extend_from_slice(&part);
+                    received = Received {
+                        bytes: bytes.len(),
+                        latest: started.elapsed(),
+                    };
                 }
             }
             Ok(Some(Err(err))) if err.is::<LengthLimitError>() => {
@@ -60,7 +74,9 @@
     }
 }
 
-/// Returns the time in which a body has to arrive of which `received` bytes have.
-pub(super) fn steady_timeout(received: usize) -> Duration {
-    READ_TIMEOUT + Duration::from_secs(received as u64) / MIN_RATE
+/// Returns the time within which a body has to arrive in full of which `received` has, or another
+/// part of it.
+pub(super) fn steady_timeout(received: Received) -> Duration {
+    let total = READ_TIMEOUT + Duration::from_secs(received.bytes as u64) / MIN_RATE;
+    total.min(received.latest + READ_TIMEOUT)
 }
