--- a/src/catalog/departures.rs
+++ b/src/catalog/departures.rs
@@ -28,7 +28,7 @@
     servers: BTreeMap<ServerKey, Departure>,
 }
 
-/// What a router tells one that starts of a server that has announced that it leaves.
+/// Report of a server that has announced that it leaves, for routers that start.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 pub struct DepartureReport {
     /// The server.
--- a/src/feed/departures.rs
+++ b/src/feed/departures.rs
@@ -1,4 +1,4 @@
-//! Servers that have announced that they leave, as the routers tell each other.
+//! Exchange of reports between routers about servers that leave.
 
 use super::Feed;
 use crate::{
@@ -36,14 +36,14 @@
         lock(&self.server_list).registry.announced_leaving()
     }
 
-    /// Returns what this router tells its subscribers of servers that leave.
+    /// Returns the reports for subscribers about servers that leave.
     ///
     /// Digests only repeat what the sender received itself, which may have gone with its process.
     pub(super) fn departure_reports(&self, now: Instant) -> Vec<DepartureReport> {
         lock(&self.server_list).registry.departure_reports(now)
     }
 
-    /// Records what the router that feeds this one tells of servers that leave.
+    /// Records the reports of the router that feeds this one about servers that leave.
     pub(super) fn receive_departure_reports(&self, reports: &[DepartureReport], now: Instant) {
         let mut server_list = lock(&self.server_list);
         if server_list.registry.receive_departure_reports(reports, now) {
--- a/src/feed/server_list.rs
+++ b/src/feed/server_list.rs
@@ -101,7 +101,7 @@
         }
     }
 
-    /// Puts a changed list in force, and tells subscribers of it or of its newer version.
+    /// Puts a changed list in force, and notifies subscribers of it or of its newer version.
     fn pass_on(
         &self,
         server_list: &ServerList,
--- a/src/forward/exchange.rs
+++ b/src/forward/exchange.rs
@@ -34,7 +34,7 @@
     pub(super) body: ResponseBody,
     /// Whether the first data of a stream, or the whole body of another response, was read.
     pub(super) is_prefetched: bool,
-    /// Whether the head tells the end of the body, by a length, by chunks, or as there is none;
+    /// Whether the head determines the end of the body, by a length, by chunks, or as it has none;
     /// otherwise the body ends with its connection.
     pub(super) is_framed: bool,
     connection: Connection,
