Count crashes that come soon after the first bytes of an answer

Cause: one byte of a body was proof that a server had survived the beginning of its answer. Such a crash counted against nothing, and the byte cleared all parts of the request at all routers. Whole requests had the same fault. Data that had arrived before a crash and was read after it also retracted the crash.

Change: the beginning of an answer is a time, 500 ms from the first data. Within it crashes count; a part is known good after a complete answer, or after data that arrived later than that. A part that is alone in its request waits while a part of other requests explains its crashes.

Ruled out: that routers learn of crashes too late; with engines that crash before their first byte the part was refused after 7 crashes on the same code.

--- a/src/admission/poison_parts.rs
+++ b/src/admission/poison_parts.rs
@@ -4,11 +4,14 @@
 //! each server that begins to answer one of them crashes. They arrive at any router. Sound
 //! requests share their team and their other parts.
 //!
-//! - A crash counts against the parts of the requests to which the server had sent no data, at
-//!   all routers.
-//! - Data makes a part known good: the server has survived the beginning of its answer.
+//! - A crash counts against the parts of the requests at whose beginning the server was, at all
+//!   routers: it may have sent nothing yet, or its first bytes.
+//! - A complete answer, or data over some time, makes a part known good: the server has survived
+//!   the beginning of its answer.
 //! - Parts that were in each of several crashes are quarantined together, and only requests with
 //!   all of them are refused, so that a known good part among them is not refused by itself.
+//! - A single part waits for further crashes while a part of other requests was in the same ones:
+//!   requests that a poison request met on several servers share its crashes.
 //! - Crashes of other causes count little: those at the same moment count once, and a crash is
 //!   retracted when the server sends anything afterwards. While servers crash all the time, only
 //!   parts that are in most of the crashes are quarantined.
@@ -40,6 +43,13 @@
 /// most of the crashes of their pool.
 const MAX_CRASHES: usize = 8;
 
+/// Number of crashes after which parts are quarantined even if a part of other requests was in all
+/// of these crashes as well.
+const RIVAL_CRASHES: usize = 6;
+
+/// Longest time after a crash until all routers have reported it.
+const REPORT_DELAY: Duration = Duration::from_millis(200);
+
 /// Number of crashes from which other routers learn without delay that a part is known good.
 const URGENT_CRASHES: usize = 2;
 
@@ -130,7 +140,7 @@
         Err(err.with_retry_after(found.until.since(now)))
     }
 
-    /// Records that a server crashed that had sent no data to a request with these parts.
+    /// Records that a server crashed at the beginning of its answer to a request with these parts.
     ///
     /// Returns whether the other routers should learn of it without delay.
     pub fn record_crash(&self, parts: &[PartKey], server: ServerKey, now: Instant) -> bool {
@@ -149,7 +159,13 @@
         true
     }
 
-    /// Records that a server sent the first data of an answer to a request with these parts.
+    /// Returns whether the crash of a server is attributed to quarantined parts.
+    pub fn explains_crash(&self, server: ServerKey) -> bool {
+        lock(&self.inner).explains_crash(server)
+    }
+
+    /// Records that a server has come past the beginning of its answer to a request with these
+    /// parts.
     ///
     /// Returns whether the other routers should learn of it without delay, as the parts are
     /// close to quarantine or in it.
@@ -171,10 +187,11 @@
         is_urgent
     }
 
-    /// Records that a server sent data, which it does not do after a crash.
-    pub fn record_alive(&self, server: ServerKey, now: Instant) {
+    /// Records that data of a server was read that arrived after `drained_at`; it sends none after
+    /// a crash.
+    pub fn record_alive(&self, server: ServerKey, drained_at: Instant, now: Instant) {
         let mut inner = lock(&self.inner);
-        let age = |crash: &SeenCrash| now.since(crash.at);
+        let age = |crash: &SeenCrash| drained_at.since(crash.at);
         let latest = inner.unattributed.iter().rev();
         let mut recent = latest.take_while(|crash| age(crash) < MAX_ALIVE_AGE);
         if recent.any(|crash| crash.server == server && age(crash) >= MIN_ALIVE_AGE) {
@@ -277,8 +294,12 @@
             self.suspects.retain(|_, s| s.remove_crash(crash.server));
             return true;
         }
+        self.explains_crash(crash.server)
+    }
+
+    fn explains_crash(&self, server: ServerKey) -> bool {
         let mut quarantine = self.quarantine.iter();
-        quarantine.any(|q| q.servers.contains(&crash.server))
+        quarantine.any(|q| q.servers.contains(&server))
     }
 
     /// Quarantines the parts of the request with the most crashes, if these are enough.
@@ -293,7 +314,11 @@
             .with_most_crashes(&unknown)
             .filter(|(parts, crashes)| {
                 *crashes >= MAX_CRASHES
-                    || *crashes >= QUARANTINE_CRASHES && self.are_in_most_crashes(parts, *crashes)
+                    || *crashes >= QUARANTINE_CRASHES
+                        && self.are_in_most_crashes(parts, *crashes)
+                        && (parts.len() > 1
+                            || *crashes >= RIVAL_CRASHES
+                            || !self.has_rival(parts, crash, now))
             })
             .or_else(|| {
                 let suspects = self.with_most_crashes(&known_good);
@@ -345,6 +370,24 @@
         2 * crashes >= count_spaced(times)
     }
 
+    /// Returns whether a part of other requests than that of `crash` was in the crashes of `parts`
+    /// as well, so that it may be the cause of them.
+    ///
+    /// A crash that has just happened may not have been reported for that part yet.
+    fn has_rival(&self, parts: &BTreeSet<PartKey>, crash: &PartCrash, now: Instant) -> bool {
+        let suspects = parts.iter().filter_map(|part| self.suspects.get(part));
+        let earlier = suspects
+            .flat_map(Suspect::counted)
+            .filter(|crash| now.since(crash.at) >= REPORT_DELAY);
+        let servers: BTreeSet<_> = earlier.map(|crash| crash.server).collect();
+        let is_rival = |(part, suspect): (&PartKey, &Suspect)| {
+            let is_other = !crash.parts.contains(part) && crash.parts[0].pool() == part.pool();
+            let covered: BTreeSet<_> = suspect.servers().collect();
+            is_other && servers.is_subset(&covered) && !self.is_known_good(*part, now)
+        };
+        self.suspects.iter().any(is_rival)
+    }
+
     /// Adopts a quarantine of another router, except for parts to which this router has got an
     /// answer since it began.
     fn adopt(&mut self, update: &QuarantinedParts, now: Instant) {
--- a/src/forward/attempts.rs
+++ b/src/forward/attempts.rs
@@ -122,7 +122,7 @@
             failure.err
         );
         if failure.sent && failure.err.classify() == Category::Cut {
-            cx.record_crash(self, &failure.server, false, cx.clock.now());
+            cx.record_crash(self, &failure.server, true, cx.clock.now());
         }
         attempts.verdict = attempts.verdict.strongest(failure.err.verdict());
         attempts.unsent_count += u32::from(!failure.sent);
@@ -355,7 +355,7 @@
         let now = cx.clock.now();
         cx.poison_requests.record_success(self.state.fingerprint);
         if exchange.status.is_success() {
-            cx.record_first_data(self, now);
+            cx.record_known_good(self, now);
         }
         cx.metrics.observe_answer(now.since(self.arrived));
         cx.release_connection(exchange, now);
--- a/src/forward/exchange.rs
+++ b/src/forward/exchange.rs
@@ -88,7 +88,7 @@
             status: parts.status,
             headers: parts.headers,
             head,
-            body: ResponseBody::new(body),
+            body: ResponseBody::new(body, self.clock),
             is_prefetched: false,
             connection,
             _in_flight: in_flight,
@@ -176,7 +176,7 @@
         let now = self.clock.now();
         self.health.record(server.key(), observation, now);
         if head.outcome != RunOutcome::Misdirected {
-            self.poison_parts.record_alive(server.key(), now);
+            self.poison_parts.record_alive(server.key(), now, now);
             self.server_limits.record_response(server, head.limit, now);
             if let Some(pause) = head.retry_after {
                 self.server_limits.record_rejection(server, pause, now);
--- a/src/forward/resume.rs
+++ b/src/forward/resume.rs
@@ -33,19 +33,20 @@
     pub(super) fn drop_exchange(&mut self, error: &Error) {
         self.events = EventReader::new();
         if let Some(exchange) = self.exchange.take() {
-            self.record_break(&exchange, self.has_data, error);
+            self.record_break(&exchange, error);
         }
     }
 
     /// Records that a response broke off with `error`.
-    fn record_break(&self, exchange: &Exchange, has_data: bool, error: &Error) {
+    fn record_break(&self, exchange: &Exchange, error: &Error) {
         let now = self.cx.clock.now();
         self.cx
             .health
             .record(exchange.server.key(), Observation::Unreachable, now);
         if error.classify() == Category::Cut {
+            let is_beginning = exchange.body.is_beginning();
             self.cx
-                .record_crash(&self.req, &exchange.server, has_data, now);
+                .record_crash(&self.req, &exchange.server, is_beginning, now);
         }
     }
 
@@ -119,8 +120,8 @@
             );
             self.drop_exchange(&cause);
             self.last_progress = cx.clock.now();
-            self.has_data = successor.has_data();
-            if self.has_data {
+            self.is_known_good = false;
+            if !successor.received.is_empty() {
                 self.pending = Some(StreamRead::Bytes(successor.received.freeze()));
             }
             self.exchange = Some(successor.exchange);
@@ -248,14 +249,13 @@
                     let now = cx.clock.now();
                     match read {
                         Ok(has_taken_over) => {
-                            let is_first = successor.record_data();
-                            self.record_data(successor.exchange.server.key(), is_first, now);
+                            cx.record_data(&successor.exchange, now);
                             if has_taken_over {
                                 return Ok(successor);
                             }
                         }
                         Err(err) => {
-                            self.record_break(&successor.exchange, successor.has_data(), &err);
+                            self.record_break(&successor.exchange, &err);
                             return Err(NotTaken::Failed(err.to_string()));
                         }
                     }
--- a/src/forward/state.rs
+++ b/src/forward/state.rs
@@ -13,8 +13,8 @@
 use tokio::sync::{watch, Notify};
 
 use super::{
-    health::STALL_TIMEOUT, ConnectionPool, Drain, DrainStage, HealthTracker, InFlight, Observation,
-    PoisonRequests, ProxyRequest, Routed, Wire,
+    exchange::Exchange, health::STALL_TIMEOUT, ConnectionPool, Drain, DrainStage, HealthTracker,
+    InFlight, Observation, PoisonRequests, ProxyRequest, Routed, Wire,
 };
 use crate::{
     admission::{describe_parts, PoisonParts, RetryAllowance, ServerLimits, SharedRetries},
@@ -289,36 +289,46 @@
 
     /// Records that the connection to a server broke while the server ran a request.
     ///
-    /// `has_data` is whether the server had already sent part of the response body.
+    /// `is_beginning` is whether the server may have been at the beginning of its response.
     pub(super) fn record_crash(
         &self,
         req: &ProxyRequest<Routed>,
         server: &Server,
-        has_data: bool,
+        is_beginning: bool,
         now: Instant,
     ) {
         let fingerprint = req.state.fingerprint;
         log::info!(
-            "server connection broken id={} server={} has_data={has_data} request={:016x} parts={}",
+            "server connection broken id={} server={} is_beginning={is_beginning} request={:016x} \
+             parts={}",
             req.id(),
             server.name,
             fingerprint.0,
             describe_parts(&req.state.shared_parts)
         );
-        // A poison request crashes its server before any data; it did not cause this crash.
-        if has_data {
+        // A poison request crashes its server at the beginning; it did not cause this crash.
+        if !is_beginning {
             return;
         }
         let parts = &req.state.shared_parts;
-        let is_new = self.poison_requests.record_crash(fingerprint, server, now);
-        let is_accused = self.poison_parts.record_crash(parts, server.key(), now);
-        if is_new || is_accused {
+        let is_suspect = self.poison_parts.record_crash(parts, server.key(), now);
+        let is_explained = self.poison_parts.explains_crash(server.key());
+        let is_new = !is_explained && self.poison_requests.record_crash(fingerprint, server, now);
+        if is_new || is_suspect {
             self.announce_signal.notify_one();
         }
     }
 
-    /// Records that a server sent the first data of its answer to a request.
-    pub(super) fn record_first_data(&self, req: &ProxyRequest<Routed>, now: Instant) {
+    /// Records that a server sent part of the body of a response.
+    pub(super) fn record_data(&self, exchange: &Exchange, now: Instant) {
+        let key = exchange.server.key();
+        let drained_at = exchange.body.drained_at();
+        self.poison_parts.record_alive(key, drained_at, now);
+        self.health.record(key, Observation::Progress, now);
+    }
+
+    /// Records that a server has come past the beginning of its response to a request.
+    pub(super) fn record_known_good(&self, req: &ProxyRequest<Routed>, now: Instant) {
         if self
             .poison_parts
             .record_success(&req.state.shared_parts, now)
--- a/src/forward/stream.rs
+++ b/src/forward/stream.rs
@@ -12,11 +12,11 @@
 use http_body_util::{BodyExt, StreamBody};
 
 use super::{
-    attempts::Attempts, exchange::Exchange, health::STALL_TIMEOUT, Body, Forwarder, Observation,
-    ProxyRequest, Routed, Wire,
+    attempts::Attempts, exchange::Exchange, health::STALL_TIMEOUT, Body, Forwarder, ProxyRequest,
+    Routed, Wire,
 };
 use crate::{
-    catalog::{Server, ServerKey},
+    catalog::Server,
     relay::{EventBoundary, EventReader},
     routes::RouteKind,
     Category, Error, Instant, Result,
@@ -65,7 +65,7 @@
     let mut response_stream = ResponseStream {
         last_event: req.head.last_event,
         last_progress: cx.clock.now(),
-        has_data: false,
+        is_known_good: false,
         cx,
         req: Arc::new(req),
         exchange: Some(exchange),
@@ -113,8 +113,8 @@
     pub(super) last_event: Option<u64>,
     /// Time at which the server last sent an event, or data if the stream cannot be resumed.
     pub(super) last_progress: Instant,
-    /// Whether the current server has sent part of the body of its response.
-    pub(super) has_data: bool,
+    /// Whether the request was recorded as one on which its current server does not crash.
+    pub(super) is_known_good: bool,
     pub(super) attempts: Attempts,
     /// Status of the response that the caller gets.
     pub(super) status: StatusCode,
@@ -196,9 +196,9 @@
     /// One without length or chunks also ends when its server crashes, which leaves it inside an
     /// event or before the first one.
     fn is_complete(&self) -> bool {
-        let is_framed = self.exchange.as_ref().is_some_and(|e| e.is_framed);
+        let may_end = |exchange: &Exchange| exchange.is_framed || exchange.body.has_data();
         let at_boundary = self.events.is_empty() && self.boundary.is_reached();
-        at_boundary && (is_framed || self.has_data)
+        at_boundary && self.exchange.as_ref().is_some_and(may_end)
     }
 
     fn record_delivery(&mut self, bytes: Bytes) -> Bytes {
@@ -216,6 +216,7 @@
             self.cx
                 .poison_requests
                 .record_success(self.req.state.fingerprint);
+            self.record_known_good(self.cx.clock.now());
             self.cx.release_connection(exchange, self.cx.clock.now());
         }
     }
@@ -284,7 +285,6 @@
         &mut self,
         frame: Option<std::result::Result<Frame<Bytes>, hyper::Error>>,
     ) -> Option<StreamRead> {
-        let key = self.exchange.as_ref()?.server.key();
         let frame = match frame {
             Some(Ok(frame)) => frame,
             Some(Err(err)) => {
@@ -303,18 +303,19 @@
         if !self.resumable {
             self.last_progress = now;
         }
-        let is_first = !bytes.is_empty() && !std::mem::replace(&mut self.has_data, true);
-        self.record_data(key, is_first, now);
+        let exchange = self.exchange.as_ref()?;
+        self.cx.record_data(exchange, now);
+        if exchange.body.is_established() {
+            self.record_known_good(now);
+        }
         Some(StreamRead::Bytes(bytes))
     }
 
-    /// Records that a server sent part of the body of a response.
-    pub(super) fn record_data(&self, key: ServerKey, is_first: bool, now: Instant) {
-        if is_first {
-            self.cx.record_first_data(&self.req, now);
+    /// Records, once for each server, that it does not crash on the parts of the request's prompt.
+    fn record_known_good(&mut self, now: Instant) {
+        if !std::mem::replace(&mut self.is_known_good, true) {
+            self.cx.record_known_good(&self.req, now);
         }
-        self.cx.poison_parts.record_alive(key, now);
-        self.cx.health.record(key, Observation::Progress, now);
     }
 
     /// Takes the complete events that the caller does not have yet from those received and `bytes`.
--- a/src/forward/successor.rs
+++ b/src/forward/successor.rs
@@ -13,7 +13,6 @@
     pub(super) received: BytesMut,
     /// Splits `received` into events.
     events: EventReader,
-    has_recorded_data: bool,
 }
 
 impl Successor {
@@ -23,20 +22,9 @@
             exchange,
             received: BytesMut::new(),
             events: EventReader::new(),
-            has_recorded_data: false,
         }
     }
 
-    /// Returns whether part of the body was received.
-    pub(super) fn has_data(&self) -> bool {
-        !self.received.is_empty()
-    }
-
-    /// Records that data was received; returns whether it was the first.
-    pub(super) fn record_data(&mut self) -> bool {
-        self.has_data() && !std::mem::replace(&mut self.has_recorded_data, true)
-    }
-
     /// Reads the next part of the body.
     ///
     /// Returns whether an event after `last_event` or the end of the stream was received.
@@ -49,8 +37,8 @@
         let frame = self.exchange.body.frame().await.transpose();
         let frame = frame.map_err(|err| Error::may_have_run(Category::Cut, err.to_string()))?;
         let Some(frame) = frame else {
-            let is_complete =
-                self.events.is_empty() && (self.exchange.is_framed || self.has_data());
+            let may_end = self.exchange.is_framed || self.exchange.body.has_data();
+            let is_complete = self.events.is_empty() && may_end;
             let message = "the response ended before its first event or inside an event";
             return match is_complete {
                 true => Ok(true),
--- a/stand-in/src/replica.rs
+++ b/stand-in/src/replica.rs
@@ -14,7 +14,7 @@
 };
 
 use bytes::Bytes;
-use futures_util::stream;
+use futures_util::{stream, StreamExt};
 use gotham::helpers::http::Body;
 use http::{Response, StatusCode};
 use http_body::Frame;
@@ -196,6 +196,21 @@
             return replica.respond(&req, StatusCode::OK, false, broken_body(""));
         }
         "reset" => return replica.respond(&req, StatusCode::OK, false, broken_body("begun")),
+        // Crashes after the first bytes of its body.
+        fault if fault.starts_with("crash-with-") => {
+            replica.state.lock().unwrap().started_ms = unix_millis();
+            let first = req
+                .header("last-event-id")
+                .parse()
+                .map_or(0, |last: u64| last + 1);
+            let event = format!("id: {first}\ndata: word-{first}\n\n");
+            let text = match fault.trim_start_matches("crash-with-") {
+                "half-an-event" => event[..event.len() / 2].to_string(),
+                "a-comment" => ": begun\n\n".to_string(),
+                _ => event,
+            };
+            return replica.respond(&req, StatusCode::OK, false, body_before_crash(text));
+        }
         "slow" => tokio::time::sleep(Duration::from_millis(800)).await,
         _ => {}
     }
@@ -297,6 +312,16 @@
     StreamBody::new(stream::iter(parts)).boxed_unsync()
 }
 
+/// Returns a body that breaks off soon after `text` was written.
+fn body_before_crash(text: String) -> Body {
+    let written = stream::iter([Ok(Frame::data(Bytes::from(text)))]);
+    let crash = stream::once(async {
+        tokio::time::sleep(Duration::from_millis(20)).await;
+        Err(std::io::Error::other("crashed on purpose"))
+    });
+    StreamBody::new(written.chain(crash)).boxed_unsync()
+}
+
 /// Injected faults of a stream, each with the number of the event at which it occurs.
 struct Faults {
     /// The connection is reset within the event.
--- a/tests/admission/poison_parts.rs
+++ b/tests/admission/poison_parts.rs
@@ -108,8 +108,8 @@
     for number in 0..6 {
         let ms = 1_000 + 300 * u64::from(number);
         crash(&router, &[FIRST, SESSION], number, ms);
-        router.record_alive(ServerKey(number), time(ms + 20));
-        router.record_alive(ServerKey(number), time(ms + 150));
+        router.record_alive(ServerKey(number), time(ms + 20), time(ms + 20));
+        router.record_alive(ServerKey(number), time(ms + 150), time(ms + 150));
         lines.push(refused(&router, ms + 200));
     }
     expect![[r#"
@@ -245,3 +245,37 @@
         5000: [false, false, false, false]"#]]
     .assert_eq(&lines.join("\n"));
 }
+
+// Bytes that a slow caller left unread retracted crashes, so that the part was never refused.
+#[test]
+fn data_that_arrived_before_a_crash_does_not_retract_it() {
+    let router = PoisonParts::default();
+    for number in 0..4 {
+        let ms = 1_000 + 300 * u64::from(number);
+        crash(&router, &[POISON], number, ms);
+        router.record_alive(ServerKey(number), time(ms - 10), time(ms + 200));
+    }
+    expect!["2200: [true, true, false, false]"].assert_eq(&refused(&router, 2_200));
+}
+
+// A sound session was refused that a poison part had met on each server.
+#[test]
+fn a_session_whose_crashes_another_part_explains_is_not_refused() {
+    let router = PoisonParts::default();
+    for number in 0..4 {
+        let ms = 1_000 + 300 * u64::from(number);
+        crash(&router, &[SESSION], number, ms);
+        crash(&router, &[POISON], number, ms + 5);
+    }
+    let mut lines = vec![refused(&router, 2_000)];
+    // Only the part is in the next crashes.
+    for (server, ms) in [(4, 2_300), (5, 2_600)] {
+        crash(&router, &[POISON], server, ms);
+        lines.push(refused(&router, ms));
+    }
+    expect![[r#"
+        2000: [false, false, false, false]
+        2300: [false, false, false, false]
+        2600: [true, true, false, false]"#]]
+    .assert_eq(&lines.join("\n"));
+}
--- a/tests/admission/poison_parts_model.rs
+++ b/tests/admission/poison_parts_model.rs
@@ -34,6 +34,9 @@
 /// Time after the fifth crash from which requests that reach servers count as late.
 const BOUND_MS: u64 = 3_000;
 
+/// Time for which a server sends data before it counts as past the beginning of its answer.
+const BEGINNING_MS: u64 = 500;
+
 /// Number of servers to which one request may be sent.
 const MAX_ATTEMPTS: u32 = 2;
 
@@ -54,6 +57,8 @@
     requests_per_s: f64,
     /// Fraction of the requests that hold the poison part.
     share: f64,
+    /// Time between the first data of an answer to such a request and the crash of its server.
+    crash_after_ms: u64,
     /// Whether all servers lose power at 8 s, and one after the other crashes from 12 s on.
     others_crash: bool,
     /// Whether the first router restarts at 10 s.
@@ -65,6 +70,7 @@
     servers: 9,
     requests_per_s: 17.0,
     share: 0.05,
+    crash_after_ms: 0,
     others_crash: false,
     restart: false,
 };
@@ -233,20 +239,21 @@
 
     /// Lets requests begin their answers and end.
     fn advance(&mut self) {
-        let began =
-            |request: &Request, now: u64| request.data_at <= now && request.data_at + STEP_MS > now;
+        let is_now = |at: u64, now: u64| at <= now && at + STEP_MS > now;
         let (now, time) = (self.now, self.time());
         for request in self
             .running
             .iter()
-            .filter(|r| began(r, now) && !r.is_poison)
+            .filter(|r| is_now(r.data_at + BEGINNING_MS, now) && !r.is_poison)
         {
             self.urgent[request.router] |=
                 self.routers[request.router].record_success(&request.parts, time);
             self.outcome.sound_served += 1;
         }
-        let is_poison = self.running.iter().filter(|r| began(r, now) && r.is_poison);
-        let servers: Vec<_> = is_poison.map(|request| request.server).collect();
+        let crash_after_ms = self.case.crash_after_ms;
+        let poison = self.running.iter().filter(|r| r.is_poison);
+        let crashing = poison.filter(|r| is_now(r.data_at + crash_after_ms, now));
+        let servers: Vec<_> = crashing.map(|request| request.server).collect();
         for server in servers {
             self.crash(server);
         }
@@ -267,10 +274,9 @@
         let running = std::mem::take(&mut self.running);
         let (cut, kept): (Vec<_>, _) = running.into_iter().partition(|r| r.server == server);
         self.running = kept;
-        let silent = cut
-            .into_iter()
-            .filter(|r| r.is_poison || r.data_at >= self.now);
-        for request in silent.collect::<Vec<_>>() {
+        let now = self.now;
+        let beginning = cut.into_iter().filter(|r| r.data_at + BEGINNING_MS > now);
+        for request in beginning.collect::<Vec<_>>() {
             let router = request.router;
             self.urgent[router] |=
                 self.routers[router].record_crash(&request.parts, key, self.time());
@@ -317,6 +323,20 @@
                 ..FIRST_SITE
             },
         ),
+        (
+            "after the first data",
+            Case {
+                crash_after_ms: 200,
+                ..FIRST_SITE
+            },
+        ),
+        (
+            "late in the beginning",
+            Case {
+                crash_after_ms: 450,
+                ..FIRST_SITE
+            },
+        ),
         (
             "a router restarts",
             Case {
@@ -346,9 +366,11 @@
         one in a hundred: {"crashes": 6, "late": 0, "sound refused": 0}
         one in twenty: {"crashes": 6, "late": 0, "sound refused": 0}
         one in five: {"crashes": 8, "late": 0, "sound refused": 0}
+        after the first data: {"crashes": 4, "late": 0, "sound refused": 0}
+        late in the beginning: {"crashes": 7, "late": 1, "sound refused": 0}
         a router restarts: {"crashes": 6, "late": 0, "sound refused": 0}
         servers crash besides: {"crashes": 30, "late": 0, "sound refused": 0}
-        many servers: {"crashes": 8, "late": 0, "sound refused": 0}"#]]
+        many servers: {"crashes": 9, "late": 0, "sound refused": 0}"#]]
     .assert_eq(&lines.join("\n"));
 }
 
