End streams at their deadline while their servers send bytes without end

Cause: the deadline was looked at when a read timed out, and a timeout polls the body first. While a frame is ready it never elapses. The body of a server that was being replaced also went before the head of the next one and before the timer, and a body whose caller reads nothing was not polled at all.

Change: deadline and silence are checked before each read; where two bodies are read, neither goes first; the caller's connection closes when a response is overdue.

Ruled out: bodies that are no streams, which end at their size limit.

--- a/src/forward/body.rs
+++ b/src/forward/body.rs
@@ -4,11 +4,15 @@
 use http::{header, HeaderValue, Response, StatusCode};
 use http_body_util::{combinators::UnsyncBoxBody, BodyExt, Full};
 
-use crate::Error;
+use crate::{Error, Instant};
 
 /// Body of a response to a caller.
 pub type Body = UnsyncBoxBody<Bytes, Error>;
 
+/// Extension of a response with the time at which its body ends, complete or not.
+#[derive(Debug, Clone, Copy)]
+pub(super) struct Deadline(pub(super) Instant);
+
 /// Builds a body from bytes that are known in full.
 pub fn full_body(bytes: impl Into<Bytes>) -> Body {
     Full::new(bytes.into())
--- a/src/forward/caller_connection.rs
+++ b/src/forward/caller_connection.rs
@@ -31,6 +31,8 @@
     Idle,
     /// The router shuts down.
     Closing,
+    /// The response was not read by the caller until its deadline.
+    Overdue,
 }
 
 impl CloseReason {
@@ -38,6 +40,7 @@
         match self {
             CloseReason::Idle => "idle",
             CloseReason::Closing => "closing",
+            CloseReason::Overdue => "overdue",
         }
     }
 }
@@ -48,6 +51,8 @@
     requests: u32,
     /// Bytes read since the end of the last exchange: part of the head of the next request.
     partial_bytes: usize,
+    /// Time at which the response in progress is given up.
+    overdue_at: Option<Instant>,
     /// Set when this router starts to close the connection.
     close: Option<Close>,
     has_ended: bool,
@@ -72,6 +77,7 @@
             activity: Activity::new(idle_limit, now),
             requests: 0,
             partial_bytes: 0,
+            overdue_at: None,
             close: None,
             has_ended: false,
         })))
@@ -88,7 +94,19 @@
     /// Records that the whole response to a request was passed on to be written while `idle_limit`
     /// was in force, or that it was given up.
     pub(super) fn end_exchange(&self, idle_limit: Duration, now: Instant) {
-        lock(&self.0).activity.end_exchange(idle_limit, now);
+        let mut state = lock(&self.0);
+        state.overdue_at = None;
+        state.activity.end_exchange(idle_limit, now);
+    }
+
+    /// Sets the time at which the response in progress is given up.
+    pub(super) fn set_overdue_at(&self, overdue_at: Instant) {
+        lock(&self.0).overdue_at = Some(overdue_at);
+    }
+
+    /// Returns the time at which the response in progress is given up, if it has a deadline.
+    pub(super) fn overdue_at(&self) -> Option<Instant> {
+        lock(&self.0).overdue_at
     }
 
     /// Returns the time from which the connection may be closed while `idle_limit` is in force,
--- a/src/forward/listener.rs
+++ b/src/forward/listener.rs
@@ -1,7 +1,8 @@
 //! Accepts HTTP connections from callers and serves each one in its own task.
 
 use std::{
-    convert::Infallible, future::Future, io, net::SocketAddr, sync::Arc, task::Poll, time::Duration,
+    convert::Infallible, future::Future, io, net::SocketAddr, pin::Pin, sync::Arc, task::Poll,
+    time::Duration,
 };
 
 use http::{header, HeaderValue, Request, Response};
@@ -10,13 +11,14 @@
 use tokio::{
     net::{TcpListener, TcpStream},
     sync::{watch, OwnedSemaphorePermit, Semaphore},
+    time::Sleep,
 };
 
 use super::{
     caller_connection::{CallerStream, CloseReason, ConnectionRecord},
     connection,
     exchange_body::{ExchangeBody, ExchangeGuard},
-    Body, DrainStage,
+    Body, Deadline, DrainStage,
 };
 use crate::Clock;
 
@@ -36,6 +38,11 @@
 /// Largest head of a request, in bytes; also the limit to which read buffers grow.
 const MAX_HEAD_BYTES: usize = 20 * 1024;
 
+/// Time after its deadline from which a response is given up.
+///
+/// A body that the caller reads ends at the deadline by itself.
+const OVERDUE_MARGIN: Duration = Duration::from_millis(200);
+
 /// Handles the requests that arrive at a listener.
 pub trait HttpHandler: Clone + Send + Sync + Unpin + 'static {
     /// Handles one request and returns its response.
@@ -180,12 +187,15 @@
             let (service, record) = (service.clone(), record.clone());
             let stage = stage.clone();
             async move {
-                let mut exchange = ExchangeGuard::begin(record, service.clone(), clock);
+                let mut exchange = ExchangeGuard::begin(record.clone(), service.clone(), clock);
                 let mut response = service.handle(req).await;
                 if *stage.borrow() != DrainStage::Serving {
                     let close = HeaderValue::from_static("close");
                     response.headers_mut().insert(header::CONNECTION, close);
                 }
+                if let Some(deadline) = response.extensions_mut().remove::<Deadline>() {
+                    record.set_overdue_at(deadline.0 + OVERDUE_MARGIN);
+                }
                 exchange.announce_idle_limit(response.headers_mut());
                 let _exchange = exchange;
                 Ok::<_, Infallible>(response.map(|body| ExchangeBody { body, _exchange }))
@@ -196,6 +206,8 @@
         .max_buf_size(MAX_HEAD_BYTES)
         .serve_connection(TokioIo::new(stream), hyper_service);
     tokio::pin!(connection);
+    let overdue_timer = tokio::time::sleep(Duration::ZERO);
+    tokio::pin!(overdue_timer);
     let mut drain_stage = stage.clone();
     let mut is_draining = false;
     let mut closes_unannounced = false;
@@ -213,6 +225,10 @@
             // What has arrived is read before the connection may be closed.
             biased;
             ended = &mut connection => break ended,
+            () = becomes_overdue(&record, clock, overdue_timer.as_mut()) => {
+                record.record_close(CloseReason::Overdue, clock.now());
+                break Ok(());
+            }
             () = reached(&mut drain_stage, DrainStage::Draining), if !is_draining => {
                 is_draining = true;
                 // The head of the response may be written already and announce no close.
@@ -278,6 +294,25 @@
     .await;
 }
 
+/// Waits until the response in progress is overdue.
+///
+/// While its caller reads nothing, the connection does not poll it.
+async fn becomes_overdue(record: &ConnectionRecord, clock: Clock, mut timer: Pin<&mut Sleep>) {
+    let mut timer_at = None;
+    std::future::poll_fn(|cx| {
+        let overdue_at = record.overdue_at();
+        let Some(at) = overdue_at else {
+            return Poll::Pending;
+        };
+        if timer_at.replace(at) != overdue_at {
+            let left = at.since(clock.now());
+            timer.as_mut().reset(tokio::time::Instant::now() + left);
+        }
+        timer.as_mut().poll(cx)
+    })
+    .await;
+}
+
 /// Waits until `stage` is at least `awaited` or its sender is dropped.
 async fn reached(stage: &mut watch::Receiver<DrainStage>, awaited: DrainStage) {
     drop(stage.wait_for(|stage| *stage >= awaited).await);
--- a/src/forward/mod.rs
+++ b/src/forward/mod.rs
@@ -30,6 +30,7 @@
 mod whole_body;
 mod wire;
 
+use self::body::Deadline;
 pub use self::{
     activity::Activity,
     body::{full_body, text_response, Body},
--- a/src/forward/resume.rs
+++ b/src/forward/resume.rs
@@ -182,9 +182,10 @@
                     break Some(head.await);
                 };
                 let frame = tokio::select! {
+                    // The current server may send data without end.
                     biased;
-                    frame = exchange.body.frame() => frame,
                     head = &mut head => break Some(head),
+                    frame = exchange.body.frame() => frame,
                     () = tokio::time::sleep(STALL_CHECK_INTERVAL) => {
                         cx.record_stall(&exchange.server, cx.clock.now());
                         continue;
@@ -240,8 +241,8 @@
             let Some(exchange) = &mut self.exchange else {
                 return Ok(successor);
             };
+            // In random order, as either server may send data without end.
             tokio::select! {
-                biased;
                 frame = exchange.body.frame() => if self.has_gone_on(frame) {
                     return Err(NotTaken::WentOn);
                 },
--- a/src/forward/stream.rs
+++ b/src/forward/stream.rs
@@ -12,8 +12,8 @@
 use http_body_util::{BodyExt, StreamBody};
 
 use super::{
-    attempts::Attempts, exchange::Exchange, health::STALL_TIMEOUT, Body, Forwarder, ProxyRequest,
-    Routed, Wire,
+    attempts::Attempts, exchange::Exchange, health::STALL_TIMEOUT, Body, Deadline, Forwarder,
+    ProxyRequest, Routed, Wire,
 };
 use crate::{
     catalog::Server,
@@ -62,9 +62,11 @@
         req.template.body = Bytes::new();
         req.template.headers = HeaderMap::new();
     }
+    let deadline = req.state.deadline;
     let mut response_stream = ResponseStream {
         last_event: req.head.last_event,
         last_progress: cx.clock.now(),
+        checked_at: cx.clock.now(),
         is_known_good: false,
         cx,
         req: Arc::new(req),
@@ -92,6 +94,9 @@
     let mut response = Response::new(StreamBody::new(first.chain(rest)).boxed_unsync());
     *response.status_mut() = status;
     *response.headers_mut() = headers;
+    if let Some(deadline) = deadline {
+        response.extensions_mut().insert(Deadline(deadline));
+    }
     Ok(response)
 }
 
@@ -113,6 +118,8 @@
     pub(super) last_event: Option<u64>,
     /// Time at which the server last sent an event, or data if the stream cannot be resumed.
     pub(super) last_progress: Instant,
+    /// Time at which it was last checked whether the server is silent.
+    checked_at: Instant,
     /// Whether the request was recorded as one on which its current server does not crash.
     pub(super) is_known_good: bool,
     pub(super) attempts: Attempts,
@@ -230,6 +237,10 @@
         silence >= EVENT_TIMEOUT || is_server_silent && silence >= SILENT_SERVER_TIMEOUT
     }
 
+    /// Reads the next part of the response, unless the deadline has passed or another server may
+    /// be asked.
+    ///
+    /// Both are checked before each read, as a server may send data without end and no event.
     async fn read(&mut self) -> StreamRead {
         loop {
             let Some(exchange) = &mut self.exchange else {
@@ -237,47 +248,45 @@
             };
             let now = self.cx.clock.now();
             let time_left = self.req.time_left(now).unwrap_or(Duration::MAX);
-            let silence = now.since(self.last_progress);
+            if time_left.is_zero() {
+                let message = "the deadline of the stream has passed";
+                return StreamRead::Broken(Error::may_have_run(Category::Timeout, message));
+            }
             let timeouts: &[Duration] = if self.resumable {
                 &[STALL_TIMEOUT, SILENT_SERVER_TIMEOUT, EVENT_TIMEOUT]
             } else {
                 &[STALL_TIMEOUT]
             };
-            let wait = time_to_check(silence, timeouts);
-            let frame = tokio::time::timeout(wait.min(time_left), exchange.body.frame()).await;
-            let server = exchange.server.clone();
-            let now = self.cx.clock.now();
-            match frame {
-                Ok(frame) => {
-                    if let Some(read) = self.receive(frame) {
-                        return read;
-                    }
-                }
-                Err(_)
-                    if self
-                        .req
-                        .time_left(now)
-                        .is_some_and(|time_left| time_left.is_zero()) =>
-                {
-                    let message = "the deadline of the stream has passed";
-                    return StreamRead::Broken(Error::may_have_run(Category::Timeout, message));
-                }
-                Err(_) => {
-                    let silence = now.since(self.last_progress);
-                    if silence >= STALL_TIMEOUT {
-                        self.cx.record_stall(&server, now);
-                    }
-                    if !self.may_resume() {
-                        continue;
-                    }
-                    if self.is_silent(&server, silence, now) {
-                        return StreamRead::Silent;
-                    }
+            let checked_at = self.checked_at.max(self.last_progress);
+            let silence = checked_at.since(self.last_progress);
+            let next_check = checked_at + time_to_check(silence, timeouts);
+            if next_check <= now {
+                self.checked_at = now;
+                let server = exchange.server.clone();
+                if self.is_stalled(&server, now) {
+                    return StreamRead::Silent;
                 }
+                continue;
+            }
+            let wait = next_check.since(now).min(time_left);
+            let frame = tokio::time::timeout(wait, exchange.body.frame()).await;
+            let read = frame.ok().and_then(|frame| self.receive(frame));
+            if let Some(read) = read {
+                return read;
             }
         }
     }
 
+    /// Records a stall of `server`, if it has sent no event for long enough, and returns whether
+    /// another server may be asked.
+    fn is_stalled(&self, server: &Server, now: Instant) -> bool {
+        let silence = now.since(self.last_progress);
+        if silence >= STALL_TIMEOUT {
+            self.cx.record_stall(server, now);
+        }
+        self.may_resume() && self.is_silent(server, silence, now)
+    }
+
     /// Records a frame of the response, or its end.
     ///
     /// Returns `None` for a frame without data.
