Bound the memory that callers and servers fill

Cause: what arrived while another server was asked was kept without a limit, on either side. Whole answers and request bodies had a limit each, but none for their sum.

Change: comments are dropped while two servers are read. An answer over its size limit no longer counts as a crash.

--- a/src/forward/buffered.rs
+++ b/src/forward/buffered.rs
@@ -26,16 +26,18 @@
     ///
     /// # Errors
     ///
-    /// Returns an error with the verdict "may have run" when the body breaks off, is too large or
-    /// does not arrive in time.
+    /// Returns an error with the verdict "may have run" when the body breaks off, is too large for
+    /// the limit or the memory left, or does not arrive in time.
     pub(super) async fn buffer_response(
         &self,
         mut exchange: Exchange,
         time_left: Option<Duration>,
     ) -> Result<BufferedResponse> {
         let timeout = |received| time_left.unwrap_or_else(|| steady_timeout(received));
-        let body = read_whole(&mut exchange.body, MAX_BUFFERED_RESPONSE_BYTES, timeout).await;
-        let reason = match body {
+        let reservation = self.buffers.reservation();
+        let limit = MAX_BUFFERED_RESPONSE_BYTES;
+        let body = read_whole(&mut exchange.body, limit, reservation, timeout).await;
+        let (category, reason) = match body {
             Ok(body) => return Ok(BufferedResponse { exchange, body }),
             Err(ReadError::Timeout) => {
                 return Err(Error::may_have_run(
@@ -43,13 +45,15 @@
                     "the rest of the response did not arrive in time",
                 ));
             }
-            Err(ReadError::TooLarge) => "it exceeds the size limit".to_string(),
-            Err(ReadError::Broken(err)) => err.to_string(),
+            // The connection was not broken by the server, so that it has not crashed.
+            Err(ReadError::TooLarge) => (Category::Backend, "it exceeds the size limit".into()),
+            Err(ReadError::NoMemory(err)) => return Err(err),
+            Err(ReadError::Broken(err)) => (Category::Cut, err.to_string()),
         };
         let now = self.clock.now();
         self.health
             .record(exchange.server.key(), Observation::Failed, now);
         let message = format!("the response is incomplete: {reason}");
-        Err(Error::may_have_run(Category::Cut, message))
+        Err(Error::may_have_run(category, message))
     }
 }
--- a/src/forward/resume.rs
+++ b/src/forward/resume.rs
@@ -10,12 +10,13 @@
 use http_body_util::BodyExt;
 
 use super::{
+    event_buffer::EventBuffer,
     exchange::Exchange,
     stream::{ResponseStream, StreamRead, STALL_CHECK_INTERVAL},
     successor::Successor,
     Observation, Wire,
 };
-use crate::{catalog::Server, relay::EventReader, Category, Error, Result};
+use crate::{catalog::Server, Category, Error, Result};
 
 /// Interval between two checks of a server that has been asked to go on with a stream.
 const SUCCESSOR_CHECK_INTERVAL: Duration = Duration::from_millis(100);
@@ -31,7 +32,7 @@
     /// Drops the exchange whose response broke off with `error`, which closes its connection, so
     /// that the server stops the request.
     pub(super) fn drop_exchange(&mut self, error: &Error) {
-        self.events = EventReader::new();
+        self.events = EventBuffer::new(&self.cx.buffers);
         if let Some(exchange) = self.exchange.take() {
             self.record_break(&exchange, error);
         }
@@ -149,11 +150,15 @@
         match self.receive(frame) {
             None => false,
             Some(StreamRead::Bytes(bytes)) => {
-                let has_event = self.take_new_events(&bytes);
-                has_event.unwrap_or_else(|err| {
+                let has_event = self.take_new_events(&bytes).unwrap_or_else(|err| {
                     self.drop_exchange(&err);
                     false
-                })
+                });
+                if !has_event {
+                    // Comments, which would be kept until a server goes on.
+                    self.ready.clear();
+                }
+                has_event
             }
             Some(StreamRead::Broken(err)) => {
                 self.drop_exchange(&err);
@@ -199,7 +204,8 @@
         self.attempts = attempts;
         match asked {
             Some(Ok(exchange)) if exchange.status == self.status => {
-                self.await_event(Successor::new(exchange)).await
+                self.await_event(Successor::new(exchange, &cx.buffers))
+                    .await
             }
             Some(Ok(exchange)) => {
                 let reason = format!("the server answered {}", exchange.status);
--- a/src/forward/serve.rs
+++ b/src/forward/serve.rs
@@ -17,6 +17,9 @@
     Category, Error, Instant, Result, Verdict,
 };
 
+/// Mean retry delay given to callers for whose body the router has no memory left.
+const NO_MEMORY_DELAY: Duration = Duration::from_millis(400);
+
 impl<W: Wire> Forwarder<W> {
     /// Serves one request of a caller and returns the response.
     pub async fn serve(self: Arc<Self>, req: http::Request<Incoming>) -> Response<Body> {
@@ -65,7 +68,7 @@
         // bytes may discard the response.
         let body = tokio::select! {
             biased;
-            body = read_body(body, limits.max_body_bytes, caller_timeout) => body?,
+            body = self.read_body(body, limits.max_body_bytes, caller_timeout) => body?,
             () = self.drain_reaches(Drain::last_read_at) => {
                 return Err(self.shutdown_error(Verdict::NotRun));
             }
@@ -85,6 +88,31 @@
         }
     }
 
+    /// Reads the body of a request, within `caller_timeout` if there is one.
+    async fn read_body(
+        &self,
+        body: Incoming,
+        limit: usize,
+        caller_timeout: Option<Duration>,
+    ) -> Result<Bytes> {
+        let caller_timeout = caller_timeout.unwrap_or(Duration::MAX);
+        let timeout = |received| steady_timeout(received).min(caller_timeout);
+        let body = read_whole(body, limit, self.buffers.reservation(), timeout).await;
+        body.map_err(|err| match err {
+            ReadError::TooLarge => {
+                let message = format!("the body exceeds {limit} bytes");
+                Error::not_run(Category::TooLarge, message)
+            }
+            ReadError::NoMemory(err) => {
+                self.retry_later_error(Category::Overloaded, err.message(), NO_MEMORY_DELAY)
+            }
+            ReadError::Timeout => {
+                Error::not_run(Category::Timeout, "the body did not arrive in time")
+            }
+            ReadError::Broken(err) => Error::not_run(Category::BadInput, err.to_string()),
+        })
+    }
+
     /// Returns the limits on callers that are in force.
     pub fn limits(&self) -> CallerLimits {
         let table = self.feed.routes.current();
@@ -116,22 +144,3 @@
 pub(super) fn panic_error(verdict: Verdict) -> Error {
     Error::new(Category::Internal, verdict, "the router failed")
 }
-
-/// Reads the body of a request, within `caller_timeout` if there is one.
-async fn read_body(
-    body: Incoming,
-    limit: usize,
-    caller_timeout: Option<Duration>,
-) -> Result<Bytes> {
-    let caller_timeout = caller_timeout.unwrap_or(Duration::MAX);
-    let timeout = |received| steady_timeout(received).min(caller_timeout);
-    let body = read_whole(body, limit, timeout).await;
-    body.map_err(|err| match err {
-        ReadError::TooLarge => {
-            let message = format!("the body exceeds {limit} bytes");
-            Error::not_run(Category::TooLarge, message)
-        }
-        ReadError::Timeout => Error::not_run(Category::Timeout, "the body did not arrive in time"),
-        ReadError::Broken(err) => Error::not_run(Category::BadInput, err.to_string()),
-    })
-}
--- a/src/forward/state.rs
+++ b/src/forward/state.rs
@@ -13,8 +13,8 @@
 use tokio::sync::{watch, Notify};
 
 use super::{
-    exchange::Exchange, health::STALL_TIMEOUT, ConnectionPool, Drain, DrainStage, HealthTracker,
-    InFlight, Observation, PoisonRequests, ProxyRequest, Routed, Wire,
+    buffers::Buffers, exchange::Exchange, health::STALL_TIMEOUT, ConnectionPool, Drain, DrainStage,
+    HealthTracker, InFlight, Observation, PoisonRequests, ProxyRequest, Routed, Wire,
 };
 use crate::{
     admission::{describe_parts, PoisonParts, RetryAllowance, ServerLimits, SharedRetries},
@@ -41,6 +41,9 @@
     pub grace: Duration,
 }
 
+/// Memory for what callers and servers send, unless it is set, in bytes.
+const DEFAULT_BUFFER_BYTES: usize = 32 << 20;
+
 /// Number of requests in flight that count as much as a failure rate of 1.
 const FAILURE_RATE_WEIGHT: f64 = 8.0;
 
@@ -70,6 +73,8 @@
     pub server_limits: ServerLimits,
     /// Idle connections to servers.
     pub connections: ConnectionPool,
+    /// Limit on the memory for bytes that callers and servers send.
+    pub(super) buffers: Buffers,
     /// Metrics of forwarded requests.
     pub metrics: ForwardMetrics,
     /// Notified to send a digest to the other routers without delay.
@@ -103,6 +108,7 @@
             poison_parts: Arc::default(),
             server_limits: ServerLimits::default(),
             connections: ConnectionPool::default(),
+            buffers: Buffers::with_limit(DEFAULT_BUFFER_BYTES),
             metrics: ForwardMetrics::new(),
             announce_signal: Arc::default(),
             retries: SharedRetries::default(),
@@ -120,6 +126,15 @@
         self
     }
 
+    /// Sets the memory, in bytes, for what callers and servers send and the router has to keep.
+    ///
+    /// Each request may keep some kilobytes besides.
+    #[must_use]
+    pub fn with_buffer_limit(mut self, bytes: usize) -> Self {
+        self.buffers = Buffers::with_limit(bytes);
+        self
+    }
+
     /// Returns the settings in force.
     pub fn policy(&self) -> Policy {
         *lock(&self.policy)
--- a/src/forward/stream.rs
+++ b/src/forward/stream.rs
@@ -12,14 +12,11 @@
 use http_body_util::{BodyExt, StreamBody};
 
 use super::{
-    attempts::Attempts, exchange::Exchange, health::STALL_TIMEOUT, Body, Deadline, Forwarder,
-    ProxyRequest, Routed, Wire,
+    attempts::Attempts, event_buffer::EventBuffer, exchange::Exchange, health::STALL_TIMEOUT, Body,
+    Deadline, Forwarder, ProxyRequest, Routed, Wire,
 };
 use crate::{
-    catalog::Server,
-    relay::{EventBoundary, EventReader},
-    routes::RouteKind,
-    Category, Error, Instant, Result,
+    catalog::Server, relay::EventBoundary, routes::RouteKind, Category, Error, Instant, Result,
 };
 
 /// Time without an event after which another server is asked to go on with a stream whose server
@@ -68,10 +65,10 @@
         last_progress: cx.clock.now(),
         checked_at: cx.clock.now(),
         is_known_good: false,
+        events: EventBuffer::new(&cx.buffers),
         cx,
         req: Arc::new(req),
         exchange: Some(exchange),
-        events: EventReader::new(),
         ready: BytesMut::new(),
         pending: None,
         boundary: EventBoundary::default(),
@@ -107,9 +104,9 @@
     /// Exchange whose response is read; `None` after the end of the stream.
     pub(super) exchange: Option<Exchange>,
     /// Splits the response into events, if the stream can be resumed.
-    pub(super) events: EventReader,
+    pub(super) events: EventBuffer,
     /// Complete events that were not forwarded yet, if the stream can be resumed.
-    ready: BytesMut,
+    pub(super) ready: BytesMut,
     /// Read to handle before the next one.
     pub(super) pending: Option<StreamRead>,
     /// Where the response stands between events, if it cannot be resumed.
@@ -140,13 +137,6 @@
     Broken(Error),
 }
 
-/// An event that the caller does not have yet.
-pub(super) struct NewEvent {
-    raw: Bytes,
-    /// Whether it is a comment, which carries no data.
-    pub(super) is_comment: bool,
-}
-
 impl<W: Wire> ResponseStream<W> {
     /// Returns the next bytes for the caller, or `None` after the end of the stream.
     async fn next(&mut self) -> Option<Result<Bytes>> {
@@ -334,12 +324,13 @@
     ///
     /// # Errors
     ///
-    /// Returns [`Category::Backend`] for an event that does not fit into the stream.
+    /// Returns [`Category::Backend`] for an event that does not fit into the stream, and
+    /// [`Category::Overloaded`] when there is no memory for it.
     pub(super) fn take_new_events(&mut self, bytes: &[u8]) -> Result<bool> {
-        self.events.push(bytes);
+        self.events.push(bytes)?;
         let mut has_event = false;
         loop {
-            match next_new_event(&mut self.events, &mut self.last_event) {
+            match self.events.next_new_event(&mut self.last_event) {
                 Ok(Some(event)) => {
                     has_event |= !event.is_comment;
                     self.ready.extend_from_slice(&event.raw);
@@ -372,37 +363,3 @@
         |timeout| *timeout - silence,
     )
 }
-
-/// Takes the next complete event after `last_event`, which becomes the number of that event.
-///
-/// # Errors
-///
-/// Returns [`Category::Backend`] for an event that is too large, and for one without a number
-/// in a stream of numbered events.
-pub(super) fn next_new_event(
-    events: &mut EventReader,
-    last_event: &mut Option<u64>,
-) -> Result<Option<NewEvent>> {
-    loop {
-        let event = events
-            .next_event()
-            .map_err(|_| Error::may_have_run(Category::Backend, "an event is too large"))?;
-        let Some(event) = event else {
-            return Ok(None);
-        };
-        let number = event.id.as_deref().and_then(|id| id.parse::<u64>().ok());
-        let is_comment = event.raw.starts_with(b":");
-        if number.is_none() && last_event.is_some() && !is_comment {
-            let message = "an event has no number";
-            return Err(Error::may_have_run(Category::Backend, message));
-        }
-        if number.is_some() && number <= *last_event {
-            continue;
-        }
-        *last_event = number.or(*last_event);
-        return Ok(Some(NewEvent {
-            raw: event.raw,
-            is_comment,
-        }));
-    }
-}
--- a/src/forward/successor.rs
+++ b/src/forward/successor.rs
@@ -3,25 +3,24 @@
 use bytes::BytesMut;
 use http_body_util::BodyExt;
 
-use super::{exchange::Exchange, stream::next_new_event};
-use crate::{relay::EventReader, Category, Error, Result};
+use super::{buffers::Buffers, event_buffer::EventBuffer, exchange::Exchange};
+use crate::{Category, Error, Result};
 
 /// An exchange that goes on with a stream once it has sent an event.
 pub(super) struct Successor {
     pub(super) exchange: Exchange,
-    /// Part of the body that was received.
+    /// What was received from the first event on that the caller does not have yet.
     pub(super) received: BytesMut,
-    /// Splits `received` into events.
-    events: EventReader,
+    events: EventBuffer,
 }
 
 impl Successor {
     /// Creates the successor from an exchange that has received the head of the response.
-    pub(super) fn new(exchange: Exchange) -> Self {
+    pub(super) fn new(exchange: Exchange, buffers: &Buffers) -> Self {
         Successor {
             exchange,
             received: BytesMut::new(),
-            events: EventReader::new(),
+            events: EventBuffer::new(buffers),
         }
     }
 
@@ -31,8 +30,8 @@
     ///
     /// # Errors
     ///
-    /// Returns [`Category::Cut`] when the response breaks off, and [`Category::Backend`] when it
-    /// cannot go on with the stream.
+    /// Returns [`Category::Cut`] when the response breaks off, [`Category::Backend`] when it cannot go
+    /// on with the stream, and [`Category::Overloaded`] when there is no memory for it.
     pub(super) async fn read(&mut self, last_event: Option<u64>) -> Result<bool> {
         let frame = self.exchange.body.frame().await.transpose();
         let frame = frame.map_err(|err| Error::may_have_run(Category::Cut, err.to_string()))?;
@@ -48,11 +47,13 @@
         let Ok(bytes) = frame.into_data() else {
             return Ok(false);
         };
-        self.received.extend_from_slice(&bytes);
-        self.events.push(&bytes);
+        self.events.push(&bytes)?;
         let mut last_event = last_event;
-        while let Some(event) = next_new_event(&mut self.events, &mut last_event)? {
+        while let Some(event) = self.events.next_new_event(&mut last_event)? {
+            // Comments carry no data and may come without end.
             if !event.is_comment {
+                self.received = event.raw.into();
+                self.received.unsplit(self.events.take_rest());
                 return Ok(true);
             }
         }
--- a/src/forward/whole_body.rs
+++ b/src/forward/whole_body.rs
@@ -7,6 +7,9 @@
 use http_body_util::{BodyExt, LengthLimitError, Limited};
 use tokio::time::Instant;
 
+use super::buffers::Reservation;
+use crate::Error;
+
 /// Time to read a body, in addition to that which its bytes take at [`MIN_RATE`], and longest time
 /// between two parts of it.
 const READ_TIMEOUT: Duration = Duration::from_secs(10);
@@ -19,6 +22,8 @@
 pub(super) enum ReadError {
     /// The body exceeds the size limit.
     TooLarge,
+    /// The router has no memory for the body.
+    NoMemory(Error),
     /// The body did not arrive in time.
     Timeout,
     /// The body broke off.
@@ -33,7 +38,8 @@
     latest: Duration,
 }
 
-/// Reads a body of at most `limit` bytes, within `timeout` of what was received so far.
+/// Reads a body of at most `limit` bytes, within `timeout` of what was received so far; it holds
+/// `reservation` until it is dropped.
 ///
 /// # Errors
 ///
@@ -41,6 +47,7 @@
 pub(super) async fn read_whole<B>(
     body: B,
     limit: usize,
+    mut reservation: Reservation,
     timeout: impl Fn(Received) -> Duration,
 ) -> Result<Bytes, ReadError>
 where
@@ -54,11 +61,14 @@
     loop {
         let left = timeout(received).saturating_sub(started.elapsed());
         match tokio::time::timeout(left, body.frame()).await {
-            Ok(None) => return Ok(bytes.freeze()),
+            Ok(None) => return Ok(reservation.attach_to(bytes)),
             Ok(Some(Ok(frame))) => {
                 // Trailers are not passed on.
                 if let Ok(part) = frame.into_data() {
                     bytes.extend_from_slice(&part);
+                    reservation
+                        .resize(bytes.capacity())
+                        .map_err(ReadError::NoMemory)?;
                     received = Received {
                         bytes: bytes.len(),
                         latest: started.elapsed(),
--- a/src/relay/event.rs
+++ b/src/relay/event.rs
@@ -37,6 +37,16 @@
         self.buf.extend_from_slice(bytes);
     }
 
+    /// Returns the number of bytes in the buffer.
+    pub fn len(&self) -> usize {
+        self.buf.len()
+    }
+
+    /// Returns the bytes in the buffer.
+    pub fn into_rest(self) -> BytesMut {
+        self.buf
+    }
+
     /// Returns whether the buffer is empty, so that no event or part of one is left.
     pub fn is_empty(&self) -> bool {
         self.buf.is_empty()
--- a/tests/support/process.rs
+++ b/tests/support/process.rs
@@ -89,6 +89,11 @@
         Process { child }
     }
 
+    /// Returns the id of the process.
+    pub fn id(&self) -> u32 {
+        self.child.id()
+    }
+
     /// Sends a signal to the process.
     pub fn signal(&self, signal: Signal) {
         let pid = Pid::from_child(&self.child);
