Pass on no success that lacks its signature

Cause: an answer that names the attempt counted as that of a run.

Change: such an answer is unproven. The request may have run; it gets 502, or the answer of another server where it may be repeated.

--- a/src/forward/exchange.rs
+++ b/src/forward/exchange.rs
@@ -171,6 +171,7 @@
             RunOutcome::Ran => Observation::Answered,
             RunOutcome::Misdirected => Observation::Unreachable,
             RunOutcome::NotRun => Observation::Rejected,
+            RunOutcome::Unproven => Observation::Failed,
             RunOutcome::AttemptMismatch => Observation::Progress,
         };
         let now = self.clock.now();
@@ -206,7 +207,8 @@
     /// # Errors
     ///
     /// Returns [`Category::Overloaded`] with the verdict "not run" when the server did not run
-    /// the request, and [`Category::Backend`] when the response belongs to another request.
+    /// the request, and [`Category::Backend`] when the response belongs to another request or lacks
+    /// its proof.
     pub(super) fn ensure_ran(&self) -> Result<()> {
         let not_run = |message| Err(Error::not_run(Category::Overloaded, message));
         match self.head.outcome {
@@ -217,6 +219,10 @@
                 Category::Backend,
                 "the response belongs to another request",
             )),
+            RunOutcome::Unproven => Err(Error::may_have_run(
+                Category::Backend,
+                "the response is a success without proof",
+            )),
         }
     }
 }
--- a/src/forward/wire.rs
+++ b/src/forward/wire.rs
@@ -51,6 +51,8 @@
     Misdirected,
     /// The response belongs to another request.
     AttemptMismatch,
+    /// The response claims success without the proof that the server ran the request.
+    Unproven,
 }
 
 /// Contents of the head of a server's response.
