--- a/src/admission/part_updates.rs
+++ b/src/admission/part_updates.rs
@@ -40,7 +40,7 @@
     ids.collect::<Vec<_>>().join(",")
 }
 
-/// A crash of a server and the shared parts of a request to which it had sent no data.
+/// A crash of a server and the shared parts of a request at the beginning of whose answer it was.
 #[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
 pub struct PartCrash {
     /// Server that crashed.
