Select servers in one place, and name what parts under load share

The three callers of `Forwarder::choose` become one type, `Selection`; its candidates are described in one place. `Level`, `Rank` and `Decision` are the interfaces of the parts that follow. Behaviour is unchanged.

--- a/src/admission/mod.rs
+++ b/src/admission/mod.rs
@@ -8,7 +8,9 @@
 
 mod budget;
 mod canary;
+mod decision;
 mod fair_queue;
+mod level;
 mod message;
 mod part_updates;
 mod poison_parts;
@@ -16,6 +18,7 @@
 mod possible_crash;
 mod quarantine;
 mod quarantined;
+mod rank;
 mod server_limits;
 mod shared_retries;
 mod slot_demand;
@@ -28,9 +31,11 @@
         CanaryHolder, CanaryReply, CanaryRuns, DuplicateGuard, DuplicateTracker, KnownGood,
         CANARY_TIMEOUT, MAX_CANARY_RUNS, MAX_KNOWN_GOOD,
     },
+    decision::Decision,
     fair_queue::{
         Enqueued, FairQueue, QueueEntry, QueueFull, WaitId, MAX_WAITING, MAX_WAITING_PER_TEAM,
     },
+    level::Level,
     message::{
         BeginCanary, BeginCanaryReply, CrashHistoryRequest, CrashRecord, CrashReport, EndCanary,
     },
@@ -39,6 +44,7 @@
     pool_queue::{PoolQueues, Waiter},
     possible_crash::{PossibleCrashes, MAX_POSSIBLE_CRASHES, POSSIBLE_CRASH_TTL},
     quarantine::{Crash, CrashHistory, CrashRisk, Fingerprint, Quarantine, MAX_CRASH_ENTRIES},
+    rank::Rank,
     server_limits::{LimitReport, RateLimit, ServerLimits},
     shared_retries::{RetryAllowance, SharedRetries, ASSUMED_ROUTERS},
     slot_demand::{SlotDemand, SlotDemandGuard},
--- a/src/admission/server_limits.rs
+++ b/src/admission/server_limits.rs
@@ -14,6 +14,7 @@
 
 use serde::{Deserialize, Serialize};
 
+use super::{level::decayed, Level};
 use crate::{
     catalog::{Server, ServerKey},
     sync::lock,
@@ -124,9 +125,8 @@
     received: Instant,
     /// Time of the last response that this router received itself.
     received_here: Option<Instant>,
-    /// Level of the requests of this router at `level_at`.
-    level: f64,
-    level_at: Instant,
+    /// Level of the requests of this router.
+    sent: Level,
 }
 
 impl ServerLimits {
@@ -177,8 +177,7 @@
     /// Records that this router sends a request to a server.
     pub fn record_sent(&self, server: ServerKey, now: Instant) {
         if let Some(entry) = lock(&self.servers).get_mut(&server) {
-            entry.level = entry.level(now) + 1.0;
-            entry.level_at = now;
+            entry.sent.record(entry.decay_s(), now);
         }
     }
 
@@ -263,8 +262,7 @@
             limit: None,
             received,
             received_here: None,
-            level: 0.0,
-            level_at: received,
+            sent: Level::new(received),
         }
     }
 
@@ -281,8 +279,11 @@
     }
 
     fn level(&self, now: Instant) -> f64 {
-        let decay_s = self.limit.map_or(MIN_DECAY_S, RateLimit::decay_s);
-        decayed(self.level, now.since(self.level_at), decay_s)
+        self.sent.value(self.decay_s(), now)
+    }
+
+    fn decay_s(&self) -> f64 {
+        self.limit.map_or(MIN_DECAY_S, RateLimit::decay_s)
     }
 
     fn is_announced(&self, now: Instant) -> bool {
@@ -291,8 +292,3 @@
             || received_here.is_some_and(|at| now.since(at) < ANNOUNCE_TIME)
     }
 }
-
-/// Returns a level after it has decayed for `age`, to 1/e in `decay_s` seconds.
-fn decayed(level: f64, age: Duration, decay_s: f64) -> f64 {
-    level * (-age.as_secs_f64() / decay_s).exp()
-}
--- a/src/forward/attempts.rs
+++ b/src/forward/attempts.rs
@@ -7,7 +7,9 @@
 use super::{
     buffered::BufferedResponse,
     exchange::{AttemptFailure, Exchange},
-    full_body, stream, Body, DrainStage, Forwarder, ProxyRequest, Routed, Wire,
+    full_body,
+    selection::Selection,
+    stream, Body, DrainStage, Forwarder, ProxyRequest, Routed, Wire,
 };
 use crate::{
     catalog::{Server, ServerKey},
@@ -160,13 +162,8 @@
             let routed = &self.state;
             let checked = cx.check_not_poison(routed, now);
             checked.map_err(|err| err.with_verdict_at_least(attempts.verdict))?;
-            let Some(server) = cx.choose(
-                &routed.pool,
-                routed.settings,
-                routed.prompt.as_ref(),
-                &attempts.tried,
-                now,
-            ) else {
+            let selection = Selection::new(routed).with_tried(&attempts.tried);
+            let Some(server) = selection.choose(cx, now) else {
                 return Ok(None);
             };
             match self.prompt_wait(cx, &server, now) {
@@ -277,14 +274,8 @@
         if cx.drain_stage(now) >= DrainStage::Finishing {
             return None;
         }
-        let routed = &self.state;
-        cx.choose(
-            &routed.pool,
-            routed.settings,
-            routed.prompt.as_ref(),
-            &attempts.tried,
-            now,
-        )
+        let selection = Selection::new(&self.state).with_tried(&attempts.tried);
+        selection.choose(cx, now)
     }
 
     /// Takes one retry from the shared retry budget; returns whether it was granted.
@@ -313,7 +304,7 @@
     }
 
     fn no_server_error<W: Wire>(&self, cx: &Forwarder<W>, attempts: &Attempts) -> Error {
-        let wait = cx.limit_wait(&self.state.pool, cx.clock.now());
+        let wait = Selection::new(&self.state).limit_wait(cx, cx.clock.now());
         let err = if wait.is_some() {
             let message = "the servers of the pool have reached the limits that they named";
             Error::not_run(Category::Overloaded, message)
@@ -335,7 +326,7 @@
         let err = err.with_verdict_at_least(attempts.verdict);
         match err.verdict() {
             Verdict::NotRun => {
-                let wait = cx.limit_wait(&self.state.pool, cx.clock.now());
+                let wait = Selection::new(&self.state).limit_wait(cx, cx.clock.now());
                 err.with_retry_after(self.return_delay(cx, wait))
             }
             _ => err,
--- a/src/forward/failover.rs
+++ b/src/forward/failover.rs
@@ -134,7 +134,7 @@
     ) -> std::result::Result<Exchange, AttemptFailure> {
         let params = ForwardParams {
             server: &server,
-            team: self.state.team.as_ref(),
+            team: self.state.rank.team.as_ref(),
             time_left: self.time_left(cx.clock.now()),
             last_event,
             prompt_source,
--- a/src/forward/mod.rs
+++ b/src/forward/mod.rs
@@ -23,6 +23,7 @@
 mod request;
 mod response_body;
 mod resume;
+mod selection;
 mod serve;
 mod state;
 mod stream;
--- a/src/forward/request.rs
+++ b/src/forward/request.rs
@@ -9,10 +9,10 @@
     exchange::RequestTemplate, poison, unanswered::Progress, Forwarder, RequestHead, Wire,
 };
 use crate::{
-    admission::{Fingerprint, PartKey},
-    placement::SharedPrompt,
+    admission::{Fingerprint, PartKey, Rank},
+    placement::{PromptPart, SharedPrompt},
     routes::{PoolSettings, RouteKind, RouteTable},
-    Category, Error, Instant, PoolName, Result, TeamName, Verdict,
+    Category, Error, Instant, PoolName, Result, Verdict,
 };
 
 /// Smallest mean retry delay given to callers while a router starts, which takes some 50 ms.
@@ -44,9 +44,8 @@
     pub(super) kind: RouteKind,
     pub(super) max_attempts: u32,
     pub(super) response_time_goal: Duration,
-    pub(super) team: Option<TeamName>,
-    /// Time at which the final response is due.
-    pub(super) deadline: Option<Instant>,
+    /// Rank among the requests that want the same room.
+    pub(super) rank: Rank,
     /// Part of the prompt shared with other requests, if the route places these together.
     pub(super) prompt: Option<SharedPrompt>,
     /// Hash that stays the same when the caller sends the request again.
@@ -129,6 +128,14 @@
         let prompt = SharedPrompt::from_parts(&self.head.prompt).filter(|_| route.sticky);
         let pool_hash = prompt.map_or_else(|| cx.random(), |prompt| prompt.session);
         let pool = route.choose_pool(pool_hash).clone();
+        let rank = Rank {
+            urgency: team
+                .and_then(|team| team.priority)
+                .unwrap_or(route.priority),
+            team: team.map(|team| team.name.clone()),
+            cost: prompt_tokens(&self.head.prompt).max(1),
+            deadline: max_time.map(|max_time| self.arrived + max_time),
+        };
         let state = Routed {
             settings: table.pool_settings(&pool),
             shared_parts: PartKey::shared_parts(&pool, &self.head.prompt),
@@ -136,8 +143,7 @@
             kind: route.kind,
             max_attempts: route.max_attempts.max(1),
             response_time_goal: route.response_time_goal,
-            team: team.map(|team| team.name.clone()),
-            deadline: max_time.map(|max_time| self.arrived + max_time),
+            rank,
             prompt,
             fingerprint: poison::fingerprint(&self.template, &self.head),
         };
@@ -159,10 +165,16 @@
 
     /// Returns the time left until the final response is due.
     pub(super) fn time_left(&self, now: Instant) -> Option<Duration> {
-        self.state.deadline.map(|deadline| deadline.since(now))
+        self.state.rank.deadline.map(|deadline| deadline.since(now))
     }
 }
 
+/// Returns the length of a prompt in tokens.
+fn prompt_tokens(parts: &[PromptPart]) -> u32 {
+    let tokens = parts.iter().map(|part| part.tokens);
+    tokens.fold(0, u32::saturating_add)
+}
+
 /// Returns the mean retry delay given to callers by a router that still lacks the routes at
 /// `now`.
 ///
--- a/src/forward/resume.rs
+++ b/src/forward/resume.rs
@@ -12,6 +12,7 @@
 use super::{
     event_buffer::EventBuffer,
     exchange::Exchange,
+    selection::Selection,
     stream::{ResponseStream, StreamRead, STALL_CHECK_INTERVAL},
     successor::Successor,
     Observation, Wire,
@@ -77,10 +78,8 @@
                 }
                 return Err(err.with_verdict_at_least(cause.verdict()));
             }
-            let routed = &self.req.state;
-            let tried = &self.attempts.tried;
-            let prompt = routed.prompt.as_ref();
-            let server = cx.choose(&routed.pool, routed.settings, prompt, tried, now);
+            let selection = Selection::new(&self.req.state).with_tried(&self.attempts.tried);
+            let server = selection.choose(&cx, now);
             let Some(server) = server else {
                 log::info!("stream not resumed id={} reason=no_server", self.req.id());
                 break;
--- a/src/forward/state.rs
+++ b/src/forward/state.rs
@@ -21,11 +21,8 @@
     catalog::{Server, ServerKey},
     feed::Feed,
     inspect::ForwardMetrics,
-    placement::{
-        self, Candidate, LoadBound, Prefill, Prefills, SessionAffinity, SessionKey, SharedPrompt,
-    },
+    placement::{LoadBound, Prefill, Prefills, SessionAffinity, SessionKey, SharedPrompt},
     presence::{Presence, RouterPhase},
-    routes::PoolSettings,
     sync::lock,
     Clock, Instant, PoolName, Result,
 };
@@ -44,9 +41,6 @@
 /// Memory for what callers and servers send, unless it is set, in bytes.
 const DEFAULT_BUFFER_BYTES: usize = 32 << 20;
 
-/// Number of requests in flight that count as much as a failure rate of 1.
-const FAILURE_RATE_WEIGHT: f64 = 8.0;
-
 /// Forwards requests to backend servers; holds the state that all requests share.
 pub struct Forwarder<W> {
     /// HTTP dialect of callers and servers.
@@ -200,68 +194,9 @@
         crate::admission::retry_delay(mean, &mut *lock(&self.rng))
     }
 
-    /// Chooses a server of `pool` that is not among `tried` and has not reached its limit.
-    ///
-    /// While servers have reached their limits, the others take what these turn away as long as
-    /// they have free slots.
-    pub(super) fn choose(
-        &self,
-        pool: &PoolName,
-        settings: PoolSettings,
-        prompt: Option<&SharedPrompt>,
-        tried: &[ServerKey],
-        now: Instant,
-    ) -> Option<Arc<Server>> {
-        let pool_servers = self.feed.catalog.pool(pool);
-        let is_eligible = |s: &&Arc<Server>| !s.leaving && !tried.contains(&s.key());
-        let servers: Vec<_> = pool_servers.iter().filter(is_eligible).collect();
-        let loads = self.presence.loads(now);
-        let load = |key| {
-            let of_others = loads.get(&key).copied().unwrap_or_default();
-            self.in_flight.count(key).saturating_add(of_others)
-        };
-        let candidate = |server: &&Arc<Server>| (server.key(), load(server.key()));
-        let loads_by_server: BTreeMap<ServerKey, u32> = servers.iter().map(candidate).collect();
-        let pending = self.prefills.pending_tokens(now);
-        let at_limit = self.limit_waits(now);
-        let (limited, open): (Vec<_>, Vec<_>) = servers
-            .into_iter()
-            .partition(|server| at_limit.contains_key(&server.key()));
-        let mut candidates: Vec<_> = open
-            .iter()
-            .map(|server| Candidate {
-                server,
-                load: loads_by_server[&server.key()],
-                is_avoided: self.health.is_avoided(server.key(), now),
-                pending_tokens: pending.get(&server.key()).copied().unwrap_or_default(),
-            })
-            .collect();
-        let index = match prompt.filter(|_| settings.has_engines) {
-            Some(prompt) => {
-                let limit = self
-                    .policy()
-                    .load_bound
-                    .limit(loads_by_server.values().copied());
-                let warm = self
-                    .session_affinity
-                    .engines(SessionKey::new(prompt.session), now);
-                placement::pick_by_session(prompt.session, &candidates, limit, &warm)
-            }
-            None => {
-                self.apply_failure_rates(&mut candidates);
-                let (first, second) = (self.random(), self.random());
-                let to_index = |number| (number >> 33) as usize;
-                placement::pick_by_two_choices(&candidates, to_index(first), to_index(second))
-            }
-        };
-        let server = open[index?];
-        let has_free_slot = loads_by_server[&server.key()] < server.slots;
-        (limited.is_empty() || has_free_slot).then(|| server.clone())
-    }
-
     /// Returns the servers that have reached the limits that they named, each with the time until
     /// it may get a request.
-    fn limit_waits(&self, now: Instant) -> BTreeMap<ServerKey, Duration> {
+    pub(super) fn limit_waits(&self, now: Instant) -> BTreeMap<ServerKey, Duration> {
         if self.server_limits.is_empty() {
             return BTreeMap::new();
         }
@@ -269,18 +204,6 @@
             .with_limit_reports(now, |reports| self.server_limits.waits(reports, now))
     }
 
-    /// Returns the time until the first server of `pool` may get a request, or `None` if one may get
-    /// it now or there is none.
-    pub(super) fn limit_wait(&self, pool: &PoolName, now: Instant) -> Option<Duration> {
-        let waits = self.limit_waits(now);
-        let pool_servers = self.feed.catalog.pool(pool);
-        let in_pool = pool_servers.iter().filter(|server| !server.leaving);
-        let waits: Option<Vec<_>> = in_pool
-            .map(|server| waits.get(&server.key()).copied())
-            .collect();
-        waits?.into_iter().min()
-    }
-
     /// Encodes the metrics in the OpenMetrics text format, with the gauges as of `now`.
     pub fn encode_metrics(&self, now: Instant) -> String {
         let metrics = &self.metrics;
@@ -444,19 +367,4 @@
         self.session_affinity.record(placement_key, now);
         prefill
     }
-
-    /// Adds the failure rates of servers to their loads and avoids those that fail far more
-    /// often than the others.
-    fn apply_failure_rates(&self, candidates: &mut [Candidate<'_>]) {
-        let rates = candidates
-            .iter()
-            .map(|c| self.health.failure_rate(c.server.key()));
-        let rates: Vec<f64> = rates.collect();
-        let mean_rate = rates.iter().sum::<f64>() / rates.len().max(1) as f64;
-        for (candidate, rate) in candidates.iter_mut().zip(rates) {
-            let penalty = (rate * FAILURE_RATE_WEIGHT) as u32;
-            candidate.load = candidate.load.saturating_add(penalty);
-            candidate.is_avoided |= HealthTracker::is_outlier(rate, mean_rate);
-        }
-    }
 }
--- a/src/forward/stream.rs
+++ b/src/forward/stream.rs
@@ -59,7 +59,7 @@
         req.template.body = Bytes::new();
         req.template.headers = HeaderMap::new();
     }
-    let deadline = req.state.deadline;
+    let deadline = req.state.rank.deadline;
     let mut response_stream = ResponseStream {
         last_event: req.head.last_event,
         last_progress: cx.clock.now(),
