Hold connections and bodies of callers in one account of memory

Cause: the limit on buffers left 16 KB free for each of them and counted neither connections nor read buffers, the future of a request held its forwarding while its body was read, and freed memory stayed with the allocator, so that crowds took any amount.

Change: one account of half the memory in the settings charges connections, requests in progress, bodies before they grow, and buffers for responses. When it or the number of connections is short, a plain function names the connection that goes: the largest that has stood still for a second, else the largest incomplete body. A body that announces more than the limit is refused by its head; the connection then lingers for half a second, so that the answer isn't reset.

--- a/src/forward/body.rs
+++ b/src/forward/body.rs
@@ -13,6 +13,11 @@
 #[derive(Debug, Clone, Copy)]
 pub(super) struct Deadline(pub(super) Instant);
 
+/// Extension of a response to a request whose body was not read in full, so that its connection
+/// ends.
+#[derive(Debug, Clone, Copy)]
+pub(super) struct BodyUnread;
+
 /// Builds a body from bytes that are known in full.
 pub fn full_body(bytes: impl Into<Bytes>) -> Body {
     Full::new(bytes.into())
--- a/src/forward/buffered.rs
+++ b/src/forward/buffered.rs
@@ -34,7 +34,7 @@
         time_left: Option<Duration>,
     ) -> Result<BufferedResponse> {
         let timeout = |received| time_left.unwrap_or_else(|| steady_timeout(received));
-        let reservation = self.buffers.reservation();
+        let reservation = self.memory.reservation();
         let limit = MAX_BUFFERED_RESPONSE_BYTES;
         let body = read_whole(&mut exchange.body, limit, reservation, timeout).await;
         let (category, reason) = match body {
--- a/src/forward/caller_connection.rs
+++ b/src/forward/caller_connection.rs
@@ -6,7 +6,7 @@
     net::SocketAddr,
     pin::Pin,
     sync::{Arc, Mutex},
-    task::{Context, Poll},
+    task::{ready, Context, Poll},
     time::Duration,
 };
 
@@ -15,7 +15,7 @@
     net::TcpStream,
 };
 
-use super::{peer_stream::PeerStream, Activity};
+use super::{linger::Linger, peer_stream::PeerStream, Activity};
 use crate::{sync::lock, Clock, Instant};
 
 /// Longest time for which a caller may leave no room for more of its response.
@@ -31,6 +31,8 @@
     Idle,
     /// The router shuts down.
     Closing,
+    /// Its place or memory is needed for others.
+    GivenUp,
     /// The response was not read by the caller until its deadline.
     Overdue,
 }
@@ -40,6 +42,7 @@
         match self {
             CloseReason::Idle => "idle",
             CloseReason::Closing => "closing",
+            CloseReason::GivenUp => "given_up",
             CloseReason::Overdue => "overdue",
         }
     }
@@ -56,6 +59,8 @@
     /// Set when this router starts to close the connection.
     close: Option<Close>,
     has_ended: bool,
+    /// Whether the connection is kept open for a moment after its last response.
+    is_lingering: bool,
 }
 
 #[derive(Debug, Clone, Copy)]
@@ -80,6 +85,7 @@
             overdue_at: None,
             close: None,
             has_ended: false,
+            is_lingering: false,
         })))
     }
 
@@ -146,6 +152,12 @@
         });
     }
 
+    /// Keeps the connection open for a moment after its last response, whose caller may still be
+    /// sending, so that the response is not discarded.
+    pub(super) fn begin_lingering(&self) {
+        lock(&self.0).is_lingering = true;
+    }
+
     /// Records that the connection has ended, other than with the process.
     pub(super) fn record_end(&self) {
         lock(&self.0).has_ended = true;
@@ -158,6 +170,8 @@
     peer: SocketAddr,
     record: ConnectionRecord,
     clock: Clock,
+    /// Set once the write side is shut down.
+    linger: Option<Linger>,
 }
 
 impl CallerStream {
@@ -173,6 +187,7 @@
             peer,
             record,
             clock,
+            linger: None,
         }
     }
 
@@ -274,6 +289,14 @@
     }
 
     fn poll_shutdown(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.stream).poll_shutdown(cx)
+        if self.linger.is_none() {
+            ready!(Pin::new(&mut self.stream).poll_shutdown(cx))?;
+            if !lock(&self.record.0).is_lingering {
+                return Poll::Ready(Ok(()));
+            }
+        }
+        let this = &mut *self;
+        let linger = this.linger.get_or_insert_with(Linger::new);
+        linger.poll(&mut this.stream, cx).map(Ok)
     }
 }
--- a/src/forward/event_buffer.rs
+++ b/src/forward/event_buffer.rs
@@ -2,8 +2,11 @@
 
 use bytes::{Bytes, BytesMut};
 
-use super::buffers::{Buffers, Reservation};
-use crate::{relay::EventReader, Category, Error, Result};
+use crate::{
+    memory::{Account, Reservation},
+    relay::EventReader,
+    Category, Error, Result,
+};
 
 /// Splits a stream into the events that its caller does not have yet.
 #[derive(Debug)]
@@ -21,10 +24,10 @@
 
 impl EventBuffer {
     /// Creates an empty buffer.
-    pub(super) fn new(buffers: &Buffers) -> Self {
+    pub(super) fn new(account: &Account) -> Self {
         EventBuffer {
             reader: EventReader::new(),
-            reservation: buffers.reservation(),
+            reservation: account.reservation(),
         }
     }
 
--- a/src/forward/exchange_body.rs
+++ b/src/forward/exchange_body.rs
@@ -11,7 +11,7 @@
 use http_body::{Frame, SizeHint};
 
 use super::{caller_connection::ConnectionRecord, Body, HttpHandler};
-use crate::{Clock, Error};
+use crate::{memory::Holding, Clock, Error};
 
 /// Header with the time for which an idle connection stays open.
 const KEEP_ALIVE: HeaderName = HeaderName::from_static("keep-alive");
@@ -29,6 +29,8 @@
     clock: Clock,
     /// Idle limit that the head of the response announced.
     announced: Duration,
+    /// Memory that the exchange holds until it ends.
+    holding: Option<Holding>,
 }
 
 impl<H: HttpHandler> ExchangeGuard<H> {
@@ -40,9 +42,15 @@
             handler,
             clock,
             announced: Duration::ZERO,
+            holding: None,
         }
     }
 
+    /// Holds the memory of the exchange until its end.
+    pub(super) fn hold(&mut self, holding: Holding) {
+        self.holding = Some(holding);
+    }
+
     /// Announces in the head of the response for how long the caller may use the connection again.
     ///
     /// Does nothing for limits below a second, as the header counts whole seconds.
@@ -66,7 +74,11 @@
 impl<H: HttpHandler> Drop for ExchangeGuard<H> {
     fn drop(&mut self) {
         let idle_limit = self.handler.idle_limit().max(self.announced);
-        self.record.end_exchange(idle_limit, self.clock.now());
+        let now = self.clock.now();
+        self.record.end_exchange(idle_limit, now);
+        if let Some(holding) = &self.holding {
+            holding.stand(now);
+        }
     }
 }
 
--- a/src/forward/listener.rs
+++ b/src/forward/listener.rs
@@ -15,16 +15,26 @@
 };
 
 use super::{
+    body::BodyUnread,
     caller_connection::{CallerStream, CloseReason, ConnectionRecord},
     connection,
     exchange_body::{ExchangeBody, ExchangeGuard},
     Body, Deadline, DrainStage,
 };
-use crate::Clock;
+use crate::{
+    memory::{Account, Holding},
+    Clock,
+};
 
 /// Delay after a failed accept, for example when file descriptors have run out.
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(50);
 
+/// Interval at which connections that stand still are given up while no more may be accepted.
+const FULL_CHECK_INTERVAL: Duration = Duration::from_millis(100);
+
+/// Part of the connections, as a divisor, that is given up at a time.
+const ROOM_DIVISOR: usize = 8;
+
 /// Largest number of failed accepts after which a closing listener gives up the connections that
 /// the kernel still has.
 const MAX_QUEUE_FAILURES: u32 = 100;
@@ -50,6 +60,11 @@
 
     /// Returns the time for which a connection may stay open without a request.
     fn idle_limit(&self) -> Duration;
+
+    /// Returns the account of the memory that connections hold, if it is limited.
+    fn memory(&self) -> Option<&Account> {
+        None
+    }
 }
 
 /// Serves the connections of `listener` until `stage` is [`DrainStage::Closing`] and all of them
@@ -67,7 +82,7 @@
     let slots = Arc::new(Semaphore::new(max_connections));
     let other_slots = max_connections.saturating_sub(1) as u32;
     let spawn = {
-        let stage = stage.clone();
+        let (service, stage) = (service.clone(), stage.clone());
         move |stream, peer, slot: OwnedSemaphorePermit| {
             let task = serve_connection(stream, peer, service.clone(), clock, stage.clone());
             tokio::spawn(async move {
@@ -82,7 +97,7 @@
         let slot = tokio::select! {
             biased;
             () = reached(&mut last_stage, DrainStage::Finishing) => break,
-            slot = slots.clone().acquire_owned() => slot.expect("never closed"),
+            slot = free_slot(&slots, service.memory(), max_connections, clock) => slot,
         };
         let accepted = tokio::select! {
             // Connections that the kernel has accepted may hold whole requests.
@@ -113,6 +128,26 @@
     let _ = slots.acquire_many(all_slots as u32).await;
 }
 
+/// Waits until another connection may be accepted; meanwhile some that stand still are given up.
+async fn free_slot(
+    slots: &Arc<Semaphore>,
+    memory: Option<&Account>,
+    max_connections: usize,
+    clock: Clock,
+) -> OwnedSemaphorePermit {
+    loop {
+        let slot = slots.clone().acquire_owned();
+        match tokio::time::timeout(FULL_CHECK_INTERVAL, slot).await {
+            Ok(slot) => return slot.expect("never closed"),
+            Err(_) => {
+                if let Some(memory) = memory {
+                    memory.make_room(max_connections.div_ceil(ROOM_DIVISOR), clock.now());
+                }
+            }
+        }
+    }
+}
+
 /// Logs a failed accept, and waits until another one may succeed.
 async fn pause_after(err: &io::Error) {
     log::warn!("cannot accept caller connection error=\"{err}\"");
@@ -178,18 +213,33 @@
     if let Err(err) = configured {
         log::debug!("cannot set options of caller socket error=\"{err}\"");
     }
+    let holding = service.memory().map(|memory| memory.holding(clock.now()));
+    if let Some(Err(err)) = open(holding.as_ref(), clock).await {
+        log::debug!("caller connection refused peer={peer} error=\"{err}\"");
+        return;
+    }
     let record = ConnectionRecord::new(service.idle_limit(), clock.now());
     let stream = CallerStream::new(stream, peer, record.clone(), clock);
     let hyper_service = {
         let (service, record) = (service.clone(), record.clone());
         let stage = stage.clone();
-        service_fn(move |req| {
+        let holding = holding.clone();
+        service_fn(move |mut req: Request<Incoming>| {
             let (service, record) = (service.clone(), record.clone());
             let stage = stage.clone();
+            let holding = holding.clone();
             async move {
                 let mut exchange = ExchangeGuard::begin(record.clone(), service.clone(), clock);
+                if let Some(holding) = holding {
+                    exchange.hold(holding.clone());
+                    req.extensions_mut().insert(holding);
+                }
                 let mut response = service.handle(req).await;
-                if *stage.borrow() != DrainStage::Serving {
+                let is_unread = response.extensions_mut().remove::<BodyUnread>().is_some();
+                if is_unread {
+                    record.begin_lingering();
+                }
+                if is_unread || *stage.borrow() != DrainStage::Serving {
                     let close = HeaderValue::from_static("close");
                     response.headers_mut().insert(header::CONNECTION, close);
                 }
@@ -210,6 +260,7 @@
     tokio::pin!(overdue_timer);
     let mut drain_stage = stage.clone();
     let mut is_draining = false;
+    let mut is_given_up = false;
     let mut closes_unannounced = false;
     let mut is_closing = false;
     let ended = loop {
@@ -229,6 +280,19 @@
                 record.record_close(CloseReason::Overdue, clock.now());
                 break Ok(());
             }
+            () = given_up(holding.as_ref()), if !is_given_up => {
+                is_given_up = true;
+                record.expire();
+                let polled = std::future::poll_fn(|cx| Poll::Ready(connection.as_mut().poll(cx)));
+                if let Poll::Ready(ended) = polled.await {
+                    break ended;
+                }
+                // A request that is being read is answered, which closes the connection.
+                if !record.is_exchange() {
+                    record.record_close(CloseReason::GivenUp, clock.now());
+                    break Ok(());
+                }
+            }
             () = reached(&mut drain_stage, DrainStage::Draining), if !is_draining => {
                 is_draining = true;
                 // The head of the response may be written already and announce no close.
@@ -280,6 +344,19 @@
     }
 }
 
+/// Holds the memory of an open connection.
+async fn open(holding: Option<&Holding>, clock: Clock) -> Option<crate::Result<()>> {
+    Some(holding?.open(clock).await)
+}
+
+/// Waits until the connection is given up for others.
+async fn given_up(holding: Option<&Holding>) {
+    match holding {
+        Some(holding) => holding.given_up().await,
+        None => std::future::pending().await,
+    }
+}
+
 /// Waits until the last request that was read has its response.
 ///
 /// The record changes only while the connection is polled, which the same task does.
--- a/src/forward/resume.rs
+++ b/src/forward/resume.rs
@@ -33,7 +33,7 @@
     /// Drops the exchange whose response broke off with `error`, which closes its connection, so
     /// that the server stops the request.
     pub(super) fn drop_exchange(&mut self, error: &Error) {
-        self.events = EventBuffer::new(&self.cx.buffers);
+        self.events = EventBuffer::new(&self.cx.memory);
         if let Some(exchange) = self.exchange.take() {
             self.record_break(&exchange, error);
         }
@@ -203,8 +203,7 @@
         self.attempts = attempts;
         match asked {
             Some(Ok(exchange)) if exchange.status == self.status => {
-                self.await_event(Successor::new(exchange, &cx.buffers))
-                    .await
+                self.await_event(Successor::new(exchange, &cx.memory)).await
             }
             Some(Ok(exchange)) => {
                 let reason = format!("the server answered {}", exchange.status);
--- a/src/forward/state.rs
+++ b/src/forward/state.rs
@@ -13,14 +13,15 @@
 use tokio::sync::{watch, Notify};
 
 use super::{
-    buffers::Buffers, exchange::Exchange, health::STALL_TIMEOUT, ConnectionPool, Drain, DrainStage,
-    HealthTracker, InFlight, Observation, PoisonRequests, ProxyRequest, Routed, Wire,
+    exchange::Exchange, health::STALL_TIMEOUT, ConnectionPool, Drain, DrainStage, HealthTracker,
+    InFlight, Observation, PoisonRequests, ProxyRequest, Routed, Wire,
 };
 use crate::{
     admission::{describe_parts, PoisonParts, RetryAllowance, ServerLimits, SharedRetries},
     catalog::{Server, ServerKey},
     feed::Feed,
     inspect::ForwardMetrics,
+    memory::Account,
     placement::{LoadBound, Prefill, Prefills, SessionAffinity, SessionKey, SharedPrompt},
     presence::{Presence, RouterPhase},
     sync::lock,
@@ -38,8 +39,8 @@
     pub grace: Duration,
 }
 
-/// Memory for what callers and servers send, unless it is set, in bytes.
-const DEFAULT_BUFFER_BYTES: usize = 32 << 20;
+/// Memory for callers and servers, unless it is set, in bytes.
+const DEFAULT_MEMORY_BYTES: usize = 64 << 20;
 
 /// Forwards requests to backend servers; holds the state that all requests share.
 pub struct Forwarder<W> {
@@ -67,8 +68,8 @@
     pub server_limits: ServerLimits,
     /// Idle connections to servers.
     pub connections: ConnectionPool,
-    /// Limit on the memory for bytes that callers and servers send.
-    pub(super) buffers: Buffers,
+    /// Account of the memory for callers and servers.
+    pub memory: Account,
     /// Metrics of forwarded requests.
     pub metrics: ForwardMetrics,
     /// Notified to send a digest to the other routers without delay.
@@ -102,7 +103,7 @@
             poison_parts: Arc::default(),
             server_limits: ServerLimits::default(),
             connections: ConnectionPool::default(),
-            buffers: Buffers::with_limit(DEFAULT_BUFFER_BYTES),
+            memory: Account::with_limit(DEFAULT_MEMORY_BYTES),
             metrics: ForwardMetrics::new(),
             announce_signal: Arc::default(),
             retries: SharedRetries::default(),
@@ -120,12 +121,10 @@
         self
     }
 
-    /// Sets the memory, in bytes, for what callers and servers send and the router has to keep.
-    ///
-    /// Each request may keep some kilobytes besides.
+    /// Sets the memory, in bytes, for connections of callers and for what callers and servers send.
     #[must_use]
-    pub fn with_buffer_limit(mut self, bytes: usize) -> Self {
-        self.buffers = Buffers::with_limit(bytes);
+    pub fn with_memory_limit(mut self, bytes: usize) -> Self {
+        self.memory = Account::with_limit(bytes);
         self
     }
 
@@ -213,6 +212,7 @@
         let limited = self.limit_waits(now).len().saturating_sub(paused);
         metrics.set_servers_set_aside("retry_after", paused);
         metrics.set_servers_set_aside("limit", limited);
+        metrics.set_held(self.memory.held(), self.memory.given_up());
         metrics.encode()
     }
 
--- a/src/forward/stream.rs
+++ b/src/forward/stream.rs
@@ -65,7 +65,7 @@
         last_progress: cx.clock.now(),
         checked_at: cx.clock.now(),
         is_known_good: false,
-        events: EventBuffer::new(&cx.buffers),
+        events: EventBuffer::new(&cx.memory),
         cx,
         req: Arc::new(req),
         exchange: Some(exchange),
--- a/src/forward/successor.rs
+++ b/src/forward/successor.rs
@@ -3,7 +3,8 @@
 use bytes::BytesMut;
 use http_body_util::BodyExt;
 
-use super::{buffers::Buffers, event_buffer::EventBuffer, exchange::Exchange};
+use super::{event_buffer::EventBuffer, exchange::Exchange};
+use crate::memory::Account;
 use crate::{Category, Error, Result};
 
 /// An exchange that goes on with a stream once it has sent an event.
@@ -16,11 +17,11 @@
 
 impl Successor {
     /// Creates the successor from an exchange that has received the head of the response.
-    pub(super) fn new(exchange: Exchange, buffers: &Buffers) -> Self {
+    pub(super) fn new(exchange: Exchange, account: &Account) -> Self {
         Successor {
             exchange,
             received: BytesMut::new(),
-            events: EventBuffer::new(buffers),
+            events: EventBuffer::new(account),
         }
     }
 
--- a/src/forward/unanswered.rs
+++ b/src/forward/unanswered.rs
@@ -70,6 +70,11 @@
         lock(&self.0).stage = Stage::Unsent;
     }
 
+    /// Returns whether the whole request was read.
+    pub(super) fn is_read(&self) -> bool {
+        lock(&self.0).stage != Stage::Reading
+    }
+
     /// Records that `server` is to run the request or to resume its stream.
     pub(super) fn record_server(&self, server: &Arc<Server>) {
         lock(&self.0).server = Some(server.clone());
--- a/src/inspect/forward_metrics.rs
+++ b/src/inspect/forward_metrics.rs
@@ -50,6 +50,12 @@
     reason: &'static str,
 }
 
+/// Labels of the gauge of memory held.
+#[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct HeldLabels {
+    for_peers: &'static str,
+}
+
 /// Counters and histograms of forwarded requests.
 #[derive(Debug)]
 pub struct ForwardMetrics {
@@ -61,6 +67,8 @@
     unanswered: Family<UnansweredLabels, Counter<u64, AtomicU64>>,
     servers_set_aside: Family<SetAsideLabels, Gauge>,
     tasks_ended: Family<TaskLabels, Counter<u64, AtomicU64>>,
+    held_bytes: Family<HeldLabels, Gauge>,
+    given_up: Gauge,
     /// Connections opened to backend servers.
     pub connections: Counter<u64, AtomicU64>,
     /// Datagrams of other routers that could not be decoded.
@@ -79,6 +87,8 @@
             unanswered: Family::default(),
             servers_set_aside: Family::default(),
             tasks_ended: Family::default(),
+            held_bytes: Family::default(),
+            given_up: Gauge::default(),
             connections: Counter::default(),
             datagrams_dropped: Counter::default(),
             registry: Registry::default(),
@@ -107,6 +117,10 @@
         registry.register("datagrams_dropped", help, metrics.datagrams_dropped.clone());
         let help = "Servers that get no new requests of this router, by reason";
         registry.register("servers_set_aside", help, metrics.servers_set_aside.clone());
+        let help = "Memory held for callers and for servers";
+        registry.register_with_unit("held", help, Unit::Bytes, metrics.held_bytes.clone());
+        let help = "Connections of callers given up so far, as their place or memory was needed";
+        registry.register("given_up", help, metrics.given_up.clone());
         let help = "Background tasks that ended and were started again";
         registry.register("tasks_ended", help, metrics.tasks_ended.clone());
         ForwardMetrics {
@@ -137,6 +151,16 @@
         gauge.set(i64::try_from(count).unwrap_or(i64::MAX));
     }
 
+    /// Sets the bytes held for callers and for servers, and the number of connections given up.
+    pub fn set_held(&self, (callers, servers): (usize, usize), given_up: u64) {
+        for (for_peers, bytes) in [("callers", callers), ("servers", servers)] {
+            let gauge = self.held_bytes.get_or_create(&HeldLabels { for_peers });
+            gauge.set(i64::try_from(bytes).unwrap_or(i64::MAX));
+        }
+        self.given_up
+            .set(i64::try_from(given_up).unwrap_or(i64::MAX));
+    }
+
     /// Counts an unexpected end of the background task `task`.
     pub fn count_task_end(&self, task: &'static str) {
         self.tasks_ended.get_or_create(&TaskLabels { task }).inc();
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -45,6 +45,7 @@
 pub mod lease;
 pub mod lookup;
 pub mod membership;
+pub mod memory;
 pub mod once;
 pub mod orders;
 pub mod peer;
--- /dev/null
+++ b/tests/memory/main.rs
@@ -0,0 +1,97 @@
+//! Who is given up when the memory for callers is short.
+
+use std::time::Duration;
+
+use ebonyspur::{
+    memory::{choose, Account, Holder, Phase},
+    Clock, Instant,
+};
+use expect_test::expect;
+
+const KB: usize = 1024;
+
+fn holder(kb: usize, phase: Phase, since_ms: u64) -> Holder {
+    Holder {
+        bytes: kb * KB,
+        phase,
+        since: Instant::from_millis(since_ms),
+    }
+}
+
+#[test]
+fn the_largest_that_stands_still_goes_first() {
+    let now = Instant::from_millis(10_000);
+    let mut holders = vec![
+        ("idle since 1 s", holder(12, Phase::Standing, 1_000)),
+        ("idle since 9.5 s", holder(12, Phase::Standing, 9_500)),
+        ("stalled since 8 s", holder(300, Phase::Reading, 8_000)),
+        ("stalled since 3 s", holder(300, Phase::Reading, 3_000)),
+        ("small, stalled", holder(60, Phase::Reading, 2_000)),
+        ("running", holder(900, Phase::Running, 1_000)),
+        ("large, arriving", holder(800, Phase::Reading, 9_900)),
+        ("small, arriving", holder(90, Phase::Reading, 9_900)),
+    ];
+    let mut order = Vec::new();
+    loop {
+        let candidates = holders.iter().map(|(name, holder)| (*name, holder));
+        let Some(name) = choose(candidates, 120 * KB, now) else {
+            break;
+        };
+        holders.retain(|(other, _)| *other != name);
+        order.push(name);
+    }
+    let kept: Vec<_> = holders.iter().map(|(name, _)| *name).collect();
+    expect![[r#"
+        goes: stalled since 3 s, stalled since 8 s, small, stalled, idle since 1 s, large, arriving
+        stays: idle since 9.5 s, running, small, arriving"#]]
+    .assert_eq(&format!(
+        "goes: {}\nstays: {}",
+        order.join(", "),
+        kept.join(", ")
+    ));
+}
+
+/// Replays a crowd of bodies that stop short, and ordinary bodies that come afterwards.
+#[tokio::test]
+async fn a_crowd_that_stands_still_makes_room_for_ordinary_bodies() {
+    let clock = Clock::new();
+    let account = Account::with_limit(4_000 * KB);
+    let mut crowd = Vec::new();
+    let mut refused = 0;
+    for _ in 0..40 {
+        let holding = account.holding(clock.now());
+        let opened = holding.open(clock).await;
+        match opened.and(holding.read(200 * KB, clock).await) {
+            Ok(()) => crowd.push(holding),
+            Err(_) => refused += 1,
+        }
+    }
+    let mut lines = vec![format!(
+        "crowd: {} stand, {refused} refused, {} bytes",
+        crowd.len(),
+        account.held().0
+    )];
+    std::thread::sleep(Duration::from_millis(1_050));
+    let tasks: Vec<_> = crowd
+        .into_iter()
+        .map(|holding| tokio::spawn(async move { holding.given_up().await }))
+        .collect();
+    tokio::task::yield_now().await;
+    let mut served = Vec::new();
+    for _ in 0..20 {
+        let holding = account.holding(clock.now());
+        let opened = holding.open(clock).await;
+        let read = opened.and(holding.read(72 * KB, clock).await);
+        served.extend(read.is_ok().then_some(holding));
+    }
+    lines.push(format!(
+        "ordinary bodies: {} of 20 read, {} of the crowd given up",
+        served.len(),
+        account.given_up()
+    ));
+    drop(tasks);
+    expect![[r#"
+        crowd: 11 stand, 29 refused, 2973696 bytes
+        ordinary bodies: 20 of 20 read, 10 of the crowd given up"#]]
+    .assert_eq(&lines.join("\n"));
+}
