Keep buffers for servers to a quarter of the memory

Cause: the account let them fill what callers leave of half the memory, where a quarter was the limit before: `endless::a_router_stays_within_ its_memory_while_many_answers_come_without_end` failed.

Change: they take half of the account at most.

--- a/src/memory/account.rs
+++ b/src/memory/account.rs
@@ -12,6 +12,9 @@
 /// is kept for responses.
 const CALLER_QUARTERS: usize = 3;
 
+/// Part of the account, as a divisor, that buffers for servers may fill.
+const SERVER_DIVISOR: usize = 2;
+
 /// Part of the largest sum since the last trim, as a divisor, below which memory is returned.
 const TRIM_DIVISOR: usize = 2;
 
@@ -161,7 +164,8 @@
     /// Changes the bytes of buffers for servers; returns whether they fit.
     pub(super) fn change_for_servers(&mut self, from: usize, to: usize) -> bool {
         let sum = self.for_servers - from + to;
-        if to > from && sum + self.for_callers > self.limit {
+        let limit = self.limit / SERVER_DIVISOR;
+        if to > from && (sum > limit || sum + self.for_callers > self.limit) {
             return false;
         }
         self.for_servers = sum;
