Count the crash of the incarnation that ran a resumed request

Cause: a request that crashed an engine in its answer, was resumed and crashed the next incarnation was counted once if that incarnation was listed in between: both crashes went by the incarnation that had begun the answer. The request then ended a third incarnation before its quarantine. Ruled out: a report that comes too late, as the only router is the arbiter. Change: once the crash of the incarnation that began the answer counts, a break of the resumed request counts against the incarnation that is listed.

--- a/src/admission/quarantine.rs
+++ b/src/admission/quarantine.rs
@@ -99,6 +99,11 @@
         }
     }
 
+    fn has_crash(&self, crash: &Crash) -> bool {
+        let mut crashes = self.crashes.iter();
+        crashes.any(|(engine, number)| *engine == crash.engine && *number == crash.incarnation)
+    }
+
     /// Adds the crashes known to another router, unless some of them were cleared there.
     fn merge(&mut self, other: CrashEntry) {
         if other.cleared == 0 {
@@ -181,6 +186,12 @@
         }
     }
 
+    /// Returns whether a crash is recorded.
+    pub fn has_crash(&self, crash: &Crash, now: Instant) -> bool {
+        let known = self.unexpired(crash.fingerprint, now);
+        known.is_some_and(|known| known.has_crash(crash))
+    }
+
     /// Records a possible crash: an engine broke off a request but seems alive.
     pub fn record_possible_crash(&mut self, crash: Crash, now: Instant) {
         self.possible_crashes.insert(crash, now);
@@ -351,6 +362,11 @@
         lock(&self.crash_history).record_crash(crash, now)
     }
 
+    /// Returns whether a crash is recorded.
+    pub fn has_crash(&self, crash: &Crash, now: Instant) -> bool {
+        lock(&self.crash_history).has_crash(crash, now)
+    }
+
     /// Records a possible crash: an engine broke off a request but seems alive.
     pub fn record_possible_crash(&self, crash: Crash, now: Instant) {
         lock(&self.crash_history).record_possible_crash(crash, now);
--- a/src/relay/engine_request.rs
+++ b/src/relay/engine_request.rs
@@ -11,7 +11,7 @@
 use crate::{
     admission::{Class, Crash},
     membership::Engine,
-    Category, Error, Result, Router, VersionName,
+    Category, Error, Incarnation, Result, Router, VersionName,
 };
 
 /// Header that carries the priority class to an engine.
@@ -40,6 +40,7 @@
     body: Bytes,
     engine: Arc<Engine>,
     version: Option<VersionName>,
+    is_resumed: bool,
 }
 
 impl EngineRequest {
@@ -52,6 +53,7 @@
             head,
             body,
             engine,
+            is_resumed: false,
         }
     }
 
@@ -84,11 +86,12 @@
     ///
     /// Fails when that incarnation is no longer live, does not answer, or answers with an
     /// error status.
-    pub(super) async fn resume(&self, cx: &Router, next: u64) -> Result<Response<Incoming>> {
-        if !self.engine_is_live(cx) {
+    pub(super) async fn resume(&mut self, cx: &Router, next: u64) -> Result<Response<Incoming>> {
+        if !self.is_listed(cx, self.engine.incarnation) {
             let message = "the engine that began the answer is no longer live";
             return Err(Error::may_have_run(Category::Cut, message));
         }
+        self.is_resumed = true;
         let req = self.build_request(next.checked_sub(1))?;
         let answer = cx
             .backends
@@ -98,11 +101,33 @@
         answer.map_err(|err| Error::may_have_run(err.classify(), err.message()))
     }
 
-    /// Returns whether the instance list still has the incarnation that the request went to.
-    fn engine_is_live(&self, cx: &Router) -> bool {
+    /// Returns whether the instance list has the engine at `incarnation`.
+    fn is_listed(&self, cx: &Router, incarnation: Incarnation) -> bool {
+        self.listed_incarnation(cx) == Some(incarnation)
+    }
+
+    fn listed_incarnation(&self, cx: &Router) -> Option<Incarnation> {
         let view = cx.membership.view();
-        let known = view.engine(&self.engine.name);
-        known.is_some_and(|engine| engine.incarnation == self.engine.incarnation)
+        view.engine(&self.engine.name)
+            .map(|engine| engine.incarnation)
+    }
+
+    /// Returns the crash of the incarnation that broke off the request, if it has crashed.
+    ///
+    /// Once the crash of the incarnation that began the answer counts, a later one ran the resumed
+    /// request.
+    fn possible_crash(&self, cx: &Router) -> Crash {
+        let mut crash = Crash {
+            fingerprint: self.head.fingerprint,
+            engine: self.engine.name.clone(),
+            incarnation: self.engine.incarnation,
+        };
+        if self.is_resumed && cx.quarantine.has_crash(&crash, cx.clock.now()) {
+            if let Some(listed) = self.listed_incarnation(cx) {
+                crash.incarnation = listed;
+            }
+        }
+        crash
     }
 
     /// Records a crash if the engine ended with this request in flight; returns whether it did.
@@ -113,19 +138,15 @@
         if err.classify() != Category::Cut {
             return false;
         }
-        let crash = Crash {
-            fingerprint: self.head.fingerprint,
-            engine: self.engine.name.clone(),
-            incarnation: self.engine.incarnation,
-        };
-        match self.engine_state(cx).await {
+        let crash = self.possible_crash(cx);
+        match self.engine_state(cx, crash.incarnation).await {
             EngineState::Ended => {}
             EngineState::Running => return false,
             EngineState::Unknown => {
                 cx.quarantine
                     .record_possible_crash(crash.clone(), cx.clock.now());
                 // The new incarnation may have been listed before the possible crash was recorded.
-                if self.engine_is_live(cx) {
+                if self.is_listed(cx, crash.incarnation) {
                     return false;
                 }
             }
@@ -136,14 +157,14 @@
         true
     }
 
-    /// Finds out whether the incarnation that the request was sent to still runs.
-    async fn engine_state(&self, cx: &Router) -> EngineState {
-        if !self.engine_is_live(cx) {
+    /// Finds out whether the engine still runs at `incarnation`.
+    async fn engine_state(&self, cx: &Router, incarnation: Incarnation) -> EngineState {
+        if !self.is_listed(cx, incarnation) {
             return EngineState::Ended;
         }
         let address = self.engine.address;
         match probe::read_incarnation(address, &cx.backends).await {
-            Some(incarnation) if incarnation == self.engine.incarnation => EngineState::Running,
+            Some(reported) if reported == incarnation => EngineState::Running,
             Some(_) => EngineState::Ended,
             None if probe::refuses_connections(address, cx.settings.limits.connect_timeout)
                 .await =>
--- a/tests/relay/engine_restart.rs
+++ b/tests/relay/engine_restart.rs
@@ -76,9 +76,13 @@
     fn serve_connection(&self, mut stream: TcpStream) {
         while let Some(request) = read_request(&mut stream) {
             if request.contains("CRASH") {
-                if request.contains("LATE") && header(&request, "last-event-id").is_empty() {
+                let is_resumed = !header(&request, "last-event-id").is_empty();
+                if request.contains("LATE") && !is_resumed {
                     begin_stream(&mut stream, &header(&request, "x-request-id"));
                 }
+                if request.contains("SLOW") && is_resumed {
+                    std::thread::sleep(2 * LISTED_AFTER);
+                }
                 self.incarnation.fetch_add(1, Ordering::Relaxed);
                 let _ = stream.shutdown(Shutdown::Both);
                 std::thread::sleep(LISTED_AFTER);
@@ -190,3 +194,12 @@
         innocent: 200 none"#]]
     .assert_eq(&run_prompts(false, &["CRASH", "CRASH LATE"]));
 }
+
+// The crash of the next incarnation was taken for the one that broke off the answer.
+#[test]
+fn a_resumed_request_that_crashes_a_listed_incarnation_counts_once_more() {
+    expect![[r#"
+        CRASH LATE SLOW: incarnations ended 2, last refusal 422 quarantined
+        innocent: 200 none"#]]
+    .assert_eq(&run_prompts(false, &["CRASH LATE SLOW"]));
+}
