Tell servers how urgent a request is

Engines that were full admitted requests in the order of arrival and preempted the newest, as nothing told them what is urgent. Each request to a server now names the urgency of its team, or else of its route.

Checked: formatter, clippy on the workspace, adapter::urgency, adapter::wire, adapter::requests, adapter::boundary.

--- a/src/forward/failover.rs
+++ b/src/forward/failover.rs
@@ -135,6 +135,7 @@
         let params = ForwardParams {
             server: &server,
             team: self.state.rank.team.as_ref(),
+            urgency: self.state.rank.urgency,
             time_left: self.time_left(cx.clock.now()),
             last_event,
             prompt_source,
--- a/src/forward/wire.rs
+++ b/src/forward/wire.rs
@@ -32,6 +32,8 @@
     pub server: &'a Server,
     /// Team of the caller, if it is known.
     pub team: Option<&'a TeamName>,
+    /// Urgency of the request; 0 is the most urgent.
+    pub urgency: u8,
     /// Time left until the final response is due.
     pub time_left: Option<Duration>,
     /// Number of the last event that the caller has received, if a stream is resumed.
