Pass on a server's whole failed answer when the next server gives none

A request that may run again and that a server answered with 500 is sent to a second server. When that one turned the request away or broke off, the caller got an error of the router in place of the first server's answer, which was complete. The last whole answer is now kept, its connection released, until another one replaces it.

--- a/src/forward/attempts.rs
+++ b/src/forward/attempts.rs
@@ -78,20 +78,35 @@
         cx.retries
             .earn(&self.state.pool, &allowance, cx.clock.now());
         let mut attempts = Attempts::default();
+        // A server's whole answer that reports a failure counts unless a later one replaces it.
+        let mut failed_answer = None;
+        let or_failed_answer = |answer: Option<Response<Body>>, err| match answer {
+            Some(answer) => Ok(self.record_answer(cx, answer)),
+            None => Err(err),
+        };
         loop {
-            let Some(server) = self.choose_next_server(cx, &mut attempts).await? else {
-                return Err(self.no_server_error(cx, &attempts));
+            let server = match self.choose_next_server(cx, &mut attempts).await {
+                Ok(Some(server)) => server,
+                Ok(None) => {
+                    return or_failed_answer(failed_answer, self.no_server_error(cx, &attempts))
+                }
+                Err(err) => return or_failed_answer(failed_answer, err),
             };
             match self.attempt_at(cx, server, &mut attempts).await {
-                AttemptOutcome::Answered(response) => return Ok(self.finish(cx, *response)),
+                AttemptOutcome::Answered(response) => {
+                    let answer = self.take_answer(cx, *response);
+                    return Ok(self.record_answer(cx, answer));
+                }
                 AttemptOutcome::Streaming(exchange) => {
                     return stream::forward_stream(cx.clone(), self, *exchange, attempts).await;
                 }
                 AttemptOutcome::ServerFailed(response) => {
                     attempts.verdict = attempts.verdict.strongest(Verdict::MayHaveRun);
+                    let answer = self.take_answer(cx, *response);
                     if !self.may_retry(cx, &attempts, Verdict::MayHaveRun) {
-                        return Ok(self.finish(cx, *response));
+                        return Ok(self.record_answer(cx, answer));
                     }
+                    failed_answer = Some(answer);
                 }
                 AttemptOutcome::Failed(failure) => {
                     self.record_failure(cx, &failure, &mut attempts);
@@ -102,7 +117,8 @@
                         attempts.unsent_count < MAX_UNSENT_ATTEMPTS
                     };
                     if !retry {
-                        return Err(self.final_error(cx, failure.err, &attempts));
+                        let err = self.final_error(cx, failure.err, &attempts);
+                        return or_failed_answer(failed_answer, err);
                     }
                 }
             }
@@ -333,9 +349,12 @@
         }
     }
 
-    /// Builds the response to the caller from that of the server, and records that the request
-    /// got a complete response.
-    fn finish<W: Wire>(&self, cx: &Forwarder<W>, response: BufferedResponse) -> Response<Body> {
+    /// Builds the response to the caller from that of the server, whose connection is released.
+    fn take_answer<W: Wire>(
+        &self,
+        cx: &Forwarder<W>,
+        response: BufferedResponse,
+    ) -> Response<Body> {
         let BufferedResponse { mut exchange, body } = response;
         let headers = cx
             .wire
@@ -343,13 +362,18 @@
         let mut response = Response::new(full_body(body));
         *response.status_mut() = exchange.status;
         *response.headers_mut() = headers;
+        cx.release_connection(exchange, cx.clock.now());
+        response
+    }
+
+    /// Records that the request gets the complete response `answer`, and returns it.
+    fn record_answer<W: Wire>(&self, cx: &Forwarder<W>, answer: Response<Body>) -> Response<Body> {
         let now = cx.clock.now();
         cx.poison_requests.record_success(self.state.fingerprint);
-        if exchange.status.is_success() {
+        if answer.status().is_success() {
             cx.record_known_good(self, now);
         }
         cx.metrics.observe_answer(now.since(self.arrived));
-        cx.release_connection(exchange, now);
-        response
+        answer
     }
 }
