Decide which failure domains are evacuated

The operator's requests to evacuate a failure domain were not read at all. `EvacuationRegistry` decides from reads of the store and reports of other routers which domains get nothing more: a later position wins, and what a store that came back from a copy lacks stays for 10 s unless it is written again. `Evacuations::ended_at` tells for a minute when an evacuation ended.

--- a/src/feed/position.rs
+++ b/src/feed/position.rs
@@ -18,7 +18,9 @@
 /// An offset in the store and the era in which it counts.
 ///
 /// A position of a later era is later, whatever its offset.
-#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Hash, PartialOrd, Ord)]
+#[derive(
+    Debug, Clone, Copy, Default, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize, Deserialize,
+)]
 pub struct Position {
     /// Era of the store.
     pub era: StoreEra,
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -10,8 +10,8 @@
 //!
 //! On a platform with its own protocols, an adapter decodes those protocols and uses the
 //! slices that do not depend on Ebonyspur's: [`forward`] forwards requests, [`routes`] and
-//! [`catalog`] hold the configuration and the servers from the platform's store, [`feed`]
-//! distributes both between routers, and [`presence`] exchanges the liveness and loads of
+//! [`catalog`] hold the configuration and the servers from the platform's store, [`evacuation`]
+//! the failure domains that get nothing more, [`feed`] distributes them between routers, and [`presence`] exchanges the liveness and loads of
 //! routers.
 //!
 //! Every decision is a plain function of its arguments, including the time, so that it
@@ -35,6 +35,7 @@
 pub mod cli;
 pub mod config;
 mod error;
+pub mod evacuation;
 pub mod feed;
 pub mod forward;
 mod http;
