Distribute evacuations with the routes and the servers

The read that waits for a configuration returns evacuations too, if the settings have a bound for them. Followers hand the complete list to their subscribers with the list of servers, so that no router serves with servers and without evacuations. Digests have the version while a domain is evacuated or was within the last minute, so that routers find a later list while the store is down; at other times they grow by one byte.

--- a/src/catalog/state.rs
+++ b/src/catalog/state.rs
@@ -6,7 +6,7 @@
 };
 
 use super::Server;
-use crate::{sync::lock, PoolName};
+use crate::{sync::lock, DomainName, PoolName};
 
 /// The servers of one pool, shared with the requests that choose among them.
 type Pool = Arc<Vec<Arc<Server>>>;
@@ -45,6 +45,13 @@
         servers.filter(|server| server.leaving).count()
     }
 
+    /// Returns the number of servers in the failure domain `domain`.
+    pub fn count_in(&self, domain: &DomainName) -> usize {
+        let inner = lock(&self.inner);
+        let servers = inner.pools.values().flat_map(|pool| pool.iter());
+        servers.filter(|server| server.domain == *domain).count()
+    }
+
     /// Replaces all servers of all pools.
     pub fn replace<'a>(&self, servers: impl IntoIterator<Item = &'a Server>) {
         let mut pools: BTreeMap<PoolName, Vec<Arc<Server>>> = BTreeMap::new();
--- a/src/feed/follow.rs
+++ b/src/feed/follow.rs
@@ -48,7 +48,7 @@
     }
 }
 
-/// Reads the route table while the store is reachable and this router is the follower or has no
+/// Reads the route table and the evacuations while the store is reachable and this router is the follower or has no
 /// current feed.
 pub async fn follow_routes<S: Store>(
     store: Arc<S>,
@@ -78,6 +78,10 @@
         feed.record_call("read_routes", &read, now);
         match read {
             Ok(read) => {
+                // A router that starts serves once it has routes and servers.
+                if let Some(evacuations) = &read.evacuations {
+                    feed.apply_evacuations(evacuations, read.next, now);
+                }
                 if let Some(table) = read.table {
                     feed.replace_routes_if_newer(table, "store");
                 }
--- a/src/feed/frame.rs
+++ b/src/feed/frame.rs
@@ -8,6 +8,7 @@
 use super::StoreEra;
 use crate::{
     catalog::{DepartureReport, Server},
+    evacuation::EvacuationReport,
     routes::RouteTable,
     Offset,
 };
@@ -30,9 +31,11 @@
         era: StoreEra,
         /// What is known of servers that have announced that they leave.
         departures: Vec<DepartureReport>,
-        /// Whether the list is [settled](super::ListVersion::is_settled); builds from before this
-        /// last field skip it.
+        /// Whether the list is [settled](super::ListVersion::is_settled).
         is_settled: bool,
+        /// The evacuations, which hold from before the servers are used; `None` if this deployment
+        /// has none.
+        evacuations: Option<EvacuationReport>,
     },
     /// The data sent so far was current in the store at this time.
     Current {
--- a/src/feed/mod.rs
+++ b/src/feed/mod.rs
@@ -7,6 +7,7 @@
 //! A router whose data is too old reads the store itself.
 
 mod departures;
+mod evacuations;
 mod follow;
 mod frame;
 mod peer_clock;
--- a/src/feed/state.rs
+++ b/src/feed/state.rs
@@ -14,6 +14,7 @@
 use super::{frame, server_list::ServerList, upstreams, FeedNode, FeedRank, Role};
 use crate::{
     catalog::Catalog,
+    evacuation::Evacuations,
     presence::{Presence, StoreStatus},
     routes::{ActiveRoutes, RouteTable},
     sync::lock,
@@ -52,6 +53,8 @@
     pub routes: ActiveRoutes,
     /// The known servers.
     pub catalog: Catalog,
+    /// The evacuated failure domains.
+    pub evacuations: Evacuations,
     rank: FeedRank,
     /// Whether this router is shutting down.
     leaving: AtomicBool,
@@ -65,7 +68,7 @@
 /// Counts of changes and store answers, published to the tasks that feed other routers.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
 pub struct Revision {
-    /// Number of changes of the routes or servers.
+    /// Number of changes of the routes, servers or evacuations.
     pub changes: u64,
     /// Number of answers of the store, to this router or passed on by another one, with or without
     /// a change.
@@ -91,6 +94,7 @@
         Feed {
             routes: ActiveRoutes::default(),
             catalog: Catalog::default(),
+            evacuations: Evacuations::default(),
             rank: FeedRank::new(me, link_mbps),
             leaving: AtomicBool::default(),
             server_list: Mutex::default(),
@@ -246,6 +250,7 @@
     /// `now` is the time at which that router's statement was received.
     pub fn record_current(&self, at: Instant, now: Instant) {
         self.settle_servers(at, now);
+        self.settle_evacuations(now);
         let mut sync_state = lock(&self.sync_state);
         let before = (sync_state.servers_current_at, sync_state.routes_current_at);
         sync_state.servers_current_at = sync_state.servers_current_at.max(Some(at));
--- a/src/feed/store.rs
+++ b/src/feed/store.rs
@@ -4,8 +4,8 @@
 
 use super::Position;
 use crate::{
-    admission::QuarantinedParts, catalog::ServerChange, placement::SessionPlacement,
-    routes::RouteTable, Result, UnixMillis,
+    admission::QuarantinedParts, catalog::ServerChange, evacuation::EvacuationsRead,
+    placement::SessionPlacement, routes::RouteTable, Result, UnixMillis,
 };
 
 /// Result of a read of the list of servers.
@@ -19,11 +19,13 @@
     pub next: Position,
 }
 
-/// Result of a read of the route table.
+/// Result of a read of the operator's records: the route table and the evacuations.
 #[derive(Debug)]
 pub struct RoutesRead {
     /// The newest table, or `None` if there is no new one.
     pub table: Option<RouteTable>,
+    /// The evacuations, or `None` if this deployment has none.
+    pub evacuations: Option<EvacuationsRead>,
     /// Position from which the next read continues; it grows from read to read.
     pub next: Position,
 }
@@ -59,9 +61,11 @@
         wait: Duration,
     ) -> impl Future<Output = Result<ServersRead>> + Send;
 
-    /// Reads the newest route table, or with `from` waits up to `wait` for a newer one.
+    /// Reads the newest route table and all evacuations, or with `from` waits up to `wait` for a newer
+    /// table or changes of evacuations.
     ///
-    /// If the store is no longer in the era of `from`, its newest table is returned.
+    /// If the store is no longer in the era of `from`, its newest table and all evacuations are
+    /// returned.
     ///
     /// # Errors
     ///
--- a/src/feed/subscribe.rs
+++ b/src/feed/subscribe.rs
@@ -33,7 +33,7 @@
 const DELAY_LOG_THRESHOLD: Duration = Duration::from_millis(300);
 
 /// Keeps a feed connection to one of the followers open while this router does not follow the
-/// store itself, or to a router with later routes while no other router follows.
+/// store itself, or to a router with later routes or evacuations while no other router follows.
 pub async fn subscribe(feed: Arc<Feed>, presence: Arc<Presence>, clock: Clock) {
     loop {
         let now = clock.now();
@@ -64,15 +64,19 @@
     }
 }
 
-/// Returns the addresses of the live routers with later routes than those in force here, the latest
-/// first.
+/// Returns the addresses of the live routers with later routes or evacuations than those in force
+/// here, the latest first.
 ///
 /// A store that came back from a copy gives out older routes until they are written again. While
 /// no router reaches the store, the first one that fed this router may have been behind the others.
 fn routers_ahead(feed: &Feed, presence: &Presence, now: Instant) -> Vec<SocketAddr> {
     let version = feed.routes.version();
-    let mut ahead = presence.map_live(now, |state| (state.routes_version, state.peer_address));
-    ahead.retain(|(theirs, _)| *theirs > version);
+    let evacuations = Some(feed.evacuations.version());
+    let mut ahead = presence.map_live(now, |state| {
+        let theirs = (state.routes_version, state.evacuations_version);
+        (theirs, state.peer_address)
+    });
+    ahead.retain(|(theirs, _)| theirs.0 > version || theirs.1 > evacuations);
     ahead.sort_unstable_by_key(|(theirs, _)| Reverse(*theirs));
     ahead.into_iter().map(|(_, address)| address).collect()
 }
@@ -142,7 +146,11 @@
             era,
             departures,
             is_settled,
+            evacuations,
         } => {
+            if let Some(report) = &evacuations {
+                feed.receive_evacuations(report, now);
+            }
             feed.receive_departure_reports(&departures, now);
             let version = ListVersion {
                 position: Position::new(era, next),
--- a/src/presence/router_state.rs
+++ b/src/presence/router_state.rs
@@ -5,7 +5,7 @@
 use serde::{Deserialize, Serialize};
 use xxhash_rust::xxh3::Xxh3Default;
 
-use crate::{DomainName, Incarnation, RouterName};
+use crate::{evacuation::EvacuationsVersion, DomainName, Incarnation, RouterName};
 
 /// Phase of a router, which decides whether it accepts callers.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
@@ -73,6 +73,8 @@
     pub relay_role: RelayRole,
     /// Version of the routes in force at the router, or 0 when it knows none.
     pub routes_version: u64,
+    /// Version of the evacuations that the router knows, while it knows any or their ends.
+    pub evacuations_version: Option<EvacuationsVersion>,
 }
 
 impl RouterState {
@@ -97,6 +99,7 @@
             link_mbps: 0,
             relay_role: RelayRole::Direct,
             routes_version: 0,
+            evacuations_version: None,
         }
     }
 
--- a/stand-in/src/replica.rs
+++ b/stand-in/src/replica.rs
@@ -49,6 +49,9 @@
     /// Address under which the server registers, if it is not the one that it listens on.
     #[arg(long)]
     advertise: Option<SocketAddr>,
+    /// Failure domain in which the server registers.
+    #[arg(long, default_value = "zone-1")]
+    domain: String,
     /// Requests that run at once; further ones are refused.
     #[arg(long, default_value_t = 6)]
     slots: usize,
@@ -117,7 +120,7 @@
         };
         let state = if leaving { "draining" } else { "ready" };
         let entry = json!({
-            "service": args.pool, "address": address, "zone": "zone-1", "version": "v1",
+            "service": args.pool, "address": address, "zone": args.domain, "version": "v1",
             "slots": args.slots, "state": state, "cold_remaining_ms": 0,
             "sequence": sequence, "born": started_ms,
         });
--- a/stand-in/src/store.rs
+++ b/stand-in/src/store.rs
@@ -97,7 +97,9 @@
     match (req.method.as_str(), req.path().as_slice()) {
         ("PUT", ["faults"]) => return store.set_faults(&req),
         ("PUT", ["forget", topic]) => return store.forget(topic),
-        ("PUT", ["record", topic, key]) => return store.put(topic, key, req.body.clone()),
+        ("PUT", ["record", topic, key @ ..]) => {
+            return store.put(topic, &key.join("/"), req.body.clone())
+        }
         ("PUT", ["copy"]) => return store.copy(),
         ("PUT", ["restore"]) => return store.restore(),
         ("GET", ["calls"]) => return web::json(StatusCode::OK, &*store.calls.lock().unwrap()),
--- a/tests/feed/gap.rs
+++ b/tests/feed/gap.rs
@@ -50,6 +50,7 @@
         sleep(wait).await;
         let table = TableBuilder::new(RESTORED_VERSION).build().expect("routes");
         Ok(RoutesRead {
+            evacuations: None,
             table: from.is_none().then_some(table),
             next: Self::END,
         })
--- a/tests/feed/outage.rs
+++ b/tests/feed/outage.rs
@@ -4,13 +4,14 @@
 
 use ebonyspur::{
     catalog::Server,
+    evacuation::{EvacuationChange, EvacuationsRead},
     feed::{
         follow_servers, serve_subscribers, subscribe, Feed, FleetSnapshot, Position, RoutesRead,
         ServersRead, Store,
     },
     presence::{Presence, StoreStatus},
     routes::TableBuilder,
-    Category, Clock, EngineName, Error, Instant, Result,
+    Category, Clock, DomainName, EngineName, Error, Instant, Result,
 };
 use expect_test::expect;
 use tokio::{net::TcpListener, time::sleep};
@@ -83,6 +84,7 @@
         let mut router = state(self.number, StoreStatus::Unreachable);
         router.is_current = false;
         router.routes_version = self.version;
+        router.evacuations_version = self.feed.evacuations.announced_version();
         router.peer_address = self.address;
         let sequence = clock.now().as_micros();
         presence.receive(&digest(router, sequence), clock.now());
@@ -116,7 +118,7 @@
 
     /// Waits until `condition` holds while `live` routers announce themselves; returns whether it
     /// did in time.
-    async fn wait(&self, live: &[&Running], condition: impl Fn(&Feed) -> bool) -> bool {
+    async fn wait(&self, live: &[&Running], mut condition: impl FnMut(&Feed) -> bool) -> bool {
         let started = self.clock.now();
         while !condition(&self.feed) {
             if self.clock.now().since(started) >= LEARNING_TIME {
@@ -147,6 +149,62 @@
         .assert_eq(&format!("known {is_known}: version {first}, then {last}"));
 }
 
+/// Records that the store listed the evacuation of one domain when `router` read it.
+fn evacuate(router: &Running, offset: u64, clock: Clock) {
+    let domain = DomainName::new("d1").expect("a name");
+    let read = EvacuationsRead {
+        changes: vec![EvacuationChange::Begun(domain)],
+        is_complete: true,
+    };
+    router
+        .feed
+        .apply_evacuations(&read, position(offset), clock.now());
+}
+
+#[tokio::test]
+async fn an_evacuation_that_half_of_the_routers_know_reaches_the_others_while_the_store_is_down() {
+    let clock = Clock::new();
+    let before = Running::start(1, 5, clock).await;
+    let read = EvacuationsRead::default();
+    before
+        .feed
+        .apply_evacuations(&read, position(8), clock.now());
+    let after = Running::start(2, 5, clock).await;
+    evacuate(&after, 9, clock);
+    let starting = Starting::start(clock).await;
+    let is_known = starting.wait(&[&before], Feed::is_known).await;
+    let known = |feed: &Feed| format!("{:?}", feed.evacuations.in_force());
+    let first = known(&starting.feed);
+    let has_latest = |feed: &Feed| !feed.evacuations.in_force().is_empty();
+    starting.wait(&[&before, &after], has_latest).await;
+    let last = known(&starting.feed);
+    // The router that had died with it comes back without it.
+    starting.wait(&[&before], |_| false).await;
+    let kept = known(&starting.feed);
+    expect!["known true: {}, then {d1}, and still {d1}"].assert_eq(&format!(
+        "known {is_known}: {first}, then {last}, and still {kept}"
+    ));
+}
+
+#[tokio::test]
+async fn a_router_that_starts_knows_the_evacuations_when_it_knows_the_servers() {
+    let clock = Clock::new();
+    let running = Running::start(1, 5, clock).await;
+    evacuate(&running, 9, clock);
+    let starting = Starting::start(clock).await;
+    let mut known_without = 0;
+    let feed = starting.feed.clone();
+    let check = |feed: &Feed| {
+        known_without += usize::from(feed.is_known() && feed.evacuations.in_force().is_empty());
+        feed.is_known()
+    };
+    let is_known = starting.wait(&[&running], check).await;
+    expect!["known true, without evacuations 0 times, last {d1}"].assert_eq(&format!(
+        "known {is_known}, without evacuations {known_without} times, last {:?}",
+        feed.evacuations.in_force()
+    ));
+}
+
 #[tokio::test]
 async fn a_server_that_said_that_it_leaves_gets_nothing_from_a_router_that_starts_later() {
     let clock = Clock::new();
