Send nothing more to servers of evacuated failure domains

First sends, failover and resumption select among the servers of other domains, and copies of prompts come from these. A request of a pool whose domains are all evacuated is rejected at once, as not run. Metrics count the evacuated domains and the requests rejected so.

--- a/src/forward/attempts.rs
+++ b/src/forward/attempts.rs
@@ -304,8 +304,13 @@
     }
 
     fn no_server_error<W: Wire>(&self, cx: &Forwarder<W>, attempts: &Attempts) -> Error {
-        let wait = Selection::new(&self.state).limit_wait(cx, cx.clock.now());
-        let err = if wait.is_some() {
+        let selection = Selection::new(&self.state);
+        let wait = selection.limit_wait(cx, cx.clock.now());
+        let err = if selection.is_evacuated(cx) {
+            cx.metrics.evacuated_rejections.inc();
+            let message = "all servers of the pool are in evacuated failure domains";
+            Error::not_run(Category::Unavailable, message)
+        } else if wait.is_some() {
             let message = "the servers of the pool have reached the limits that they named";
             Error::not_run(Category::Overloaded, message)
         } else {
--- a/src/forward/selection.rs
+++ b/src/forward/selection.rs
@@ -75,9 +75,9 @@
     /// it now or there is none.
     pub(super) fn limit_wait<W: Wire>(self, cx: &Forwarder<W>, now: Instant) -> Option<Duration> {
         let waits = cx.limit_waits(now);
-        let pool_servers = cx.feed.catalog.pool(&self.routed.pool);
-        let in_pool = pool_servers.iter().filter(|server| !server.leaving);
-        let waits: Option<Vec<_>> = in_pool
+        let waits: Option<Vec<_>> = self
+            .open_servers(cx)
+            .iter()
             .map(|server| waits.get(&server.key()).copied())
             .collect();
         waits?.into_iter().min()
@@ -85,9 +85,25 @@
 
     /// Returns the servers that may take the request, whether or not they have room.
     fn eligible_servers<W: Wire>(self, cx: &Forwarder<W>) -> Vec<Arc<Server>> {
+        let mut servers = self.open_servers(cx);
+        servers.retain(|server| !self.tried.contains(&server.key()));
+        servers
+    }
+
+    /// Returns whether the pool has servers, and all are in evacuated failure domains.
+    pub(super) fn is_evacuated<W: Wire>(self, cx: &Forwarder<W>) -> bool {
+        let servers = cx.feed.catalog.pool(&self.routed.pool);
+        let has_servers = servers.iter().any(|server| !server.leaving);
+        has_servers && self.open_servers(cx).is_empty()
+    }
+
+    /// Returns the servers of the pool that take new requests: those that neither leave nor are in an
+    /// evacuated failure domain.
+    fn open_servers<W: Wire>(self, cx: &Forwarder<W>) -> Vec<Arc<Server>> {
         let servers = cx.feed.catalog.pool(&self.routed.pool);
-        let is_eligible = |s: &&Arc<Server>| !s.leaving && !self.tried.contains(&s.key());
-        servers.iter().filter(is_eligible).cloned().collect()
+        let evacuated = cx.feed.evacuations.in_force();
+        let is_open = |s: &&Arc<Server>| !s.leaving && !evacuated.contains(&s.domain);
+        servers.iter().filter(is_open).cloned().collect()
     }
 }
 
--- a/src/forward/state.rs
+++ b/src/forward/state.rs
@@ -213,6 +213,8 @@
         let limited = self.limit_waits(now).len().saturating_sub(paused);
         metrics.set_servers_set_aside("retry_after", paused);
         metrics.set_servers_set_aside("limit", limited);
+        let evacuated = self.feed.evacuations.in_force().len();
+        metrics.evacuated_domains.set(evacuated as i64);
         metrics.encode()
     }
 
@@ -319,10 +321,12 @@
         now: Instant,
     ) -> Option<SocketAddr> {
         let pool_servers = self.feed.catalog.pool(pool);
+        let evacuated = self.feed.evacuations.in_force();
         let is_healthy = |key: &ServerKey| !self.health.is_avoided(*key, now);
         let find_server = |key: ServerKey| {
-            let mut running = pool_servers.iter().filter(|server| !server.leaving);
-            running.find(|server| server.key() == key)
+            let is_open = |s: &&Arc<Server>| !s.leaving && !evacuated.contains(&s.domain);
+            let mut open = pool_servers.iter().filter(is_open);
+            open.find(|server| server.key() == key)
         };
         for prefix in [Some(prompt.session), prompt.common_prefix]
             .into_iter()
--- a/src/inspect/forward_metrics.rs
+++ b/src/inspect/forward_metrics.rs
@@ -61,6 +61,10 @@
     unanswered: Family<UnansweredLabels, Counter<u64, AtomicU64>>,
     servers_set_aside: Family<SetAsideLabels, Gauge>,
     tasks_ended: Family<TaskLabels, Counter<u64, AtomicU64>>,
+    /// Failure domains that are evacuated.
+    pub evacuated_domains: Gauge,
+    /// Requests rejected as all servers of their pool are in evacuated failure domains.
+    pub evacuated_rejections: Counter<u64, AtomicU64>,
     /// Connections opened to backend servers.
     pub connections: Counter<u64, AtomicU64>,
     /// Datagrams of other routers that could not be decoded.
@@ -79,6 +83,8 @@
             unanswered: Family::default(),
             servers_set_aside: Family::default(),
             tasks_ended: Family::default(),
+            evacuated_domains: Gauge::default(),
+            evacuated_rejections: Counter::default(),
             connections: Counter::default(),
             datagrams_dropped: Counter::default(),
             registry: Registry::default(),
@@ -107,6 +113,12 @@
         registry.register("datagrams_dropped", help, metrics.datagrams_dropped.clone());
         let help = "Servers that get no new requests of this router, by reason";
         registry.register("servers_set_aside", help, metrics.servers_set_aside.clone());
+        let help = "Failure domains that are evacuated";
+        registry.register("evacuated_domains", help, metrics.evacuated_domains.clone());
+        let help =
+            "Requests rejected as all servers of their pool are in evacuated failure domains";
+        let rejections = metrics.evacuated_rejections.clone();
+        registry.register("evacuated_rejections", help, rejections);
         let help = "Background tasks that ended and were started again";
         registry.register("tasks_ended", help, metrics.tasks_ended.clone());
         ForwardMetrics {
