Read the loads that servers report in their responses

Servers say in each response how many requests they run and keep waiting, how many slots they have and, some of them, how long work takes at this moment. None of it was read.

ServerLoads keeps the last report of each server with its age, and the mean time to a response at the servers of a pool at which no request waits. Nothing is decided by the loads yet.

--- a/src/catalog/mod.rs
+++ b/src/catalog/mod.rs
@@ -3,16 +3,21 @@
 //! The list can be wrong for a while after an outage: entries expire although their servers
 //! are running. [`ServerRegistry`] delays removals until servers have had time to register
 //! again; [`Departures`] has those that announced in their responses that they leave;
-//! [`Catalog`] holds the servers among which requests are placed.
+//! [`Catalog`] holds the servers among which requests are placed, and [`ServerLoads`] the loads that
+//! they report.
 
 mod departures;
 mod registry;
+mod reported_load;
 mod server;
+mod server_loads;
 mod state;
 
 pub use self::{
     departures::{DepartureReport, Departures},
     registry::{ServerChange, ServerRegistry},
+    reported_load::{LoadReport, ReportedLoad, Slowness},
     server::{Server, ServerKey},
+    server_loads::{KnownLoad, ServerLoads},
     state::Catalog,
 };
--- a/src/forward/exchange.rs
+++ b/src/forward/exchange.rs
@@ -60,8 +60,8 @@
         params: &ForwardParams<'_>,
     ) -> std::result::Result<Exchange, AttemptFailure> {
         let in_flight = self.in_flight.begin(server.key());
-        self.server_limits
-            .record_sent(server.key(), self.clock.now());
+        let sent_at = self.clock.now();
+        self.server_limits.record_sent(server.key(), sent_at);
         let mut req = Request::new(Full::new(template.body.clone()));
         *req.method_mut() = template.method.clone();
         *req.uri_mut() = template.uri.clone();
@@ -80,6 +80,11 @@
             progress.record_not_run();
         }
         self.record_response(server, &head, parts.status);
+        if head.outcome == RunOutcome::Ran {
+            let took = self.clock.now().since(sent_at);
+            self.server_loads
+                .record_response_time(&server.pool, head.load, took);
+        }
         Ok(Exchange {
             server: server.clone(),
             is_framed: parts.headers.contains_key(header::CONTENT_LENGTH)
@@ -179,6 +184,7 @@
         if head.outcome != RunOutcome::Misdirected {
             self.poison_parts.record_alive(server.key(), now, now);
             self.server_limits.record_response(server, head.limit, now);
+            self.server_loads.record_report(server, head.load, now);
             if let Some(pause) = head.retry_after {
                 self.server_limits.record_rejection(server, pause, now);
             }
--- a/src/forward/state.rs
+++ b/src/forward/state.rs
@@ -18,7 +18,7 @@
 };
 use crate::{
     admission::{describe_parts, PoisonParts, RetryAllowance, ServerLimits, SharedRetries},
-    catalog::{Server, ServerKey},
+    catalog::{Server, ServerKey, ServerLoads},
     feed::Feed,
     inspect::ForwardMetrics,
     placement::{LoadBound, Prefill, Prefills, SessionAffinity, SessionKey, SharedPrompt},
@@ -65,6 +65,8 @@
     pub poison_parts: Arc<PoisonParts>,
     /// Limits on their requests that servers name.
     pub server_limits: ServerLimits,
+    /// Loads that servers report.
+    pub server_loads: ServerLoads,
     /// Idle connections to servers.
     pub connections: ConnectionPool,
     /// Limit on the memory for bytes that callers and servers send.
@@ -101,6 +103,7 @@
             poison_requests: PoisonRequests::default(),
             poison_parts: Arc::default(),
             server_limits: ServerLimits::default(),
+            server_loads: ServerLoads::default(),
             connections: ConnectionPool::default(),
             buffers: Buffers::with_limit(DEFAULT_BUFFER_BYTES),
             metrics: ForwardMetrics::new(),
--- a/src/forward/wire.rs
+++ b/src/forward/wire.rs
@@ -6,8 +6,10 @@
 
 use super::Body;
 use crate::{
-    admission::RateLimit, catalog::Server, placement::PromptPart, Error, RequestId, Result,
-    TeamName,
+    admission::RateLimit,
+    catalog::{LoadReport, Server},
+    placement::PromptPart,
+    Error, RequestId, Result, TeamName,
 };
 
 /// Contents of the head of a caller's request.
@@ -70,6 +72,8 @@
     pub is_leaving: bool,
     /// Time for which a server that rejects the request takes none of this router, if it names one.
     pub retry_after: Option<Duration>,
+    /// What the response says about the load of the server.
+    pub load: LoadReport,
 }
 
 /// Parses and writes the heads of requests and responses.
--- a/tests/catalog/main.rs
+++ b/tests/catalog/main.rs
@@ -2,6 +2,7 @@
 
 mod departures;
 mod restored;
+mod server_loads;
 
 use ebonyspur::{
     catalog::{Server, ServerChange, ServerRegistry},
--- a/tests/forward/panics.rs
+++ b/tests/forward/panics.rs
@@ -9,7 +9,7 @@
 
 use ebonyspur::{
     admission::RetryAllowance,
-    catalog::Server,
+    catalog::{LoadReport, Server},
     feed::{Feed, Position, StoreEra},
     forward::{
         text_response, Body, DrainStage, ForwardParams, Forwarder, HttpHandler, Policy,
@@ -64,6 +64,7 @@
             limit: None,
             is_leaving: false,
             retry_after: None,
+            load: LoadReport::Absent,
         }
     }
 
