Compare servers by the time that work takes at them

Servers were compared by the number of requests in flight. Some say in their responses how long work takes at present; one that is slow then got as many requests as the others, and kept its sessions.

Candidates have a slowness, and are compared by the time that one more request is expected to take: the requests in flight and half the slots, times the slowness. Sessions leave an engine whose expected time is over 1.5 times the mean; the bound on the number of requests holds as before, also for a fast engine. As long as all servers of a pool work as usual, or say nothing, requests are placed as before.

--- a/src/catalog/mod.rs
+++ b/src/catalog/mod.rs
@@ -18,6 +18,6 @@
     registry::{ServerChange, ServerRegistry},
     reported_load::{LoadReport, ReportedLoad, Slowness},
     server::{Server, ServerKey},
-    server_loads::{KnownLoad, ServerLoads},
+    server_loads::{KnownLoad, ServerLoads, SlownessReport},
     state::Catalog,
 };
--- a/src/forward/selection.rs
+++ b/src/forward/selection.rs
@@ -114,13 +114,20 @@
     now: Instant,
 ) -> Vec<Candidate<'s>> {
     let pending = cx.prefills.pending_tokens(now);
-    let candidate = |server: &'s Arc<Server>| Candidate {
+    let keys = servers.iter().map(|server| server.key());
+    let slowness_factors = cx.server_loads.slowness_factors(keys, now);
+    let candidate = |(server, slowness): (&'s Arc<Server>, f64)| Candidate {
         server,
         load: loads[&server.key()],
+        slowness,
         is_avoided: cx.health.is_avoided(server.key(), now),
         pending_tokens: pending.get(&server.key()).copied().unwrap_or_default(),
     };
-    servers.iter().map(candidate).collect()
+    servers
+        .iter()
+        .zip(slowness_factors)
+        .map(candidate)
+        .collect()
 }
 
 /// Adds the failure rates of servers to their loads and avoids those that fail far more often than
--- a/src/placement/prompt.rs
+++ b/src/placement/prompt.rs
@@ -7,6 +7,10 @@
 //!
 //! Load pattern: returning sessions, some of them requested far more often than others, and
 //! the first requests after a start, when no engine holds any prompt.
+//!
+//! Load pattern: servers on which the same work takes a multiple of its usual time for seconds. They
+//! are compared by the time that one more request is expected to take in place of the number of
+//! requests, and sessions leave an engine whose expected time is far above the mean.
 
 use super::score;
 use crate::catalog::{Server, ServerKey};
@@ -18,6 +22,16 @@
 /// from, routers would choose different ones for the same session.
 const COLD_SESSION_RANKS: usize = 3;
 
+/// Multiple of the mean expected time up to which an engine takes requests while some are slow.
+const EXPECTED_TIME_FACTOR: f64 = 1.5;
+
+/// Fraction of its slots up to which requests at a server hardly delay each other, so that one at a
+/// slow server takes longer than one at a server that is busier by less than these.
+const FREE_SLOT_RATIO: f64 = 0.5;
+
+/// Number of tokens whose prefill delays a request as much as another request in flight does.
+const TOKENS_PER_REQUEST: f64 = 2_000.0;
+
 /// A part of a prompt.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct PromptPart {
@@ -79,25 +93,58 @@
     pub server: &'a Server,
     /// Number of requests that all routers have in flight at the server.
     pub load: u32,
+    /// Time that work takes at the server at present, as a multiple of its usual time.
+    pub slowness: f64,
     /// Whether the server failed recently, so that others are preferred.
     pub is_avoided: bool,
     /// Number of tokens that the server has to prefill; 0 for a plain backend server.
     pub pending_tokens: u32,
 }
 
+impl Candidate<'_> {
+    /// Returns the time that one more request is expected to take at the server; the unit is the time
+    /// by which a request in flight delays it at a server that works as usual.
+    pub fn expected_time(&self) -> f64 {
+        let unloaded = FREE_SLOT_RATIO * f64::from(self.server.slots);
+        (unloaded + f64::from(self.load) + 1.0) * self.slowness
+    }
+
+    /// Returns the time until one more prompt is prefilled, in tokens at an engine that works as
+    /// usual.
+    fn prefill_time(&self) -> f64 {
+        f64::from(self.pending_tokens) * self.slowness
+    }
+}
+
+/// Returns the expected time up to which engines take requests, or `None` if all work as usual, as
+/// the bound on their loads suffices then.
+fn expected_time_limit(candidates: &[Candidate<'_>]) -> Option<f64> {
+    let is_usual = |c: &Candidate<'_>| c.slowness == 1.0;
+    if candidates.iter().all(is_usual) {
+        return None;
+    }
+    let total: f64 = candidates.iter().map(Candidate::expected_time).sum();
+    Some(EXPECTED_TIME_FACTOR * total / candidates.len() as f64)
+}
+
 /// Returns the index in `candidates` of the engine for `session`.
 ///
-/// Considers the engines that are not avoided and have a load below `limit`. Prefers those
-/// that recently served the session (`warm`, the latest first). A session without such an
-/// engine gets the one with the fewest tokens to prefill among the first few in rendezvous
-/// order. If no engine qualifies, returns the least loaded one, avoided engines last.
+/// Considers the engines that are not avoided, have a load below `limit` and, if some engines are
+/// slow, an expected time not far above the mean. Prefers those that recently served the session
+/// (`warm`, the latest first). A session without such an engine gets the one with the shortest
+/// time to prefill, or to run if some engines are slow, among the first few in rendezvous order. If no
+/// engine qualifies, returns the one with the shortest expected time, avoided engines last.
 pub fn pick_by_session(
     session: u64,
     candidates: &[Candidate<'_>],
     limit: f64,
     warm: &[ServerKey],
 ) -> Option<usize> {
-    let fits = |c: &Candidate<'_>| !c.is_avoided && f64::from(c.load) < limit;
+    let time_limit = expected_time_limit(candidates);
+    let has_room = |c: &Candidate<'_>| !c.is_avoided && f64::from(c.load) < limit;
+    let fits = |c: &Candidate<'_>| {
+        has_room(c) && time_limit.is_none_or(|time_limit| c.expected_time() <= time_limit)
+    };
     let index_of = |key: &ServerKey| candidates.iter().position(|c| c.server.key() == *key);
     let mut warm_indices = warm.iter().filter_map(index_of);
     if let Some(index) = warm_indices.find(|index| fits(&candidates[*index])) {
@@ -111,16 +158,24 @@
         .iter()
         .filter(|index| fits(&candidates[**index]))
         .take(COLD_SESSION_RANKS);
-    let best = first_ranked.min_by_key(|index| candidates[**index].pending_tokens);
-    let least_loaded = || {
-        ranked
-            .iter()
-            .min_by_key(|index| (candidates[**index].is_avoided, candidates[**index].load))
+    let cost = |index: &usize| {
+        let candidate = &candidates[*index];
+        let run_time = time_limit.map_or(0.0, |_| candidate.expected_time());
+        candidate.prefill_time() + TOKENS_PER_REQUEST * run_time
+    };
+    let best = first_ranked.min_by(|a, b| cost(a).total_cmp(&cost(b)));
+    let shortest = || {
+        let is_refused = |c: &Candidate<'_>| (c.is_avoided, f64::from(c.load) >= limit);
+        ranked.iter().min_by(|a, b| {
+            let (a, b) = (&candidates[**a], &candidates[**b]);
+            let by_time = a.expected_time().total_cmp(&b.expected_time());
+            is_refused(a).cmp(&is_refused(b)).then(by_time)
+        })
     };
-    best.or_else(least_loaded).copied()
+    best.or_else(shortest).copied()
 }
 
-/// Returns the index of the less loaded of two servers, chosen by the random numbers `first`
+/// Returns the index of that of two servers with the shorter expected time, chosen by the random numbers `first`
 /// and `second` among those that are not avoided, or among all if every one is.
 ///
 /// Reported loads are out of date on arrival; the least loaded server of all would get the
@@ -139,6 +194,6 @@
     let one = *eligible.get(first % count.max(1))?;
     // The second choice differs from the first if there are at least two servers.
     let other = eligible[(first % count + 1 + second % (count - 1).max(1)) % count];
-    let is_better = candidates[other].load < candidates[one].load;
+    let is_better = candidates[other].expected_time() < candidates[one].expected_time();
     Some(if is_better { other } else { one })
 }
--- a/src/presence/message.rs
+++ b/src/presence/message.rs
@@ -11,7 +11,7 @@
 /// First byte of each datagram, which changes with the format.
 ///
 /// It is no length of a router's name, with which the datagrams of earlier builds begin.
-const FORMAT_VERSION: u8 = 0xe2;
+const FORMAT_VERSION: u8 = 0xe3;
 
 /// Contents of a datagram.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
--- a/src/presence/packing.rs
+++ b/src/presence/packing.rs
@@ -78,6 +78,7 @@
         + updates.prefills.len()
         + updates.stalled_servers.len()
         + updates.leaving_servers.len()
+        + updates.slow_servers.len()
         + parts.known_good.len()
         + parts.alive.len();
     let large = updates.crashes.len() + parts.crashes.len() + parts.quarantined.len();
--- a/src/presence/updates.rs
+++ b/src/presence/updates.rs
@@ -6,7 +6,7 @@
 
 use crate::{
     admission::{Crash, PartUpdates},
-    catalog::ServerKey,
+    catalog::{ServerKey, SlownessReport},
     placement::{PrefillUpdate, SessionPlacement},
 };
 
@@ -31,6 +31,8 @@
     pub stalled_servers: Vec<ServerKey>,
     /// Servers that announced in a response that they leave, until the list of servers says so.
     pub leaving_servers: Vec<ServerKey>,
+    /// Servers at which work takes longer or shorter than usual, or did so lately.
+    pub slow_servers: Vec<SlownessReport>,
 }
 
 impl Updates {
@@ -70,6 +72,7 @@
         }
         append(&mut self.stalled_servers, &other.stalled_servers);
         append(&mut self.leaving_servers, &other.leaving_servers);
+        merge_slowness(&mut self.slow_servers, &other.slow_servers);
         drop_first(&mut self.prefills);
     }
 
@@ -88,6 +91,7 @@
             },
             stalled_servers: take(&mut self.stalled_servers, MAX_PER_DATAGRAM / 2),
             leaving_servers: take(&mut self.leaving_servers, MAX_PER_DATAGRAM / 2),
+            slow_servers: take(&mut self.slow_servers, MAX_PER_DATAGRAM / 2),
         }
     }
 }
@@ -102,6 +106,18 @@
     drop_first(list);
 }
 
+/// Adds the reports of another router; of each server the latest one is kept.
+fn merge_slowness(list: &mut Vec<SlownessReport>, reports: &[SlownessReport]) {
+    for report in reports {
+        match list.iter_mut().find(|known| known.server == report.server) {
+            Some(known) if known.age_ms <= report.age_ms => {}
+            Some(known) => *known = *report,
+            None => list.push(*report),
+        }
+    }
+    drop_first(list);
+}
+
 fn drop_first<T>(list: &mut Vec<T>) {
     let excess = list.len().saturating_sub(MAX_QUEUED);
     list.drain(..excess);
--- a/tests/placement/main.rs
+++ b/tests/placement/main.rs
@@ -7,3 +7,4 @@
 mod prefill;
 mod prompt;
 mod support;
+mod uneven;
--- a/tests/placement/prompt.rs
+++ b/tests/placement/prompt.rs
@@ -27,6 +27,7 @@
     let candidate = |(server, load): (&'a Server, &u32)| Candidate {
         server,
         load: *load,
+        slowness: 1.0,
         is_avoided: false,
         pending_tokens: 0,
     };
@@ -164,6 +165,30 @@
     assert_eq!(pick_by_two_choices(&[], 8, 9), None);
 }
 
+#[test]
+fn a_session_leaves_an_engine_that_is_slow_and_stays_on_one_that_is_a_little_slower() {
+    let all = servers(6);
+    let mut candidates = candidates(&all, &[8; 6]);
+    let home = pick_by_session(9, &candidates, 10.0, &[]).expect("an engine");
+    let warm = [all[home].key()];
+    let stays = [0.77, 1.3, 2.5, 4.0].map(|slowness| {
+        candidates[home].slowness = slowness;
+        pick_by_session(9, &candidates, 10.0, &warm) == Some(home)
+    });
+    expect!["[true, true, false, false]"].assert_eq(&format!("{stays:?}"));
+    // A fast engine gets no request beyond the bound on the number of requests.
+    candidates[home].slowness = 0.25;
+    candidates[home].load = 10;
+    assert_ne!(pick_by_session(9, &candidates, 10.0, &warm), Some(home));
+    for candidate in &mut candidates {
+        candidate.slowness = 4.0;
+        candidate.load = 9;
+    }
+    candidates[home].slowness = 0.25;
+    candidates[home].load = 10;
+    assert_ne!(pick_by_session(9, &candidates, 10.0, &warm), Some(home));
+}
+
 #[test]
 fn placements_are_announced_twice_and_expire_after_a_minute() {
     let (here, there) = (SessionAffinity::default(), SessionAffinity::default());
--- a/tests/presence/decode.rs
+++ b/tests/presence/decode.rs
@@ -5,7 +5,7 @@
         Crash, Fingerprint, LimitReport, PartCrash, PartKey, PartUpdates, PoisonParts,
         QuarantinedParts, RateLimit, ServerLimits,
     },
-    catalog::ServerKey,
+    catalog::{ServerKey, ServerLoads, Slowness, SlownessReport},
     feed::Feed,
     forward::{HealthTracker, PoisonRequests},
     placement::{Prefills, PromptPart, SessionAffinity, SessionKey},
@@ -112,6 +112,11 @@
         },
         stalled_servers: vec![ServerKey(7)],
         leaving_servers: vec![ServerKey(7)],
+        slow_servers: vec![SlownessReport {
+            server: ServerKey(7),
+            slowness: Slowness::from_percent(400),
+            age_ms: 120,
+        }],
     }
 }
 
@@ -168,6 +173,7 @@
         let (affinity, prefills) = (SessionAffinity::default(), Prefills::default());
         let (requests, parts) = (PoisonRequests::default(), PoisonParts::default());
         let (limits, health) = (ServerLimits::default(), HealthTracker::default());
+        let server_loads = ServerLoads::default();
         for step in 0..3 {
             let now = Instant::from_millis(round % 7 * 400 + step * 500);
             let mut bytes = originals[rng.random_range(0..2)].clone();
@@ -191,6 +197,9 @@
             limits.receive(received.server_limits, now);
             health.receive_stalled(&updates.stalled_servers, now);
             feed.receive_leaving(&updates.leaving_servers, now);
+            server_loads.receive(&updates.slow_servers, now);
+            let factors = server_loads.slowness_factors([ServerKey(7)], now);
+            assert!((0.25..=100.0).contains(&factors[0]), "{factors:?}");
             presence.receive(&message, now);
             let Message::Digest(mut own) = digest(1, 1) else {
                 panic!("a digest");
@@ -199,6 +208,7 @@
             own.server_limits = limits.reports(now);
             own.updates.part_updates = parts.next_updates(now);
             own.updates.prefills = prefills.next_updates();
+            own.updates.slow_servers = server_loads.reports(now);
             for outgoing in presence.next_round(*own, true, now) {
                 outgoing.message.encode().unwrap();
             }
