Measure how evenly servers are loaded, and describe the expected time

The time of a request at a server without load no longer depends on its slots: servers of one pool with different slots that work as usual would else be compared otherwise than before. Metrics count ignored reports and the busiest server over the mean; a line tells when a server becomes slow or recovers.

--- a/src/catalog/server_loads.rs
+++ b/src/catalog/server_loads.rs
@@ -93,7 +93,7 @@
             LoadReport::Load(load) => {
                 entry.reported = Some((load, now));
                 if let Some(slowness) = load.slowness {
-                    entry.record_slowness(slowness, now);
+                    entry.record_slowness(server, slowness, now);
                 }
             }
             _ => entry.log_malformed(server, now),
@@ -182,12 +182,21 @@
 
 impl Entry {
     /// Records a slowness that this router received itself.
-    fn record_slowness(&mut self, slowness: Slowness, now: Instant) {
-        let differs = |factor: f64| (factor - 1.0).abs() >= MIN_ANNOUNCED_DIFFERENCE;
+    fn record_slowness(&mut self, server: &Server, slowness: Slowness, now: Instant) {
+        let before = self.factor(now);
+        let (differs, differed) = (differs(slowness.factor()), differs(before));
         // The usual slowness is announced of a server that others know as slow.
-        if differs(slowness.factor()) || differs(self.factor(now)) {
+        if differs || differed {
             self.announced_until = now + ANNOUNCE_TIME;
         }
+        if differs != differed {
+            log::info!(
+                "server slowness changed server={} factor={:.2} before={before:.2} age_ms={:?}",
+                server.name,
+                slowness.factor(),
+                self.slowness.map(|(_, at)| now.since(at).as_millis())
+            );
+        }
         self.update_slowness(slowness, now);
     }
 
@@ -224,6 +233,11 @@
     }
 }
 
+/// Returns whether work takes a time that differs enough from the usual to be announced.
+fn differs(factor: f64) -> bool {
+    (factor - 1.0).abs() >= MIN_ANNOUNCED_DIFFERENCE
+}
+
 /// Returns the entry of a server, for which the one updated longest ago may have to go.
 fn entry(servers: &mut BTreeMap<ServerKey, Entry>, key: ServerKey, now: Instant) -> &mut Entry {
     if servers.len() >= MAX_SERVERS && !servers.contains_key(&key) {
--- a/src/forward/exchange.rs
+++ b/src/forward/exchange.rs
@@ -13,7 +13,10 @@
     unanswered::Progress,
     ForwardParams, Forwarder, InFlightGuard, Observation, ResponseHead, RunOutcome, Wire,
 };
-use crate::{catalog::Server, Category, Error, Instant, RequestId, Result};
+use crate::{
+    catalog::{LoadReport, Server},
+    Category, Error, Instant, RequestId, Result,
+};
 
 /// The parts of a request that are the same in each attempt.
 #[derive(Debug)]
@@ -185,6 +188,9 @@
             self.poison_parts.record_alive(server.key(), now, now);
             self.server_limits.record_response(server, head.limit, now);
             self.server_loads.record_report(server, head.load, now);
+            if head.load == LoadReport::Malformed {
+                self.metrics.loads_ignored.inc();
+            }
             if let Some(pause) = head.retry_after {
                 self.server_limits.record_rejection(server, pause, now);
             }
--- a/src/forward/selection.rs
+++ b/src/forward/selection.rs
@@ -47,6 +47,9 @@
             .into_iter()
             .partition(|server| at_limit.contains_key(&server.key()));
         let mut candidates = candidates(cx, &open, &loads, now);
+        if let Some(over_mean) = placement::busiest_over_mean(&candidates) {
+            cx.metrics.observe_busiest(over_mean);
+        }
         let index = match routed
             .prompt
             .as_ref()
--- a/src/inspect/forward_metrics.rs
+++ b/src/inspect/forward_metrics.rs
@@ -18,6 +18,9 @@
 /// Upper bounds of the histogram buckets for delays of tasks, in seconds.
 const TASK_DELAY_BUCKETS: [f64; 6] = [0.01, 0.03, 0.1, 0.3, 1.0, 3.0];
 
+/// Upper bounds of the histogram buckets for the busiest server relative to the mean.
+const BUSIEST_BUCKETS: [f64; 6] = [1.1, 1.2, 1.5, 2.0, 3.0, 5.0];
+
 /// Labels of the counter of failed requests.
 #[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
 struct FailureLabels {
@@ -56,6 +59,7 @@
     registry: Registry,
     answer_seconds: Histogram,
     task_delay_seconds: Histogram,
+    busiest_over_mean: Histogram,
     failures: Family<FailureLabels, Counter<u64, AtomicU64>>,
     retries: Family<RetryLabels, Counter<u64, AtomicU64>>,
     unanswered: Family<UnansweredLabels, Counter<u64, AtomicU64>>,
@@ -65,6 +69,8 @@
     pub connections: Counter<u64, AtomicU64>,
     /// Datagrams of other routers that could not be decoded.
     pub datagrams_dropped: Counter<u64, AtomicU64>,
+    /// Reports of their loads by servers that could not be read.
+    pub loads_ignored: Counter<u64, AtomicU64>,
 }
 
 impl ForwardMetrics {
@@ -81,6 +87,8 @@
             tasks_ended: Family::default(),
             connections: Counter::default(),
             datagrams_dropped: Counter::default(),
+            loads_ignored: Counter::default(),
+            busiest_over_mean: Histogram::new(BUSIEST_BUCKETS),
             registry: Registry::default(),
         };
         registry.register_with_unit(
@@ -105,6 +113,10 @@
         registry.register("server_connections", help, metrics.connections.clone());
         let help = "Datagrams of other routers that could not be decoded";
         registry.register("datagrams_dropped", help, metrics.datagrams_dropped.clone());
+        let help = "Reports of their loads by servers that could not be read";
+        registry.register("loads_ignored", help, metrics.loads_ignored.clone());
+        let help = "Longest expected time at a server over the mean, when a request is placed";
+        registry.register("busiest_over_mean", help, metrics.busiest_over_mean.clone());
         let help = "Servers that get no new requests of this router, by reason";
         registry.register("servers_set_aside", help, metrics.servers_set_aside.clone());
         let help = "Background tasks that ended and were started again";
@@ -147,6 +159,12 @@
         self.answer_seconds.observe(took.as_secs_f64());
     }
 
+    /// Records the longest expected time at a server, as a multiple of the mean, when a request is
+    /// placed.
+    pub fn observe_busiest(&self, over_mean: f64) {
+        self.busiest_over_mean.observe(over_mean);
+    }
+
     /// Records that a periodic task ran `late` after it was due.
     pub fn observe_task_delay(&self, late: Duration) {
         self.task_delay_seconds.observe(late.as_secs_f64());
--- a/src/placement/mod.rs
+++ b/src/placement/mod.rs
@@ -17,7 +17,8 @@
     preferred::{preferred_engines, MAX_RANKED_ENGINES},
     prefill::{Prefill, PrefillUpdate, Prefills, MIN_ANNOUNCED_TOKENS},
     prompt::{
-        pick_by_session, pick_by_two_choices, Candidate, LoadBound, PromptPart, SharedPrompt,
+        busiest_over_mean, pick_by_session, pick_by_two_choices, Candidate, LoadBound, PromptPart,
+        SharedPrompt,
     },
     rendezvous::{rendezvous_first, rendezvous_order, rendezvous_score},
 };
--- a/src/placement/prompt.rs
+++ b/src/placement/prompt.rs
@@ -25,9 +25,11 @@
 /// Multiple of the mean expected time up to which an engine takes requests while some are slow.
 const EXPECTED_TIME_FACTOR: f64 = 1.5;
 
-/// Fraction of its slots up to which requests at a server hardly delay each other, so that one at a
-/// slow server takes longer than one at a server that is busier by less than these.
-const FREE_SLOT_RATIO: f64 = 0.5;
+/// Time that a request takes at a server without load, in the unit of expected times.
+///
+/// It does not depend on the server, so that servers that work as usual are compared by the number of
+/// requests alone.
+const UNLOADED_TIME: f64 = 8.0;
 
 /// Number of tokens whose prefill delays a request as much as another request in flight does.
 const TOKENS_PER_REQUEST: f64 = 2_000.0;
@@ -105,8 +107,7 @@
     /// Returns the time that one more request is expected to take at the server; the unit is the time
     /// by which a request in flight delays it at a server that works as usual.
     pub fn expected_time(&self) -> f64 {
-        let unloaded = FREE_SLOT_RATIO * f64::from(self.server.slots);
-        (unloaded + f64::from(self.load) + 1.0) * self.slowness
+        (UNLOADED_TIME + f64::from(self.load)) * self.slowness
     }
 
     /// Returns the time until one more prompt is prefilled, in tokens at an engine that works as
@@ -116,6 +117,16 @@
     }
 }
 
+/// Returns the longest expected time at one of `candidates` as a multiple of the mean, or `None` if
+/// there are none.
+pub fn busiest_over_mean(candidates: &[Candidate<'_>]) -> Option<f64> {
+    let times = candidates.iter().map(Candidate::expected_time);
+    let (total, longest) = times.fold((0.0, 0.0_f64), |(total, longest), time| {
+        (total + time, longest.max(time))
+    });
+    (!candidates.is_empty()).then(|| longest * candidates.len() as f64 / total)
+}
+
 /// Returns the expected time up to which engines take requests, or `None` if all work as usual, as
 /// the bound on their loads suffices then.
 fn expected_time_limit(candidates: &[Candidate<'_>]) -> Option<f64> {
--- a/tests/placement/prompt.rs
+++ b/tests/placement/prompt.rs
@@ -189,6 +189,17 @@
     assert_ne!(pick_by_session(9, &candidates, 10.0, &warm), Some(home));
 }
 
+#[test]
+fn servers_that_work_as_usual_are_compared_by_load_whatever_their_slots() {
+    let mut all = servers(2);
+    all[0].slots = 4;
+    for loads in [[3, 4], [4, 3]] {
+        let candidates = candidates(&all, &loads);
+        let less_loaded = usize::from(loads[1] < loads[0]);
+        assert_eq!(pick_by_two_choices(&candidates, 0, 0), Some(less_loaded));
+    }
+}
+
 #[test]
 fn placements_are_announced_twice_and_expire_after_a_minute() {
     let (here, there) = (SessionAffinity::default(), SessionAffinity::default());
