--- a/src/catalog/server_loads.rs
+++ b/src/catalog/server_loads.rs
@@ -100,8 +100,7 @@
         }
     }
 
-    /// Returns what the next digest announces, the servers that differ most from their usual time
-    /// first.
+    /// Returns what the next digest announces, the slowest servers first.
     pub fn reports(&self, now: Instant) -> Vec<SlownessReport> {
         let servers = lock(&self.servers);
         let announced = servers
