Give each router its slots at cold servers

A server that has started under traffic, or returns, takes `cold_per_s` requests a second from all routers together; until now its time until it is warm was decoded and dropped. `catalog::WarmUps` holds which servers are cold, from registrations, from the feed, and presumed for servers that appear while requests are served. `admission::WarmUpSlots` divides what such a server takes into slots, of which each router has every n-th one by its place in the fleet; `Selection` leaves out the cold servers of which the router has no slot, and a slot is used at once when its server is chosen. A pool without a limit, or settings without the bounds, is served as before.

--- a/src/admission/mod.rs
+++ b/src/admission/mod.rs
@@ -24,6 +24,7 @@
 mod slot_demand;
 mod state;
 mod suspect;
+mod warm_up;
 
 pub use self::{
     budget::{retry_delay, RetryBudget},
@@ -49,5 +50,6 @@
     shared_retries::{RetryAllowance, SharedRetries, ASSUMED_ROUTERS},
     slot_demand::{SlotDemand, SlotDemandGuard},
     state::{Admission, Class, Permit, MAX_TEAMS},
+    warm_up::{FleetPlace, WarmUpBounds, WarmUpShares, WarmUpSlots},
 };
 pub(crate) use self::{part_updates::describe_parts, quarantine::quarantined_error};
--- a/src/catalog/mod.rs
+++ b/src/catalog/mod.rs
@@ -3,16 +3,19 @@
 //! The list can be wrong for a while after an outage: entries expire although their servers
 //! are running. [`ServerRegistry`] delays removals until servers have had time to register
 //! again; [`Departures`] has those that announced in their responses that they leave;
-//! [`Catalog`] holds the servers among which requests are placed.
+//! [`Catalog`] holds the servers among which requests are placed, and [`WarmUps`] those that are
+//! cold.
 
 mod departures;
 mod registry;
 mod server;
 mod state;
+mod warm_ups;
 
 pub use self::{
     departures::{DepartureReport, Departures},
     registry::{ServerChange, ServerRegistry},
     server::{Server, ServerKey},
     state::Catalog,
+    warm_ups::{Cold, ColdTime, WarmUpReport, WarmUps},
 };
--- a/src/catalog/registry.rs
+++ b/src/catalog/registry.rs
@@ -230,6 +230,11 @@
         self.servers.values()
     }
 
+    /// Returns the keys of the servers that are assumed to be running.
+    pub fn keys(&self) -> BTreeSet<ServerKey> {
+        self.servers.values().map(Server::key).collect()
+    }
+
     /// Returns the servers that are assumed to be running; those that have announced themselves that
     /// they leave are marked as leaving.
     pub fn effective_servers(&self) -> Vec<Server> {
--- a/src/feed/frame.rs
+++ b/src/feed/frame.rs
@@ -7,7 +7,7 @@
 
 use super::StoreEra;
 use crate::{
-    catalog::{DepartureReport, Server},
+    catalog::{DepartureReport, Server, WarmUpReport},
     routes::RouteTable,
     Offset,
 };
@@ -31,8 +31,10 @@
         /// What is known of servers that have announced that they leave.
         departures: Vec<DepartureReport>,
         /// Whether the list is [settled](super::ListVersion::is_settled); builds from before this
-        /// last field skip it.
+        /// field skip it and the next one.
         is_settled: bool,
+        /// What is known of cold servers.
+        warm_ups: Vec<WarmUpReport>,
     },
     /// The data sent so far was current in the store at this time.
     Current {
--- a/src/feed/mod.rs
+++ b/src/feed/mod.rs
@@ -20,6 +20,7 @@
 mod store;
 mod subscribe;
 mod tree;
+mod warm_ups;
 
 pub use self::{
     follow::{follow_routes, follow_servers},
--- a/src/feed/serve.rs
+++ b/src/feed/serve.rs
@@ -75,6 +75,7 @@
                     era: version.position.era,
                     departures: feed.departure_reports(clock.now()),
                     is_settled: version.is_settled,
+                    warm_ups: feed.warm_ups.reports(clock.now()),
                 };
                 send(&mut tx, &frame::encode(&message)?).await?;
                 sent_changes = Some(revision.changes);
--- a/src/feed/server_list.rs
+++ b/src/feed/server_list.rs
@@ -49,9 +49,18 @@
             return known.era == read.next.era;
         }
         let before = server_list.version();
+        let known = before.map(|_| server_list.registry.keys());
         server_list.advance(read.next, true, now);
         let changed = server_list.registry.apply(read.changes, read.full, now);
+        let has_warm_up = self.record_cold_times(&read.cold_times, now);
+        let started = known.is_some_and(|known| {
+            let servers = server_list.registry.servers();
+            self.record_started(servers, &known, &read.cold_times, now)
+        });
         self.pass_on(&server_list, before, changed, "store");
+        if !changed && (has_warm_up || started) {
+            self.notify_change();
+        }
         true
     }
 
--- a/src/feed/state.rs
+++ b/src/feed/state.rs
@@ -13,7 +13,7 @@
 
 use super::{frame, server_list::ServerList, upstreams, FeedNode, FeedRank, Role};
 use crate::{
-    catalog::Catalog,
+    catalog::{Catalog, WarmUps},
     presence::{Presence, StoreStatus},
     routes::{ActiveRoutes, RouteTable},
     sync::lock,
@@ -52,6 +52,8 @@
     pub routes: ActiveRoutes,
     /// The known servers.
     pub catalog: Catalog,
+    /// The known servers that are cold.
+    pub warm_ups: WarmUps,
     rank: FeedRank,
     /// Whether this router is shutting down.
     leaving: AtomicBool,
@@ -91,6 +93,7 @@
         Feed {
             routes: ActiveRoutes::default(),
             catalog: Catalog::default(),
+            warm_ups: WarmUps::default(),
             rank: FeedRank::new(me, link_mbps),
             leaving: AtomicBool::default(),
             server_list: Mutex::default(),
--- a/src/feed/store.rs
+++ b/src/feed/store.rs
@@ -4,8 +4,11 @@
 
 use super::Position;
 use crate::{
-    admission::QuarantinedParts, catalog::ServerChange, placement::SessionPlacement,
-    routes::RouteTable, Result, UnixMillis,
+    admission::QuarantinedParts,
+    catalog::{ColdTime, ServerChange},
+    placement::SessionPlacement,
+    routes::RouteTable,
+    Result, UnixMillis,
 };
 
 /// Result of a read of the list of servers.
@@ -13,6 +16,8 @@
 pub struct ServersRead {
     /// Servers present or removed.
     pub changes: Vec<ServerChange>,
+    /// Times until servers are warm, where their entries state them.
+    pub cold_times: Vec<ColdTime>,
     /// Whether the list is complete, so that servers not among the changes are absent.
     pub full: bool,
     /// Position from which the next read continues; it grows from read to read.
--- a/src/feed/subscribe.rs
+++ b/src/feed/subscribe.rs
@@ -142,8 +142,10 @@
             era,
             departures,
             is_settled,
+            warm_ups,
         } => {
             feed.receive_departure_reports(&departures, now);
+            feed.receive_warm_ups(&warm_ups, now);
             let version = ListVersion {
                 position: Position::new(era, next),
                 is_settled,
--- a/src/forward/attempts.rs
+++ b/src/forward/attempts.rs
@@ -216,6 +216,7 @@
         now: Instant,
     ) {
         self.progress.record_server(server);
+        cx.use_warm_up_slot(server, now);
         attempts.tried.push(server.key());
         if let Some(prompt) = &self.state.prompt {
             attempts.prompt_source = cx.prompt_source(&self.state.pool, prompt, server, now);
--- a/src/forward/mod.rs
+++ b/src/forward/mod.rs
@@ -30,6 +30,7 @@
 mod successor;
 mod tcp_info;
 mod unanswered;
+mod warm_up;
 mod whole_body;
 mod wire;
 
--- a/src/forward/selection.rs
+++ b/src/forward/selection.rs
@@ -37,15 +37,17 @@
     /// Chooses a server that has not reached its limit.
     ///
     /// While servers have reached their limits, the others take what these turn away as long as
-    /// they have free slots.
+    /// they have free slots. Cold servers of which this router has no slot are left out.
     pub(super) fn choose<W: Wire>(self, cx: &Forwarder<W>, now: Instant) -> Option<Arc<Server>> {
         let routed = self.routed;
         let servers = self.eligible_servers(cx);
         let loads = loads(cx, &servers, now);
+        let cold = cx.cold_waits(&servers, now);
+        let servers = servers.into_iter();
+        let servers = servers.filter(|server| !cold.contains_key(&server.key()));
         let at_limit = cx.limit_waits(now);
-        let (limited, open): (Vec<_>, Vec<_>) = servers
-            .into_iter()
-            .partition(|server| at_limit.contains_key(&server.key()));
+        let (limited, open): (Vec<_>, Vec<_>) =
+            servers.partition(|server| at_limit.contains_key(&server.key()));
         let mut candidates = candidates(cx, &open, &loads, now);
         let index = match routed
             .prompt
@@ -76,10 +78,10 @@
     pub(super) fn limit_wait<W: Wire>(self, cx: &Forwarder<W>, now: Instant) -> Option<Duration> {
         let waits = cx.limit_waits(now);
         let pool_servers = cx.feed.catalog.pool(&self.routed.pool);
+        let cold = cx.cold_waits(&pool_servers, now);
         let in_pool = pool_servers.iter().filter(|server| !server.leaving);
-        let waits: Option<Vec<_>> = in_pool
-            .map(|server| waits.get(&server.key()).copied())
-            .collect();
+        let wait = |key| waits.get(&key).max(cold.get(&key)).copied();
+        let waits: Option<Vec<_>> = in_pool.map(|server| wait(server.key())).collect();
         waits?.into_iter().min()
     }
 
--- a/src/forward/state.rs
+++ b/src/forward/state.rs
@@ -17,7 +17,10 @@
     HealthTracker, InFlight, Observation, PoisonRequests, ProxyRequest, Routed, Wire,
 };
 use crate::{
-    admission::{describe_parts, PoisonParts, RetryAllowance, ServerLimits, SharedRetries},
+    admission::{
+        describe_parts, PoisonParts, RetryAllowance, ServerLimits, SharedRetries, WarmUpBounds,
+        WarmUpShares,
+    },
     catalog::{Server, ServerKey},
     feed::Feed,
     inspect::ForwardMetrics,
@@ -36,6 +39,8 @@
     pub load_bound: LoadBound,
     /// Time between the shutdown signal and the kill of the process.
     pub grace: Duration,
+    /// How far the requests to cold servers may exceed their limit; `None` if it does not bind.
+    pub warm_up: Option<WarmUpBounds>,
 }
 
 /// Memory for what callers and servers send, unless it is set, in bytes.
@@ -65,6 +70,8 @@
     pub poison_parts: Arc<PoisonParts>,
     /// Limits on their requests that servers name.
     pub server_limits: ServerLimits,
+    /// Slots at cold servers that this router has used.
+    pub(super) warm_up_shares: WarmUpShares,
     /// Idle connections to servers.
     pub connections: ConnectionPool,
     /// Limit on the memory for bytes that callers and servers send.
@@ -101,6 +108,7 @@
             poison_requests: PoisonRequests::default(),
             poison_parts: Arc::default(),
             server_limits: ServerLimits::default(),
+            warm_up_shares: WarmUpShares::default(),
             connections: ConnectionPool::default(),
             buffers: Buffers::with_limit(DEFAULT_BUFFER_BYTES),
             metrics: ForwardMetrics::new(),
@@ -213,6 +221,7 @@
         let limited = self.limit_waits(now).len().saturating_sub(paused);
         metrics.set_servers_set_aside("retry_after", paused);
         metrics.set_servers_set_aside("limit", limited);
+        metrics.set_cold_servers(self.feed.warm_ups.cold(now).len());
         metrics.encode()
     }
 
--- /dev/null
+++ b/src/forward/warm_up.rs
@@ -0,0 +1,91 @@
+//! The requests that this router may send to cold servers.
+
+use std::{collections::BTreeMap, sync::Arc, time::Duration};
+
+use super::{Forwarder, Wire};
+use crate::{
+    admission::WarmUpSlots,
+    catalog::{Cold, Server, ServerKey},
+    Instant,
+};
+
+impl<W: Wire> Forwarder<W> {
+    /// Returns the servers among `servers` that are too cold for a request of this router, each with
+    /// the time until it may get one.
+    pub(super) fn cold_waits(
+        &self,
+        servers: &[Arc<Server>],
+        now: Instant,
+    ) -> BTreeMap<ServerKey, Duration> {
+        let mut waits = BTreeMap::new();
+        // The common case, on the path of each request.
+        if self.feed.warm_ups.is_empty() {
+            return waits;
+        }
+        self.expire_warm_ups(now);
+        let cold = self.feed.warm_ups.cold(now);
+        for server in servers {
+            let key = server.key();
+            if let Some(cold) = cold.get(&key) {
+                let wait = self.cold_wait(server, *cold, now);
+                waits.extend(wait.map(|wait| (key, wait)));
+            }
+        }
+        if !waits.is_empty() {
+            self.metrics.cold_left_out.inc();
+        }
+        waits
+    }
+
+    /// Uses one of this router's slots at a server if it is cold.
+    ///
+    /// This has to follow the choice of the server without delay, so that no other request of this
+    /// router is sent by the same slot.
+    pub(super) fn use_warm_up_slot(&self, server: &Server, now: Instant) {
+        if self.feed.warm_ups.is_empty() {
+            return;
+        }
+        let cold = self.feed.warm_ups.get(server.key(), now);
+        if let Some(slots) = cold.and_then(|cold| self.warm_up_slots(server, cold, now)) {
+            self.warm_up_shares.use_slot(server.key(), &slots, now);
+        }
+    }
+
+    /// Returns the time until a cold server may get a request, or `None` if it may now.
+    fn cold_wait(&self, server: &Server, cold: Cold, now: Instant) -> Option<Duration> {
+        if !self.is_warm_up_bound(server) {
+            return None;
+        }
+        let wait = match self.warm_up_slots(server, cold, now) {
+            Some(slots) => self.warm_up_shares.wait(server.key(), &slots, now),
+            None => cold.warm_at.since(now),
+        };
+        (!wait.is_zero()).then_some(wait)
+    }
+
+    fn is_warm_up_bound(&self, server: &Server) -> bool {
+        let routes = self.feed.routes.current();
+        let warm_up = routes.and_then(|routes| routes.warm_up(&server.pool));
+        warm_up.is_some() && self.policy().warm_up.is_some()
+    }
+
+    /// Returns the slots of this router at a cold server, or `None` if it knows no limit or not its
+    /// place in the fleet.
+    fn warm_up_slots(&self, server: &Server, cold: Cold, now: Instant) -> Option<WarmUpSlots> {
+        let warm_up = self.feed.routes.current()?.warm_up(&server.pool)?;
+        let bounds = self.policy().warm_up?;
+        let place = self.presence.fleet_place(now)?;
+        let key = server.key();
+        Some(WarmUpSlots::new(key, cold, warm_up.limit, bounds, place))
+    }
+
+    fn expire_warm_ups(&self, now: Instant) {
+        let count = self.feed.warm_ups.expire(now);
+        if count > 0 {
+            log::info!("servers warm count={count}");
+        }
+        if self.feed.warm_ups.is_empty() {
+            self.warm_up_shares.clear();
+        }
+    }
+}
--- a/src/inspect/forward_metrics.rs
+++ b/src/inspect/forward_metrics.rs
@@ -60,6 +60,9 @@
     retries: Family<RetryLabels, Counter<u64, AtomicU64>>,
     unanswered: Family<UnansweredLabels, Counter<u64, AtomicU64>>,
     servers_set_aside: Family<SetAsideLabels, Gauge>,
+    cold_servers: Gauge,
+    /// Selections of a server in which cold servers were left out.
+    pub cold_left_out: Counter<u64, AtomicU64>,
     tasks_ended: Family<TaskLabels, Counter<u64, AtomicU64>>,
     /// Connections opened to backend servers.
     pub connections: Counter<u64, AtomicU64>,
@@ -78,6 +81,8 @@
             retries: Family::default(),
             unanswered: Family::default(),
             servers_set_aside: Family::default(),
+            cold_servers: Gauge::default(),
+            cold_left_out: Counter::default(),
             tasks_ended: Family::default(),
             connections: Counter::default(),
             datagrams_dropped: Counter::default(),
@@ -107,6 +112,10 @@
         registry.register("datagrams_dropped", help, metrics.datagrams_dropped.clone());
         let help = "Servers that get no new requests of this router, by reason";
         registry.register("servers_set_aside", help, metrics.servers_set_aside.clone());
+        let help = "Servers that are cold";
+        registry.register("cold_servers", help, metrics.cold_servers.clone());
+        let help = "Selections of a server in which cold servers were left out";
+        registry.register("cold_left_out", help, metrics.cold_left_out.clone());
         let help = "Background tasks that ended and were started again";
         registry.register("tasks_ended", help, metrics.tasks_ended.clone());
         ForwardMetrics {
@@ -137,6 +146,12 @@
         gauge.set(i64::try_from(count).unwrap_or(i64::MAX));
     }
 
+    /// Sets the number of servers that are cold.
+    pub fn set_cold_servers(&self, count: usize) {
+        self.cold_servers
+            .set(i64::try_from(count).unwrap_or(i64::MAX));
+    }
+
     /// Counts an unexpected end of the background task `task`.
     pub fn count_task_end(&self, task: &'static str) {
         self.tasks_ended.get_or_create(&TaskLabels { task }).inc();
--- a/src/presence/peers.rs
+++ b/src/presence/peers.rs
@@ -3,7 +3,7 @@
 use std::{collections::BTreeMap, time::Duration};
 
 use super::{KnownRouter, RouterKey, RouterState};
-use crate::{Instant, RouterName};
+use crate::{admission::FleetPlace, Instant, RouterName};
 
 /// Time without a digest after which a router is not returned to callers and its load is ignored.
 ///
@@ -186,6 +186,14 @@
         });
     }
 
+    /// Returns the place of the router `me` among the known ones.
+    pub(super) fn place(&self, me: &RouterName) -> FleetPlace {
+        FleetPlace {
+            index: self.peers.keys().filter(|name| *name < me).count(),
+            size: self.peers.len() + 1,
+        }
+    }
+
     pub(super) fn get(&self, name: &RouterName) -> Option<&Peer> {
         self.peers.get(name)
     }
--- a/src/presence/round.rs
+++ b/src/presence/round.rs
@@ -31,6 +31,7 @@
         own.sequence = self.sequence;
         let relay = self.decide_role(&own.router, now);
         self.forget_old(now);
+        self.update_place(&own.router.name, now);
         own.router.relay_role = self.role;
         self.set_version(&mut own.router);
 
@@ -80,6 +81,16 @@
         }
     }
 
+    /// Sets the place among the routers; a router that is cut off from all others keeps its last one.
+    fn update_place(&mut self, me: &RouterName, now: Instant) {
+        let place = self.peers.place(me);
+        let is_alone = self.peers.live(now).next().is_none();
+        let last_size = self.place.map_or(0, |last| last.size);
+        if !is_alone || place.size > last_size {
+            self.place = Some(place);
+        }
+    }
+
     /// Sets the relay role; returns the address of this router's relay, if it has one.
     fn decide_role(&mut self, own: &RouterState, now: Instant) -> Option<SocketAddr> {
         if self.peers.len() < DIRECT_FLEET_SIZE {
--- a/src/presence/state.rs
+++ b/src/presence/state.rs
@@ -9,8 +9,11 @@
 
 use super::{view::FleetView, Digest, Message, RelayRole, RouterPhase, RouterState, Updates};
 use crate::{
-    admission::LimitReport, catalog::ServerKey, placement::rendezvous_score, sync::lock, Instant,
-    RouterName,
+    admission::{FleetPlace, LimitReport},
+    catalog::ServerKey,
+    placement::rendezvous_score,
+    sync::lock,
+    Instant, RouterName,
 };
 
 /// Time between two digests.
@@ -19,6 +22,9 @@
 /// the router counts as dead before the caller asks for addresses again.
 pub const DIGEST_PERIOD: Duration = Duration::from_millis(300);
 
+/// Time from the start of this router in which it gets to know the others.
+const DISCOVERY_TIME: Duration = Duration::from_secs(3);
+
 /// The other routers known to this one.
 #[derive(Debug)]
 pub struct Presence {
@@ -124,6 +130,14 @@
         self.lock().peers.len() + 1
     }
 
+    /// Returns the place of this router in the fleet, or `None` while it may not know the others yet.
+    ///
+    /// It is the one in the last round in which another router was live.
+    pub fn fleet_place(&self, now: Instant) -> Option<FleetPlace> {
+        let is_known = now >= Instant::default() + DISCOVERY_TIME;
+        self.lock().place.filter(|_| is_known)
+    }
+
     /// Returns the caller addresses of the other live routers that accept callers.
     pub fn serving_addresses(&self, now: Instant) -> Vec<SocketAddr> {
         let live = self.map_live(now, |state| (state.phase, state.address));
--- a/src/presence/view.rs
+++ b/src/presence/view.rs
@@ -10,7 +10,7 @@
     sums::Usage,
     Digest, KnownRouter, Reception, RelayRole, RouterState, Summary, Updates,
 };
-use crate::{Instant, RouterName};
+use crate::{admission::FleetPlace, Instant, RouterName};
 
 /// The state behind [`Presence`](super::Presence).
 #[derive(Debug, Default)]
@@ -36,6 +36,8 @@
     pub(super) for_relays: Updates,
     pub(super) for_clients: Updates,
     pub(super) relay_cursor: ChangeCursor,
+    /// Place among the routers, when another one was live last.
+    pub(super) place: Option<FleetPlace>,
 }
 
 impl FleetView {
--- a/src/routes/mod.rs
+++ b/src/routes/mod.rs
@@ -10,5 +10,5 @@
 pub use self::{
     route::{Route, RouteKind, Target},
     state::ActiveRoutes,
-    table::{CallerLimits, PoolSettings, RouteTable, TableBuilder, Team},
+    table::{CallerLimits, PoolSettings, RouteTable, TableBuilder, Team, WarmUp},
 };
--- a/src/routes/table.rs
+++ b/src/routes/table.rs
@@ -5,7 +5,7 @@
 use serde::{Deserialize, Serialize};
 
 use super::Route;
-use crate::{Category, Error, PoolName, Result, TeamName};
+use crate::{admission::RateLimit, Category, Error, PoolName, Result, TeamName};
 
 /// A team that callers belong to.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
@@ -23,6 +23,15 @@
     pub has_engines: bool,
 }
 
+/// How the servers of a pool warm up.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub struct WarmUp {
+    /// Time from the start of a server until it is warm, if the server does not state it.
+    pub duration: Duration,
+    /// Requests that a cold server takes from all routers together.
+    pub limit: RateLimit,
+}
+
 /// Limits on the requests and connections of callers.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 pub struct CallerLimits {
@@ -51,6 +60,8 @@
     keys: BTreeMap<Box<str>, u32>,
     pools: BTreeMap<PoolName, PoolSettings>,
     limits: CallerLimits,
+    /// How the servers of pools warm up; pools whose servers are never cold are left out.
+    warm_ups: BTreeMap<PoolName, WarmUp>,
 }
 
 impl RouteTable {
@@ -83,6 +94,11 @@
         self.pools.get(name).copied().unwrap_or_default()
     }
 
+    /// Returns how the servers of a pool warm up, or `None` if they are never cold.
+    pub fn warm_up(&self, pool: &PoolName) -> Option<WarmUp> {
+        self.warm_ups.get(pool).copied()
+    }
+
     /// Returns the limits on callers.
     pub fn limits(&self) -> CallerLimits {
         self.limits
@@ -117,6 +133,7 @@
                 keys: BTreeMap::new(),
                 pools: BTreeMap::new(),
                 limits: CallerLimits::DEFAULT,
+                warm_ups: BTreeMap::new(),
             },
             faults: Vec::new(),
         }
@@ -142,6 +159,11 @@
         self.table.pools.insert(name, settings);
     }
 
+    /// Sets how the servers of a pool warm up.
+    pub fn add_warm_up(&mut self, pool: PoolName, warm_up: WarmUp) {
+        self.table.warm_ups.insert(pool, warm_up);
+    }
+
     /// Adds a team and the keys of its callers.
     pub fn add_team<'a>(&mut self, team: Team, keys: impl Iterator<Item = &'a str>) {
         let index = self.table.teams.len() as u32;
--- a/tests/admission/main.rs
+++ b/tests/admission/main.rs
@@ -11,3 +11,4 @@
 mod server_limits;
 mod shared_retries;
 mod storm;
+mod warm_up;
--- a/tests/feed/era.rs
+++ b/tests/feed/era.rs
@@ -24,6 +24,7 @@
 
 fn read(is_leaving: bool, full: bool, next: Position) -> ServersRead {
     ServersRead {
+        cold_times: Vec::new(),
         changes: vec![ServerChange::Present(server(is_leaving))],
         full,
         next,
@@ -135,6 +136,7 @@
         ..server(false)
     };
     let list = |names: &[&str], full, next| ServersRead {
+        cold_times: Vec::new(),
         changes: names
             .iter()
             .map(|n| ServerChange::Present(named(n)))
@@ -155,6 +157,7 @@
     follower.apply_server_list(list(&["a", "b"], true, at_era(1, 10)), at(100));
     lines.push(format!("both known: {}", pass_on(at(100))));
     let gone = ServersRead {
+        cold_times: Vec::new(),
         changes: vec![ServerChange::Absent(EngineName::new("a").unwrap())],
         full: false,
         next: at_era(1, 11),
@@ -180,6 +183,7 @@
         ..server(false)
     };
     let both = |next| ServersRead {
+        cold_times: Vec::new(),
         changes: vec![
             ServerChange::Present(server(false)),
             ServerChange::Present(other.clone()),
@@ -190,6 +194,7 @@
     let running = Feed::new(&name(1), LINK_MBPS);
     running.apply_server_list(both(at_era(1, 10)), at(100));
     let gone = ServersRead {
+        cold_times: Vec::new(),
         changes: vec![ServerChange::Absent(server(false).name)],
         full: false,
         next: at_era(1, 11),
@@ -225,6 +230,7 @@
     let at = Instant::from_millis;
     let running = || vec![ServerChange::Present(server(false))];
     let list = |changes, full, next| ServersRead {
+        cold_times: Vec::new(),
         changes,
         full,
         next,
--- a/tests/feed/gap.rs
+++ b/tests/feed/gap.rs
@@ -40,6 +40,7 @@
     async fn read_servers(&self, from: Option<Position>, wait: Duration) -> Result<ServersRead> {
         sleep(wait).await;
         Ok(ServersRead {
+            cold_times: Vec::new(),
             changes: vec![ServerChange::Present(server(false))],
             full: from.is_none(),
             next: Self::END,
--- a/tests/feed/main.rs
+++ b/tests/feed/main.rs
@@ -123,6 +123,7 @@
 
 fn read(servers: &[Server], next: u64) -> ServersRead {
     ServersRead {
+        cold_times: Vec::new(),
         changes: servers.iter().cloned().map(ServerChange::Present).collect(),
         full: false,
         next: position(next),
@@ -212,6 +213,7 @@
         refused_router.record_current(at(fed_at - 100), at(fed_at));
     }
     let gone = || ServersRead {
+        cold_times: Vec::new(),
         changes: vec![ServerChange::Absent(EngineName::new("b").unwrap())],
         full: false,
         next: position(11),
--- a/tests/forward/panics.rs
+++ b/tests/forward/panics.rs
@@ -163,6 +163,7 @@
             extra: 3.0,
         },
         grace: Duration::from_secs(8),
+        warm_up: None,
     };
     let cx = Arc::new(Forwarder::new(
         PanickingWire,
