Test which servers are cold, and what they get from two routers

The feed: heartbeats of a cold server notify nobody; servers that start under traffic, return after they were gone, or whose failure domain returns, are cold unless they say otherwise.

--- a/tests/feed/main.rs
+++ b/tests/feed/main.rs
@@ -6,6 +6,7 @@
 mod outage;
 mod snapshot;
 mod tree;
+mod warm_ups;
 
 use ebonyspur::{
     catalog::{Server, ServerChange},
