Keep a return that registrations do not know of yet

The servers of a failure domain that gets requests again are cold at that moment, while their last registrations still state that they are warm. What is presumed is kept for the age that a registration may have, 2.2 s, unless one states more.

--- a/src/catalog/warm_ups.rs
+++ b/src/catalog/warm_ups.rs
@@ -17,6 +17,10 @@
 /// Longest time for which a server is believed to stay cold; a longer one is no time.
 const MAX_COLD_TIME: Duration = Duration::from_secs(600);
 
+/// Longest time from a change of a server to a registration that states it: a heartbeat of 1.2 s and
+/// the delay of the list.
+const STATEMENT_DELAY: Duration = Duration::from_millis(1_200 + 1_000);
+
 /// Time after a server is warm in which the routers send it their requests again, one after another.
 pub const RETURN_TIME: Duration = Duration::from_secs(2);
 
@@ -48,6 +52,8 @@
     pub warm_at: Instant,
     /// Time at which this router learned that the server is cold.
     pub learned: Instant,
+    /// Time before which a statement that the server is warm may be of the time before it was cold.
+    pub certain_until: Instant,
 }
 
 impl Cold {
@@ -68,6 +74,18 @@
     /// The time of a server that is known to be cold changes only if the two differ by more than half
     /// a second, as each statement is late by another time. A time of over ten minutes is ignored.
     pub fn record(&self, cold_time: ColdTime, now: Instant) -> bool {
+        self.insert(cold_time, Instant::default(), now)
+    }
+
+    /// Records that a server is cold, as it follows from what has just happened to it; returns whether
+    /// that is news.
+    ///
+    /// Registrations that state less are ignored for a heartbeat, as they may be older.
+    pub fn presume(&self, cold_time: ColdTime, now: Instant) -> bool {
+        self.insert(cold_time, now + STATEMENT_DELAY, now)
+    }
+
+    fn insert(&self, cold_time: ColdTime, certain_until: Instant, now: Instant) -> bool {
         let ColdTime { server, remaining } = cold_time;
         if remaining > MAX_COLD_TIME {
             return false;
@@ -78,11 +96,19 @@
         let known_at = known.map_or(now, |cold| cold.warm_at);
         let difference = warm_at.since(known_at).max(known_at.since(warm_at));
         let is_new = known.is_none() && !remaining.is_zero();
-        if !is_new && difference <= TOLERANCE || is_new && servers.len() >= MAX_COLD {
+        let may_be_old =
+            known.is_some_and(|cold| now < cold.certain_until && warm_at < cold.warm_at);
+        let is_no_news = !is_new && difference <= TOLERANCE;
+        if may_be_old || is_no_news || is_new && servers.len() >= MAX_COLD {
             return false;
         }
-        let learned = known.map_or(now, |cold| cold.learned);
-        servers.insert(server, Cold { warm_at, learned });
+        let cold = Cold {
+            warm_at,
+            learned: known.map_or(now, |cold| cold.learned),
+            certain_until: known
+                .map_or(certain_until, |cold| cold.certain_until.max(certain_until)),
+        };
+        servers.insert(server, cold);
         true
     }
 
--- a/src/feed/warm_ups.rs
+++ b/src/feed/warm_ups.rs
@@ -76,7 +76,7 @@
             // What a registration has stated of a later time counts.
             let is_longer = known.is_none_or(|known| known.warm_at < now + remaining);
             let cold_time = ColdTime { server, remaining };
-            !remaining.is_zero() && is_longer && self.warm_ups.record(cold_time, now)
+            !remaining.is_zero() && is_longer && self.warm_ups.presume(cold_time, now)
         };
         servers.filter(is_news).count()
     }
--- a/tests/admission/warm_up.rs
+++ b/tests/admission/warm_up.rs
@@ -90,6 +90,7 @@
         let cold = Cold {
             warm_at: self.warm_at,
             learned: time(self.learned_ms),
+            certain_until: Instant::default(),
         };
         let slots = WarmUpSlots::new(key, cold, limit(LIMIT), BOUNDS, self.place);
         (key, slots)
@@ -265,6 +266,7 @@
     let cold = Cold {
         warm_at: time(10_000),
         learned: time(5_000),
+        certain_until: Instant::default(),
     };
     let place = FleetPlace { index: 0, size: 20 };
     let slots = WarmUpSlots::new(ServerKey(0), cold, limit(LIMIT), BOUNDS, place);
@@ -295,6 +297,7 @@
         let cold = Cold {
             warm_at: time(8_000 + 37 * (ms / 10 % 9)),
             learned: time(5_000),
+            certain_until: Instant::default(),
         };
         let slots = WarmUpSlots::new(ServerKey(7), cold, limit(LIMIT), BOUNDS, place);
         if shares.use_slot(ServerKey(7), &slots, time(ms)) {
@@ -309,6 +312,7 @@
     let cold = Cold {
         warm_at: time(10_000),
         learned: time(1_000),
+        certain_until: Instant::default(),
     };
     let strict = WarmUpBounds {
         overshoot: 1.0,
@@ -329,6 +333,7 @@
     let cold = Cold {
         warm_at: time(10_000),
         learned: time(9_000),
+        certain_until: Instant::default(),
     };
     let is_free = |index: usize, ms: u64| {
         let place = FleetPlace { index, size: 122 };
--- a/tests/feed/warm_ups.rs
+++ b/tests/feed/warm_ups.rs
@@ -134,6 +134,30 @@
     .assert_eq(&lines.join("\n"));
 }
 
+#[test]
+fn registrations_from_before_a_return_do_not_end_it() {
+    let (feed, a) = (feed(), named("a"));
+    feed.apply_server_list(read(&[(&a, Some(0))], 1), time(1_000));
+    feed.record_returned(&a.domain, time(2_000));
+    let mut lines = Vec::new();
+    for (ms, stated) in [(2_100, 0), (3_300, 0), (4_300, 0)] {
+        feed.apply_server_list(read(&[(&a, Some(stated))], ms), time(ms));
+        lines.push(state(&feed, &[&a], ms));
+    }
+    feed.record_returned(&a.domain, time(8_000));
+    for (ms, stated) in [(8_500, 0), (9_000, 2_900), (10_300, 1_600)] {
+        feed.apply_server_list(read(&[(&a, Some(stated))], ms), time(ms));
+        lines.push(state(&feed, &[&a], ms));
+    }
+    expect![[r#"
+        2100: ["a until 5000"], notified 3
+        3300: ["a until 5000"], notified 3
+        4300: ["a until 4300"], notified 4
+        8500: ["a until 11000"], notified 6
+        9000: ["a until 11900"], notified 7
+        10300: ["a until 11900"], notified 7"#]].assert_eq(&lines.join("\n"));
+}
+
 #[test]
 fn reports_of_other_routers_are_bounded() {
     let warm_ups = WarmUps::default();
