Let all routers return to a warm server at once again

Checked: formatter, clippy on the workspace, `--test admission warm_up` and `--test feed warm_ups` (4 passed each).

--- a/src/admission/warm_up.rs
+++ b/src/admission/warm_up.rs
@@ -7,14 +7,13 @@
 //! The requests that a cold server takes until it is warm are divided into slots at even distances,
 //! counted back from the time when it is warm, which all routers know. Each router has every n-th
 //! slot, by its place in the fleet. A slot may be used for [`SLOT_TTL`] and then lapses, so that those
-//! of routers without demand do not add up. Once the server is warm, the routers send it requests
-//! without slots one after another, as it looks idle to all of them.
+//! of routers without demand do not add up.
 
 use std::{collections::BTreeMap, sync::Mutex, time::Duration};
 
 use super::RateLimit;
 use crate::{
-    catalog::{Cold, ServerKey, RETURN_TIME},
+    catalog::{Cold, ServerKey},
     sync::lock,
     Instant,
 };
@@ -66,8 +65,6 @@
 #[derive(Debug, Clone, Copy)]
 pub struct WarmUpSlots {
     warm_at: Instant,
-    /// Time from which the router needs no slot.
-    free_at: Instant,
     /// Time before which no slot counts, as the router did not know that the server is cold.
     learned: Instant,
     /// Time between two slots of the router; `None` if it has none.
@@ -94,7 +91,6 @@
         let period = period.map(|period| period.max(MIN_PERIOD));
         WarmUpSlots {
             warm_at: cold.warm_at,
-            free_at: cold.warm_at + RETURN_TIME.mul_f64(part),
             learned: cold.learned,
             period,
             offset: period.unwrap_or_default().mul_f64(part),
@@ -128,8 +124,8 @@
     /// Returns the time until this router may send a request to a cold server; zero if it may now.
     pub fn wait(&self, server: ServerKey, slots: &WarmUpSlots, now: Instant) -> Duration {
         let used = lock(&self.used).get(&server).copied();
-        let next = slots.next(used, now).unwrap_or(slots.free_at);
-        next.min(slots.free_at).since(now)
+        let next = slots.next(used, now).unwrap_or(slots.warm_at);
+        next.min(slots.warm_at).since(now)
     }
 
     /// Uses a slot at a cold server; returns whether there is one.
--- a/src/catalog/mod.rs
+++ b/src/catalog/mod.rs
@@ -17,5 +17,5 @@
     registry::{ServerChange, ServerRegistry},
     server::{Server, ServerKey},
     state::Catalog,
-    warm_ups::{Cold, ColdTime, WarmUpReport, WarmUps, RETURN_TIME},
+    warm_ups::{Cold, ColdTime, WarmUpReport, WarmUps},
 };
--- a/src/catalog/warm_ups.rs
+++ b/src/catalog/warm_ups.rs
@@ -21,9 +21,6 @@
 /// the delay of the list.
 const STATEMENT_DELAY: Duration = Duration::from_millis(1_200 + 1_000);
 
-/// Time after a server is warm in which the routers send it their requests again, one after another.
-pub const RETURN_TIME: Duration = Duration::from_secs(2);
-
 /// Maximum number of cold servers.
 const MAX_COLD: usize = 1_024;
 
@@ -56,12 +53,6 @@
     pub certain_until: Instant,
 }
 
-impl Cold {
-    fn is_known(&self, now: Instant) -> bool {
-        now < self.warm_at + RETURN_TIME
-    }
-}
-
 /// The cold servers that are known to this router.
 #[derive(Debug, Default)]
 pub struct WarmUps {
@@ -118,9 +109,7 @@
             server,
             remaining_ms: cold.warm_at.since(now).as_millis() as u32,
         };
-        let cold = self.cold(now).into_iter();
-        let cold = cold.filter(|(_, cold)| cold.warm_at > now);
-        cold.map(report).collect()
+        self.cold(now).into_iter().map(report).collect()
     }
 
     /// Records the reports of another router; returns whether there is news among them.
@@ -136,24 +125,24 @@
         has_news
     }
 
-    /// Returns the servers that are cold at `now`, or were within [`RETURN_TIME`] before.
+    /// Returns the servers that are cold at `now`.
     pub fn cold(&self, now: Instant) -> BTreeMap<ServerKey, Cold> {
         let servers = lock(&self.servers);
-        let cold = servers.iter().filter(|(_, cold)| cold.is_known(now));
+        let cold = servers.iter().filter(|(_, cold)| cold.warm_at > now);
         cold.map(|(server, cold)| (*server, *cold)).collect()
     }
 
-    /// Returns the state of a server that is cold at `now`, or was within [`RETURN_TIME`] before.
+    /// Returns the state of a server that is cold at `now`.
     pub fn get(&self, server: ServerKey, now: Instant) -> Option<Cold> {
         let cold = lock(&self.servers).get(&server).copied();
-        cold.filter(|cold| cold.is_known(now))
+        cold.filter(|cold| cold.warm_at > now)
     }
 
-    /// Forgets the servers that have been warm for [`RETURN_TIME`] at `now`; returns their number.
+    /// Forgets the servers that are warm at `now`; returns their number.
     pub fn expire(&self, now: Instant) -> usize {
         let mut servers = lock(&self.servers);
         let before = servers.len();
-        servers.retain(|_, cold| cold.is_known(now));
+        servers.retain(|_, cold| cold.warm_at > now);
         before - servers.len()
     }
 
--- a/src/forward/warm_up.rs
+++ b/src/forward/warm_up.rs
@@ -5,7 +5,7 @@
 use super::{Forwarder, Wire};
 use crate::{
     admission::WarmUpSlots,
-    catalog::{Cold, Server, ServerKey, RETURN_TIME},
+    catalog::{Cold, Server, ServerKey},
     Instant,
 };
 
@@ -58,7 +58,7 @@
         }
         let wait = match self.warm_up_slots(server, cold, now) {
             Some(slots) => self.warm_up_shares.wait(server.key(), &slots, now),
-            None => (cold.warm_at + RETURN_TIME).since(now),
+            None => cold.warm_at.since(now),
         };
         (!wait.is_zero()).then_some(wait)
     }
