Place sessions that have to move on open slots at cold engines

While 30 engines are cold, the others take their sessions, and are over the bound on loads under 2.2 times the traffic. A session of which no engine has room now goes to a cold engine of which the router has an open slot, if there is one.

Checked: formatter, clippy on the workspace, `--test placement` (22 passed), `--test adapter warm_up` (6 passed).

--- a/src/forward/selection.rs
+++ b/src/forward/selection.rs
@@ -56,9 +56,11 @@
         {
             Some(prompt) => {
                 let limit = cx.policy().load_bound.limit(loads.values().copied());
-                let warm = cx
+                let mut warm = cx
                     .session_affinity
                     .engines(SessionKey::new(prompt.session), now);
+                // A slot lapses, and a session that has to move may as well use it.
+                warm.extend(cx.cold_with_slots(&open, now));
                 placement::pick_by_session(prompt.session, &candidates, limit, &warm)
             }
             None => {
--- a/src/forward/warm_up.rs
+++ b/src/forward/warm_up.rs
@@ -37,6 +37,22 @@
         waits
     }
 
+    /// Returns the cold ones among `servers`, of which this router has slots, from a random one on.
+    pub(super) fn cold_with_slots(&self, servers: &[Arc<Server>], now: Instant) -> Vec<ServerKey> {
+        // The common case, on the path of each request.
+        if self.feed.warm_ups.is_empty() {
+            return Vec::new();
+        }
+        let cold = self.feed.warm_ups.cold(now);
+        let keys = servers.iter().map(|server| server.key());
+        let mut keys: Vec<_> = keys.filter(|key| cold.contains_key(key)).collect();
+        if !keys.is_empty() {
+            let first = self.random() % keys.len() as u64;
+            keys.rotate_left(first as usize);
+        }
+        keys
+    }
+
     /// Uses one of this router's slots at a server if it is cold.
     ///
     /// This has to follow the choice of the server without delay, so that no other request of this
--- a/tests/placement/prompt.rs
+++ b/tests/placement/prompt.rs
@@ -100,6 +100,29 @@
     ));
 }
 
+#[test]
+fn a_session_uses_a_slot_at_a_cold_engine_when_its_own_have_no_room() {
+    let all = servers(6);
+    let (home, cold) = (2, 4);
+    let place = |loads: [u32; 6], warm: &[usize]| {
+        let mut preferred: Vec<_> = warm.iter().map(|index| all[*index].key()).collect();
+        preferred.push(all[cold].key());
+        pick_by_session(9, &candidates(&all, &loads), 10.0, &preferred)
+    };
+    let with = |index: usize, load| {
+        let mut loads = [1; 6];
+        loads[index] = load;
+        loads
+    };
+    let chosen = [
+        ("own engine with room", place([1; 6], &[home])),
+        ("own engine full", place(with(home, 10), &[home])),
+        ("no own engine", place([1; 6], &[])),
+        ("cold engine full", place(with(cold, 10), &[])),
+    ];
+    expect![[r#"[("own engine with room", Some(2)), ("own engine full", Some(4)), ("no own engine", Some(4)), ("cold engine full", Some(2))]"#]].assert_eq(&format!("{chosen:?}"));
+}
+
 #[test]
 fn a_session_over_the_bound_spills_to_the_engine_that_it_spilled_to_before() {
     let all = servers(6);
