--- a/tests/presence/main.rs
+++ b/tests/presence/main.rs
@@ -3,6 +3,7 @@
 
 mod decode;
 mod fleet;
+mod place;
 mod relays;
 
 use std::time::Duration;
