--- a/src/feed/frame.rs
+++ b/src/feed/frame.rs
@@ -7,7 +7,7 @@
 
 use super::StoreEra;
 use crate::{
-    catalog::{DepartureReport, Server},
+    catalog::{DepartureReport, Server, WarmUpReport},
     evacuation::EvacuationReport,
     routes::RouteTable,
     Offset,
@@ -36,6 +36,8 @@
         /// The evacuations, which hold from before the servers are used; `None` if this deployment
         /// has none.
         evacuations: Option<EvacuationReport>,
+        /// What is known of cold servers.
+        warm_ups: Vec<WarmUpReport>,
     },
     /// The data sent so far was current in the store at this time.
     Current {
--- a/src/feed/state.rs
+++ b/src/feed/state.rs
@@ -13,7 +13,7 @@
 
 use super::{frame, server_list::ServerList, upstreams, FeedNode, FeedRank, Role};
 use crate::{
-    catalog::Catalog,
+    catalog::{Catalog, WarmUps},
     evacuation::Evacuations,
     presence::{Presence, StoreStatus},
     routes::{ActiveRoutes, RouteTable},
@@ -55,6 +55,8 @@
     pub catalog: Catalog,
     /// The evacuated failure domains.
     pub evacuations: Evacuations,
+    /// The known servers that are cold.
+    pub warm_ups: WarmUps,
     rank: FeedRank,
     /// Whether this router is shutting down.
     leaving: AtomicBool,
@@ -95,6 +97,7 @@
             routes: ActiveRoutes::default(),
             catalog: Catalog::default(),
             evacuations: Evacuations::default(),
+            warm_ups: WarmUps::default(),
             rank: FeedRank::new(me, link_mbps),
             leaving: AtomicBool::default(),
             server_list: Mutex::default(),
--- a/src/feed/subscribe.rs
+++ b/src/feed/subscribe.rs
@@ -147,11 +147,13 @@
             departures,
             is_settled,
             evacuations,
+            warm_ups,
         } => {
             if let Some(report) = &evacuations {
                 feed.receive_evacuations(report, now);
             }
             feed.receive_departure_reports(&departures, now);
+            feed.receive_warm_ups(&warm_ups, now);
             let version = ListVersion {
                 position: Position::new(era, next),
                 is_settled,
--- a/src/forward/selection.rs
+++ b/src/forward/selection.rs
@@ -37,15 +37,17 @@
     /// Chooses a server that has not reached its limit.
     ///
     /// While servers have reached their limits, the others take what these turn away as long as
-    /// they have free slots.
+    /// they have free slots. Cold servers of which this router has no slot are left out.
     pub(super) fn choose<W: Wire>(self, cx: &Forwarder<W>, now: Instant) -> Option<Arc<Server>> {
         let routed = self.routed;
         let servers = self.eligible_servers(cx);
         let loads = loads(cx, &servers, now);
+        let cold = cx.cold_waits(&servers, now);
+        let servers = servers.into_iter();
+        let servers = servers.filter(|server| !cold.contains_key(&server.key()));
         let at_limit = cx.limit_waits(now);
-        let (limited, open): (Vec<_>, Vec<_>) = servers
-            .into_iter()
-            .partition(|server| at_limit.contains_key(&server.key()));
+        let (limited, open): (Vec<_>, Vec<_>) =
+            servers.partition(|server| at_limit.contains_key(&server.key()));
         let mut candidates = candidates(cx, &open, &loads, now);
         if let Some(over_mean) = placement::busiest_over_mean(&candidates) {
             cx.metrics.observe_busiest(over_mean);
@@ -57,9 +59,11 @@
         {
             Some(prompt) => {
                 let limit = cx.policy().load_bound.limit(loads.values().copied());
-                let warm = cx
+                let mut warm = cx
                     .session_affinity
                     .engines(SessionKey::new(prompt.session), now);
+                // A slot lapses, and a session that has to move may as well use it.
+                warm.extend(cx.cold_with_slots(&open, now));
                 placement::pick_by_session(prompt.session, &candidates, limit, &warm)
             }
             None => {
@@ -78,11 +82,10 @@
     /// it now or there is none.
     pub(super) fn limit_wait<W: Wire>(self, cx: &Forwarder<W>, now: Instant) -> Option<Duration> {
         let waits = cx.limit_waits(now);
-        let waits: Option<Vec<_>> = self
-            .open_servers(cx)
-            .iter()
-            .map(|server| waits.get(&server.key()).copied())
-            .collect();
+        let open = self.open_servers(cx);
+        let cold = cx.cold_waits(&open, now);
+        let wait = |key| waits.get(&key).max(cold.get(&key)).copied();
+        let waits: Option<Vec<_>> = open.iter().map(|server| wait(server.key())).collect();
         waits?.into_iter().min()
     }
 
--- a/src/forward/state.rs
+++ b/src/forward/state.rs
@@ -17,7 +17,10 @@
     HealthTracker, InFlight, Observation, PoisonRequests, ProxyRequest, Routed, Wire,
 };
 use crate::{
-    admission::{describe_parts, PoisonParts, RetryAllowance, ServerLimits, SharedRetries},
+    admission::{
+        describe_parts, PoisonParts, RetryAllowance, ServerLimits, SharedRetries, WarmUpBounds,
+        WarmUpShares,
+    },
     catalog::{Server, ServerKey, ServerLoads},
     feed::Feed,
     inspect::ForwardMetrics,
@@ -36,6 +39,8 @@
     pub load_bound: LoadBound,
     /// Time between the shutdown signal and the kill of the process.
     pub grace: Duration,
+    /// How far the requests to cold servers may exceed their limit; `None` if it does not bind.
+    pub warm_up: Option<WarmUpBounds>,
 }
 
 /// Memory for what callers and servers send, unless it is set, in bytes.
@@ -67,6 +72,8 @@
     pub server_limits: ServerLimits,
     /// Loads that servers report.
     pub server_loads: ServerLoads,
+    /// Slots at cold servers that this router has used.
+    pub(super) warm_up_shares: WarmUpShares,
     /// Idle connections to servers.
     pub connections: ConnectionPool,
     /// Limit on the memory for bytes that callers and servers send.
@@ -104,6 +111,7 @@
             poison_parts: Arc::default(),
             server_limits: ServerLimits::default(),
             server_loads: ServerLoads::default(),
+            warm_up_shares: WarmUpShares::default(),
             connections: ConnectionPool::default(),
             buffers: Buffers::with_limit(DEFAULT_BUFFER_BYTES),
             metrics: ForwardMetrics::new(),
@@ -218,6 +226,7 @@
         metrics.set_servers_set_aside("limit", limited);
         let evacuated = self.feed.evacuations.in_force().len();
         metrics.evacuated_domains.set(evacuated as i64);
+        metrics.set_cold_servers(self.feed.warm_ups.cold(now).len());
         metrics.encode()
     }
 
--- a/src/inspect/forward_metrics.rs
+++ b/src/inspect/forward_metrics.rs
@@ -64,6 +64,9 @@
     retries: Family<RetryLabels, Counter<u64, AtomicU64>>,
     unanswered: Family<UnansweredLabels, Counter<u64, AtomicU64>>,
     servers_set_aside: Family<SetAsideLabels, Gauge>,
+    cold_servers: Gauge,
+    /// Selections of a server in which cold servers were left out.
+    pub cold_left_out: Counter<u64, AtomicU64>,
     tasks_ended: Family<TaskLabels, Counter<u64, AtomicU64>>,
     /// Failure domains that are evacuated.
     pub evacuated_domains: Gauge,
@@ -88,6 +91,8 @@
             retries: Family::default(),
             unanswered: Family::default(),
             servers_set_aside: Family::default(),
+            cold_servers: Gauge::default(),
+            cold_left_out: Counter::default(),
             tasks_ended: Family::default(),
             evacuated_domains: Gauge::default(),
             evacuated_rejections: Counter::default(),
@@ -131,6 +136,10 @@
             "Requests rejected as all servers of their pool are in evacuated failure domains";
         let rejections = metrics.evacuated_rejections.clone();
         registry.register("evacuated_rejections", help, rejections);
+        let help = "Servers that are cold";
+        registry.register("cold_servers", help, metrics.cold_servers.clone());
+        let help = "Selections of a server in which cold servers were left out";
+        registry.register("cold_left_out", help, metrics.cold_left_out.clone());
         let help = "Background tasks that ended and were started again";
         registry.register("tasks_ended", help, metrics.tasks_ended.clone());
         ForwardMetrics {
@@ -161,6 +170,12 @@
         gauge.set(i64::try_from(count).unwrap_or(i64::MAX));
     }
 
+    /// Sets the number of servers that are cold.
+    pub fn set_cold_servers(&self, count: usize) {
+        self.cold_servers
+            .set(i64::try_from(count).unwrap_or(i64::MAX));
+    }
+
     /// Counts an unexpected end of the background task `task`.
     pub fn count_task_end(&self, task: &'static str) {
         self.tasks_ended.get_or_create(&TaskLabels { task }).inc();
