Bind loads by the mean of all servers while some are evacuated

Servers of evacuated domains count in the mean load of their pool, but the bound was taken from the others only, so that these went beyond it. The bound now shrinks with the share of the servers that are open.

--- a/src/forward/selection.rs
+++ b/src/forward/selection.rs
@@ -53,7 +53,9 @@
             .filter(|_| routed.settings.has_engines)
         {
             Some(prompt) => {
-                let limit = cx.policy().load_bound.limit(loads.values().copied());
+                let bound = cx.policy().load_bound;
+                let bound = bound.with_open_share(self.open_share(cx));
+                let limit = bound.limit(loads.values().copied());
                 let warm = cx
                     .session_affinity
                     .engines(SessionKey::new(prompt.session), now);
@@ -90,6 +92,19 @@
         servers
     }
 
+    /// Returns the share of the pool's servers that are not in evacuated failure domains.
+    ///
+    /// The others count in the mean load of the pool, to which the loads of these are bound.
+    fn open_share<W: Wire>(self, cx: &Forwarder<W>) -> f64 {
+        // The common case, on the path of each request.
+        if cx.feed.evacuations.in_force().is_empty() {
+            return 1.0;
+        }
+        let servers = cx.feed.catalog.pool(&self.routed.pool);
+        let running = servers.iter().filter(|server| !server.leaving).count();
+        self.open_servers(cx).len() as f64 / running.max(1) as f64
+    }
+
     /// Returns whether the pool has servers, and all are in evacuated failure domains.
     pub(super) fn is_evacuated<W: Wire>(self, cx: &Forwarder<W>) -> bool {
         let servers = cx.feed.catalog.pool(&self.routed.pool);
--- a/src/placement/prompt.rs
+++ b/src/placement/prompt.rs
@@ -62,6 +62,16 @@
 }
 
 impl LoadBound {
+    /// Returns the bound for the loads of the given share of the engines, if the others count in the
+    /// mean load but get no requests.
+    #[must_use]
+    pub fn with_open_share(self, share: f64) -> Self {
+        LoadBound {
+            factor: self.factor * share,
+            extra: self.extra * share,
+        }
+    }
+
     /// Returns the load below which an engine takes a request, given the loads of all engines.
     pub fn limit(&self, loads: impl Iterator<Item = u32>) -> f64 {
         let (count, total) = loads.fold((0u32, 0u64), |(n, sum), load| {
--- a/tests/placement/prompt.rs
+++ b/tests/placement/prompt.rs
@@ -182,3 +182,17 @@
         [[(SessionKey(3602224815), ServerKey(1)), (SessionKey(3602224815), ServerKey(2))], [(SessionKey(3602224815), ServerKey(1)), (SessionKey(3602224815), ServerKey(2))], []]
         [[ServerKey(2), ServerKey(1)], [ServerKey(2), ServerKey(1)], []]"#]].assert_eq(&format!("{announced:?}\n{known:?}"));
 }
+
+#[test]
+fn engines_get_less_while_others_count_in_the_mean_load_without_requests() {
+    let bound = LoadBound {
+        factor: 2.0,
+        extra: 3.0,
+    };
+    let loads = [6, 6, 6, 6];
+    let limits = [1.0, 2.0 / 3.0, 1.0 / 3.0].map(|share| {
+        let limit = bound.with_open_share(share).limit(loads.into_iter());
+        format!("{limit:.1}")
+    });
+    expect!["15.0 10.0 5.0"].assert_eq(&limits.join(" "));
+}
