--- a/src/feed/evacuations.rs
+++ b/src/feed/evacuations.rs
@@ -11,23 +11,23 @@
     /// before `next`.
     pub fn apply_evacuations(&self, read: &EvacuationsRead, next: Position, now: Instant) {
         let news = self.evacuations.apply(read, next, now);
-        self.pass_evacuations_on(&news, "store");
+        self.pass_evacuations_on(&news, "store", now);
     }
 
     /// Applies the evacuations that another router knows.
     pub fn receive_evacuations(&self, report: &EvacuationReport, now: Instant) {
         let news = self.evacuations.receive(report, now);
-        self.pass_evacuations_on(&news, "router");
+        self.pass_evacuations_on(&news, "router", now);
     }
 
     /// Ends evacuations that a restored store no longer lists, after a router has heard of the store.
     pub(super) fn settle_evacuations(&self, now: Instant) {
         let news = self.evacuations.settle(now);
-        self.pass_evacuations_on(&news, "delay");
+        self.pass_evacuations_on(&news, "delay", now);
     }
 
-    /// Logs what has changed, and notifies subscribers.
-    fn pass_evacuations_on(&self, news: &EvacuationNews, source: &str) {
+    /// Logs what has changed, treats servers that get requests again as cold, and notifies subscribers.
+    fn pass_evacuations_on(&self, news: &EvacuationNews, source: &str, now: Instant) {
         if news.is_empty() {
             return;
         }
@@ -53,6 +53,10 @@
                 );
             }
         }
+        // Their servers have run nothing meanwhile, whatever their last registrations state.
+        for domain in &news.ended {
+            self.record_returned(domain, now);
+        }
         self.notify_change();
     }
 }
--- a/tests/feed/warm_ups.rs
+++ b/tests/feed/warm_ups.rs
@@ -5,6 +5,7 @@
 use ebonyspur::{
     admission::RateLimit,
     catalog::{ColdTime, Server, ServerChange, WarmUpReport, WarmUps},
+    evacuation::{EvacuationChange, EvacuationsRead},
     feed::{Feed, ServersRead},
     routes::{TableBuilder, WarmUp},
     EngineName, Incarnation, Instant,
@@ -189,3 +190,23 @@
         expired [0, 1], empty true"#]]
     .assert_eq(&lines.join("\n"));
 }
+
+#[test]
+fn the_servers_of_a_domain_are_cold_once_its_evacuation_has_ended() {
+    let feed = feed();
+    let a = named("a");
+    feed.apply_server_list(read(&[(&a, Some(0))], 2), time(500));
+    let change = |change: EvacuationChange| EvacuationsRead {
+        changes: vec![change],
+        is_complete: false,
+    };
+    let begun = change(EvacuationChange::Begun(a.domain.clone()));
+    feed.apply_evacuations(&begun, position(3), time(1_000));
+    let during = state(&feed, &[&a], 1_500);
+    let ended = change(EvacuationChange::Ended(a.domain.clone()));
+    feed.apply_evacuations(&ended, position(4), time(9_000));
+    let after = state(&feed, &[&a], 9_500);
+    expect![[r#"
+        1500: [], notified 3
+        9500: ["a until 12000"], notified 5"#]].assert_eq(&format!("{during}\n{after}"));
+}
