--- a/src/feed/mod.rs
+++ b/src/feed/mod.rs
@@ -7,6 +7,7 @@
 //! A router whose data is too old reads the store itself.
 
 mod departures;
+mod evacuations;
 mod follow;
 mod frame;
 mod peer_clock;
@@ -20,6 +21,7 @@
 mod store;
 mod subscribe;
 mod tree;
+mod warm_ups;
 
 pub use self::{
     follow::{follow_routes, follow_servers},
--- a/src/forward/selection.rs
+++ b/src/forward/selection.rs
@@ -37,26 +37,35 @@
     /// Chooses a server that has not reached its limit.
     ///
     /// While servers have reached their limits, the others take what these turn away as long as
-    /// they have free slots.
+    /// they have free slots. Cold servers of which this router has no slot are left out.
     pub(super) fn choose<W: Wire>(self, cx: &Forwarder<W>, now: Instant) -> Option<Arc<Server>> {
         let routed = self.routed;
         let servers = self.eligible_servers(cx);
         let loads = loads(cx, &servers, now);
+        let cold = cx.cold_waits(&servers, now);
+        let servers = servers.into_iter();
+        let servers = servers.filter(|server| !cold.contains_key(&server.key()));
         let at_limit = cx.limit_waits(now);
-        let (limited, open): (Vec<_>, Vec<_>) = servers
-            .into_iter()
-            .partition(|server| at_limit.contains_key(&server.key()));
+        let (limited, open): (Vec<_>, Vec<_>) =
+            servers.partition(|server| at_limit.contains_key(&server.key()));
         let mut candidates = candidates(cx, &open, &loads, now);
+        if let Some(over_mean) = placement::busiest_over_mean(&candidates) {
+            cx.metrics.observe_busiest(over_mean);
+        }
         let index = match routed
             .prompt
             .as_ref()
             .filter(|_| routed.settings.has_engines)
         {
             Some(prompt) => {
-                let limit = cx.policy().load_bound.limit(loads.values().copied());
-                let warm = cx
+                let bound = cx.policy().load_bound;
+                let bound = bound.with_open_share(self.open_share(cx));
+                let limit = bound.limit(loads.values().copied());
+                let mut warm = cx
                     .session_affinity
                     .engines(SessionKey::new(prompt.session), now);
+                // A slot lapses, and a session that has to move may as well use it.
+                warm.extend(cx.cold_with_slots(&open, now));
                 placement::pick_by_session(prompt.session, &candidates, limit, &warm)
             }
             None => {
@@ -75,19 +84,47 @@
     /// it now or there is none.
     pub(super) fn limit_wait<W: Wire>(self, cx: &Forwarder<W>, now: Instant) -> Option<Duration> {
         let waits = cx.limit_waits(now);
-        let pool_servers = cx.feed.catalog.pool(&self.routed.pool);
-        let in_pool = pool_servers.iter().filter(|server| !server.leaving);
-        let waits: Option<Vec<_>> = in_pool
-            .map(|server| waits.get(&server.key()).copied())
-            .collect();
+        let open = self.open_servers(cx);
+        let cold = cx.cold_waits(&open, now);
+        let wait = |key| waits.get(&key).max(cold.get(&key)).copied();
+        let waits: Option<Vec<_>> = open.iter().map(|server| wait(server.key())).collect();
         waits?.into_iter().min()
     }
 
     /// Returns the servers that may take the request, whether or not they have room.
     fn eligible_servers<W: Wire>(self, cx: &Forwarder<W>) -> Vec<Arc<Server>> {
+        let mut servers = self.open_servers(cx);
+        servers.retain(|server| !self.tried.contains(&server.key()));
+        servers
+    }
+
+    /// Returns the share of the pool's servers that are not in evacuated failure domains.
+    ///
+    /// The others count in the mean load of the pool, to which the loads of these are bound.
+    fn open_share<W: Wire>(self, cx: &Forwarder<W>) -> f64 {
+        // The common case, on the path of each request.
+        if cx.feed.evacuations.in_force().is_empty() {
+            return 1.0;
+        }
+        let servers = cx.feed.catalog.pool(&self.routed.pool);
+        let running = servers.iter().filter(|server| !server.leaving).count();
+        self.open_servers(cx).len() as f64 / running.max(1) as f64
+    }
+
+    /// Returns whether the pool has servers, and all are in evacuated failure domains.
+    pub(super) fn is_evacuated<W: Wire>(self, cx: &Forwarder<W>) -> bool {
         let servers = cx.feed.catalog.pool(&self.routed.pool);
-        let is_eligible = |s: &&Arc<Server>| !s.leaving && !self.tried.contains(&s.key());
-        servers.iter().filter(is_eligible).cloned().collect()
+        let has_servers = servers.iter().any(|server| !server.leaving);
+        has_servers && self.open_servers(cx).is_empty()
+    }
+
+    /// Returns the servers of the pool that take new requests: those that neither leave nor are in an
+    /// evacuated failure domain.
+    fn open_servers<W: Wire>(self, cx: &Forwarder<W>) -> Vec<Arc<Server>> {
+        let servers = cx.feed.catalog.pool(&self.routed.pool);
+        let evacuated = cx.feed.evacuations.in_force();
+        let is_open = |s: &&Arc<Server>| !s.leaving && !evacuated.contains(&s.domain);
+        servers.iter().filter(is_open).cloned().collect()
     }
 }
 
@@ -114,13 +151,20 @@
     now: Instant,
 ) -> Vec<Candidate<'s>> {
     let pending = cx.prefills.pending_tokens(now);
-    let candidate = |server: &'s Arc<Server>| Candidate {
+    let keys = servers.iter().map(|server| server.key());
+    let slowness_factors = cx.server_loads.slowness_factors(keys, now);
+    let candidate = |(server, slowness): (&'s Arc<Server>, f64)| Candidate {
         server,
         load: loads[&server.key()],
+        slowness,
         is_avoided: cx.health.is_avoided(server.key(), now),
         pending_tokens: pending.get(&server.key()).copied().unwrap_or_default(),
     };
-    servers.iter().map(candidate).collect()
+    servers
+        .iter()
+        .zip(slowness_factors)
+        .map(candidate)
+        .collect()
 }
 
 /// Adds the failure rates of servers to their loads and avoids those that fail far more often than
--- a/src/forward/state.rs
+++ b/src/forward/state.rs
@@ -17,8 +17,11 @@
     InFlight, Observation, PoisonRequests, ProxyRequest, Routed, Wire,
 };
 use crate::{
-    admission::{describe_parts, PoisonParts, RetryAllowance, ServerLimits, SharedRetries},
-    catalog::{Server, ServerKey},
+    admission::{
+        describe_parts, PoisonParts, RetryAllowance, ServerLimits, SharedRetries, WarmUpBounds,
+        WarmUpShares,
+    },
+    catalog::{Server, ServerKey, ServerLoads},
     feed::Feed,
     inspect::ForwardMetrics,
     memory::Account,
@@ -37,6 +40,8 @@
     pub load_bound: LoadBound,
     /// Time between the shutdown signal and the kill of the process.
     pub grace: Duration,
+    /// How far the requests to cold servers may exceed their limit; `None` if it does not bind.
+    pub warm_up: Option<WarmUpBounds>,
 }
 
 /// Memory for callers and servers, unless it is set, in bytes.
@@ -66,6 +71,10 @@
     pub poison_parts: Arc<PoisonParts>,
     /// Limits on their requests that servers name.
     pub server_limits: ServerLimits,
+    /// Loads that servers report.
+    pub server_loads: ServerLoads,
+    /// Slots at cold servers that this router has used.
+    pub(super) warm_up_shares: WarmUpShares,
     /// Idle connections to servers.
     pub connections: ConnectionPool,
     /// Account of the memory for callers and servers.
@@ -102,6 +111,8 @@
             poison_requests: PoisonRequests::default(),
             poison_parts: Arc::default(),
             server_limits: ServerLimits::default(),
+            server_loads: ServerLoads::default(),
+            warm_up_shares: WarmUpShares::default(),
             connections: ConnectionPool::default(),
             memory: Account::with_limit(DEFAULT_MEMORY_BYTES),
             metrics: ForwardMetrics::new(),
@@ -213,6 +224,9 @@
         metrics.set_servers_set_aside("retry_after", paused);
         metrics.set_servers_set_aside("limit", limited);
         metrics.set_held(self.memory.held(), self.memory.given_up());
+        let evacuated = self.feed.evacuations.in_force().len();
+        metrics.evacuated_domains.set(evacuated as i64);
+        metrics.set_cold_servers(self.feed.warm_ups.cold(now).len());
         metrics.encode()
     }
 
@@ -319,10 +333,12 @@
         now: Instant,
     ) -> Option<SocketAddr> {
         let pool_servers = self.feed.catalog.pool(pool);
+        let evacuated = self.feed.evacuations.in_force();
         let is_healthy = |key: &ServerKey| !self.health.is_avoided(*key, now);
         let find_server = |key: ServerKey| {
-            let mut running = pool_servers.iter().filter(|server| !server.leaving);
-            running.find(|server| server.key() == key)
+            let is_open = |s: &&Arc<Server>| !s.leaving && !evacuated.contains(&s.domain);
+            let mut open = pool_servers.iter().filter(is_open);
+            open.find(|server| server.key() == key)
         };
         for prefix in [Some(prompt.session), prompt.common_prefix]
             .into_iter()
--- a/src/inspect/forward_metrics.rs
+++ b/src/inspect/forward_metrics.rs
@@ -18,6 +18,9 @@
 /// Upper bounds of the histogram buckets for delays of tasks, in seconds.
 const TASK_DELAY_BUCKETS: [f64; 6] = [0.01, 0.03, 0.1, 0.3, 1.0, 3.0];
 
+/// Upper bounds of the histogram buckets for the busiest server relative to the mean.
+const BUSIEST_BUCKETS: [f64; 6] = [1.1, 1.2, 1.5, 2.0, 3.0, 5.0];
+
 /// Labels of the counter of failed requests.
 #[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
 struct FailureLabels {
@@ -62,17 +65,27 @@
     registry: Registry,
     answer_seconds: Histogram,
     task_delay_seconds: Histogram,
+    busiest_over_mean: Histogram,
     failures: Family<FailureLabels, Counter<u64, AtomicU64>>,
     retries: Family<RetryLabels, Counter<u64, AtomicU64>>,
     unanswered: Family<UnansweredLabels, Counter<u64, AtomicU64>>,
     servers_set_aside: Family<SetAsideLabels, Gauge>,
+    cold_servers: Gauge,
+    /// Selections of a server in which cold servers were left out.
+    pub cold_left_out: Counter<u64, AtomicU64>,
     tasks_ended: Family<TaskLabels, Counter<u64, AtomicU64>>,
     held_bytes: Family<HeldLabels, Gauge>,
     given_up: Gauge,
+    /// Failure domains that are evacuated.
+    pub evacuated_domains: Gauge,
+    /// Requests rejected as all servers of their pool are in evacuated failure domains.
+    pub evacuated_rejections: Counter<u64, AtomicU64>,
     /// Connections opened to backend servers.
     pub connections: Counter<u64, AtomicU64>,
     /// Datagrams of other routers that could not be decoded.
     pub datagrams_dropped: Counter<u64, AtomicU64>,
+    /// Reports of their loads by servers that could not be read.
+    pub loads_ignored: Counter<u64, AtomicU64>,
 }
 
 impl ForwardMetrics {
@@ -86,11 +99,17 @@
             retries: Family::default(),
             unanswered: Family::default(),
             servers_set_aside: Family::default(),
+            cold_servers: Gauge::default(),
+            cold_left_out: Counter::default(),
             tasks_ended: Family::default(),
             held_bytes: Family::default(),
             given_up: Gauge::default(),
+            evacuated_domains: Gauge::default(),
+            evacuated_rejections: Counter::default(),
             connections: Counter::default(),
             datagrams_dropped: Counter::default(),
+            loads_ignored: Counter::default(),
+            busiest_over_mean: Histogram::new(BUSIEST_BUCKETS),
             registry: Registry::default(),
         };
         registry.register_with_unit(
@@ -115,12 +134,26 @@
         registry.register("server_connections", help, metrics.connections.clone());
         let help = "Datagrams of other routers that could not be decoded";
         registry.register("datagrams_dropped", help, metrics.datagrams_dropped.clone());
+        let help = "Reports of their loads by servers that could not be read";
+        registry.register("loads_ignored", help, metrics.loads_ignored.clone());
+        let help = "Longest expected time at a server over the mean, when a request is placed";
+        registry.register("busiest_over_mean", help, metrics.busiest_over_mean.clone());
         let help = "Servers that get no new requests of this router, by reason";
         registry.register("servers_set_aside", help, metrics.servers_set_aside.clone());
         let help = "Memory held for callers and for servers";
         registry.register_with_unit("held", help, Unit::Bytes, metrics.held_bytes.clone());
         let help = "Connections of callers given up so far, as their place or memory was needed";
         registry.register("given_up", help, metrics.given_up.clone());
+        let help = "Failure domains that are evacuated";
+        registry.register("evacuated_domains", help, metrics.evacuated_domains.clone());
+        let help =
+            "Requests rejected as all servers of their pool are in evacuated failure domains";
+        let rejections = metrics.evacuated_rejections.clone();
+        registry.register("evacuated_rejections", help, rejections);
+        let help = "Servers that are cold";
+        registry.register("cold_servers", help, metrics.cold_servers.clone());
+        let help = "Selections of a server in which cold servers were left out";
+        registry.register("cold_left_out", help, metrics.cold_left_out.clone());
         let help = "Background tasks that ended and were started again";
         registry.register("tasks_ended", help, metrics.tasks_ended.clone());
         ForwardMetrics {
@@ -161,6 +194,12 @@
             .set(i64::try_from(given_up).unwrap_or(i64::MAX));
     }
 
+    /// Sets the number of servers that are cold.
+    pub fn set_cold_servers(&self, count: usize) {
+        self.cold_servers
+            .set(i64::try_from(count).unwrap_or(i64::MAX));
+    }
+
     /// Counts an unexpected end of the background task `task`.
     pub fn count_task_end(&self, task: &'static str) {
         self.tasks_ended.get_or_create(&TaskLabels { task }).inc();
@@ -171,6 +210,12 @@
         self.answer_seconds.observe(took.as_secs_f64());
     }
 
+    /// Records the longest expected time at a server, as a multiple of the mean, when a request is
+    /// placed.
+    pub fn observe_busiest(&self, over_mean: f64) {
+        self.busiest_over_mean.observe(over_mean);
+    }
+
     /// Records that a periodic task ran `late` after it was due.
     pub fn observe_task_delay(&self, late: Duration) {
         self.task_delay_seconds.observe(late.as_secs_f64());
--- a/tests/forward/panics.rs
+++ b/tests/forward/panics.rs
@@ -9,7 +9,7 @@
 
 use ebonyspur::{
     admission::RetryAllowance,
-    catalog::Server,
+    catalog::{LoadReport, Server},
     feed::{Feed, Position, StoreEra},
     forward::{
         text_response, Body, DrainStage, ForwardParams, Forwarder, HttpHandler, Policy,
@@ -64,6 +64,7 @@
             limit: None,
             is_leaving: false,
             retry_after: None,
+            load: LoadReport::Absent,
         }
     }
 
@@ -163,6 +164,7 @@
             extra: 3.0,
         },
         grace: Duration::from_secs(8),
+        warm_up: None,
     };
     let cx = Arc::new(Forwarder::new(
         PanickingWire,
--- a/tests/placement/prompt.rs
+++ b/tests/placement/prompt.rs
@@ -27,6 +27,7 @@
     let candidate = |(server, load): (&'a Server, &u32)| Candidate {
         server,
         load: *load,
+        slowness: 1.0,
         is_avoided: false,
         pending_tokens: 0,
     };
@@ -100,6 +101,29 @@
     ));
 }
 
+#[test]
+fn a_session_uses_a_slot_at_a_cold_engine_when_its_own_have_no_room() {
+    let all = servers(6);
+    let (home, cold) = (2, 4);
+    let place = |loads: [u32; 6], warm: &[usize]| {
+        let mut preferred: Vec<_> = warm.iter().map(|index| all[*index].key()).collect();
+        preferred.push(all[cold].key());
+        pick_by_session(9, &candidates(&all, &loads), 10.0, &preferred)
+    };
+    let with = |index: usize, load| {
+        let mut loads = [1; 6];
+        loads[index] = load;
+        loads
+    };
+    let chosen = [
+        ("own engine with room", place([1; 6], &[home])),
+        ("own engine full", place(with(home, 10), &[home])),
+        ("no own engine", place([1; 6], &[])),
+        ("cold engine full", place(with(cold, 10), &[])),
+    ];
+    expect![[r#"[("own engine with room", Some(2)), ("own engine full", Some(4)), ("no own engine", Some(4)), ("cold engine full", Some(2))]"#]].assert_eq(&format!("{chosen:?}"));
+}
+
 #[test]
 fn a_session_over_the_bound_spills_to_the_engine_that_it_spilled_to_before() {
     let all = servers(6);
@@ -164,6 +188,41 @@
     assert_eq!(pick_by_two_choices(&[], 8, 9), None);
 }
 
+#[test]
+fn a_session_leaves_an_engine_that_is_slow_and_stays_on_one_that_is_a_little_slower() {
+    let all = servers(6);
+    let mut candidates = candidates(&all, &[8; 6]);
+    let home = pick_by_session(9, &candidates, 10.0, &[]).expect("an engine");
+    let warm = [all[home].key()];
+    let stays = [0.77, 1.3, 2.5, 4.0].map(|slowness| {
+        candidates[home].slowness = slowness;
+        pick_by_session(9, &candidates, 10.0, &warm) == Some(home)
+    });
+    expect!["[true, true, false, false]"].assert_eq(&format!("{stays:?}"));
+    // A fast engine gets no request beyond the bound on the number of requests.
+    candidates[home].slowness = 0.25;
+    candidates[home].load = 10;
+    assert_ne!(pick_by_session(9, &candidates, 10.0, &warm), Some(home));
+    for candidate in &mut candidates {
+        candidate.slowness = 4.0;
+        candidate.load = 9;
+    }
+    candidates[home].slowness = 0.25;
+    candidates[home].load = 10;
+    assert_ne!(pick_by_session(9, &candidates, 10.0, &warm), Some(home));
+}
+
+#[test]
+fn servers_that_work_as_usual_are_compared_by_load_whatever_their_slots() {
+    let mut all = servers(2);
+    all[0].slots = 4;
+    for loads in [[3, 4], [4, 3]] {
+        let candidates = candidates(&all, &loads);
+        let less_loaded = usize::from(loads[1] < loads[0]);
+        assert_eq!(pick_by_two_choices(&candidates, 0, 0), Some(less_loaded));
+    }
+}
+
 #[test]
 fn placements_are_announced_twice_and_expire_after_a_minute() {
     let (here, there) = (SessionAffinity::default(), SessionAffinity::default());
@@ -182,3 +241,17 @@
         [[(SessionKey(3602224815), ServerKey(1)), (SessionKey(3602224815), ServerKey(2))], [(SessionKey(3602224815), ServerKey(1)), (SessionKey(3602224815), ServerKey(2))], []]
         [[ServerKey(2), ServerKey(1)], [ServerKey(2), ServerKey(1)], []]"#]].assert_eq(&format!("{announced:?}\n{known:?}"));
 }
+
+#[test]
+fn engines_get_less_while_others_count_in_the_mean_load_without_requests() {
+    let bound = LoadBound {
+        factor: 2.0,
+        extra: 3.0,
+    };
+    let loads = [6, 6, 6, 6];
+    let limits = [1.0, 2.0 / 3.0, 1.0 / 3.0].map(|share| {
+        let limit = bound.with_open_share(share).limit(loads.into_iter());
+        format!("{limit:.1}")
+    });
+    expect!["15.0 10.0 5.0"].assert_eq(&limits.join(" "));
+}
