--- a/src/forward/mod.rs
+++ b/src/forward/mod.rs
@@ -8,6 +8,7 @@
 mod body;
 mod buffered;
 mod caller_connection;
+mod caller_task;
 mod connection;
 mod drain;
 mod event_buffer;
