--- a/src/forward/caller_connection.rs
+++ b/src/forward/caller_connection.rs
@@ -6,7 +6,7 @@
     net::SocketAddr,
     pin::Pin,
     sync::{Arc, Mutex},
-    task::{ready, Context, Poll},
+    task::{Context, Poll},
     time::Duration,
 };
 
@@ -15,12 +15,15 @@
     net::TcpStream,
 };
 
-use super::{linger::Linger, peer_stream::PeerStream, Activity};
-use crate::{sync::lock, Clock, Instant};
+use super::{peer_stream::PeerStream, Activity};
+use crate::{memory::Holding, sync::lock, Clock, Instant};
 
 /// Longest time for which a caller may leave no room for more of its response.
 const WRITE_TIMEOUT: Duration = Duration::from_secs(10);
 
+/// Largest number of bytes that are read at a time; read buffers grow when more arrives at once.
+const MAX_READ_BYTES: usize = 8 * 1024 - 1;
+
 /// Largest number of unread bytes that is counted for a log line.
 const MAX_COUNTED_BYTES: usize = 1024;
 
@@ -158,6 +161,16 @@
         lock(&self.0).is_lingering = true;
     }
 
+    /// Returns whether the connection is kept open for a moment after its last response.
+    pub(super) fn is_lingering(&self) -> bool {
+        lock(&self.0).is_lingering
+    }
+
+    /// Returns whether this router has started to close the connection.
+    pub(super) fn is_closed(&self) -> bool {
+        lock(&self.0).close.is_some()
+    }
+
     /// Records that the connection has ended, other than with the process.
     pub(super) fn record_end(&self) {
         lock(&self.0).has_ended = true;
@@ -169,9 +182,9 @@
     stream: PeerStream,
     peer: SocketAddr,
     record: ConnectionRecord,
+    /// Memory that the connection holds, if it is limited.
+    holding: Option<Holding>,
     clock: Clock,
-    /// Set once the write side is shut down.
-    linger: Option<Linger>,
 }
 
 impl CallerStream {
@@ -180,14 +193,15 @@
         stream: TcpStream,
         peer: SocketAddr,
         record: ConnectionRecord,
+        holding: Option<Holding>,
         clock: Clock,
     ) -> Self {
         CallerStream {
             stream: PeerStream::new(stream, peer).with_write_timeout(WRITE_TIMEOUT),
             peer,
             record,
+            holding,
             clock,
-            linger: None,
         }
     }
 
@@ -243,12 +257,18 @@
         cx: &mut Context<'_>,
         buf: &mut ReadBuf<'_>,
     ) -> Poll<io::Result<()>> {
-        let before = buf.filled().len();
-        let read = Pin::new(&mut self.stream).poll_read(cx, buf);
-        let len = buf.filled().len() - before;
+        let mut part = buf.take(MAX_READ_BYTES);
+        let read = Pin::new(&mut self.stream).poll_read(cx, &mut part);
+        let len = part.filled().len();
+        // SAFETY: `part` is the start of the unfilled part of `buf`, of which `len` bytes are filled.
+        unsafe { buf.assume_init(len) };
+        buf.advance(len);
         let mut state = lock(&self.record.0);
-        if !state.activity.is_exchange() {
+        if !state.activity.is_exchange() && len > 0 {
             state.partial_bytes += len;
+            if let Some(holding) = &self.holding {
+                holding.receive(state.partial_bytes, self.clock.now());
+            }
         }
         // The socket may have bytes of which the runtime has no event yet.
         if len > 0 || state.activity.is_expired() && self.unread_bytes() > 0 {
@@ -289,14 +309,6 @@
     }
 
     fn poll_shutdown(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
-        if self.linger.is_none() {
-            ready!(Pin::new(&mut self.stream).poll_shutdown(cx))?;
-            if !lock(&self.record.0).is_lingering {
-                return Poll::Ready(Ok(()));
-            }
-        }
-        let this = &mut *self;
-        let linger = this.linger.get_or_insert_with(Linger::new);
-        linger.poll(&mut this.stream, cx).map(Ok)
+        Pin::new(&mut self.stream).poll_shutdown(cx)
     }
 }
--- a/src/forward/caller_task.rs
+++ b/src/forward/caller_task.rs
@@ -14,6 +14,7 @@
     caller_connection::{CallerStream, CloseReason, ConnectionRecord},
     connection,
     exchange_body::{ExchangeBody, ExchangeGuard},
+    linger::linger,
     listener::reached,
     Deadline, DrainStage, HttpHandler,
 };
@@ -53,7 +54,7 @@
         return;
     }
     let record = ConnectionRecord::new(service.idle_limit(), clock.now());
-    let stream = CallerStream::new(stream, peer, record.clone(), clock);
+    let stream = CallerStream::new(stream, peer, record.clone(), holding.clone(), clock);
     let hyper_service = {
         let (service, record) = (service.clone(), record.clone());
         let stage = stage.clone();
@@ -86,15 +87,13 @@
             }
         })
     };
-    let connection = http1::Builder::new()
+    let mut connection = http1::Builder::new()
         .max_buf_size(MAX_HEAD_BYTES)
         .serve_connection(TokioIo::new(stream), hyper_service);
-    tokio::pin!(connection);
     let overdue_timer = tokio::time::sleep(Duration::ZERO);
     tokio::pin!(overdue_timer);
     let mut drain_stage = stage.clone();
     let mut is_draining = false;
-    let mut is_given_up = false;
     let mut closes_unannounced = false;
     let mut is_closing = false;
     let ended = loop {
@@ -114,14 +113,13 @@
                 record.record_close(CloseReason::Overdue, clock.now());
                 break Ok(());
             }
-            () = given_up(holding.as_ref()), if !is_given_up => {
-                is_given_up = true;
+            () = given_up(holding.as_ref(), &record) => {
                 record.expire();
-                let polled = std::future::poll_fn(|cx| Poll::Ready(connection.as_mut().poll(cx)));
+                let polled = std::future::poll_fn(|cx| Poll::Ready(Pin::new(&mut connection).poll(cx)));
                 if let Poll::Ready(ended) = polled.await {
                     break ended;
                 }
-                // A request that is being read is answered, which closes the connection.
+                // A request that had arrived is answered, and the connection stays unless it is refused.
                 if !record.is_exchange() {
                     record.record_close(CloseReason::GivenUp, clock.now());
                     break Ok(());
@@ -134,7 +132,7 @@
             }
             () = exchange_ended(&record), if closes_unannounced => {
                 closes_unannounced = false;
-                connection.as_mut().graceful_shutdown();
+                Pin::new(&mut connection).graceful_shutdown();
             }
             () = reached(&mut stage, DrainStage::Finishing), if !is_closing => {
                 is_closing = true;
@@ -151,7 +149,7 @@
                 // The next read then also finds bytes of which the runtime has no event yet. Only
                 // those still on their way can cross the close.
                 record.expire();
-                let polled = std::future::poll_fn(|cx| Poll::Ready(connection.as_mut().poll(cx)));
+                let polled = std::future::poll_fn(|cx| Poll::Ready(Pin::new(&mut connection).poll(cx)));
                 if let Poll::Ready(ended) = polled.await {
                     break ended;
                 }
@@ -162,20 +160,31 @@
                         CloseReason::Idle
                     };
                     record.record_close(reason, clock.now());
-                    connection.as_mut().graceful_shutdown();
+                    Pin::new(&mut connection).graceful_shutdown();
                     if record.is_receiving() {
                         // The rest of a first head would be awaited without end.
                         break Ok(());
                     }
-                    break connection.await;
+                    break (&mut connection).await;
                 }
             }
         }
     };
     record.record_end();
+    let is_ended_by_itself = ended.is_ok() && !record.is_closed();
     if let Err(err) = ended {
         log::debug!("caller connection ended error=\"{err}\"");
     }
+    if is_ended_by_itself && record.is_lingering() {
+        // The buffers are released before, so that only the socket is held meanwhile.
+        let stream = connection.into_parts().io.into_inner();
+        // Boxed because a connection holds the memory of its task while it is open.
+        let lingering = Box::pin(linger(stream));
+        tokio::select! {
+            () = lingering => {}
+            () = given_up(holding.as_ref(), &record) => {}
+        }
+    }
 }
 
 /// Holds the memory of an open connection.
@@ -183,12 +192,20 @@
     Some(holding?.open(clock).await)
 }
 
-/// Waits until the connection is given up for others.
-async fn given_up(holding: Option<&Holding>) {
-    match holding {
-        Some(holding) => holding.given_up().await,
-        None => std::future::pending().await,
-    }
+/// Waits until the connection is given up for others while no request is in progress.
+///
+/// A request in progress learns of it by itself.
+async fn given_up(holding: Option<&Holding>, record: &ConnectionRecord) {
+    let Some(holding) = holding else {
+        return std::future::pending().await;
+    };
+    let given_up = holding.given_up();
+    tokio::pin!(given_up);
+    std::future::poll_fn(|cx| match record.is_exchange() {
+        true => Poll::Pending,
+        false => given_up.as_mut().poll(cx),
+    })
+    .await;
 }
 
 /// Waits until the last request that was read has its response.
--- a/src/forward/exchange_body.rs
+++ b/src/forward/exchange_body.rs
@@ -77,7 +77,7 @@
         let now = self.clock.now();
         self.record.end_exchange(idle_limit, now);
         if let Some(holding) = &self.holding {
-            holding.stand(now);
+            holding.keep(now + idle_limit, now);
         }
     }
 }
--- a/src/forward/linger.rs
+++ b/src/forward/linger.rs
@@ -2,59 +2,27 @@
 //!
 //! Closing a connection with unread bytes resets it, and the response may be lost.
 
-use std::{
-    future::Future,
-    pin::Pin,
-    task::{Context, Poll},
-    time::Duration,
-};
+use std::time::Duration;
 
-use tokio::{
-    io::{AsyncRead, ReadBuf},
-    time::Sleep,
-};
+use tokio::io::{AsyncRead, AsyncReadExt};
 
 /// Longest time for which bytes are discarded.
 const LINGER_TIME: Duration = Duration::from_millis(500);
 
 /// Largest number of bytes that are discarded.
-const LINGER_BYTES: usize = 256 * 1024;
+const LINGER_BYTES: u64 = 256 * 1024;
 
 /// Bytes that are discarded at a time.
 const PART_BYTES: usize = 4 * 1024;
 
-/// What is left to discard.
-pub(super) struct Linger {
-    timer: Pin<Box<Sleep>>,
-    left: usize,
-}
-
-impl Linger {
-    /// Starts to discard bytes, for half a second at most.
-    pub(super) fn new() -> Self {
-        Linger {
-            timer: Box::pin(tokio::time::sleep(LINGER_TIME)),
-            left: LINGER_BYTES,
-        }
-    }
-
-    /// Discards what has arrived; ready when the caller has closed or enough was discarded.
-    pub(super) fn poll(
-        &mut self,
-        stream: &mut (impl AsyncRead + Unpin),
-        cx: &mut Context<'_>,
-    ) -> Poll<()> {
+/// Discards what arrives at `stream`, whose write side is shut down, until the caller has closed it
+/// or enough was discarded.
+pub(super) async fn linger(stream: impl AsyncRead + Unpin) {
+    let discard = async {
+        let mut stream = stream.take(LINGER_BYTES);
         let mut part = [0; PART_BYTES];
-        while self.left > 0 {
-            let mut buf = ReadBuf::new(&mut part);
-            match Pin::new(&mut *stream).poll_read(cx, &mut buf) {
-                Poll::Ready(Ok(())) if !buf.filled().is_empty() => {
-                    self.left = self.left.saturating_sub(buf.filled().len());
-                }
-                Poll::Ready(_) => return Poll::Ready(()),
-                Poll::Pending => return self.timer.as_mut().poll(cx),
-            }
-        }
-        Poll::Ready(())
-    }
+        while matches!(stream.read(&mut part).await, Ok(len) if len > 0) {}
+    };
+    // The stream is dropped with the future.
+    let _ = tokio::time::timeout(LINGER_TIME, discard).await;
 }
--- a/src/forward/listener.rs
+++ b/src/forward/listener.rs
@@ -1,6 +1,6 @@
 //! Accepts HTTP connections from callers and serves each one in its own task.
 
-use std::{future::Future, io, net::SocketAddr, sync::Arc, time::Duration};
+use std::{future::Future, io, net::SocketAddr, os::fd::AsRawFd, sync::Arc, time::Duration};
 
 use http::{Request, Response};
 use hyper::body::Incoming;
@@ -69,7 +69,7 @@
         let slot = tokio::select! {
             biased;
             () = reached(&mut last_stage, DrainStage::Finishing) => break,
-            slot = free_slot(&slots, service.memory(), max_connections, clock) => slot,
+            slot = free_slot(&listener, &slots, service.memory(), max_connections, clock) => slot,
         };
         let accepted = tokio::select! {
             // Connections that the kernel has accepted may hold whole requests.
@@ -100,8 +100,10 @@
     let _ = slots.acquire_many(all_slots as u32).await;
 }
 
-/// Waits until another connection may be accepted; meanwhile some that stand still are given up.
+/// Waits until another connection may be accepted; while one waits for that, some that stand still
+/// are given up.
 async fn free_slot(
+    listener: &TcpListener,
     slots: &Arc<Semaphore>,
     memory: Option<&Account>,
     max_connections: usize,
@@ -112,7 +114,7 @@
         match tokio::time::timeout(FULL_CHECK_INTERVAL, slot).await {
             Ok(slot) => return slot.expect("never closed"),
             Err(_) => {
-                if let Some(memory) = memory {
+                if let Some(memory) = memory.filter(|_| has_waiting(listener)) {
                     memory.make_room(max_connections.div_ceil(ROOM_DIVISOR), clock.now());
                 }
             }
@@ -120,6 +122,17 @@
     }
 }
 
+/// Returns whether the kernel has a connection that was not accepted.
+fn has_waiting(listener: &TcpListener) -> bool {
+    let mut poll = libc::pollfd {
+        fd: listener.as_raw_fd(),
+        events: libc::POLLIN,
+        revents: 0,
+    };
+    // SAFETY: the pointer is to one valid entry, and the descriptor is open.
+    unsafe { libc::poll(&mut poll, 1, 0) == 1 }
+}
+
 /// Logs a failed accept, and waits until another one may succeed.
 async fn pause_after(err: &io::Error) {
     log::warn!("cannot accept caller connection error=\"{err}\"");
--- a/src/memory/account.rs
+++ b/src/memory/account.rs
@@ -15,6 +15,10 @@
 /// Part of the account, as a divisor, that buffers for servers may fill.
 const SERVER_DIVISOR: usize = 2;
 
+/// Largest number of connections that wait for memory at a time; what they have sent already is not
+/// counted meanwhile.
+const MAX_WAITING: usize = 96;
+
 /// Part of the largest sum since the last trim, as a divisor, below which memory is returned.
 const TRIM_DIVISOR: usize = 2;
 
@@ -49,6 +53,8 @@
     /// Largest sum since memory was returned.
     largest: usize,
     given_up: u64,
+    /// Connections that wait for memory.
+    pub(super) waiting: usize,
     pub(super) entries: Slab<Entry>,
 }
 
@@ -71,6 +77,7 @@
                 for_servers: 0,
                 largest: 0,
                 given_up: 0,
+                waiting: 0,
                 entries: Slab::new(),
             }),
             released: Notify::new(),
@@ -98,12 +105,14 @@
         Reservation::new(self.clone())
     }
 
-    /// Gives up at most `count` connections that stand still at `now`, to accept others.
+    /// Gives up at most `count` connections that stand still at `now`, to accept others; of those
+    /// that their callers may still use again, one at a time and only without any other.
     pub fn make_room(&self, count: usize, now: Instant) {
         let mut state = lock(&self.0.state);
         for _ in 0..count {
-            if !state.give_one_up(usize::MAX, now) {
-                break;
+            match state.give_one_up(usize::MAX, now) {
+                None | Some(Phase::Kept { .. }) => break,
+                Some(_) => {}
             }
         }
     }
@@ -144,13 +153,39 @@
             self.set(key, bytes);
             return Answer::Granted;
         }
+        match self.make_release(key, bytes, now) {
+            true => Answer::Wait,
+            false => Answer::Refused,
+        }
+    }
+
+    /// Adds bytes of the connection `key` that have arrived already; where they don't fit, another
+    /// one is given up, or else this one.
+    pub(super) fn take(&mut self, key: usize, bytes: usize, now: Instant) {
+        let held = self.entries[key].holder.bytes;
+        if bytes <= held {
+            return;
+        }
+        let answer = self.ask(key, bytes, now);
+        self.set(key, bytes);
+        if answer == Answer::Refused {
+            self.give_up(key);
+        }
+    }
+
+    /// Begins to wait for memory; returns whether another one may.
+    pub(super) fn begin_wait(&mut self) -> bool {
+        let may_wait = self.waiting < MAX_WAITING;
+        self.waiting += usize::from(may_wait);
+        may_wait
+    }
+
+    /// Sees to it that another connection than `key` releases bytes; returns whether one does.
+    fn make_release(&mut self, key: usize, bytes: usize, now: Instant) -> bool {
         // What was given up before is released first.
         let is_pending = |entry: &Entry| entry.is_given_up && entry.holder.bytes > 0;
         let mut others = self.entries.iter().filter(|(other, _)| *other != key);
-        if others.any(|(_, entry)| is_pending(entry)) || self.give_one_up(bytes, now) {
-            return Answer::Wait;
-        }
-        Answer::Refused
+        others.any(|(_, entry)| is_pending(entry)) || self.give_one_up(bytes, now).is_some()
     }
 
     /// Sets the bytes of the connection `key`.
@@ -177,17 +212,21 @@
         self.largest = self.largest.max(self.for_callers + self.for_servers);
     }
 
-    /// Gives up one connection for another of `asker_bytes`; returns whether there is one.
-    fn give_one_up(&mut self, asker_bytes: usize, now: Instant) -> bool {
+    /// Gives up one connection for another of `asker_bytes`; returns what it was doing.
+    fn give_one_up(&mut self, asker_bytes: usize, now: Instant) -> Option<Phase> {
         let entries = self.entries.iter().filter(|(_, entry)| !entry.is_given_up);
         let holders = entries.map(|(key, entry)| (key, &entry.holder));
-        let Some(key) = choose(holders, asker_bytes, now) else {
-            return false;
-        };
+        let key = choose(holders, asker_bytes, now)?;
+        self.give_up(key);
+        Some(self.entries[key].holder.phase)
+    }
+
+    fn give_up(&mut self, key: usize) {
         let entry = &mut self.entries[key];
-        entry.is_given_up = true;
-        entry.given_up.notify_waiters();
-        self.given_up += 1;
-        true
+        if !entry.is_given_up {
+            entry.is_given_up = true;
+            entry.given_up.notify_waiters();
+            self.given_up += 1;
+        }
     }
 }
--- a/src/memory/decision.rs
+++ b/src/memory/decision.rs
@@ -13,8 +13,13 @@
 /// What a connection of a caller is doing.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Phase {
-    /// No request is in progress; part of a head may have arrived.
+    /// No request was read yet, or part of the next head has arrived.
     Standing,
+    /// No request is in progress; the caller may use the connection again until the given time.
+    Kept {
+        /// End of the announced time.
+        until: Instant,
+    },
     /// The body of a request is being read.
     Reading,
     /// A request was read, and its response is not complete.
@@ -32,12 +37,21 @@
     pub since: Instant,
 }
 
+/// In which order connections are given up, the last variant first.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+enum Order {
+    Kept,
+    Larger,
+    Stalled,
+}
+
 /// Returns the key of the connection that is given up at `now` so that another one, which holds
 /// `asker_bytes`, gets more memory.
 ///
 /// Of those that have made no progress for a second it is the largest, of these the one that has
-/// stood still for longest. Without any it is the largest incomplete body, if the asker is smaller.
-/// A request that was read is never given up.
+/// stood still for longest. Without any it is the largest incomplete body, if the asker is smaller,
+/// and only then the longest idle connection that its caller may still use again. A request that was
+/// read is never given up.
 pub fn choose<'a, K: Copy>(
     holders: impl Iterator<Item = (K, &'a Holder)>,
     asker_bytes: usize,
@@ -45,12 +59,14 @@
 ) -> Option<K> {
     let rank = |holder: &Holder| {
         let is_stalled = now.since(holder.since) >= STALL_TIME;
-        let may_go = match holder.phase {
-            Phase::Running => false,
-            Phase::Standing => is_stalled,
-            Phase::Reading => is_stalled || holder.bytes > asker_bytes,
+        let order = match holder.phase {
+            Phase::Standing | Phase::Reading if is_stalled => Order::Stalled,
+            Phase::Kept { until } if until <= now => Order::Stalled,
+            Phase::Reading if holder.bytes > asker_bytes => Order::Larger,
+            Phase::Kept { .. } if is_stalled => Order::Kept,
+            _ => return None,
         };
-        may_go.then(|| (is_stalled, holder.bytes, now.since(holder.since)))
+        Some((order, holder.bytes, now.since(holder.since)))
     };
     let ranked = holders.filter_map(|(key, holder)| Some((rank(holder)?, key)));
     let first = ranked.max_by_key(|(rank, _)| *rank);
--- a/src/memory/holding.rs
+++ b/src/memory/holding.rs
@@ -1,24 +1,35 @@
 //! The bytes held for one connection of a caller.
 
-use std::{sync::Arc, time::Duration};
+use std::{
+    sync::{Arc, Mutex},
+    time::Duration,
+};
 
 use tokio::sync::Notify;
 
 use super::{
-    account::{Account, Answer},
+    account::{Account, Answer, State},
     Phase,
 };
 use crate::{sync::lock, Category, Clock, Error, Instant, Result};
 
-/// Bytes of a connection without a request: its task, its socket and its read buffer.
-const CONNECTION_BYTES: usize = 24 * 1024;
+/// Bytes of a connection without a request: its task, and the parts of its buffers that are used.
+const CONNECTION_BYTES: usize = 18 * 1024;
+
+/// Bytes of a request besides its body: its task, and the connection to the server.
+const REQUEST_BYTES: usize = 24 * 1024;
 
-/// Bytes of a request besides its body: the grown read buffer, and the connection to the server.
-const REQUEST_BYTES: usize = 40 * 1024;
+/// Largest part of a read buffer beyond what an idle connection holds, in bytes; it grows with what
+/// arrives.
+const READ_BUFFER_BYTES: usize = 8 * 1024;
 
 /// Longest time to wait for the memory of connections that were given up.
 const RELEASE_TIMEOUT: Duration = Duration::from_secs(1);
 
+/// Longest time for which a connection waits until it is served, and time between two attempts.
+const OPEN_TIMEOUT: Duration = Duration::from_secs(1);
+const OPEN_INTERVAL: Duration = Duration::from_millis(100);
+
 /// The bytes held for one connection of a caller, released with the last handle.
 #[derive(Debug, Clone)]
 pub struct Holding(Arc<Inner>);
@@ -39,13 +50,21 @@
         }))
     }
 
-    /// Holds the bytes of an open connection.
+    /// Holds the bytes of an open connection, of which nothing is read before; waits for them.
     ///
     /// # Errors
     ///
     /// Returns [`Category::Overloaded`] when there is no memory for them.
     pub async fn open(&self, clock: Clock) -> Result<()> {
-        self.ask(CONNECTION_BYTES, clock).await
+        let started = clock.now();
+        loop {
+            let held = self.ask(CONNECTION_BYTES, clock).await;
+            if held.is_ok() || clock.now().since(started) >= OPEN_TIMEOUT {
+                return held;
+            }
+            // Those that have just arrived stand still soon.
+            tokio::time::sleep(OPEN_INTERVAL).await;
+        }
     }
 
     /// Holds the bytes of a request of which a body of `capacity` bytes is being read.
@@ -55,7 +74,8 @@
     /// Returns [`Category::Overloaded`] when there is no memory for them; the request has not run.
     pub async fn read(&self, capacity: usize, clock: Clock) -> Result<()> {
         self.set_phase(Phase::Reading, clock.now());
-        let bytes = CONNECTION_BYTES + REQUEST_BYTES + capacity;
+        let buffers = capacity + capacity.min(READ_BUFFER_BYTES);
+        let bytes = CONNECTION_BYTES + REQUEST_BYTES + buffers;
         self.ask(bytes, clock).await
     }
 
@@ -63,11 +83,28 @@
     pub fn run(&self, now: Instant) {
         self.set_phase(Phase::Running, now);
         lock(&self.0.account.0.state).entries[self.0.key].is_given_up = false;
+        // Others that wait for these bytes ask again.
+        self.0.account.0.released.notify_waiters();
     }
 
-    /// Releases the bytes of a request that has ended.
-    pub fn stand(&self, now: Instant) {
+    /// Holds the bytes of a head of which `len` bytes have arrived at `now`.
+    ///
+    /// Where memory is short, the largest connection that stands still goes, or this one without any.
+    pub fn receive(&self, len: usize, now: Instant) {
         self.set_phase(Phase::Standing, now);
+        // The buffer grows by doubling while it has less room than a read takes.
+        let buffer = (len + READ_BUFFER_BYTES).next_power_of_two();
+        let bytes = match len < READ_BUFFER_BYTES {
+            true => CONNECTION_BYTES,
+            false => CONNECTION_BYTES + buffer - READ_BUFFER_BYTES,
+        };
+        lock(&self.0.account.0.state).take(self.0.key, bytes, now);
+    }
+
+    /// Releases the bytes of a request that has ended; its caller may use the connection again
+    /// until `until`.
+    pub fn keep(&self, until: Instant, now: Instant) {
+        self.set_phase(Phase::Kept { until }, now);
         let mut state = lock(&self.0.account.0.state);
         let held = state.entries[self.0.key].holder.bytes;
         state.set(self.0.key, held.min(CONNECTION_BYTES));
@@ -108,12 +145,27 @@
                 Answer::Refused => return Err(no_memory_error()),
                 Answer::Wait => {}
             }
+            let may_wait = lock(&shared.state).begin_wait();
+            if !may_wait {
+                return Err(no_memory_error());
+            }
+            // Ends the wait also if the request is dropped.
+            let _waiting = Waiting(&shared.state);
             let in_time = tokio::time::timeout(RELEASE_TIMEOUT, released).await;
             in_time.map_err(|_| no_memory_error())?;
         }
     }
 }
 
+/// A connection that waits for memory, which ends when dropped.
+struct Waiting<'a>(&'a Mutex<State>);
+
+impl Drop for Waiting<'_> {
+    fn drop(&mut self) {
+        lock(self.0).waiting -= 1;
+    }
+}
+
 impl Drop for Inner {
     fn drop(&mut self) {
         let mut state = lock(&self.account.0.state);
