--- a/tests/feed/warm_ups.rs
+++ b/tests/feed/warm_ups.rs
@@ -208,5 +208,6 @@
     let after = state(&feed, &[&a], 9_500);
     expect![[r#"
         1500: [], notified 3
-        9500: ["a until 12000"], notified 5"#]].assert_eq(&format!("{during}\n{after}"));
+        9500: ["a until 12000"], notified 5"#]]
+    .assert_eq(&format!("{during}\n{after}"));
 }
