--- a/stand-in/src/replica.rs
+++ b/stand-in/src/replica.rs
@@ -55,11 +55,16 @@
     /// Requests that run at once; further ones are refused.
     #[arg(long, default_value_t = 6)]
     slots: usize,
+    /// Time after its start for which the server registers as cold, in milliseconds.
+    #[arg(long, default_value_t = 0)]
+    cold_ms: u64,
+    /// Time that work takes in percent of the usual one, as answers report it with the load.
+    #[arg(long)]
+    slowness: Option<u32>,
 }
 
 struct Replica {
-    name: String,
-    slots: usize,
+    args: Args,
     state: Mutex<State>,
 }
 
@@ -90,16 +95,13 @@
 }
 
 pub async fn run(args: Args) {
-    let replica = Arc::new(Replica {
-        name: args.name.clone(),
-        slots: args.slots,
-        state: Mutex::new(State {
-            started_ms: unix_millis(),
-            ..State::default()
-        }),
-    });
     let listen = args.listen;
-    tokio::spawn(register(replica.clone(), args));
+    let state = Mutex::new(State {
+        started_ms: unix_millis(),
+        ..State::default()
+    });
+    let replica = Arc::new(Replica { args, state });
+    tokio::spawn(register(replica.clone()));
     web::serve(listen, replica, handle).await;
 }
 
@@ -109,8 +111,8 @@
     since.expect("a time after 1970").as_millis() as u64
 }
 
-async fn register(replica: Arc<Replica>, args: Args) {
-    let http = web::client();
+async fn register(replica: Arc<Replica>) {
+    let (http, args) = (web::client(), &replica.args);
     let address = args.advertise.unwrap_or(args.listen);
     let url = format!("http://{}/record/keyed.servers/{}", args.store, args.name);
     for sequence in 0_u64.. {
@@ -119,9 +121,10 @@
             (state.leaving, state.started_ms)
         };
         let state = if leaving { "draining" } else { "ready" };
+        let cold_ms = (started_ms + args.cold_ms).saturating_sub(unix_millis());
         let entry = json!({
             "service": args.pool, "address": address, "zone": args.domain, "version": "v1",
-            "slots": args.slots, "state": state, "cold_remaining_ms": 0,
+            "slots": args.slots, "state": state, "cold_remaining_ms": cold_ms,
             "sequence": sequence, "born": started_ms,
         });
         drop(web::call(&http, "PUT", &url, &[], entry.to_string()).await);
@@ -144,7 +147,7 @@
         _ => {}
     }
     let expected = req.header("x-expect-instance");
-    if !expected.is_empty() && expected != replica.name {
+    if !expected.is_empty() && expected != replica.args.name {
         return replica.respond(
             &req,
             StatusCode::MISDIRECTED_REQUEST,
@@ -161,12 +164,8 @@
         "refuse" => {
             run.is_complete = true;
             replica.state.lock().unwrap().runs.pop();
-            return replica.respond(
-                &req,
-                StatusCode::SERVICE_UNAVAILABLE,
-                true,
-                full_body("full"),
-            );
+            let status = StatusCode::SERVICE_UNAVAILABLE;
+            return replica.respond(&req, status, true, full_body("full"));
         }
         "hang" => std::future::pending::<()>().await,
         "error" => {
@@ -221,7 +220,7 @@
     if !req.uri.path().contains("stream") {
         run.is_complete = true;
         let filler = ".".repeat(req.number("size", 0) as usize);
-        let body = format!("{} answers {}{filler}", replica.name, req.uri);
+        let body = format!("{} answers {}{filler}", replica.args.name, req.uri);
         return replica.respond(&req, StatusCode::OK, false, full_body(body));
     }
     let first = req
@@ -247,12 +246,13 @@
     /// Records a request and takes a slot for it, or returns `None` when all are taken.
     fn begin(self: Arc<Self>, req: &Req) -> Option<Run> {
         let mut state = self.state.lock().unwrap();
-        if state.running >= self.slots {
+        if state.running >= self.args.slots {
             return None;
         }
         state.running += 1;
         // Survives a kill of this process.
-        println!("ran id={}", req.header("x-attempt-id"));
+        let (id, at_ms) = (req.header("x-attempt-id"), unix_millis());
+        println!("ran at_ms={at_ms} id={id}");
         let headers: BTreeMap<_, _> = req
             .headers
             .iter()
@@ -278,7 +278,7 @@
         let asked = text
             .split(',')
             .filter_map(|fault| fault.trim().split_once('='));
-        let mut here = asked.filter(|(server, _)| *server == "*" || *server == self.name);
+        let mut here = asked.filter(|(server, _)| *server == "*" || *server == self.args.name);
         here.next()
             .map_or(String::new(), |(_, fault)| fault.to_string())
     }
@@ -288,12 +288,17 @@
         let mut answer = Response::builder()
             .status(status)
             .header("x-attempt-id", req.header("x-attempt-id"))
-            .header("x-replica-id", &self.name)
+            .header("x-replica-id", &self.args.name)
             .header("keep-alive", "timeout=5");
+        if let Some(slowness) = self.args.slowness {
+            let running = self.state.lock().unwrap().running;
+            let load = format!("{running},0,{},{slowness}", self.args.slots);
+            answer = answer.header("x-replica-load", load);
+        }
         if not_run {
             answer = answer.header("x-not-executed", "1");
         } else if status != StatusCode::MISDIRECTED_REQUEST {
-            answer = answer.header("x-response-signature", format!("signed.{}", self.name));
+            answer = answer.header("x-response-signature", format!("signed.{}", self.args.name));
         }
         answer.body(body).expect("a valid answer")
     }
