Keep loads even while servers are evacuated or cold

Cause: the mean load of a pool counts its evacuated and cold servers, which are idle, so that twice the mean is close to the loads of the others. Change: as long as some servers are evacuated or left out as cold, engines take sessions up to one request over the mean load of the open ones.

From a review of the warm-up: servers that are cold take no sessions by preference where nothing bounds warm-up; the line on reported cold servers counts the news; a full table of used slots forgets only lapsed ones; expired entries take no place of cold servers.

--- a/src/admission/warm_up.rs
+++ b/src/admission/warm_up.rs
@@ -85,7 +85,7 @@
         let size = place.size.max(1);
         let period_s = size as f64 / bounds.slots_per_s(limit);
         // A router has its slots at different servers at different times.
-        let number = (place.index + server.0 as usize) % size;
+        let number = (place.index as u64 + u64::from(server.0)) % size as u64;
         let part = number as f64 / size as f64;
         let period = Duration::try_from_secs_f64(period_s).ok();
         let period = period.map(|period| period.max(MIN_PERIOD));
@@ -135,8 +135,12 @@
         let Some(start) = next.filter(|start| *start <= now) else {
             return false;
         };
-        if used.len() >= MAX_USED {
-            used.clear();
+        if used.len() >= MAX_USED && !used.contains_key(&server) {
+            // A lapsed slot cannot be used again.
+            used.retain(|_, used| now.since(*used) < SLOT_TTL);
+            if used.len() >= MAX_USED {
+                return false;
+            }
         }
         used.insert(server, start);
         true
--- a/src/catalog/warm_ups.rs
+++ b/src/catalog/warm_ups.rs
@@ -83,16 +83,23 @@
         }
         let warm_at = now + remaining;
         let mut servers = lock(&self.servers);
-        let known = servers.get(&server).filter(|cold| cold.warm_at > now);
+        let known = servers.get(&server).copied();
+        let known = known.filter(|cold| cold.warm_at > now);
         let known_at = known.map_or(now, |cold| cold.warm_at);
         let difference = warm_at.since(known_at).max(known_at.since(warm_at));
         let is_new = known.is_none() && !remaining.is_zero();
         let may_be_old =
             known.is_some_and(|cold| now < cold.certain_until && warm_at < cold.warm_at);
         let is_no_news = !is_new && difference <= TOLERANCE;
-        if may_be_old || is_no_news || is_new && servers.len() >= MAX_COLD {
+        if may_be_old || is_no_news {
             return false;
         }
+        if is_new && servers.len() >= MAX_COLD {
+            servers.retain(|_, cold| cold.warm_at > now);
+            if servers.len() >= MAX_COLD {
+                return false;
+            }
+        }
         let cold = Cold {
             warm_at,
             learned: known.map_or(now, |cold| cold.learned),
@@ -112,17 +119,17 @@
         self.cold(now).into_iter().map(report).collect()
     }
 
-    /// Records the reports of another router; returns whether there is news among them.
-    pub fn receive(&self, reports: &[WarmUpReport], now: Instant) -> bool {
-        let mut has_news = false;
+    /// Records the reports of another router; returns the number of those that are news.
+    pub fn receive(&self, reports: &[WarmUpReport], now: Instant) -> usize {
+        let mut news = 0;
         for report in reports.iter().take(MAX_COLD) {
             let cold_time = ColdTime {
                 server: report.server,
                 remaining: Duration::from_millis(report.remaining_ms.into()),
             };
-            has_news |= self.record(cold_time, now);
+            news += usize::from(self.record(cold_time, now));
         }
-        has_news
+        news
     }
 
     /// Returns the servers that are cold at `now`.
--- a/src/feed/evacuations.rs
+++ b/src/feed/evacuations.rs
@@ -20,7 +20,7 @@
         self.pass_evacuations_on(&news, "router", now);
     }
 
-    /// Ends evacuations that a restored store no longer lists, after a router has heard of the store.
+    /// Ends evacuations that a restored store has not listed again in time.
     pub(super) fn settle_evacuations(&self, now: Instant) {
         let news = self.evacuations.settle(now);
         self.pass_evacuations_on(&news, "delay", now);
@@ -53,7 +53,7 @@
                 );
             }
         }
-        // Their servers have run nothing meanwhile, whatever their last registrations state.
+        // Their servers may have lost what made them fast, whatever their last registrations state.
         for domain in &news.ended {
             self.record_returned(domain, now);
         }
--- a/src/feed/warm_ups.rs
+++ b/src/feed/warm_ups.rs
@@ -44,10 +44,12 @@
     /// Records that the servers of `domain` get requests again after a time without any, so that they
     /// are as cold as servers that have just started.
     pub fn record_returned(&self, domain: &DomainName, now: Instant) {
-        let server_list = lock(&self.server_list);
-        let servers = server_list.registry.servers();
-        let count = self.presume_cold(servers.filter(|server| server.domain == *domain), now);
-        drop(server_list);
+        let in_domain: Vec<Server> = {
+            let server_list = lock(&self.server_list);
+            let servers = server_list.registry.servers();
+            servers.filter(|s| s.domain == *domain).cloned().collect()
+        };
+        let count = self.presume_cold(in_domain.iter(), now);
         log_cold(count, "return");
         if count > 0 {
             self.notify_change();
@@ -56,8 +58,9 @@
 
     /// Records the reports of the router that feeds this one.
     pub(super) fn receive_warm_ups(&self, reports: &[WarmUpReport], now: Instant) {
-        if self.warm_ups.receive(reports, now) {
-            log_cold(reports.len(), "feed");
+        let count = self.warm_ups.receive(reports, now);
+        log_cold(count, "feed");
+        if count > 0 {
             self.notify_change();
         }
     }
--- a/src/forward/selection.rs
+++ b/src/forward/selection.rs
@@ -8,7 +8,7 @@
 use super::{Forwarder, HealthTracker, Routed, Wire};
 use crate::{
     catalog::{Server, ServerKey},
-    placement::{self, Candidate, SessionKey},
+    placement::{self, Candidate, LoadBound, SessionKey},
     Instant,
 };
 
@@ -40,9 +40,14 @@
     /// they have free slots. Cold servers of which this router has no slot are left out.
     pub(super) fn choose<W: Wire>(self, cx: &Forwarder<W>, now: Instant) -> Option<Arc<Server>> {
         let routed = self.routed;
-        let servers = self.eligible_servers(cx);
+        let mut servers = self.open_servers(cx);
+        let share = self.open_share(cx, servers.len());
+        servers.retain(|server| !self.tried.contains(&server.key()));
         let loads = loads(cx, &servers, now);
         let cold = cx.cold_waits(&servers, now);
+        if !cold.is_empty() {
+            cx.metrics.cold_left_out.inc();
+        }
         let servers = servers.into_iter();
         let servers = servers.filter(|server| !cold.contains_key(&server.key()));
         let at_limit = cx.limit_waits(now);
@@ -59,8 +64,12 @@
         {
             Some(prompt) => {
                 let bound = cx.policy().load_bound;
-                let bound = bound.with_open_share(self.open_share(cx));
-                let limit = bound.limit(loads.values().copied());
+                let bound = bound.with_open_share(share);
+                let mut limit = bound.limit(loads.values().copied());
+                if share < 1.0 || !cold.is_empty() {
+                    let open_loads = open.iter().map(|server| loads[&server.key()]);
+                    limit = limit.min(LoadBound::EVEN.limit(open_loads));
+                }
                 let mut warm = cx
                     .session_affinity
                     .engines(SessionKey::new(prompt.session), now);
@@ -91,24 +100,17 @@
         waits?.into_iter().min()
     }
 
-    /// Returns the servers that may take the request, whether or not they have room.
-    fn eligible_servers<W: Wire>(self, cx: &Forwarder<W>) -> Vec<Arc<Server>> {
-        let mut servers = self.open_servers(cx);
-        servers.retain(|server| !self.tried.contains(&server.key()));
-        servers
-    }
-
     /// Returns the share of the pool's servers that are not in evacuated failure domains.
     ///
     /// The others count in the mean load of the pool, to which the loads of these are bound.
-    fn open_share<W: Wire>(self, cx: &Forwarder<W>) -> f64 {
+    fn open_share<W: Wire>(self, cx: &Forwarder<W>, open: usize) -> f64 {
         // The common case, on the path of each request.
         if cx.feed.evacuations.in_force().is_empty() {
             return 1.0;
         }
         let servers = cx.feed.catalog.pool(&self.routed.pool);
         let running = servers.iter().filter(|server| !server.leaving).count();
-        self.open_servers(cx).len() as f64 / running.max(1) as f64
+        open as f64 / running.max(1) as f64
     }
 
     /// Returns whether the pool has servers, and all are in evacuated failure domains.
--- a/src/forward/warm_up.rs
+++ b/src/forward/warm_up.rs
@@ -31,21 +31,20 @@
                 waits.extend(wait.map(|wait| (key, wait)));
             }
         }
-        if !waits.is_empty() {
-            self.metrics.cold_left_out.inc();
-        }
         waits
     }
 
-    /// Returns the cold ones among `servers`, of which this router has slots, from a random one on.
+    /// Returns the cold servers among `servers`, which have an open slot of this router, in order from
+    /// a random one on.
     pub(super) fn cold_with_slots(&self, servers: &[Arc<Server>], now: Instant) -> Vec<ServerKey> {
         // The common case, on the path of each request.
         if self.feed.warm_ups.is_empty() {
             return Vec::new();
         }
         let cold = self.feed.warm_ups.cold(now);
-        let keys = servers.iter().map(|server| server.key());
-        let mut keys: Vec<_> = keys.filter(|key| cold.contains_key(key)).collect();
+        let is_cold = |s: &&Arc<Server>| cold.contains_key(&s.key()) && self.is_warm_up_bound(s);
+        let cold_servers = servers.iter().filter(is_cold);
+        let mut keys: Vec<_> = cold_servers.map(|server| server.key()).collect();
         if !keys.is_empty() {
             let first = self.random() % keys.len() as u64;
             keys.rotate_left(first as usize);
--- a/src/placement/prompt.rs
+++ b/src/placement/prompt.rs
@@ -78,6 +78,15 @@
 }
 
 impl LoadBound {
+    /// Bound for engines that do the work of others, which are evacuated or cold and idle.
+    ///
+    /// The mean of the pool counts those as well, so that loads have to be even to stay below a
+    /// multiple of it.
+    pub const EVEN: LoadBound = LoadBound {
+        factor: 1.0,
+        extra: 1.0,
+    };
+
     /// Returns the bound for the loads of the given share of the engines, if the others count in the
     /// mean load but get no requests.
     #[must_use]
