Repeat failed reads of the store at a rate of the fleet

While the store or one of its topics fails for all routers, each repeated its reads every 0.4 to 1 s. The first three routers by rank go on so; the others together make 12 reads a second for each topic, with a jitter.

--- a/src/feed/follow.rs
+++ b/src/feed/follow.rs
@@ -1,6 +1,9 @@
 //! The tasks that read servers and routes from the store.
 
-use std::{sync::Arc, time::Duration};
+use std::{ops::Range, sync::Arc, time::Duration};
+
+use rand::{RngExt, SeedableRng};
+use rand_pcg::Pcg64Mcg;
 
 use super::{role::ROLE_CHECK_PERIOD, Feed, Role, Store, StorePoll};
 use crate::{presence::Presence, Clock, Instant};
@@ -8,6 +11,9 @@
 /// Time between two checks of the role while this router has no data and callers wait.
 const STARTING_ROLE_CHECK_PERIOD: Duration = Duration::from_millis(50);
 
+/// Factors by which the times to the next read of a store that fails vary.
+const RETRY_JITTER: Range<f64> = 0.75..1.25;
+
 /// Reads the list of servers while this router is the follower, has no current feed, or cannot
 /// reach the store.
 pub async fn follow_servers<S: Store>(
@@ -16,6 +22,7 @@
     presence: Arc<Presence>,
     clock: Clock,
 ) {
+    let mut rng = Pcg64Mcg::seed_from_u64(feed.retry_seed());
     let mut logged = None;
     loop {
         let reason = read_reason(&feed, &presence, clock.now());
@@ -42,7 +49,11 @@
                 }
                 feed.store_retry_period(now)
             }
-            Err(_) => feed.store_retry_period(now),
+            Err(_) => {
+                let jitter = rng.random_range(RETRY_JITTER);
+                wait_for_retry(&feed, &presence, clock, started, jitter).await;
+                continue;
+            }
         };
         tokio::time::sleep(pause.saturating_sub(now.since(started))).await;
     }
@@ -56,6 +67,7 @@
     presence: Arc<Presence>,
     clock: Clock,
 ) {
+    let mut rng = Pcg64Mcg::seed_from_u64(!feed.retry_seed());
     let mut cursor = None;
     loop {
         // While the store is unreachable, only `follow_servers` tests whether it answers again.
@@ -91,13 +103,37 @@
             }
             Err(_) => {
                 cursor = None;
-                let pause = feed.store_retry_period(now);
-                tokio::time::sleep(pause.saturating_sub(now.since(started))).await;
+                let jitter = rng.random_range(RETRY_JITTER);
+                wait_for_retry(&feed, &presence, clock, started, jitter).await;
             }
         }
     }
 }
 
+/// Waits until a read that started at `started` and failed is to be repeated.
+///
+/// The time shrinks when other routers recover, or this router becomes the follower.
+async fn wait_for_retry(
+    feed: &Feed,
+    presence: &Presence,
+    clock: Clock,
+    started: Instant,
+    jitter: f64,
+) {
+    loop {
+        let now = clock.now();
+        let period = match read_reason(feed, presence, now) {
+            Some(ReadReason::Follower) | None => feed.store_retry_period(now),
+            Some(_) => feed.fleet_retry_period(presence, jitter, now),
+        };
+        let left = period.saturating_sub(now.since(started));
+        if left.is_zero() {
+            return;
+        }
+        tokio::time::sleep(left.min(ROLE_CHECK_PERIOD)).await;
+    }
+}
+
 /// Why a router reads the store.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 enum ReadReason {
--- a/src/feed/mod.rs
+++ b/src/feed/mod.rs
@@ -13,6 +13,7 @@
 mod peer_clock;
 mod poll;
 mod position;
+mod retry;
 mod role;
 mod serve;
 mod server_list;
@@ -29,6 +30,7 @@
     peer_clock::PeerClock,
     poll::StorePoll,
     position::{ListVersion, Position, StoreEra},
+    retry::retry_period,
     role::{FeedNode, FeedRank, Role, FOLLOWER_COUNT},
     serve::serve_subscribers,
     snapshot::run_snapshots,
--- a/src/feed/role.rs
+++ b/src/feed/role.rs
@@ -67,6 +67,11 @@
         }
     }
 
+    /// Returns a seed that differs from router to router.
+    pub(super) fn seed(self) -> u64 {
+        self.score
+    }
+
     /// Returns the maximum number of routers that a router of this rank feeds at once.
     ///
     /// While routers start or disagree on the order, more than [`FAN_OUT`] of them may choose the
--- a/src/feed/state.rs
+++ b/src/feed/state.rs
@@ -11,7 +11,7 @@
 
 use tokio::sync::watch;
 
-use super::{frame, server_list::ServerList, upstreams, FeedNode, FeedRank, Role};
+use super::{frame, retry_period, server_list::ServerList, upstreams, FeedNode, FeedRank, Role};
 use crate::{
     catalog::{Catalog, WarmUps},
     evacuation::Evacuations,
@@ -148,7 +148,23 @@
         failing_since.is_none_or(|since| now.since(since) < STORE_FAILURE_TIMEOUT)
     }
 
-    /// Returns the time from the start of a failed read of the store to the next one.
+    /// Returns the time from the start of a failed read of the store to the next one, given the
+    /// other routers that are out of date; see [`retry_period`] for `jitter`.
+    pub fn fleet_retry_period(&self, presence: &Presence, jitter: f64, now: Instant) -> Duration {
+        let base = self.store_retry_period(now);
+        if !self.is_known() {
+            return base;
+        }
+        retry_period(
+            base,
+            self.rank,
+            &presence.map_live(now, FeedNode::new),
+            jitter,
+        )
+    }
+
+    /// Returns the time from the start of a failed read of the store to the next one, for a router
+    /// alone.
     pub fn store_retry_period(&self, now: Instant) -> Duration {
         if !self.is_known() || self.is_store_reachable(now) {
             FIRST_RETRY_PERIOD
@@ -159,6 +175,11 @@
         }
     }
 
+    /// Returns the seed by which this router's repeated reads spread from those of the others.
+    pub(super) fn retry_seed(&self) -> u64 {
+        self.rank.seed()
+    }
+
     /// Hands the store over to another router, as this one is shutting down.
     pub fn begin_leaving(&self) {
         self.leaving.store(true, Ordering::Relaxed);
