Read the servers once a second where no other router depends on it

It now waits a second from read to read unless it is the follower; a leaving server is known within a second and the time of a call.

--- a/src/feed/follow.rs
+++ b/src/feed/follow.rs
@@ -5,7 +5,7 @@
 use rand::{RngExt, SeedableRng};
 use rand_pcg::Pcg64Mcg;
 
-use super::{role::ROLE_CHECK_PERIOD, Feed, Role, Store, StorePoll};
+use super::{retry::own_read_period, role::ROLE_CHECK_PERIOD, Feed, Role, Store, StorePoll};
 use crate::{presence::Presence, Clock, Instant};
 
 /// Time between two checks of the role while this router has no data and callers wait.
@@ -45,6 +45,7 @@
                 let has_change = from != Some(read.next);
                 if feed.apply_server_list(read, now) {
                     feed.record_servers_current(poll.current_at(has_change, now));
+                    wait_for_own_read(&feed, &presence, clock, started).await;
                     continue;
                 }
                 feed.store_retry_period(now)
@@ -110,6 +111,21 @@
     }
 }
 
+/// Waits until the read after the one that started at `started` is due, at once for the follower.
+///
+/// Heartbeats of the servers are changes that end each read early.
+async fn wait_for_own_read(feed: &Feed, presence: &Presence, clock: Clock, started: Instant) {
+    loop {
+        let now = clock.now();
+        let is_follower = feed.role(presence, now) == Role::Follower;
+        let left = own_read_period(is_follower).saturating_sub(now.since(started));
+        if left.is_zero() {
+            return;
+        }
+        tokio::time::sleep(left.min(ROLE_CHECK_PERIOD)).await;
+    }
+}
+
 /// Waits until a read that started at `started` and failed is to be repeated.
 ///
 /// The time shrinks when other routers recover, or this router becomes the follower.
--- a/src/feed/retry.rs
+++ b/src/feed/retry.rs
@@ -17,6 +17,22 @@
 /// Maximum time between two reads of a router, before its jitter.
 const MAX_FLEET_RETRY_PERIOD: Duration = Duration::from_secs(8);
 
+/// Time between two reads of the servers by a router that reads for itself only.
+///
+/// Less than [`MAX_STALENESS`](super::MAX_STALENESS), so that what it reads stays current.
+const OWN_READ_PERIOD: Duration = Duration::from_secs(1);
+
+/// Returns the time from the start of a read of the servers that succeeded to the next one.
+///
+/// The follower reads for all routers and waits for nothing.
+pub fn own_read_period(is_follower: bool) -> Duration {
+    if is_follower {
+        Duration::ZERO
+    } else {
+        OWN_READ_PERIOD
+    }
+}
+
 /// Returns the time from the start of a failed read of the router with rank `me` to the next one.
 ///
 /// `base` is the time for a router alone, and `jitter` a factor around 1 by which the reads of
--- a/tests/feed/retry.rs
+++ b/tests/feed/retry.rs
@@ -22,7 +22,7 @@
 use rand_pcg::Pcg64Mcg;
 use tokio::time::sleep;
 
-use crate::{digest, name, position, server, state, LINK_MBPS};
+use crate::{digest, leaving, name, position, read, server, state, LINK_MBPS};
 
 const ROUTERS: usize = 122;
 
@@ -174,3 +174,65 @@
     );
     assert!(calls[1] >= 3, "not held up afterwards: {calls:?}");
 }
+
+/// A store of which each read of the servers ends at once with a change, and which counts them.
+#[derive(Default)]
+struct BusyStore(AtomicUsize);
+
+impl Store for BusyStore {
+    async fn read_servers(&self, _: Option<Position>, _: Duration) -> Result<ServersRead> {
+        sleep(Duration::from_millis(50)).await;
+        let next = 1 + self.0.fetch_add(1, Ordering::Relaxed) as u64;
+        Ok(read(&[server(next >= LEAVING_FROM)], next))
+    }
+
+    async fn read_routes(&self, _: Option<Position>, _: Duration) -> Result<RoutesRead> {
+        Err(Error::not_run(Category::LogUnavailable, "down"))
+    }
+
+    async fn save_snapshot(&self, _: &FleetSnapshot) -> Result<()> {
+        Ok(())
+    }
+
+    async fn load_snapshot(&self) -> Result<FleetSnapshot> {
+        Ok(FleetSnapshot::default())
+    }
+}
+
+/// Number of the read from which the server says that it leaves.
+const LEAVING_FROM: u64 = 2;
+
+/// Returns the number of reads of the servers in 4 s, and when the leaving server was known, of
+/// a router without routes that `others`, which are out of date too, come before.
+async fn reads_without_routes(others: usize) -> (usize, Duration) {
+    let clock = Clock::new();
+    let feed = Arc::new(Feed::new(&name(0), 0));
+    let presence = Arc::new(Presence::new(name(0), ([127, 0, 0, 1], 1).into()));
+    let store = Arc::new(BusyStore::default());
+    let following = follow_servers(store.clone(), feed.clone(), presence.clone(), clock);
+    let following = tokio::spawn(following);
+    let started = clock.now();
+    let mut learned = Duration::MAX;
+    while clock.now().since(started) < Duration::from_secs(4) {
+        for number in 1..=others {
+            let mut router = state(number, StoreStatus::Reachable);
+            router.is_current = false;
+            presence.receive(&digest(router, clock.now().as_micros()), clock.now());
+        }
+        sleep(Duration::from_millis(20)).await;
+        if feed.catalog.is_known() && leaving(&feed) {
+            learned = learned.min(clock.now().since(started));
+        }
+    }
+    following.abort();
+    (store.0.load(Ordering::Relaxed), learned)
+}
+
+#[tokio::test]
+async fn a_router_that_reads_the_servers_for_itself_only_does_so_once_a_second() {
+    let (reads, learned) = reads_without_routes(5).await;
+    assert!((3..=5).contains(&reads), "{reads} reads");
+    assert!(learned <= Duration::from_secs(2), "learned {learned:?}");
+    let (reads, _) = reads_without_routes(0).await;
+    assert!(reads > 20, "{reads} reads of the follower");
+}
