--- a/src/catalog/warm_ups.rs
+++ b/src/catalog/warm_ups.rs
@@ -11,7 +11,7 @@
 use super::ServerKey;
 use crate::{sync::lock, Instant};
 
-/// Difference between two statements of when a server is warm that is no news.
+/// Largest difference between two statements of when a server is warm that is no change.
 const TOLERANCE: Duration = Duration::from_millis(500);
 
 /// Longest time for which a server is believed to stay cold; a longer one is no time.
@@ -60,7 +60,7 @@
 }
 
 impl WarmUps {
-    /// Records the time until a server is warm; returns whether that is news.
+    /// Records the time until a server is warm; returns whether that is a change.
     ///
     /// The time of a server that is known to be cold changes only if the two differ by more than half
     /// a second, as each statement is late by another time. A time of over ten minutes is ignored.
@@ -69,7 +69,7 @@
     }
 
     /// Records that a server is cold, as it follows from what has just happened to it; returns whether
-    /// that is news.
+    /// that is a change.
     ///
     /// Registrations that state less are ignored for a heartbeat, as they may be older.
     pub fn presume(&self, cold_time: ColdTime, now: Instant) -> bool {
@@ -90,8 +90,8 @@
         let is_new = known.is_none() && !remaining.is_zero();
         let may_be_old =
             known.is_some_and(|cold| now < cold.certain_until && warm_at < cold.warm_at);
-        let is_no_news = !is_new && difference <= TOLERANCE;
-        if may_be_old || is_no_news {
+        let is_unchanged = !is_new && difference <= TOLERANCE;
+        if may_be_old || is_unchanged {
             return false;
         }
         if is_new && servers.len() >= MAX_COLD {
@@ -119,17 +119,17 @@
         self.cold(now).into_iter().map(report).collect()
     }
 
-    /// Records the reports of another router; returns the number of those that are news.
+    /// Records the reports of another router; returns the number of changes.
     pub fn receive(&self, reports: &[WarmUpReport], now: Instant) -> usize {
-        let mut news = 0;
+        let mut changes = 0;
         for report in reports.iter().take(MAX_COLD) {
             let cold_time = ColdTime {
                 server: report.server,
                 remaining: Duration::from_millis(report.remaining_ms.into()),
             };
-            news += usize::from(self.record(cold_time, now));
+            changes += usize::from(self.record(cold_time, now));
         }
-        news
+        changes
     }
 
     /// Returns the servers that are cold at `now`.
--- a/src/evacuation/change.rs
+++ b/src/evacuation/change.rs
@@ -24,7 +24,7 @@
 
 /// Difference that a read or a report makes to what is known.
 #[derive(Debug, Clone, Default, PartialEq, Eq)]
-pub struct EvacuationNews {
+pub struct EvacuationDelta {
     /// Domains that are evacuated from now on.
     pub begun: Vec<DomainName>,
     /// Domains that are no longer evacuated.
@@ -35,7 +35,7 @@
     pub confirmed: Vec<DomainName>,
 }
 
-impl EvacuationNews {
+impl EvacuationDelta {
     /// Returns whether nothing has changed.
     pub fn is_empty(&self) -> bool {
         let all = [&self.begun, &self.ended, &self.doubted, &self.confirmed];
--- a/src/evacuation/mod.rs
+++ b/src/evacuation/mod.rs
@@ -10,7 +10,7 @@
 mod state;
 
 pub use self::{
-    change::{EvacuationChange, EvacuationNews, EvacuationsRead},
+    change::{EvacuationChange, EvacuationDelta, EvacuationsRead},
     registry::EvacuationRegistry,
     report::{EndedEvacuation, EvacuationReport, EvacuationsVersion, ReportedEvacuation},
     state::Evacuations,
--- a/src/evacuation/registry.rs
+++ b/src/evacuation/registry.rs
@@ -9,7 +9,7 @@
 };
 
 use super::{
-    EndedEvacuation, EvacuationChange, EvacuationNews, EvacuationReport, EvacuationsRead,
+    EndedEvacuation, EvacuationChange, EvacuationDelta, EvacuationReport, EvacuationsRead,
     ReportedEvacuation,
 };
 use crate::{feed::Position, DomainName, Instant};
@@ -77,9 +77,9 @@
         read: &EvacuationsRead,
         next: Position,
         now: Instant,
-    ) -> EvacuationNews {
+    ) -> EvacuationDelta {
         if self.position.is_some_and(|known| known > next) {
-            return EvacuationNews::default();
+            return EvacuationDelta::default();
         }
         let before = self.in_force.clone();
         self.advance(next, now);
@@ -99,16 +99,16 @@
             }
         }
         self.expire(now);
-        self.news_since(&before)
+        self.delta_since(&before)
     }
 
     /// Applies the report of another router that arrived at `now`; returns what it changed.
     ///
     /// A report from before the known position is ignored. Reports of equal positions differ in what
     /// a restored store may have forgotten; a domain is then evacuated if either names it.
-    pub fn receive(&mut self, report: &EvacuationReport, now: Instant) -> EvacuationNews {
+    pub fn receive(&mut self, report: &EvacuationReport, now: Instant) -> EvacuationDelta {
         if self.position.is_some_and(|known| known > report.position) {
-            return EvacuationNews::default();
+            return EvacuationDelta::default();
         }
         let is_later = self.position < Some(report.position);
         let before = self.in_force.clone();
@@ -144,18 +144,18 @@
             }
         }
         self.expire(now);
-        self.news_since(&before)
+        self.delta_since(&before)
     }
 
     /// Ends evacuations that a restored store no longer lists, if it is time for any; returns what
     /// that changed.
-    pub fn settle(&mut self, now: Instant) -> EvacuationNews {
+    pub fn settle(&mut self, now: Instant) -> EvacuationDelta {
         let before = self.in_force.clone();
         self.expire(now);
-        self.news_since(&before)
+        self.delta_since(&before)
     }
 
-    /// Returns what this router tells others, or `None` before the first read.
+    /// Returns the report for other routers, or `None` before the first read.
     pub fn report(&self, now: Instant) -> Option<EvacuationReport> {
         let in_force = self
             .in_force
@@ -226,20 +226,20 @@
         }
     }
 
-    fn news_since(&self, before: &BTreeMap<DomainName, Standing>) -> EvacuationNews {
-        let mut news = EvacuationNews::default();
+    fn delta_since(&self, before: &BTreeMap<DomainName, Standing>) -> EvacuationDelta {
+        let mut delta = EvacuationDelta::default();
         for (domain, standing) in &self.in_force {
             let changed = match (before.get(domain), standing) {
-                (None, _) => &mut news.begun,
-                (Some(Standing::Listed), Standing::Doubted { .. }) => &mut news.doubted,
-                (Some(Standing::Doubted { .. }), Standing::Listed) => &mut news.confirmed,
+                (None, _) => &mut delta.begun,
+                (Some(Standing::Listed), Standing::Doubted { .. }) => &mut delta.doubted,
+                (Some(Standing::Doubted { .. }), Standing::Listed) => &mut delta.confirmed,
                 _ => continue,
             };
             changed.push(domain.clone());
         }
         let ended = before.keys().filter(|d| !self.in_force.contains_key(*d));
-        news.ended = ended.cloned().collect();
-        news
+        delta.ended = ended.cloned().collect();
+        delta
     }
 }
 
--- a/src/evacuation/report.rs
+++ b/src/evacuation/report.rs
@@ -1,4 +1,4 @@
-//! What one router tells another about evacuations.
+//! Reports of evacuations between routers.
 
 use serde::{Deserialize, Serialize};
 
--- a/src/evacuation/state.rs
+++ b/src/evacuation/state.rs
@@ -6,7 +6,7 @@
 };
 
 use super::{
-    EvacuationNews, EvacuationRegistry, EvacuationReport, EvacuationsRead, EvacuationsVersion,
+    EvacuationDelta, EvacuationRegistry, EvacuationReport, EvacuationsRead, EvacuationsVersion,
 };
 use crate::{feed::Position, sync::lock, DomainName, Instant};
 
@@ -57,34 +57,34 @@
     }
 
     /// Applies a [read of the store](EvacuationRegistry::apply); returns what it changed.
-    pub fn apply(&self, read: &EvacuationsRead, next: Position, now: Instant) -> EvacuationNews {
+    pub fn apply(&self, read: &EvacuationsRead, next: Position, now: Instant) -> EvacuationDelta {
         self.update(|registry| registry.apply(read, next, now))
     }
 
     /// Applies the [report of another router](EvacuationRegistry::receive); returns what it changed.
-    pub fn receive(&self, report: &EvacuationReport, now: Instant) -> EvacuationNews {
+    pub fn receive(&self, report: &EvacuationReport, now: Instant) -> EvacuationDelta {
         self.update(|registry| registry.receive(report, now))
     }
 
     /// Ends [evacuations in doubt](EvacuationRegistry::settle) that are due; returns what changed.
-    pub fn settle(&self, now: Instant) -> EvacuationNews {
+    pub fn settle(&self, now: Instant) -> EvacuationDelta {
         self.update(|registry| registry.settle(now))
     }
 
-    /// Returns what this router tells others, or `None` before the first read.
+    /// Returns the report for other routers, or `None` before the first read.
     pub fn report(&self, now: Instant) -> Option<EvacuationReport> {
         lock(&self.inner).registry.report(now)
     }
 
     fn update(
         &self,
-        update: impl FnOnce(&mut EvacuationRegistry) -> EvacuationNews,
-    ) -> EvacuationNews {
+        update: impl FnOnce(&mut EvacuationRegistry) -> EvacuationDelta,
+    ) -> EvacuationDelta {
         let mut inner = lock(&self.inner);
-        let news = update(&mut inner.registry);
-        if !news.is_empty() {
+        let delta = update(&mut inner.registry);
+        if !delta.is_empty() {
             inner.in_force = Arc::new(inner.registry.in_force());
         }
-        news
+        delta
     }
 }
--- a/src/feed/evacuations.rs
+++ b/src/feed/evacuations.rs
@@ -2,7 +2,7 @@
 
 use super::{Feed, Position};
 use crate::{
-    evacuation::{EvacuationNews, EvacuationReport, EvacuationsRead},
+    evacuation::{EvacuationDelta, EvacuationReport, EvacuationsRead},
     Instant,
 };
 
@@ -10,29 +10,29 @@
     /// Applies the evacuations of a read of the store that ended at `now` and included all changes
     /// before `next`.
     pub fn apply_evacuations(&self, read: &EvacuationsRead, next: Position, now: Instant) {
-        let news = self.evacuations.apply(read, next, now);
-        self.pass_evacuations_on(&news, "store", now);
+        let delta = self.evacuations.apply(read, next, now);
+        self.publish_evacuations(&delta, "store", now);
     }
 
     /// Applies the evacuations that another router knows.
     pub fn receive_evacuations(&self, report: &EvacuationReport, now: Instant) {
-        let news = self.evacuations.receive(report, now);
-        self.pass_evacuations_on(&news, "router", now);
+        let delta = self.evacuations.receive(report, now);
+        self.publish_evacuations(&delta, "router", now);
     }
 
     /// Ends evacuations that a restored store has not listed again in time.
     pub(super) fn settle_evacuations(&self, now: Instant) {
-        let news = self.evacuations.settle(now);
-        self.pass_evacuations_on(&news, "delay", now);
+        let delta = self.evacuations.settle(now);
+        self.publish_evacuations(&delta, "delay", now);
     }
 
     /// Logs what has changed, treats servers that get requests again as cold, and notifies subscribers.
-    fn pass_evacuations_on(&self, news: &EvacuationNews, source: &str, now: Instant) {
-        if news.is_empty() {
+    fn publish_evacuations(&self, delta: &EvacuationDelta, source: &str, now: Instant) {
+        if delta.is_empty() {
             return;
         }
         let Position { era, offset } = self.evacuations.version().position;
-        for domain in &news.begun {
+        for domain in &delta.begun {
             let servers = self.catalog.count_in(domain);
             log::info!(
                 "evacuation begun domain={domain} servers={servers} era={era} next={offset} \
@@ -43,9 +43,9 @@
             }
         }
         for (what, domains) in [
-            ("ended", &news.ended),
-            ("doubted", &news.doubted),
-            ("confirmed", &news.confirmed),
+            ("ended", &delta.ended),
+            ("doubted", &delta.doubted),
+            ("confirmed", &delta.confirmed),
         ] {
             for domain in domains {
                 log::info!(
@@ -54,7 +54,7 @@
             }
         }
         // Their servers may have lost what made them fast, whatever their last registrations state.
-        for domain in &news.ended {
+        for domain in &delta.ended {
             self.record_returned(domain, now);
         }
         self.notify_change();
--- a/src/feed/retry.rs
+++ b/src/feed/retry.rs
@@ -25,7 +25,7 @@
 /// Returns the time from the start of a read of the servers that succeeded to the next one.
 ///
 /// The follower reads for all routers and waits for nothing.
-pub fn own_read_period(is_follower: bool) -> Duration {
+pub(super) fn own_read_period(is_follower: bool) -> Duration {
     if is_follower {
         Duration::ZERO
     } else {
--- a/src/feed/warm_ups.rs
+++ b/src/feed/warm_ups.rs
@@ -11,10 +11,13 @@
 };
 
 impl Feed {
-    /// Records what the entries of the list of servers state; returns whether there is news among it.
+    /// Records what the entries of the list of servers state; returns whether that
+    /// changes anything.
     pub(super) fn record_cold_times(&self, cold_times: &[ColdTime], now: Instant) -> bool {
-        let is_news = |cold_time: &&ColdTime| self.warm_ups.record(**cold_time, now);
-        let count = cold_times.iter().filter(is_news).count();
+        let mut count = 0;
+        for cold_time in cold_times {
+            count += usize::from(self.warm_ups.record(*cold_time, now));
+        }
         log_cold(count, "registration");
         count > 0
     }
@@ -66,12 +69,13 @@
     }
 
     /// Records that `servers` are cold for as long as servers of their pools usually are; returns the
-    /// number of those for which that is news.
+    /// number of those for which that changes anything.
     fn presume_cold<'a>(&self, servers: impl Iterator<Item = &'a Server>, now: Instant) -> usize {
         let Some(routes) = self.routes.current() else {
             return 0;
         };
-        let is_news = |server: &&Server| {
+        let mut count = 0;
+        for server in servers {
             let usual = routes.warm_up(&server.pool);
             let remaining = usual.map_or(Duration::ZERO, |warm_up| warm_up.duration);
             let server = server.key();
@@ -79,9 +83,11 @@
             // What a registration has stated of a later time counts.
             let is_longer = known.is_none_or(|known| known.warm_at < now + remaining);
             let cold_time = ColdTime { server, remaining };
-            !remaining.is_zero() && is_longer && self.warm_ups.presume(cold_time, now)
-        };
-        servers.filter(is_news).count()
+            if !remaining.is_zero() && is_longer && self.warm_ups.presume(cold_time, now) {
+                count += 1;
+            }
+        }
+        count
     }
 }
 
--- a/tests/evacuation/main.rs
+++ b/tests/evacuation/main.rs
@@ -3,7 +3,7 @@
 mod domains_under_load;
 
 use ebonyspur::{
-    evacuation::{EvacuationChange, EvacuationNews, EvacuationRegistry, EvacuationsRead},
+    evacuation::{EvacuationChange, EvacuationDelta, EvacuationRegistry, EvacuationsRead},
     feed::{Position, StoreEra},
     DomainName, Instant, Offset,
 };
@@ -51,13 +51,13 @@
 }
 
 /// Describes the evacuated domains after a change.
-pub fn describe(registry: &EvacuationRegistry, news: EvacuationNews) -> String {
-    let EvacuationNews {
+pub fn describe(registry: &EvacuationRegistry, delta: EvacuationDelta) -> String {
+    let EvacuationDelta {
         begun,
         ended,
         doubted,
         confirmed,
-    } = news;
+    } = delta;
     let mut line = format!("[{}]", names(registry.in_force()));
     for (what, domains) in [
         ("begun", begun),
@@ -82,24 +82,24 @@
 impl Router {
     /// Applies a read that ended at `millis` and included all changes before `next`.
     pub fn read(&mut self, millis: u64, read: &EvacuationsRead, next: Position) {
-        let news = self.registry.apply(read, next, at(millis));
-        self.log(millis, news);
+        let delta = self.registry.apply(read, next, at(millis));
+        self.log(millis, delta);
     }
 
     /// Receives at `millis` the report of `from`.
     pub fn receive(&mut self, millis: u64, from: &Router) {
         let report = from.registry.report(at(millis)).expect("a report");
-        let news = self.registry.receive(&report, at(millis));
-        self.log(millis, news);
+        let delta = self.registry.receive(&report, at(millis));
+        self.log(millis, delta);
     }
 
     pub fn settle(&mut self, millis: u64) {
-        let news = self.registry.settle(at(millis));
-        self.log(millis, news);
+        let delta = self.registry.settle(at(millis));
+        self.log(millis, delta);
     }
 
-    fn log(&mut self, millis: u64, news: EvacuationNews) {
-        let line = describe(&self.registry, news);
+    fn log(&mut self, millis: u64, delta: EvacuationDelta) {
+        let line = describe(&self.registry, delta);
         self.lines.push(format!("{millis}: {line}"));
     }
 
--- a/tests/feed/warm_ups.rs
+++ b/tests/feed/warm_ups.rs
@@ -71,7 +71,7 @@
 }
 
 #[test]
-fn heartbeats_of_a_cold_server_are_no_news() {
+fn heartbeats_of_a_cold_server_change_nothing() {
     let (feed, a) = (feed(), named("a"));
     let mut lines = Vec::new();
     for (ms, stated) in [
@@ -169,10 +169,10 @@
     };
     let mut lines = Vec::new();
     for remaining_ms in [0, u32::MAX, 600_001, 2_000, 2_100, 0] {
-        let has_news = warm_ups.receive(&[report(remaining_ms)], time(1_000));
+        let changes = warm_ups.receive(&[report(remaining_ms)], time(1_000));
         let reports = warm_ups.reports(time(1_500));
         let left: Vec<_> = reports.iter().map(|report| report.remaining_ms).collect();
-        lines.push(format!("{remaining_ms}: news {has_news}, then {left:?}"));
+        lines.push(format!("{remaining_ms}: changes {changes}, then {left:?}"));
     }
     warm_ups.receive(&[report(2_000)], time(5_000));
     let expired = [6_999, 7_000].map(|ms| warm_ups.expire(time(ms)));
@@ -181,12 +181,12 @@
         warm_ups.is_empty()
     ));
     expect![[r#"
-        0: news 0, then []
-        4294967295: news 0, then []
-        600001: news 0, then []
-        2000: news 1, then [1500]
-        2100: news 0, then [1500]
-        0: news 1, then []
+        0: changes 0, then []
+        4294967295: changes 0, then []
+        600001: changes 0, then []
+        2000: changes 1, then [1500]
+        2100: changes 0, then [1500]
+        0: changes 1, then []
         expired [0, 1], empty true"#]]
     .assert_eq(&lines.join("\n"));
 }
