Hold requests back while the servers of their pool are crowded

At three times the traffic, servers of 6 slots that queue 24 more turned away what they could not queue, and reset connections; no router held a request back.

Each router goes by the load that servers report in the responses that it gets itself: its rate to the pool falls in proportion while more requests wait there than half of the slots, and grows by small steps while fewer do. What is beyond the rate waits for at most three quarters of the response time goal, by urgency, then fairly between teams in the existing fair queue, which can now give up its last request for one that is due before it. The queue holds what the rate serves in time; what finds no place is refused as not run. Pools of engines, and of servers that report no load, are served as before.

--- a/src/admission/fair_queue.rs
+++ b/src/admission/fair_queue.rs
@@ -139,6 +139,24 @@
         longest.waiting.back().copied()
     }
 
+    /// Removes and returns the request that comes last, if it comes later than a new one of `team`
+    /// would.
+    pub fn displace_for(&mut self, team: &TeamName) -> Option<WaitId> {
+        let new_tag = self.interactive.next_tag(team);
+        let victim = self.interactive.last().filter(|(tag, _)| *tag > new_tag);
+        victim.map(|(_, id)| {
+            self.remove(id);
+            id
+        })
+    }
+
+    /// Removes and returns the request that comes last.
+    pub fn displace_last(&mut self) -> Option<WaitId> {
+        let (_, id) = self.interactive.last()?;
+        self.remove(id);
+        Some(id)
+    }
+
     /// Gives the turn to the next request in fair order, unless another one holds it.
     ///
     /// Requests whose deadline has passed are removed first.
@@ -245,6 +263,13 @@
     waiting: VecDeque<WaitId>,
 }
 
+impl TeamQueue {
+    /// Returns the virtual time at which the request at `position` is due.
+    fn tag_at(&self, position: usize) -> f64 {
+        self.start_tag + position as f64 / f64::from(self.share.max(1))
+    }
+}
+
 impl ClassQueue {
     fn push(&mut self, team: &TeamName, share: u32, id: WaitId) {
         let team_queue = self.teams.entry(team.clone()).or_default();
@@ -265,6 +290,22 @@
         due.waiting.front().copied()
     }
 
+    /// Returns the virtual time at which a new request of `team` is due.
+    fn next_tag(&self, team: &TeamName) -> f64 {
+        let queue = self.teams.get(team);
+        queue.map_or(self.virtual_time, |queue| queue.tag_at(queue.waiting.len()))
+    }
+
+    /// Returns the request that is due last and the virtual time at which it is.
+    fn last(&self) -> Option<(f64, WaitId)> {
+        let last = |queue: &TeamQueue| {
+            let id = queue.waiting.back()?;
+            Some((queue.tag_at(queue.waiting.len() - 1), *id))
+        };
+        let lasts = self.teams.values().filter_map(last);
+        lasts.max_by(|(a, _), (b, _)| a.total_cmp(b))
+    }
+
     fn charge(&mut self, team: &TeamName) {
         if let Some(team_queue) = self.teams.get_mut(team) {
             self.virtual_time = self.virtual_time.max(team_queue.start_tag);
--- a/src/admission/mod.rs
+++ b/src/admission/mod.rs
@@ -15,6 +15,7 @@
 mod part_updates;
 mod poison_parts;
 mod pool_queue;
+mod pool_rate;
 mod possible_crash;
 mod quarantine;
 mod quarantined;
@@ -24,6 +25,7 @@
 mod slot_demand;
 mod state;
 mod suspect;
+mod waiting_room;
 
 pub use self::{
     budget::{retry_delay, RetryBudget},
@@ -42,6 +44,7 @@
     part_updates::{PartCrash, PartKey, PartUpdates, QuarantinedParts},
     poison_parts::PoisonParts,
     pool_queue::{PoolQueues, Waiter},
+    pool_rate::{Crowding, PoolRate},
     possible_crash::{PossibleCrashes, MAX_POSSIBLE_CRASHES, POSSIBLE_CRASH_TTL},
     quarantine::{Crash, CrashHistory, CrashRisk, Fingerprint, Quarantine, MAX_CRASH_ENTRIES},
     rank::Rank,
@@ -49,5 +52,6 @@
     shared_retries::{RetryAllowance, SharedRetries, ASSUMED_ROUTERS},
     slot_demand::{SlotDemand, SlotDemandGuard},
     state::{Admission, Class, Permit, MAX_TEAMS},
+    waiting_room::{RoomRequest, Ticket, WaitingRoom, MAX_WAIT},
 };
 pub(crate) use self::{part_updates::describe_parts, quarantine::quarantined_error};
--- a/src/forward/attempts.rs
+++ b/src/forward/attempts.rs
@@ -85,6 +85,9 @@
             None => Err(err),
         };
         loop {
+            if let Err(err) = self.wait_for_room(cx, &attempts).await {
+                return or_failed_answer(failed_answer, err);
+            }
             let server = match self.choose_next_server(cx, &mut attempts).await {
                 Ok(Some(server)) => server,
                 Ok(None) => {
--- a/src/forward/exchange.rs
+++ b/src/forward/exchange.rs
@@ -185,6 +185,7 @@
             self.poison_parts.record_alive(server.key(), now, now);
             self.server_limits.record_response(server, head.limit, now);
             self.server_loads.record_report(server, head.load, now);
+            self.waiting_rooms.record_response(server, head, now);
             if let Some(pause) = head.retry_after {
                 self.server_limits.record_rejection(server, pause, now);
             }
--- a/src/forward/mod.rs
+++ b/src/forward/mod.rs
@@ -30,6 +30,7 @@
 mod successor;
 mod tcp_info;
 mod unanswered;
+mod waiting;
 mod whole_body;
 mod wire;
 
@@ -45,5 +46,6 @@
     poison::PoisonRequests,
     request::{ProxyRequest, Received, Routed},
     state::{Forwarder, Policy},
+    waiting::WaitingRooms,
     wire::{ForwardParams, RequestHead, ResponseHead, RunOutcome, Wire},
 };
--- a/src/forward/state.rs
+++ b/src/forward/state.rs
@@ -14,7 +14,7 @@
 
 use super::{
     buffers::Buffers, exchange::Exchange, health::STALL_TIMEOUT, ConnectionPool, Drain, DrainStage,
-    HealthTracker, InFlight, Observation, PoisonRequests, ProxyRequest, Routed, Wire,
+    HealthTracker, InFlight, Observation, PoisonRequests, ProxyRequest, Routed, WaitingRooms, Wire,
 };
 use crate::{
     admission::{describe_parts, PoisonParts, RetryAllowance, ServerLimits, SharedRetries},
@@ -67,6 +67,8 @@
     pub server_limits: ServerLimits,
     /// Loads that servers report.
     pub server_loads: ServerLoads,
+    /// Requests that wait until their pool has room.
+    pub waiting_rooms: WaitingRooms,
     /// Idle connections to servers.
     pub connections: ConnectionPool,
     /// Limit on the memory for bytes that callers and servers send.
@@ -104,6 +106,7 @@
             poison_parts: Arc::default(),
             server_limits: ServerLimits::default(),
             server_loads: ServerLoads::default(),
+            waiting_rooms: WaitingRooms::default(),
             connections: ConnectionPool::default(),
             buffers: Buffers::with_limit(DEFAULT_BUFFER_BYTES),
             metrics: ForwardMetrics::new(),
@@ -216,6 +219,7 @@
         let limited = self.limit_waits(now).len().saturating_sub(paused);
         metrics.set_servers_set_aside("retry_after", paused);
         metrics.set_servers_set_aside("limit", limited);
+        metrics.set_waiting(self.waiting_rooms.waiting_count());
         metrics.encode()
     }
 
--- a/src/inspect/forward_metrics.rs
+++ b/src/inspect/forward_metrics.rs
@@ -50,6 +50,15 @@
     reason: &'static str,
 }
 
+/// Upper bounds of the histogram buckets for waits for room, in seconds.
+const WAIT_BUCKETS: [f64; 6] = [0.01, 0.03, 0.1, 0.2, 0.3, 0.5];
+
+/// Labels of the histogram of waits for room.
+#[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct WaitLabels {
+    outcome: &'static str,
+}
+
 /// Counters and histograms of forwarded requests.
 #[derive(Debug)]
 pub struct ForwardMetrics {
@@ -60,6 +69,8 @@
     retries: Family<RetryLabels, Counter<u64, AtomicU64>>,
     unanswered: Family<UnansweredLabels, Counter<u64, AtomicU64>>,
     servers_set_aside: Family<SetAsideLabels, Gauge>,
+    waiting: Gauge,
+    room_wait_seconds: Family<WaitLabels, Histogram>,
     tasks_ended: Family<TaskLabels, Counter<u64, AtomicU64>>,
     /// Connections opened to backend servers.
     pub connections: Counter<u64, AtomicU64>,
@@ -78,6 +89,8 @@
             retries: Family::default(),
             unanswered: Family::default(),
             servers_set_aside: Family::default(),
+            waiting: Gauge::default(),
+            room_wait_seconds: Family::new_with_constructor(|| Histogram::new(WAIT_BUCKETS)),
             tasks_ended: Family::default(),
             connections: Counter::default(),
             datagrams_dropped: Counter::default(),
@@ -109,12 +122,34 @@
         registry.register("servers_set_aside", help, metrics.servers_set_aside.clone());
         let help = "Background tasks that ended and were started again";
         registry.register("tasks_ended", help, metrics.tasks_ended.clone());
+        let help = "Requests that wait for room in their pool";
+        registry.register("waiting", help, metrics.waiting.clone());
+        registry.register_with_unit(
+            "room_wait",
+            "Time for which requests waited for room in their pool, by whether they got it",
+            Unit::Seconds,
+            metrics.room_wait_seconds.clone(),
+        );
         ForwardMetrics {
             registry,
             ..metrics
         }
     }
 
+    /// Sets the number of requests that wait for room in their pool.
+    pub fn set_waiting(&self, count: usize) {
+        self.waiting.set(count as i64);
+    }
+
+    /// Records that a request waited for room, and whether it got it.
+    pub fn observe_room_wait(&self, waited: Duration, admitted: bool) {
+        let outcome = if admitted { "admitted" } else { "refused" };
+        let waits = self
+            .room_wait_seconds
+            .get_or_create(&WaitLabels { outcome });
+        waits.observe(waited.as_secs_f64());
+    }
+
     /// Counts a request that was refused or failed with `err`.
     pub fn count_failure(&self, err: &Error) {
         let labels = FailureLabels {
--- a/tests/admission/main.rs
+++ b/tests/admission/main.rs
@@ -11,3 +11,5 @@
 mod server_limits;
 mod shared_retries;
 mod storm;
+mod waiting_room;
+mod waiting_room_model;
