Aim at more requests at crowded servers and fewer at routers

Routers now aim at 1.5 waiting requests a slot, wait for two fifths of the response time goal, let four requests go at once after a pause, and begin a limit above what was sent.

--- a/src/admission/pool_rate.rs
+++ b/src/admission/pool_rate.rs
@@ -15,8 +15,8 @@
 
 /// Requests waiting at a server, as a multiple of its slots, that routers aim at.
 ///
-/// Few enough to add little to the time of a request, and enough to keep all slots in use.
-const AIM: f64 = 0.5;
+/// Few enough to be served in time, and enough to keep all slots in use.
+const AIM: f64 = 1.5;
 
 /// Fraction by which a rate falls at most for one response.
 const MAX_CUT: f64 = 0.1;
@@ -30,6 +30,9 @@
 /// Lowest rate in requests a second, so that reports keep coming.
 const MIN_RATE: f64 = 0.5;
 
+/// Requests a second that a new limit allows beyond what was sent, as that may be one request.
+const MIN_START: f64 = 1.0;
+
 /// Multiple of the requests that are sent at which a rate no longer limits them.
 const CALM_FACTOR: f64 = 2.0;
 
@@ -37,7 +40,7 @@
 const RATE_TTL: Duration = Duration::from_secs(3);
 
 /// Number of requests that may be sent at once after a pause.
-const MAX_TOKENS: f64 = 2.0;
+const MAX_TOKENS: f64 = 4.0;
 
 /// How far a server is from what routers aim at: above 0 too many requests wait, at most 1.
 #[derive(Debug, Clone, Copy, PartialEq)]
@@ -105,10 +108,14 @@
         self.refill(now);
         let sent = self.sent.value(DECAY_S, now) / DECAY_S;
         let limit = self.limit(now);
+        if limit.is_none() {
+            // Many routers begin to limit at once, and not each of them may send a number at once.
+            self.tokens = self.tokens.min(1.0);
+        }
         self.reported = now;
         self.limit = match (limit, crowding.0) {
             (_, excess) if excess > 0.0 => {
-                let rate = limit.unwrap_or(sent);
+                let rate = limit.unwrap_or(sent + MIN_START);
                 Some((rate * (1.0 - MAX_CUT * excess)).max(MIN_RATE))
             }
             (Some(rate), missing) => Some(rate - STEP * missing / AIM)
--- a/src/forward/waiting.rs
+++ b/src/forward/waiting.rs
@@ -17,7 +17,7 @@
 };
 
 /// Multiple of the response time goal for which a request waits for room at most.
-const WAIT_GOAL_FACTOR: f64 = 0.75;
+const WAIT_GOAL_FACTOR: f64 = 0.4;
 
 /// Mean of the random delay after which a caller returns whose request got no room.
 const RETURN_DELAY_MEAN: Duration = Duration::from_millis(400);
