Look up limits of cold servers once, and remove what nothing uses

Found on a reading of the whole change; behaviour stays as it is.

- The limit of a cold server and the bounds on it were looked up twice for each request; whether they bind and what they are is now one lookup.
- Whether a server takes new requests stood in the selection and in the sources of copies.
- The waits for the next read of the store shared their loop by copy.
- `Decision` and the cost in `Rank`, which was summed for each request, had no user; they come with the waiting room.

--- a/src/admission/mod.rs
+++ b/src/admission/mod.rs
@@ -8,7 +8,6 @@
 
 mod budget;
 mod canary;
-mod decision;
 mod fair_queue;
 mod level;
 mod message;
@@ -32,7 +31,6 @@
         CanaryHolder, CanaryReply, CanaryRuns, DuplicateGuard, DuplicateTracker, KnownGood,
         CANARY_TIMEOUT, MAX_CANARY_RUNS, MAX_KNOWN_GOOD,
     },
-    decision::Decision,
     fair_queue::{
         Enqueued, FairQueue, QueueEntry, QueueFull, WaitId, MAX_WAITING, MAX_WAITING_PER_TEAM,
     },
--- a/src/admission/rank.rs
+++ b/src/admission/rank.rs
@@ -9,8 +9,6 @@
     pub urgency: u8,
     /// Team of the caller, if it is known.
     pub team: Option<TeamName>,
-    /// Tokens that an engine has to process, or 1 at a plain backend server.
-    pub cost: u32,
     /// Time at which the final response is due.
     ///
     /// A caller that returns names what is left of its time, so that it precedes new requests of its
--- a/src/catalog/server.rs
+++ b/src/catalog/server.rs
@@ -1,6 +1,6 @@
 //! Backend servers and their short keys.
 
-use std::net::SocketAddr;
+use std::{collections::BTreeSet, net::SocketAddr};
 
 use serde::{Deserialize, Serialize};
 use xxhash_rust::xxh3::Xxh3Default;
@@ -36,6 +36,12 @@
 }
 
 impl Server {
+    /// Returns whether the server takes new requests: it neither leaves nor is in one of the
+    /// `evacuated` failure domains.
+    pub fn is_open(&self, evacuated: &BTreeSet<DomainName>) -> bool {
+        !self.leaving && !evacuated.contains(&self.domain)
+    }
+
     /// Returns the key of this incarnation of the server.
     pub fn key(&self) -> ServerKey {
         // The incarnation is hashed as input and not as the seed: for short names the seed has
--- a/src/feed/follow.rs
+++ b/src/feed/follow.rs
@@ -60,8 +60,8 @@
     }
 }
 
-/// Reads the route table and the evacuations while the store is reachable and this router is the follower or has no
-/// current feed.
+/// Reads the route table and the evacuations while the store is reachable and this router is the
+/// follower or has no current feed.
 pub async fn follow_routes<S: Store>(
     store: Arc<S>,
     feed: Arc<Feed>,
@@ -115,15 +115,8 @@
 ///
 /// Heartbeats of the servers are changes that end each read early.
 async fn wait_for_own_read(feed: &Feed, presence: &Presence, clock: Clock, started: Instant) {
-    loop {
-        let now = clock.now();
-        let is_follower = feed.role(presence, now) == Role::Follower;
-        let left = own_read_period(is_follower).saturating_sub(now.since(started));
-        if left.is_zero() {
-            return;
-        }
-        tokio::time::sleep(left.min(ROLE_CHECK_PERIOD)).await;
-    }
+    let period = |now| own_read_period(feed.role(presence, now) == Role::Follower);
+    wait_since(started, clock, period).await;
 }
 
 /// Waits until a read that started at `started` and failed is to be repeated.
@@ -136,13 +129,18 @@
     started: Instant,
     jitter: f64,
 ) {
+    let period = |now| match read_reason(feed, presence, now) {
+        Some(ReadReason::Follower) | None => feed.store_retry_period(now),
+        Some(_) => feed.fleet_retry_period(presence, jitter, now),
+    };
+    wait_since(started, clock, period).await;
+}
+
+/// Waits until `period` has passed since `started`; it is looked at again at each check of the role.
+async fn wait_since(started: Instant, clock: Clock, period: impl Fn(Instant) -> Duration) {
     loop {
         let now = clock.now();
-        let period = match read_reason(feed, presence, now) {
-            Some(ReadReason::Follower) | None => feed.store_retry_period(now),
-            Some(_) => feed.fleet_retry_period(presence, jitter, now),
-        };
-        let left = period.saturating_sub(now.since(started));
+        let left = period(now).saturating_sub(now.since(started));
         if left.is_zero() {
             return;
         }
--- a/src/feed/warm_ups.rs
+++ b/src/feed/warm_ups.rs
@@ -11,8 +11,7 @@
 };
 
 impl Feed {
-    /// Records what the entries of the list of servers state; returns whether that
-    /// changes anything.
+    /// Records what the entries of the list of servers state; returns whether that changes anything.
     pub(super) fn record_cold_times(&self, cold_times: &[ColdTime], now: Instant) -> bool {
         let mut count = 0;
         for cold_time in cold_times {
--- a/src/forward/request.rs
+++ b/src/forward/request.rs
@@ -10,7 +10,7 @@
 };
 use crate::{
     admission::{Fingerprint, PartKey, Rank},
-    placement::{PromptPart, SharedPrompt},
+    placement::SharedPrompt,
     routes::{PoolSettings, RouteKind, RouteTable},
     Category, Error, Instant, PoolName, Result, Verdict,
 };
@@ -133,7 +133,6 @@
                 .and_then(|team| team.priority)
                 .unwrap_or(route.priority),
             team: team.map(|team| team.name.clone()),
-            cost: prompt_tokens(&self.head.prompt).max(1),
             deadline: max_time.map(|max_time| self.arrived + max_time),
         };
         let state = Routed {
@@ -169,12 +168,6 @@
     }
 }
 
-/// Returns the length of a prompt in tokens.
-fn prompt_tokens(parts: &[PromptPart]) -> u32 {
-    let tokens = parts.iter().map(|part| part.tokens);
-    tokens.fold(0, u32::saturating_add)
-}
-
 /// Returns the mean retry delay given to callers by a router that still lacks the routes at
 /// `now`.
 ///
--- a/src/forward/selection.rs
+++ b/src/forward/selection.rs
@@ -125,8 +125,8 @@
     fn open_servers<W: Wire>(self, cx: &Forwarder<W>) -> Vec<Arc<Server>> {
         let servers = cx.feed.catalog.pool(&self.routed.pool);
         let evacuated = cx.feed.evacuations.in_force();
-        let is_open = |s: &&Arc<Server>| !s.leaving && !evacuated.contains(&s.domain);
-        servers.iter().filter(is_open).cloned().collect()
+        let open = servers.iter().filter(|server| server.is_open(&evacuated));
+        open.cloned().collect()
     }
 }
 
--- a/src/forward/state.rs
+++ b/src/forward/state.rs
@@ -336,8 +336,7 @@
         let evacuated = self.feed.evacuations.in_force();
         let is_healthy = |key: &ServerKey| !self.health.is_avoided(*key, now);
         let find_server = |key: ServerKey| {
-            let is_open = |s: &&Arc<Server>| !s.leaving && !evacuated.contains(&s.domain);
-            let mut open = pool_servers.iter().filter(is_open);
+            let mut open = pool_servers.iter().filter(|s| s.is_open(&evacuated));
             open.find(|server| server.key() == key)
         };
         for prefix in [Some(prompt.session), prompt.common_prefix]
--- a/src/forward/warm_up.rs
+++ b/src/forward/warm_up.rs
@@ -4,7 +4,7 @@
 
 use super::{Forwarder, Wire};
 use crate::{
-    admission::WarmUpSlots,
+    admission::{RateLimit, WarmUpBounds, WarmUpSlots},
     catalog::{Cold, Server, ServerKey},
     Instant,
 };
@@ -42,7 +42,8 @@
             return Vec::new();
         }
         let cold = self.feed.warm_ups.cold(now);
-        let is_cold = |s: &&Arc<Server>| cold.contains_key(&s.key()) && self.is_warm_up_bound(s);
+        let is_cold =
+            |s: &&Arc<Server>| cold.contains_key(&s.key()) && self.warm_up_limit(s).is_some();
         let cold_servers = servers.iter().filter(is_cold);
         let mut keys: Vec<_> = cold_servers.map(|server| server.key()).collect();
         if !keys.is_empty() {
@@ -60,38 +61,37 @@
         if self.feed.warm_ups.is_empty() {
             return;
         }
-        let cold = self.feed.warm_ups.get(server.key(), now);
-        if let Some(slots) = cold.and_then(|cold| self.warm_up_slots(server, cold, now)) {
-            self.warm_up_shares.use_slot(server.key(), &slots, now);
+        let key = server.key();
+        let Some(cold) = self.feed.warm_ups.get(key, now) else {
+            return;
+        };
+        let bound = self
+            .warm_up_limit(server)
+            .zip(self.presence.fleet_place(now));
+        if let Some(((limit, bounds), place)) = bound {
+            let slots = WarmUpSlots::new(key, cold, limit, bounds, place);
+            self.warm_up_shares.use_slot(key, &slots, now);
         }
     }
 
     /// Returns the time until a cold server may get a request, or `None` if it may now.
     fn cold_wait(&self, server: &Server, cold: Cold, now: Instant) -> Option<Duration> {
-        if !self.is_warm_up_bound(server) {
-            return None;
-        }
-        let wait = match self.warm_up_slots(server, cold, now) {
-            Some(slots) => self.warm_up_shares.wait(server.key(), &slots, now),
+        let (limit, bounds) = self.warm_up_limit(server)?;
+        let key = server.key();
+        let wait = match self.presence.fleet_place(now) {
+            Some(place) => {
+                let slots = WarmUpSlots::new(key, cold, limit, bounds, place);
+                self.warm_up_shares.wait(key, &slots, now)
+            }
             None => cold.warm_at.since(now),
         };
         (!wait.is_zero()).then_some(wait)
     }
 
-    fn is_warm_up_bound(&self, server: &Server) -> bool {
-        let routes = self.feed.routes.current();
-        let warm_up = routes.and_then(|routes| routes.warm_up(&server.pool));
-        warm_up.is_some() && self.policy().warm_up.is_some()
-    }
-
-    /// Returns the slots of this router at a cold server, or `None` if it knows no limit or not its
-    /// place in the fleet.
-    fn warm_up_slots(&self, server: &Server, cold: Cold, now: Instant) -> Option<WarmUpSlots> {
+    /// Returns what bounds the requests to a server while it is cold, or `None` if nothing does.
+    fn warm_up_limit(&self, server: &Server) -> Option<(RateLimit, WarmUpBounds)> {
         let warm_up = self.feed.routes.current()?.warm_up(&server.pool)?;
-        let bounds = self.policy().warm_up?;
-        let place = self.presence.fleet_place(now)?;
-        let key = server.key();
-        Some(WarmUpSlots::new(key, cold, warm_up.limit, bounds, place))
+        Some((warm_up.limit, self.policy().warm_up?))
     }
 
     fn expire_warm_ups(&self, now: Instant) {
--- a/src/placement/prompt.rs
+++ b/src/placement/prompt.rs
@@ -205,8 +205,8 @@
     best.or_else(shortest).copied()
 }
 
-/// Returns the index of that of two servers with the shorter expected time, chosen by the random numbers `first`
-/// and `second` among those that are not avoided, or among all if every one is.
+/// Returns the index of the server with the shorter expected time out of two, chosen by the random
+/// numbers `first` and `second` among those that are not avoided, or among all if every one is.
 ///
 /// Reported loads are out of date on arrival; the least loaded server of all would get the
 /// requests of all routers.
