Show bookings lost to slow callers of a router that stops, and order the cases

Case 6, LOST. A router that stops closes each connection with its response; its sockets keep the limit of 3.5 s on unacknowledged data, which resets callers that read nothing for that long.

The cases are numbered anew by gravity. The case of the lookups is dropped: the earlier review had seen it.

--- a/review/7/run.sh
+++ b/review/7/run.sh
@@ -1,2 +1,2 @@
 #!/usr/bin/env bash
-case_name=cut-event; routers=2; . "$(dirname "$0")/../stand-2/fleet.sh"
+case_name=comment-line; routers=2; . "$(dirname "$0")/../stand-2/fleet.sh"
--- a/review/stand-2/fleet.sh
+++ b/review/stand-2/fleet.sh
@@ -65,7 +65,7 @@
 ROUTER_PIDS="${pids[*]:1}" timeout 110 "$stand" "$case_name" "$here/record.txt" "$trouble" "$store" "${addresses[@]}"
 code=$?
 for pid in "${pids[@]}"; do
-    kill -0 "$pid" 2>/dev/null || echo "a process of the deployment has ended by itself" | tee -a "$here/record.txt"
+    kill -0 "$pid" 2>/dev/null || echo "a process of the deployment has ended" | tee -a "$here/record.txt"
 done
 [ "$code" -le 1 ] || code=2
 exit "$code"
--- a/review/stand-2/src/cases/mod.rs
+++ b/review/stand-2/src/cases/mod.rs
@@ -3,7 +3,7 @@
 pub mod comment_line;
 pub mod crowd_heads;
 pub mod cut_event;
-pub mod lookups;
+pub mod slow_reader;
 pub mod two_engines;
 
 use std::sync::atomic::{AtomicU32, Ordering};
--- a/review/stand-2/src/fleet.rs
+++ b/review/stand-2/src/fleet.rs
@@ -45,14 +45,6 @@
         SocketAddr::new(self.routers[router], 8227)
     }
 
-    pub fn ready(&self, router: usize) -> SocketAddr {
-        SocketAddr::new(self.routers[router], 8220)
-    }
-
-    pub fn directory(&self, router: usize) -> SocketAddr {
-        SocketAddr::new(self.routers[router], 8224)
-    }
-
     /// Writes a record of the store as the operator or a server does.
     pub fn put(&self, key: &str, value: &str) -> Result<(), String> {
         let request = format!(
--- a/review/stand-2/src/http.rs
+++ b/review/stand-2/src/http.rs
@@ -2,7 +2,9 @@
 
 use std::{
     io::{self, Read, Write},
+    mem::size_of,
     net::{SocketAddr, TcpStream},
+    os::fd::FromRawFd,
     time::{Duration, Instant},
 };
 
@@ -173,3 +175,53 @@
         std::thread::sleep(left.min(Duration::from_millis(5)));
     }
 }
+
+mod sys {
+    //! The calls that the standard library lacks: it cannot set a buffer before it connects.
+
+    #[repr(C)]
+    pub struct SockAddrIn {
+        pub family: u16,
+        pub port: [u8; 2],
+        pub address: [u8; 4],
+        pub zero: [u8; 8],
+    }
+
+    pub const AF_INET: i32 = 2;
+    pub const SOCK_STREAM: i32 = 1;
+    pub const SOL_SOCKET: i32 = 1;
+    pub const SO_RCVBUF: i32 = 8;
+
+    extern "C" {
+        pub fn socket(domain: i32, kind: i32, protocol: i32) -> i32;
+        pub fn setsockopt(fd: i32, level: i32, name: i32, value: *const i32, len: u32) -> i32;
+        pub fn connect(fd: i32, address: *const SockAddrIn, len: u32) -> i32;
+    }
+}
+
+/// Opens a connection whose receive buffer has `bytes`.
+pub fn connect_with_buffer(to: SocketAddr, bytes: i32) -> io::Result<TcpStream> {
+    let SocketAddr::V4(to) = to else {
+        return Err(io::ErrorKind::Unsupported.into());
+    };
+    let address = sys::SockAddrIn {
+        family: sys::AF_INET as u16,
+        port: to.port().to_be_bytes(),
+        address: to.ip().octets(),
+        zero: [0; 8],
+    };
+    // SAFETY: the pointers are to values of the lengths given, and the descriptor is new and owned
+    // by the stream.
+    unsafe {
+        let fd = sys::socket(sys::AF_INET, sys::SOCK_STREAM, 0);
+        if fd < 0 {
+            return Err(io::Error::last_os_error());
+        }
+        let stream = TcpStream::from_raw_fd(fd);
+        let set = sys::setsockopt(fd, sys::SOL_SOCKET, sys::SO_RCVBUF, &bytes, 4);
+        if set < 0 || sys::connect(fd, &address, size_of::<sys::SockAddrIn>() as u32) < 0 {
+            return Err(io::Error::last_os_error());
+        }
+        Ok(stream)
+    }
+}
--- a/review/stand-2/src/main.rs
+++ b/review/stand-2/src/main.rs
@@ -52,7 +52,7 @@
         "comment-line" => cases::comment_line::play(&fleet),
         "crowd-heads" => cases::crowd_heads::play(&fleet),
         "cut-event" => cases::cut_event::play(&fleet),
-        "lookups" => cases::lookups::play(&fleet),
+        "slow-reader" => cases::slow_reader::play(&fleet),
         _ => Err(format!("no case {case}")),
     }?;
     Ok((fleet, outcome))
