--- a/review/stand-2/fleet.sh
+++ b/review/stand-2/fleet.sh
@@ -4,7 +4,7 @@
 set -u
 here=$(cd "$(dirname "$0")" && pwd); root=$(cd "$here/../.." && pwd)
 bin=$root/target/release; stand=$root/target/review-2/release/stand-2
-ulimit -n 4096 2>/dev/null || { echo 'fewer than 4096 descriptors' >&2; exit 2; }
+ulimit -n 4096 2>/dev/null || [ "$case_name" != crowd-heads ] || { echo 'fewer than 4096 descriptors' >&2; exit 2; }
 trouble=${TROUBLE:-1}; dir=$(mktemp -d); pids=()
 end() {
     local code=$?
