Keep the part of an event that a stream has when it moves to another server

Cause: the successor of a stream kept complete events apart from the part of one that had arrived, and the stream took over only the complete ones. A stream moves before the first event is complete whenever the server before breaks off.

Change: the successor has one buffer, and the stream takes it over whole, with its reservation of memory. No bytes are copied or left behind at a hand-over. `stream resumed` logs how many bytes came along.

--- a/src/forward/event_buffer.rs
+++ b/src/forward/event_buffer.rs
@@ -1,10 +1,10 @@
 //! Events of a stream that have arrived in part or were not taken yet.
 
-use bytes::{Bytes, BytesMut};
+use bytes::Bytes;
 
 use crate::{
     memory::{Account, Reservation},
-    relay::EventReader,
+    relay::{Event, EventReader, Oversized},
     Category, Error, Result,
 };
 
@@ -46,9 +46,9 @@
         self.reader.is_empty()
     }
 
-    /// Removes and returns all bytes that are left.
-    pub(super) fn take_rest(&mut self) -> BytesMut {
-        std::mem::take(&mut self.reader).into_rest()
+    /// Returns the number of bytes that are left.
+    pub(super) fn len(&self) -> usize {
+        self.reader.len()
     }
 
     /// Takes the next complete event after `last_event`, which becomes the number of that event.
@@ -61,28 +61,81 @@
         &mut self,
         last_event: &mut Option<u64>,
     ) -> Result<Option<NewEvent>> {
-        loop {
-            let event = self
-                .reader
-                .next_event()
-                .map_err(|_| Error::may_have_run(Category::Backend, "an event is too large"))?;
-            let Some(event) = event else {
-                return Ok(None);
-            };
-            let number = event.id.as_deref().and_then(|id| id.parse::<u64>().ok());
-            let is_comment = event.raw.starts_with(b":");
-            if number.is_none() && last_event.is_some() && !is_comment {
-                let message = "an event has no number";
-                return Err(Error::may_have_run(Category::Backend, message));
+        while let Some(event) = self.next_event()? {
+            match Position::of(&event, *last_event)? {
+                Position::Known => {}
+                Position::Comment => return Ok(Some(NewEvent::new(event, true))),
+                Position::New(number) => {
+                    *last_event = number.or(*last_event);
+                    return Ok(Some(NewEvent::new(event, false)));
+                }
             }
-            if number.is_some() && number <= *last_event {
-                continue;
+        }
+        Ok(None)
+    }
+
+    /// Drops the comments and the events up to `last_event` that precede the next event; returns
+    /// whether that event is complete.
+    ///
+    /// Comments carry no data and may come without end.
+    ///
+    /// # Errors
+    ///
+    /// Fails as [`next_new_event`](Self::next_new_event) does.
+    pub(super) fn skip_to_new_event(&mut self, last_event: Option<u64>) -> Result<bool> {
+        while let Some(event) = self.reader.peek_event().map_err(oversized)? {
+            if let Position::New(_) = Position::of(&event, last_event)? {
+                return Ok(true);
             }
-            *last_event = number.or(*last_event);
-            return Ok(Some(NewEvent {
-                raw: event.raw,
-                is_comment,
-            }));
+            self.next_event()?;
         }
+        Ok(false)
+    }
+
+    fn next_event(&mut self) -> Result<Option<Event>> {
+        let event = self.reader.next_event().map_err(oversized)?;
+        self.reservation.resize(self.reader.len())?;
+        Ok(event)
     }
 }
+
+impl NewEvent {
+    fn new(event: Event, is_comment: bool) -> Self {
+        NewEvent {
+            raw: event.raw,
+            is_comment,
+        }
+    }
+}
+
+/// Where an event stands in a stream.
+enum Position {
+    /// It carries no data and stands anywhere.
+    Comment,
+    /// The caller has it.
+    Known,
+    /// It follows all events that the caller has; a stream may number none of its events.
+    New(Option<u64>),
+}
+
+impl Position {
+    /// Returns the position of `event` after `last_event`.
+    fn of(event: &Event, last_event: Option<u64>) -> Result<Self> {
+        if event.raw.starts_with(b":") {
+            return Ok(Position::Comment);
+        }
+        let number = event.id.as_deref().and_then(|id| id.parse::<u64>().ok());
+        match number {
+            None if last_event.is_some() => {
+                let message = "an event has no number";
+                Err(Error::may_have_run(Category::Backend, message))
+            }
+            Some(_) if number <= last_event => Ok(Position::Known),
+            _ => Ok(Position::New(number)),
+        }
+    }
+}
+
+fn oversized(_: Oversized) -> Error {
+    Error::may_have_run(Category::Backend, "an event is too large")
+}
--- a/src/forward/resume.rs
+++ b/src/forward/resume.rs
@@ -113,16 +113,19 @@
                 }
             };
             log::info!(
-                "stream resumed id={} server={} after={:?} cause=\"{cause}\"",
+                "stream resumed id={} server={} after={:?} received_bytes={} cause=\"{cause}\"",
                 self.req.id(),
                 successor.exchange.server.name,
-                self.last_event
+                self.last_event,
+                successor.events.len()
             );
             self.drop_exchange(&cause);
             self.last_progress = cx.clock.now();
             self.is_known_good = false;
-            if !successor.received.is_empty() {
-                self.pending = Some(StreamRead::Bytes(successor.received.freeze()));
+            self.events = successor.events;
+            if !self.events.is_empty() {
+                // What was received is taken like what is read from now on.
+                self.pending = Some(StreamRead::Bytes(Bytes::new()));
             }
             self.exchange = Some(successor.exchange);
             return Ok(());
--- a/src/forward/successor.rs
+++ b/src/forward/successor.rs
@@ -1,6 +1,5 @@
 //! The response of a server that is asked to go on with a stream, until its first event.
 
-use bytes::BytesMut;
 use http_body_util::BodyExt;
 
 use super::{event_buffer::EventBuffer, exchange::Exchange};
@@ -10,9 +9,10 @@
 /// An exchange that goes on with a stream once it has sent an event.
 pub(super) struct Successor {
     pub(super) exchange: Exchange,
-    /// What was received from the first event on that the caller does not have yet.
-    pub(super) received: BytesMut,
-    events: EventBuffer,
+    /// What was read of the response, from the first event on that the caller does not have yet.
+    ///
+    /// The stream takes it over with the exchange, as it may end with a part of an event.
+    pub(super) events: EventBuffer,
 }
 
 impl Successor {
@@ -20,7 +20,6 @@
     pub(super) fn new(exchange: Exchange, account: &Account) -> Self {
         Successor {
             exchange,
-            received: BytesMut::new(),
             events: EventBuffer::new(account),
         }
     }
@@ -49,15 +48,6 @@
             return Ok(false);
         };
         self.events.push(&bytes)?;
-        let mut last_event = last_event;
-        while let Some(event) = self.events.next_new_event(&mut last_event)? {
-            // Comments carry no data and may come without end.
-            if !event.is_comment {
-                self.received = event.raw.into();
-                self.received.unsplit(self.events.take_rest());
-                return Ok(true);
-            }
-        }
-        Ok(false)
+        self.events.skip_to_new_event(last_event)
     }
 }
--- a/src/relay/event.rs
+++ b/src/relay/event.rs
@@ -42,11 +42,6 @@
         self.buf.len()
     }
 
-    /// Returns the bytes in the buffer.
-    pub fn into_rest(self) -> BytesMut {
-        self.buf
-    }
-
     /// Returns whether the buffer is empty, so that no event or part of one is left.
     pub fn is_empty(&self) -> bool {
         self.buf.is_empty()
@@ -59,12 +54,26 @@
     /// Returns [`Oversized`] when the buffer exceeds [`MAX_EVENT_BYTES`] without the end of an
     /// event.
     pub fn next_event(&mut self) -> Result<Option<Event>, Oversized> {
-        let Some(len) = end_of_event(&self.buf) else {
-            let oversized = self.buf.len() > MAX_EVENT_BYTES;
-            return if oversized { Err(Oversized) } else { Ok(None) };
-        };
-        let raw = self.buf.split_to(len).freeze();
-        Ok(Some(parse(raw)))
+        let len = self.first_len()?;
+        Ok(len.map(|len| parse(self.buf.split_to(len).freeze())))
+    }
+
+    /// Returns the next complete event, which stays in the buffer, if there is one.
+    ///
+    /// # Errors
+    ///
+    /// Fails as [`next_event`](Self::next_event) does.
+    pub fn peek_event(&self) -> Result<Option<Event>, Oversized> {
+        let len = self.first_len()?;
+        Ok(len.map(|len| parse(Bytes::copy_from_slice(&self.buf[..len]))))
+    }
+
+    /// Returns the length of the first event, or `None` if its end is missing.
+    fn first_len(&self) -> Result<Option<usize>, Oversized> {
+        match end_of_event(&self.buf) {
+            None if self.buf.len() > MAX_EVENT_BYTES => Err(Oversized),
+            len => Ok(len),
+        }
     }
 }
 
