Give callers time to read an answer whose connection is closed

Cause: each socket begins with a kernel limit of 3.5 s on unacknowledged data, which also counts while the peer has no room. Only a check of an open socket takes it away, so a socket that is closed with its answer keeps it while the kernel still sends.

Change: at its close a caller's connection gets the limit for callers that leave no room, 10 s, on each way to the close. One whose host is gone still leaves the kernel. `caller connection closed` logs `unsent_bytes`.

--- a/src/forward/caller_connection.rs
+++ b/src/forward/caller_connection.rs
@@ -18,7 +18,8 @@
 use super::{peer_stream::PeerStream, Activity};
 use crate::{memory::Holding, sync::lock, Clock, Instant};
 
-/// Longest time for which a caller may leave no room for more of its response.
+/// Longest time for which a caller may leave no room for more of its response, also after the close
+/// of its connection.
 const WRITE_TIMEOUT: Duration = Duration::from_secs(10);
 
 /// Largest number of bytes that are read at a time; read buffers grow when more arrives at once.
@@ -223,13 +224,14 @@
 impl Drop for CallerStream {
     fn drop(&mut self) {
         let unread = self.unread_bytes();
+        let unsent = self.stream.unsent_bytes();
         let state = lock(&self.record.0);
         let close = state.close;
         let is_open = state.activity.is_exchange();
         let reason = match close {
             Some(close) => close.reason.as_str(),
             None if !state.has_ended && (is_open || state.partial_bytes > 0) => "process_end",
-            None if unread > 0 => "ended",
+            None if unread > 0 || unsent > 0 => "ended",
             None => return,
         };
         let partial = close.map_or(state.partial_bytes, |close| close.partial_bytes);
@@ -243,7 +245,8 @@
         log::log!(
             level,
             "caller connection closed peer={} reason={reason} idle_ms={} requests={} \
-             in_progress={was_open} unfinished={is_open} partial_bytes={partial} unread_bytes={unread}",
+             in_progress={was_open} unfinished={is_open} partial_bytes={partial} unread_bytes={unread} \
+             unsent_bytes={unsent}",
             self.peer,
             close.map_or(0, |close| close.idle.as_millis()),
             state.requests
--- a/src/forward/peer_stream.rs
+++ b/src/forward/peer_stream.rs
@@ -3,6 +3,8 @@
 //! The kernel's own limit on unacknowledged data (`TCP_USER_TIMEOUT`) also ends a connection whose
 //! peer acknowledges but has no room in its receive buffer. Here only missing acknowledgements count,
 //! once the kernel has told that data is unacknowledged; where it tells nothing, its limit stays.
+//!
+//! The kernel goes on sending after the close of a connection, and its limit is then the only one.
 
 use std::{
     future::Future,
@@ -81,7 +83,8 @@
         }
     }
 
-    /// Fails as well when the peer leaves no room for further data for `timeout`.
+    /// Fails as well when the peer leaves no room for further data for `timeout`; what is left at the
+    /// close has that long as well.
     #[must_use]
     pub(super) fn with_write_timeout(mut self, timeout: Duration) -> Self {
         self.write_timeout = Some(timeout);
@@ -93,6 +96,15 @@
         SockRef::from(&self.stream)
     }
 
+    /// Returns the number of bytes for which the peer has left no room, 0 where the kernel does not
+    /// tell.
+    pub(super) fn unsent_bytes(&self) -> u32 {
+        if self.check.is_none() {
+            return 0;
+        }
+        TcpInfo::of(&self.stream).map_or(0, |info| info.unsent_bytes)
+    }
+
     /// Fails if the peer is gone; otherwise the task of `cx` is woken for the next check.
     fn poll_peer(&mut self, cx: &mut Context<'_>) -> io::Result<()> {
         while let Some(check) = &mut self.check {
@@ -170,6 +182,15 @@
     }
 }
 
+impl Drop for PeerStream {
+    fn drop(&mut self) {
+        // Bounds how long a peer that is gone holds memory of the kernel.
+        if let Some(write_timeout) = self.write_timeout {
+            self.set_kernel_limit(Some(write_timeout));
+        }
+    }
+}
+
 /// Returns whether the peer answers neither the data that was sent nor the probes of its window.
 fn is_gone(info: &TcpInfo) -> bool {
     let is_unanswered = info.retransmits > 0 || info.probes >= MIN_LOST_PROBES;
--- a/src/forward/tcp_info.rs
+++ b/src/forward/tcp_info.rs
@@ -18,8 +18,9 @@
     pub(super) since_last_ack: Duration,
     /// Number of bytes that the peer has acknowledged since the connection was opened.
     pub(super) acknowledged_bytes: u64,
+    /// Number of bytes that were not sent yet, for example as the peer has no room for them.
+    pub(super) unsent_bytes: u32,
     unacknowledged_segments: u32,
-    unsent_bytes: u32,
 }
 
 impl TcpInfo {
--- a/tests/forward/peers.rs
+++ b/tests/forward/peers.rs
@@ -22,12 +22,19 @@
 /// Size of a message that fits into no socket buffer.
 const LARGE: usize = 16 << 20;
 
+/// Size of a message that fits into the send buffer of a router, but into no receive buffer of a peer
+/// that reads slowly.
+const SMALL: usize = 256 << 10;
+
 /// Size of the receive buffer of a peer that reads slowly, in bytes.
 const SMALL_BUFFER_BYTES: usize = 16 << 10;
 
 /// Time for which a slow peer reads nothing.
 const PAUSE: Duration = Duration::from_millis(4_000);
 
+/// Time for which a slow peer reads nothing of a response whose connection is closed.
+const PAUSE_AFTER_CLOSE: Duration = Duration::from_secs(8);
+
 /// Time within which a lost peer is noticed on a machine that is busy.
 const NOTICE_TIMEOUT: Duration = Duration::from_secs(8);
 
@@ -44,7 +51,7 @@
     }
 }
 
-/// Answers `/large` with a large body, and other requests with parts of `part` bytes without end.
+/// Answers `/large` and `/small` with a body of that size, and other requests with parts of `part` bytes without end.
 #[derive(Clone)]
 struct Handler {
     dropped: mpsc::Sender<()>,
@@ -56,6 +63,9 @@
         if req.uri().path() == "/large" {
             return Response::new(full_body(vec![b'x'; LARGE]));
         }
+        if req.uri().path() == "/small" {
+            return Response::new(full_body(vec![b'x'; SMALL]));
+        }
         let (signal, part) = (DropSignal(self.dropped.clone()), self.part);
         let parts = futures_util::stream::unfold(signal, move |signal| async move {
             tokio::time::sleep(Duration::from_millis(50)).await;
@@ -141,6 +151,40 @@
     assert_eq!((read, body.len()), (Ok(LARGE), LARGE));
 }
 
+// The router has closed the connection long before, as it does with its last answers in a stop.
+#[test]
+fn a_caller_that_pauses_after_the_close_of_its_connection_gets_the_whole_response() {
+    let (address, _) = start_listener(1);
+    let mut reader = BufReader::new(request(address, "/small"));
+    skip_head(&mut reader);
+    sleep(PAUSE_AFTER_CLOSE);
+    let mut body = Vec::new();
+    let read = reader.read_to_end(&mut body).map_err(|err| err.kind());
+    assert_eq!((read, body.len()), (Ok(SMALL), SMALL));
+}
+
+#[test]
+fn a_closed_connection_of_a_caller_whose_host_is_gone_does_not_stay_in_the_kernel() {
+    let (address, _) = start_listener(1);
+    let stream = request(address, "/small");
+    let mut byte = [0];
+    (&stream).read_exact(&mut byte).expect("a response");
+    vanish(&stream);
+    let caller = stream.local_addr().expect("an address").port();
+    let is_kept = || {
+        let all = std::fs::read_to_string("/proc/net/tcp").expect("a table");
+        // The columns are a number, the local address and the remote one, with ports in hexadecimal.
+        let ports = format!(":{:04X} 0100007F:{caller:04X} ", address.port());
+        all.lines().any(|line| line.contains(&ports))
+    };
+    assert!(is_kept());
+    let started = Instant::now();
+    while is_kept() && started.elapsed() < READ_TIMEOUT {
+        sleep(Duration::from_millis(100));
+    }
+    assert!(!is_kept());
+}
+
 #[test]
 fn a_server_that_pauses_within_a_large_request_gets_all_of_it() {
     let listener = TcpListener::bind("127.0.0.1:0").expect("a listener");
