Tell comments from events by their fields

Cause: a block of lines was a comment if its first byte was a colon. An event behind a comment line was no progress and was dropped while another server was asked, but its number counted as the last one that the caller had. The server that goes on with such events was read the same way.

Change: a block is a comment if it has no field, for both servers.

--- a/src/forward/event_buffer.rs
+++ b/src/forward/event_buffer.rs
@@ -121,7 +121,7 @@
 impl Position {
     /// Returns the position of `event` after `last_event`.
     fn of(event: &Event, last_event: Option<u64>) -> Result<Self> {
-        if event.raw.starts_with(b":") {
+        if event.is_comment {
             return Ok(Position::Comment);
         }
         let number = event.id.as_deref().and_then(|id| id.parse::<u64>().ok());
--- a/src/relay/event.rs
+++ b/src/relay/event.rs
@@ -14,6 +14,8 @@
     pub id: Option<String>,
     /// Value of the `data` field, with the values of several such fields concatenated.
     pub data: String,
+    /// Whether there are only comment lines and no field.
+    pub is_comment: bool,
 }
 
 /// Error for more than [`MAX_EVENT_BYTES`] buffered bytes without the end of an event.
@@ -124,7 +126,10 @@
     let text = String::from_utf8_lossy(&raw);
     let mut id = None;
     let mut data = String::new();
-    for line in text.lines() {
+    let mut is_comment = true;
+    let lines = text.lines().filter(|line| !line.is_empty());
+    for line in lines.filter(|line| !line.starts_with(':')) {
+        is_comment = false;
         let (field, value) = line.split_once(':').unwrap_or((line, ""));
         let value = value.strip_prefix(' ').unwrap_or(value);
         match field {
@@ -133,5 +138,10 @@
             _ => {}
         }
     }
-    Event { raw, id, data }
+    Event {
+        raw,
+        id,
+        data,
+        is_comment,
+    }
 }
