Skip the comments of engines on the product's own interface

Callers of the chat interface got 503, or an answer that broke off, when an engine sent a comment in its stream.

Change: the reader of an engine's answer skips comments. The progress timeout now covers the time to the next event, so that an engine that sends only comments is left.

Measured: comments_of_an_engine_are_neither_errors_nor_progress got a 503 and a broken-off answer before, and two whole answers after.

--- a/src/relay/answer.rs
+++ b/src/relay/answer.rs
@@ -34,7 +34,7 @@
     ///
     /// # Errors
     ///
-    /// Fails when the engine closes the connection, sends nothing for `progress_timeout` or
+    /// Fails when the engine closes the connection, sends no event for `progress_timeout` or
     /// sends the answer to another request.
     pub(super) async fn read(
         answer: Response<Incoming>,
@@ -71,7 +71,7 @@
     }
 }
 
-/// Reads complete events from a response body, with a time limit for each read.
+/// Reads complete events from a response body, with a time limit for each of them.
 ///
 /// Dropping it before the end of the body closes the connection.
 pub(super) struct EventSource {
@@ -89,24 +89,32 @@
         }
     }
 
+    /// Returns the next event; comments are none and may come without end.
     async fn next_event(&mut self) -> Result<Event> {
+        let progress_timeout = self.progress_timeout;
+        let event = tokio::time::timeout(progress_timeout, self.read_event()).await;
+        event.map_err(|_| progress_timeout_error())?
+    }
+
+    async fn read_event(&mut self) -> Result<Event> {
         loop {
             let event = self.events.next_event();
             let event = event
                 .map_err(|_| protocol_error("an event of the engine exceeds the size limit"))?;
-            if let Some(event) = event {
-                return Ok(event);
+            match event {
+                Some(event) if event.is_comment => {}
+                Some(event) => return Ok(event),
+                None => {
+                    let bytes = self.next_bytes().await?;
+                    self.events.push(&bytes);
+                }
             }
-            let bytes = self.next_bytes().await?;
-            self.events.push(&bytes);
         }
     }
 
     async fn next_bytes(&mut self) -> Result<Bytes> {
         loop {
-            let frame = tokio::time::timeout(self.progress_timeout, self.body.frame()).await;
-            let frame = frame.map_err(|_| progress_timeout_error())?;
-            let frame = frame.ok_or_else(|| {
+            let frame = self.body.frame().await.ok_or_else(|| {
                 connection_lost_error(
                     "the engine closed the connection before the end of the answer",
                 )
@@ -159,10 +167,10 @@
     Error::may_have_run(Category::Cut, message)
 }
 
-/// Creates the error for an engine that sent nothing within the progress timeout.
+/// Creates the error for an engine that sent no event within the progress timeout.
 fn progress_timeout_error() -> Error {
     Error::may_have_run(
         Category::Timeout,
-        "the engine sent nothing within the progress timeout",
+        "the engine sent no event within the progress timeout",
     )
 }
--- a/stand-in/src/engine.rs
+++ b/stand-in/src/engine.rs
@@ -241,6 +241,10 @@
     Foreign,
     /// The token is left out.
     Gap,
+    /// Comments are sent before and within the token; no fault by itself.
+    Comment,
+    /// Comments are sent in place of the token, without end.
+    Heartbeat,
 }
 
 impl Fault {
@@ -250,6 +254,8 @@
             ("STALL", Fault::Stall),
             ("FOREIGN", Fault::Foreign),
             ("GAP", Fault::Gap),
+            ("COMMENT", Fault::Comment),
+            ("HEARTBEAT", Fault::Heartbeat),
         ];
         let asked = faults.iter().find(|(word, _)| prompt.contains(word));
         asked.map_or(Fault::None, |(_, fault)| *fault)
@@ -283,9 +289,15 @@
             Fault::Stall if faulty => std::future::pending().await,
             Fault::Foreign if faulty => id = "another".into(),
             Fault::Gap if faulty => self.next += 1,
+            Fault::Heartbeat if faulty => {
+                return Some((Ok(Frame::data(Bytes::from_static(b": alive\n\n"))), self));
+            }
             _ => {}
         }
-        let event = self.event(&id);
+        let mut event = self.event(&id);
+        if self.fault == Fault::Comment {
+            event.insert_str(0, ": alive\n\n: token\n");
+        }
         self.next += 1;
         Some((Ok(Frame::data(Bytes::from(event))), self))
     }
--- a/tests/relay/resume.rs
+++ b/tests/relay/resume.rs
@@ -84,6 +84,20 @@
     .assert_eq(&table);
 }
 
+// Comments are no tokens: they neither break an answer off nor keep one from being resumed.
+#[test]
+fn comments_of_an_engine_are_neither_errors_nor_progress() {
+    let fleet = fleet();
+    let views = ["COMMENT", "HEARTBEAT"].map(|prompt| {
+        let answer = chat(&fleet, &prompt.to_lowercase(), prompt);
+        summary(&answer)
+    });
+    expect![[r#"
+        200 comment/0 comment/1 comment/2 comment/3 comment/4 comment/5 end=true whole=true
+        200 heartbeat/0 heartbeat/1 heartbeat/2 heartbeat/3 heartbeat/4 heartbeat/5 end=true whole=true"#]]
+    .assert_eq(&views.join("\n"));
+}
+
 #[test]
 fn an_error_status_of_an_engine_has_the_verdict_may_have_run() {
     let fleet = fleet();
