Read event streams with any line end of the format

Callers of streams whose lines end with carriage returns got 502 or 504 on resumable routes, and a connection that broke off behind the last event on others.

Cause: the end of an event was looked for as two line feeds; the format also ends lines with a carriage return, alone or before a line feed. Several data lines were joined without a line feed.

Change: the reader and the check of unsplit streams take all three. The result does not depend on how the bytes arrive.

--- a/src/relay/event.rs
+++ b/src/relay/event.rs
@@ -12,7 +12,7 @@
     pub raw: Bytes,
     /// Value of the `id` field, or `None` if there is no such field.
     pub id: Option<String>,
-    /// Value of the `data` field, with the values of several such fields concatenated.
+    /// Value of the `data` field, with the values of several such fields joined by line feeds.
     pub data: String,
     /// Whether there are only comment lines and no field.
     pub is_comment: bool,
@@ -79,34 +79,39 @@
     }
 }
 
+/// Longest end of an event: two line ends of two bytes each.
+const MAX_END_BYTES: usize = 4;
+
 /// Tells whether a byte stream that is passed on unsplit has come to the end of an event.
 #[derive(Debug, Clone, Copy)]
 pub struct EventBoundary {
     /// Number of line ends at the end of the bytes received, 2 at most.
     line_ends: usize,
+    /// Whether the last byte is a carriage return, of whose line end a line feed is part.
+    is_after_return: bool,
 }
 
 impl Default for EventBoundary {
     /// Returns the boundary before the first event.
     fn default() -> Self {
-        EventBoundary { line_ends: 2 }
+        EventBoundary {
+            line_ends: 2,
+            is_after_return: false,
+        }
     }
 }
 
 impl EventBoundary {
     /// Takes further bytes of the stream into account.
     pub fn push(&mut self, bytes: &[u8]) {
-        let at_end = bytes
-            .iter()
-            .rev()
-            .take_while(|byte| **byte == b'\n')
-            .count();
-        let before = if at_end == bytes.len() {
-            self.line_ends
-        } else {
-            0
-        };
-        self.line_ends = (before + at_end).min(2);
+        for byte in &bytes[bytes.len().saturating_sub(MAX_END_BYTES)..] {
+            match byte {
+                b'\n' if self.is_after_return => {}
+                b'\n' | b'\r' => self.line_ends = (self.line_ends + 1).min(2),
+                _ => self.line_ends = 0,
+            }
+            self.is_after_return = *byte == b'\r';
+        }
     }
 
     /// Returns whether the bytes end with a complete event, or there are none.
@@ -116,32 +121,56 @@
 }
 
 /// Returns the length of the first event in `buf`, or `None` if its end is missing.
+///
+/// Lines end with a line feed, a carriage return, or both. The result does not change with what
+/// follows in the stream.
 fn end_of_event(buf: &[u8]) -> Option<usize> {
-    buf.windows(2)
-        .position(|pair| pair == b"\n\n")
-        .map(|at| at + 2)
+    let mut line_start = 0;
+    // Where lines end with single carriage returns, no line feed is awaited behind the last one.
+    let mut has_lone_return = false;
+    loop {
+        let line = &buf[line_start..];
+        let len = line.iter().position(|byte| matches!(byte, b'\n' | b'\r'))?;
+        let awaits_feed = len > 0 || !has_lone_return;
+        let end_len = match (line[len], line.get(len + 1)) {
+            (b'\r', None) if awaits_feed => return None,
+            (b'\r', Some(b'\n')) if awaits_feed => 2,
+            _ => 1,
+        };
+        if len == 0 {
+            return Some(line_start + end_len);
+        }
+        has_lone_return = line[len] == b'\r' && end_len == 1;
+        line_start += len + end_len;
+    }
 }
 
 fn parse(raw: Bytes) -> Event {
     let text = String::from_utf8_lossy(&raw);
     let mut id = None;
-    let mut data = String::new();
+    let mut data: Option<String> = None;
     let mut is_comment = true;
-    let lines = text.lines().filter(|line| !line.is_empty());
+    let lines = text.split(['\n', '\r']).filter(|line| !line.is_empty());
     for line in lines.filter(|line| !line.starts_with(':')) {
         is_comment = false;
         let (field, value) = line.split_once(':').unwrap_or((line, ""));
         let value = value.strip_prefix(' ').unwrap_or(value);
         match field {
             "id" => id = Some(value.to_string()),
-            "data" => data.push_str(value),
+            "data" => match &mut data {
+                None => data = Some(value.to_string()),
+                Some(data) => {
+                    data.push('\n');
+                    data.push_str(value);
+                }
+            },
             _ => {}
         }
     }
     Event {
         raw,
         id,
-        data,
+        data: data.unwrap_or_default(),
         is_comment,
     }
 }
--- a/tests/relay/sequence.rs
+++ b/tests/relay/sequence.rs
@@ -105,3 +105,32 @@
     expect!["next=0 whole=false"].assert_eq(&check_events(&just_fits, usize::MAX, None));
     expect!["oversized"].assert_eq(&check_events(&too_large, usize::MAX, None));
 }
+
+#[test]
+fn events_end_with_an_empty_line_whatever_ends_their_lines() {
+    let streams = [
+        "data: a\n\ndata: b\n\n",
+        "data: a\r\n\r\ndata: b\r\n\r\n",
+        "data: a\r\rdata: b\r\r",
+        "data: a\r\n\ndata: b\n\r",
+        "data: a\ndata: b\n\n\n",
+        "data\ndata:\ndata: c\r\r",
+    ];
+    let read = streams.map(|stream| {
+        let mut events = EventReader::new();
+        events.push(stream.as_bytes());
+        let mut read = Vec::new();
+        while let Ok(Some(event)) = events.next_event() {
+            read.push(event.data);
+        }
+        format!("{read:?} left {}", events.len())
+    });
+    expect![[r#"
+        ["a", "b"] left 0
+        ["a", "b"] left 0
+        ["a", "b"] left 0
+        ["a"] left 9
+        ["a\nb", ""] left 0
+        ["\n\nc"] left 0"#]]
+    .assert_eq(&read.join("\n"));
+}
