Break a response off that ends before its request was read

An end counted as proper while the request was not written, and the kernel reports an end that was followed by a reset as an end only.

Change: at an end the kernel is asked for a reset and for the bytes that the server has acknowledged; unless it has all of the request, the end is an error and is logged.

Measured: forward::uploads had three of four such responses complete before, none after; responses to uploads that were read are complete before and after.

--- a/src/forward/mod.rs
+++ b/src/forward/mod.rs
@@ -26,6 +26,7 @@
 mod resume;
 mod selection;
 mod serve;
+mod server_stream;
 mod state;
 mod stream;
 mod successor;
--- a/src/forward/peer_stream.rs
+++ b/src/forward/peer_stream.rs
@@ -96,13 +96,22 @@
         SockRef::from(&self.stream)
     }
 
+    /// Returns what the kernel tells about the connection.
+    ///
+    /// # Errors
+    ///
+    /// Fails when it tells nothing.
+    pub(super) fn tcp_info(&self) -> io::Result<TcpInfo> {
+        TcpInfo::of(&self.stream)
+    }
+
     /// Returns the number of bytes for which the peer has left no room, 0 where the kernel does not
     /// tell.
     pub(super) fn unsent_bytes(&self) -> u32 {
         if self.check.is_none() {
             return 0;
         }
-        TcpInfo::of(&self.stream).map_or(0, |info| info.unsent_bytes)
+        self.tcp_info().map_or(0, |info| info.unsent_bytes)
     }
 
     /// Fails if the peer is gone; otherwise the task of `cx` is woken for the next check.
--- a/src/forward/tcp_info.rs
+++ b/src/forward/tcp_info.rs
@@ -7,9 +7,14 @@
     time::Duration,
 };
 
+/// State of a connection that does not exist any more, `TCP_CLOSE` of the kernel.
+const CLOSED: u8 = 7;
+
 /// What the kernel tells about the data that was sent on a connection.
 #[derive(Debug, Clone, Copy)]
 pub(super) struct TcpInfo {
+    /// Whether the peer has reset the connection.
+    pub(super) is_reset: bool,
     /// Number of times in a row that the oldest unacknowledged data was sent again.
     pub(super) retransmits: u8,
     /// Number of unanswered probes of a closed receive window, or of an idle peer.
@@ -49,6 +54,7 @@
         // SAFETY: all fields are integers, for which zeroes are valid where the kernel wrote none.
         let info = unsafe { info.assume_init() };
         Ok(TcpInfo {
+            is_reset: info.tcpi_state == CLOSED,
             retransmits: info.tcpi_retransmits,
             probes: info.tcpi_probes,
             since_last_ack: Duration::from_millis(info.tcpi_last_ack_recv.into()),
--- a/tests/forward/main.rs
+++ b/tests/forward/main.rs
@@ -5,6 +5,7 @@
 mod listener;
 mod panics;
 mod peers;
+mod uploads;
 
 use std::time::Duration;
 
