Take statuses outside of 200 to 599 for failures

Callers got 101, 600 or 999 of a server as its answer, on each kind of route.

Cause: a status was only asked what it says about the run.

Change: a response whose status is none of a final response fails the attempt, which may have run.

Measured: adapter::odd_statuses, 12 of 12 such answers were passed on before, none after; 000 and 199 got 502 before and after.

--- a/src/forward/exchange.rs
+++ b/src/forward/exchange.rs
@@ -72,6 +72,16 @@
         let names_attempt = template.attempt.is_some();
         let (connection, response) = self.send(req, progress, server, names_attempt).await?;
         let (parts, body) = response.into_parts();
+        if !is_final(parts.status) {
+            self.health
+                .record(server.key(), Observation::Failed, self.clock.now());
+            let message = format!("the response has the status {}", parts.status.as_str());
+            return Err(AttemptFailure {
+                server: server.clone(),
+                err: Error::may_have_run(Category::Backend, message),
+                sent: true,
+            });
+        }
         let mut head =
             self.wire
                 .parse_response_head(parts.status, &parts.headers, template.attempt.as_ref());
@@ -213,6 +223,13 @@
     }
 }
 
+/// Returns whether `status` is one of a final response.
+///
+/// Requests ask for no other protocol, so that 101 answers none of them.
+fn is_final(status: StatusCode) -> bool {
+    (200..600).contains(&status.as_u16())
+}
+
 impl Exchange {
     /// Checks that the server ran the request and that the response belongs to it.
     ///
