Join groups of routers that started with different lists

Four routers that started at once could stay two groups of two, each with the share of budgets and of servers' limits of half of the fleet.

Cause: a router that knows another never read the saved addresses again, and each group saved its own over those of the other.

Change: the router that saves the addresses reads them before its first save and every 10 s, and contacts those that it does not know.

Measured: a_router_that_knows_another_finds_those_that_only_the_saved_list_names saw no datagram to them within 4 s before, and does now.

--- a/src/feed/snapshot.rs
+++ b/src/feed/snapshot.rs
@@ -17,6 +17,11 @@
 /// Time between two loads of the snapshot while this router knows no other router.
 const ALONE_RESTORE_PERIOD: Duration = Duration::from_millis(1_500);
 
+/// Time between two loads of the saved addresses by the router that saves them.
+///
+/// Routers that started with another list know only each other, and save their own addresses.
+const OTHERS_CHECK_PERIOD: Duration = Duration::from_secs(10);
+
 /// Maximum number of addresses saved; a router that starts needs one that answers.
 const MAX_SAVED_ROUTERS: usize = 64;
 
@@ -39,6 +44,7 @@
     let mut saved_routers =
         restore(&*store, &feed, &presence, &affinity, &poison_parts, &clock).await;
     let mut last_saved = (feed.store_era(), FleetSnapshot::default());
+    let mut others_checked = None;
     loop {
         let is_alone = presence.fleet_size() == 1;
         tokio::time::sleep(if is_alone {
@@ -53,6 +59,12 @@
                 restore(&*store, &feed, &presence, &affinity, &poison_parts, &clock).await;
         } else {
             saved_routers.clear();
+            let now = clock.now();
+            let is_due = |checked| now.since(checked) >= OTHERS_CHECK_PERIOD;
+            if others_checked.is_none_or(is_due) && feed.should_save(&presence, now) {
+                others_checked = Some(now);
+                find_others(&*store, &feed, &presence, &clock).await;
+            }
         }
         let now = clock.now();
         let mut routers = presence.map_live(now, |state| state.peer_address);
@@ -119,6 +131,20 @@
     }
 }
 
+/// Contacts the saved routers that this one does not know.
+async fn find_others<S: Store>(store: &S, feed: &Feed, presence: &Presence, clock: &Clock) {
+    let saved = store.load_snapshot().await;
+    let now = clock.now();
+    feed.record_call("saved", &saved, now);
+    let Ok(FleetSnapshot { routers, .. }) = saved else {
+        return;
+    };
+    let count = presence.add_seeds(routers, now);
+    if count > 0 {
+        log::info!("saved routers unknown count={count}");
+    }
+}
+
 /// Returns `snapshot` with sorted placements and without its time and the remaining times of
 /// quarantines, so that snapshots of the same state are equal.
 fn sorted(snapshot: &FleetSnapshot) -> FleetSnapshot {
--- a/src/presence/state.rs
+++ b/src/presence/state.rs
@@ -72,12 +72,17 @@
         }
     }
 
-    /// Adds seed addresses, at which other routers may be found.
-    pub fn add_seeds(&self, addresses: impl IntoIterator<Item = SocketAddr>, now: Instant) {
+    /// Adds seed addresses, at which other routers may be found; returns how many of them belong to no
+    /// known router.
+    pub fn add_seeds(
+        &self,
+        addresses: impl IntoIterator<Item = SocketAddr>,
+        now: Instant,
+    ) -> usize {
         let mut view = self.lock();
-        for address in addresses {
-            view.add_seed(address, self.own_address, now);
-        }
+        let addresses = addresses.into_iter();
+        let unknown = addresses.filter(|address| view.add_seed(*address, self.own_address, now));
+        unknown.count()
     }
 
     /// Applies a datagram from another router.
--- a/src/presence/view.rs
+++ b/src/presence/view.rs
@@ -41,11 +41,14 @@
 }
 
 impl FleetView {
-    pub(super) fn add_seed(&mut self, address: SocketAddr, own: SocketAddr, now: Instant) {
+    /// Adds the address unless it is `own` or that of a known router; returns whether it was added.
+    pub(super) fn add_seed(&mut self, address: SocketAddr, own: SocketAddr, now: Instant) -> bool {
         let is_known = self.peers.iter().any(|p| p.state.peer_address == address);
-        if address != own && !is_known {
-            self.seeds.add(address, now);
+        if address == own || is_known {
+            return false;
         }
+        self.seeds.add(address, now);
+        true
     }
 
     pub(super) fn receive_digest(&mut self, digest: &Digest, now: Instant) -> Reception {
--- a/tests/feed/snapshot.rs
+++ b/tests/feed/snapshot.rs
@@ -9,12 +9,12 @@
     admission::{PartKey, PoisonParts, QuarantinedParts},
     feed::{run_snapshots, Feed, FleetSnapshot, Position, RoutesRead, ServersRead, Store},
     placement::{PromptPart, SessionAffinity},
-    presence::Presence,
+    presence::{Digest, Presence, StoreStatus},
     Category, Clock, Error, PoolName, Result,
 };
 use tokio::time::sleep;
 
-use crate::{name, LINK_MBPS};
+use crate::{digest, name, state, LINK_MBPS};
 
 /// Length of the quarantine, several times that between two saves.
 const QUARANTINE: Duration = Duration::from_secs(6);
@@ -48,12 +48,28 @@
 
 /// Runs the snapshots of a router that knows no other; returns its quarantines.
 fn start(store: &Arc<SnapshotStore>, number: usize, clock: Clock) -> Arc<PoisonParts> {
+    let address = ([127, 0, 0, 1], number as u16).into();
+    start_with(
+        store,
+        number,
+        Arc::new(Presence::new(name(number), address)),
+        clock,
+    )
+}
+
+/// Runs the snapshots of a router that knows the others that `presence` does; returns its quarantines.
+fn start_with(
+    store: &Arc<SnapshotStore>,
+    number: usize,
+    presence: Arc<Presence>,
+    clock: Clock,
+) -> Arc<PoisonParts> {
     let address = ([127, 0, 0, 1], number as u16).into();
     let poison_parts = Arc::new(PoisonParts::default());
     tokio::spawn(run_snapshots(
         store.clone(),
         Arc::new(Feed::new(&name(number), LINK_MBPS)),
-        Arc::new(Presence::new(name(number), address)),
+        presence,
         Arc::new(SessionAffinity::default()),
         poison_parts.clone(),
         address,
@@ -90,3 +106,24 @@
         .collect();
     assert_eq!(restarted, [false; 5], "after twice its time");
 }
+
+// Routers 1 and 2 know each other, as do 3 and 4: each pair had read another saved list.
+#[tokio::test]
+async fn a_router_that_knows_another_finds_those_that_only_the_saved_list_names() {
+    let clock = Clock::new();
+    let store = Arc::new(SnapshotStore::default());
+    let address = ([127, 0, 0, 1], 1).into();
+    let presence = Arc::new(Presence::new(name(1), address));
+    presence.receive(&digest(state(2, StoreStatus::Unreachable), 1), clock.now());
+    start_with(&store, 1, presence.clone(), clock);
+    sleep(Duration::from_millis(100)).await;
+    let others: Vec<_> = [3, 4]
+        .map(|n| state(n, StoreStatus::Reachable).peer_address)
+        .into();
+    store.0.lock().expect("a snapshot").routers = others.clone();
+    sleep(Duration::from_millis(4_000)).await;
+    let own = Digest::new(state(1, StoreStatus::Reachable));
+    let sent = presence.next_round(own, true, clock.now());
+    let contacted = |other| sent.iter().any(|outgoing| outgoing.to.contains(other));
+    assert!(others.iter().all(contacted), "{sent:?}");
+}
