Start no process of a test while another thread looks for a free port

Tests with processes failed now and then as a router could not start: "Address already in use" in the router's log, "gave up waiting until the router is ready" 60 s later (twice in some 95 runs of eight tests, beside load).

Cause: a port counts as free when it can be bound. A process that another thread starts meanwhile has the bound socket as well, until it runs its own program, and the port is in use when the router wants it.

Change: both take the lock of the ports.

--- a/tests/cli/command.rs
+++ b/tests/cli/command.rs
@@ -4,7 +4,7 @@
 
 use serde_json::Value;
 
-use super::support::{program, Fleet, TOKEN};
+use super::support::{self, program, Fleet, TOKEN};
 
 /// The exit status and output of a finished command.
 #[derive(Debug)]
@@ -45,15 +45,12 @@
 
 /// Runs a command and waits for it to finish.
 pub fn run(fleet: &Fleet, args: &[&str]) -> CommandOutput {
-    let output = command(fleet, 0, args)
-        .output()
-        .expect("a finished process");
-    CommandOutput::new(&output)
+    CommandOutput::new(&support::output(&mut command(fleet, 0, args)))
 }
 
 /// Starts a command that tries the router at `first` first.
 pub fn start(fleet: &Fleet, first: usize, args: &[&str]) -> Child {
-    command(fleet, first, args).spawn().expect("a process")
+    support::spawn(&mut command(fleet, first, args))
 }
 
 /// Waits for a started command to finish.
--- a/tests/cli/settings.rs
+++ b/tests/cli/settings.rs
@@ -4,7 +4,7 @@
 
 use expect_test::expect;
 
-use super::support::program;
+use super::support::{self, program};
 
 #[test]
 fn the_command_line_and_the_daemon_list_the_same_errors() {
@@ -12,8 +12,7 @@
     std::fs::write(dir.path().join("faulty.yaml"), "listen: {callers: here}\n").expect("a file");
     let run = |name: &str, args: &[&str]| {
         let mut command = Command::new(program(name));
-        let output = command.args(args).current_dir(dir.path()).output();
-        let output = output.expect("a finished process");
+        let output = support::output(command.args(args).current_dir(dir.path()));
         assert!(!output.status.success());
         String::from_utf8(output.stderr).expect("text")
     };
@@ -40,10 +39,8 @@
 #[test]
 fn completion_scripts_contain_the_plan_commands() {
     for shell in ["bash", "zsh", "fish"] {
-        let output = Command::new(program("ebonyspur"))
-            .args(["completions", shell])
-            .output();
-        let output = output.expect("a finished process");
+        let args = ["completions", shell];
+        let output = support::output(Command::new(program("ebonyspur")).args(args));
         let text = String::from_utf8(output.stdout).expect("text");
         assert!(
             ["move-team", "undrain", "retry", "rebalance"]
--- a/tests/support/mod.rs
+++ b/tests/support/mod.rs
@@ -15,7 +15,9 @@
 
 pub use port::free_address;
 #[allow(unused_imports)]
-pub use process::{program, show_logs_of_failure, wait_until, Process, WAIT_TIMEOUT};
+pub use process::{
+    output, program, show_logs_of_failure, spawn, wait_until, Process, WAIT_TIMEOUT,
+};
 use serde_json::{json, Value};
 
 /// Token of the operator in each test fleet.
@@ -241,14 +243,13 @@
 
     /// Runs the load generator to its end and returns its report.
     pub fn load(&self, args: &[&str]) -> Value {
-        let output = self.load_command(args).output().expect("a caller");
-        parse_report(&output)
+        parse_report(&output(&mut self.load_command(args)))
     }
 
     /// Starts the load generator without waiting for its end.
     pub fn start_load(&self, args: &[&str]) -> Child {
         let mut command = self.load_command(args);
-        command.stdout(Stdio::piped()).spawn().expect("a caller")
+        spawn(command.stdout(Stdio::piped()))
     }
 
     fn load_command(&self, args: &[&str]) -> Command {
@@ -284,10 +285,8 @@
     } else {
         body.to_string()
     };
-    let output = Command::new(program("stand-in"))
-        .args(["request", "--token", TOKEN, method, url, &body])
-        .output()
-        .expect("a request");
+    let args = ["request", "--token", TOKEN, method, url, &body];
+    let output = output(Command::new(program("stand-in")).args(args));
     output
         .status
         .success()
--- a/tests/support/port.rs
+++ b/tests/support/port.rs
@@ -2,7 +2,7 @@
 
 use std::{
     net::{Ipv4Addr, SocketAddr, TcpListener, UdpSocket},
-    sync::{Mutex, PoisonError},
+    sync::{Mutex, MutexGuard, PoisonError},
 };
 
 /// First port of the first block; all blocks are below the system's ephemeral ports.
@@ -14,6 +14,9 @@
 /// Number of blocks.
 const BLOCK_COUNT: u16 = 200;
 
+/// Ports of this process.
+static RESERVED: Mutex<Vec<Block>> = Mutex::new(Vec::new());
+
 /// A block of ports that this process owns while it listens on the first one.
 struct Block {
     _guard: TcpListener,
@@ -42,10 +45,21 @@
     SocketAddr::from((Ipv4Addr::LOCALHOST, port))
 }
 
+/// Keeps other threads from looking for free ports.
+///
+/// It is held while a process is started: the new process has all sockets until it runs its program,
+/// and a port that was free would be in use.
+pub fn lock_ports() -> impl Sized {
+    reserved()
+}
+
+fn reserved() -> MutexGuard<'static, Vec<Block>> {
+    RESERVED.lock().unwrap_or_else(PoisonError::into_inner)
+}
+
 /// Returns a free address on loopback that is given to no other test.
 pub fn free_address() -> SocketAddr {
-    static RESERVED: Mutex<Vec<Block>> = Mutex::new(Vec::new());
-    let mut reserved = RESERVED.lock().unwrap_or_else(PoisonError::into_inner);
+    let mut reserved = reserved();
     loop {
         let ports = reserved.last_mut().map(|block| &mut block.ports);
         let Some(port) = ports.and_then(Iterator::next) else {
--- a/tests/support/process.rs
+++ b/tests/support/process.rs
@@ -3,12 +3,14 @@
 use std::{
     fs::File,
     path::{Path, PathBuf},
-    process::{Child, Command, Stdio},
+    process::{Child, Command, Output, Stdio},
     time::{Duration, Instant},
 };
 
 use rustix::process::{kill_process, Pid, Signal};
 
+use super::port::lock_ports;
+
 /// Time after which [`wait_until`] fails.
 pub const WAIT_TIMEOUT: Duration = Duration::from_secs(60);
 
@@ -58,6 +60,19 @@
     path
 }
 
+/// Starts a process, while no other thread looks for free ports.
+pub fn spawn(command: &mut Command) -> Child {
+    let _ports = lock_ports();
+    command.spawn().expect("a started process")
+}
+
+/// Runs a process to its end, with its output in pipes.
+pub fn output(command: &mut Command) -> Output {
+    let command = command.stdin(Stdio::null()).stdout(Stdio::piped());
+    let child = spawn(command.stderr(Stdio::piped()));
+    child.wait_with_output().expect("a finished process")
+}
+
 /// A child process, killed when dropped.
 pub struct Process {
     child: Child,
@@ -67,25 +82,25 @@
     /// Starts the program `name` with its output in `log`.
     pub fn start(name: &str, args: &[&str], log: &Path) -> Self {
         let log = File::create(log).expect("a log file");
-        let child = Command::new(program(name))
-            .args(args)
-            .stdin(Stdio::null())
-            .stdout(log.try_clone().expect("a second handle"))
-            .stderr(log)
-            .spawn()
-            .expect("a started process");
+        let child = spawn(
+            Command::new(program(name))
+                .args(args)
+                .stdin(Stdio::null())
+                .stdout(log.try_clone().expect("a second handle"))
+                .stderr(log),
+        );
         Process { child }
     }
 
     /// Starts the program `name` with its standard output in a pipe that nobody reads.
     pub fn start_unread(name: &str, args: &[&str]) -> Self {
-        let child = Command::new(program(name))
-            .args(args)
-            .stdin(Stdio::null())
-            .stdout(Stdio::piped())
-            .stderr(Stdio::null())
-            .spawn()
-            .expect("a started process");
+        let child = spawn(
+            Command::new(program(name))
+                .args(args)
+                .stdin(Stdio::null())
+                .stdout(Stdio::piped())
+                .stderr(Stdio::null()),
+        );
         Process { child }
     }
 
