Check the ends of server connections in the peer stream

The check had a stream type of its own, which passed every call on to the peer stream, as the stream of callers' connections does. It is now an option of the peer stream, like the limit on writes. A buffered event is the reader's event and no copy of two of its fields.

--- a/src/forward/connection.rs
+++ b/src/forward/connection.rs
@@ -16,7 +16,7 @@
     task::JoinHandle,
 };
 
-use super::server_stream::ServerStream;
+use super::peer_stream::PeerStream;
 use crate::{
     catalog::{Server, ServerKey},
     sync::lock,
@@ -218,7 +218,7 @@
     })
 }
 
-async fn connect(address: SocketAddr) -> std::io::Result<ServerStream> {
+async fn connect(address: SocketAddr) -> std::io::Result<PeerStream> {
     let socket = match address {
         SocketAddr::V4(_) => TcpSocket::new_v4()?,
         SocketAddr::V6(_) => TcpSocket::new_v6()?,
@@ -226,7 +226,7 @@
     socket.set_nodelay(true)?;
     let stream = socket.connect(address).await?;
     set_keepalive(&stream)?;
-    Ok(ServerStream::new(stream, address))
+    Ok(PeerStream::new(stream, address).with_end_check())
 }
 
 /// Sets the TCP options by which the operating system detects a peer that is gone without
--- a/src/forward/event_buffer.rs
+++ b/src/forward/event_buffer.rs
@@ -1,7 +1,5 @@
 //! Events of a stream that have arrived in part or were not taken yet.
 
-use bytes::Bytes;
-
 use crate::{
     memory::{Account, Reservation},
     relay::{Event, EventReader, Oversized},
@@ -15,13 +13,6 @@
     reservation: Reservation,
 }
 
-/// An event that the caller does not have yet.
-pub(super) struct NewEvent {
-    pub(super) raw: Bytes,
-    /// Whether it is a comment, which carries no data.
-    pub(super) is_comment: bool,
-}
-
 impl EventBuffer {
     /// Creates an empty buffer.
     pub(super) fn new(account: &Account) -> Self {
@@ -57,17 +48,14 @@
     ///
     /// Returns [`Category::Backend`] for an event that is too large, and for one without a number
     /// in a stream of numbered events.
-    pub(super) fn next_new_event(
-        &mut self,
-        last_event: &mut Option<u64>,
-    ) -> Result<Option<NewEvent>> {
+    pub(super) fn next_new_event(&mut self, last_event: &mut Option<u64>) -> Result<Option<Event>> {
         while let Some(event) = self.next_event()? {
             match Position::of(&event, *last_event)? {
                 Position::Known => {}
-                Position::Comment => return Ok(Some(NewEvent::new(event, true))),
+                Position::Comment => return Ok(Some(event)),
                 Position::New(number) => {
                     *last_event = number.or(*last_event);
-                    return Ok(Some(NewEvent::new(event, false)));
+                    return Ok(Some(event));
                 }
             }
         }
@@ -99,15 +87,6 @@
     }
 }
 
-impl NewEvent {
-    fn new(event: Event, is_comment: bool) -> Self {
-        NewEvent {
-            raw: event.raw,
-            is_comment,
-        }
-    }
-}
-
 /// Where an event stands in a stream.
 enum Position {
     /// It carries no data and stands anywhere.
--- a/src/forward/mod.rs
+++ b/src/forward/mod.rs
@@ -26,7 +26,6 @@
 mod resume;
 mod selection;
 mod serve;
-mod server_stream;
 mod state;
 mod stream;
 mod successor;
--- a/src/forward/peer_stream.rs
+++ b/src/forward/peer_stream.rs
@@ -5,6 +5,9 @@
 //! once the kernel has told that data is unacknowledged; where it tells nothing, its limit stays.
 //!
 //! The kernel goes on sending after the close of a connection, and its limit is then the only one.
+//!
+//! A response without length or chunks ends with its connection. The kernel reports such an end as soon
+//! as it arrives, also if the server has not received the request or resets the connection later.
 
 use std::{
     future::Future,
@@ -41,6 +44,8 @@
 pub(super) struct PeerStream {
     stream: TcpStream,
     peer: SocketAddr,
+    /// Number of bytes that were written, if the end of the connection is checked.
+    written_bytes: Option<u64>,
     /// Longest time for which the peer may leave no room for further data.
     write_timeout: Option<Duration>,
     /// Time since which there is no room for further data and the peer acknowledges none.
@@ -66,6 +71,7 @@
         let mut stream = PeerStream {
             stream,
             peer,
+            written_bytes: None,
             write_timeout: None,
             blocked_since: None,
             check: None,
@@ -91,27 +97,52 @@
         self
     }
 
+    /// Fails as well at an end of the connection that the peer sends before it has received all that
+    /// was written, or resets afterwards.
+    #[must_use]
+    pub(super) fn with_end_check(mut self) -> Self {
+        self.written_bytes = Some(0);
+        self
+    }
+
     /// Returns the socket.
     pub(super) fn socket(&self) -> SockRef<'_> {
         SockRef::from(&self.stream)
     }
 
-    /// Returns what the kernel tells about the connection.
+    /// Checks an end of the connection after `written_bytes`.
     ///
     /// # Errors
     ///
-    /// Fails when it tells nothing.
-    pub(super) fn tcp_info(&self) -> io::Result<TcpInfo> {
-        TcpInfo::of(&self.stream)
+    /// Fails when the connection was reset, or not all bytes were acknowledged. Succeeds where the
+    /// kernel does not report its state.
+    fn check_end(&self, written_bytes: u64) -> io::Result<()> {
+        let Ok(info) = TcpInfo::of(&self.stream) else {
+            return Ok(());
+        };
+        // The opening of the connection counts as one acknowledged byte.
+        let is_unreported = info.acknowledged_bytes == 0;
+        let is_received = info.acknowledged_bytes >= written_bytes;
+        if !info.is_reset && (is_unreported || is_received) {
+            return Ok(());
+        }
+        log::info!(
+            "server ended early to={} reset={} written_bytes={written_bytes} acknowledged_bytes={}",
+            self.peer,
+            info.is_reset,
+            info.acknowledged_bytes
+        );
+        let message = "the server ended the connection before it had read the request";
+        Err(io::Error::new(io::ErrorKind::ConnectionReset, message))
     }
 
     /// Returns the number of bytes for which the peer has left no room, 0 where the kernel does not
-    /// tell.
+    /// report it.
     pub(super) fn unsent_bytes(&self) -> u32 {
         if self.check.is_none() {
             return 0;
         }
-        self.tcp_info().map_or(0, |info| info.unsent_bytes)
+        TcpInfo::of(&self.stream).map_or(0, |info| info.unsent_bytes)
     }
 
     /// Fails if the peer is gone; otherwise the task of `cx` is woken for the next check.
@@ -181,6 +212,9 @@
             }
             Poll::Ready(_) => self.blocked_since = None,
         }
+        if let (Some(bytes), Poll::Ready(Ok(len))) = (&mut self.written_bytes, &written) {
+            *bytes += *len as u64;
+        }
         self.check.get_or_insert_with(|| AckCheck {
             since: now,
             acknowledged_bytes: 0,
@@ -213,7 +247,14 @@
         buf: &mut ReadBuf<'_>,
     ) -> Poll<io::Result<()>> {
         self.poll_peer(cx)?;
-        Pin::new(&mut self.stream).poll_read(cx, buf)
+        let unfilled = buf.remaining();
+        let read = Pin::new(&mut self.stream).poll_read(cx, buf);
+        let is_read = matches!(read, Poll::Ready(Ok(())));
+        let is_end = is_read && unfilled > 0 && buf.remaining() == unfilled;
+        match self.written_bytes {
+            Some(written_bytes) if is_end => Poll::Ready(self.check_end(written_bytes)),
+            _ => read,
+        }
     }
 }
 
