--- a/src/feed/snapshot.rs
+++ b/src/feed/snapshot.rs
@@ -5,7 +5,8 @@
 
 use super::{Feed, FleetSnapshot, Store};
 use crate::{
-    admission::PoisonParts, placement::SessionAffinity, presence::Presence, Clock, UnixMillis,
+    admission::PoisonParts, placement::SessionAffinity, presence::Presence, Clock, Result,
+    UnixMillis,
 };
 
 /// Time between two saves.
@@ -102,9 +103,8 @@
     clock: &Clock,
 ) -> Vec<SocketAddr> {
     loop {
-        let saved = store.load_snapshot().await;
+        let saved = load(store, feed, clock).await;
         let now = clock.now();
-        feed.record_call("saved", &saved, now);
         if let Ok(FleetSnapshot {
             routers,
             placements,
@@ -131,15 +131,19 @@
     }
 }
 
+/// Loads the snapshot and records the call.
+async fn load<S: Store>(store: &S, feed: &Feed, clock: &Clock) -> Result<FleetSnapshot> {
+    let saved = store.load_snapshot().await;
+    feed.record_call("saved", &saved, clock.now());
+    saved
+}
+
 /// Contacts the saved routers that this one does not know.
 async fn find_others<S: Store>(store: &S, feed: &Feed, presence: &Presence, clock: &Clock) {
-    let saved = store.load_snapshot().await;
-    let now = clock.now();
-    feed.record_call("saved", &saved, now);
-    let Ok(FleetSnapshot { routers, .. }) = saved else {
+    let Ok(FleetSnapshot { routers, .. }) = load(store, feed, clock).await else {
         return;
     };
-    let count = presence.add_seeds(routers, now);
+    let count = presence.add_seeds(routers, clock.now());
     if count > 0 {
         log::info!("saved routers unknown count={count}");
     }
