--- a/review/stand-3/src/crashes.rs
+++ b/review/stand-3/src/crashes.rs
@@ -225,6 +225,62 @@
     Ok(holds)
 }
 
+/// Servers are replaced by new ones, which a request crashes that the old ones have answered; it comes
+/// again and again. Without the disruption the new ones answer it as well.
+pub fn release() -> Result<bool, CannotRun> {
+    const SERVERS: usize = 6;
+    let mut fleet = Fleet::start(2, &config(false))?;
+    let mut old = Vec::new();
+    for number in 1..=SERVERS {
+        let address = fleet.add_server(number, |mut settings| {
+            settings.work_ms = BOOKING_MS;
+            settings
+        })?;
+        old.push(address);
+    }
+    fleet.start_routers()?;
+    thread::sleep(CONTACT + Duration::from_millis(300));
+    // Without these the routers have never seen the request answered.
+    if std::env::var("ASKED_BEFORE").as_deref() != Ok("0") {
+        for number in 0..4 {
+            let attempt = format!("before-{number}");
+            if !send(&fleet, number % 2 + 1, "GET", "/look/odd", &attempt, "") {
+                return Err(CannotRun("the old servers do not answer".into()));
+            }
+        }
+    }
+    // Three releases of a third of the servers each, one server a second.
+    for (number, address) in old.into_iter().enumerate() {
+        fleet.add_server(SERVERS + number + 1, |mut settings| {
+            if has_trouble() {
+                settings.deadly_path = "/look/odd".into();
+            }
+            settings.work_ms = BOOKING_MS;
+            settings
+        })?;
+        thread::sleep(Duration::from_millis(600));
+        let second = Duration::from_secs(1);
+        http::call(address, "PUT", "/stand/drain", &[], "", second)?;
+        fleet
+            .record
+            .line(format!("old server {} leaves", number + 1));
+        thread::sleep(Duration::from_millis(400));
+        if number % 2 == 1 {
+            thread::sleep(CONTACT);
+        }
+    }
+    thread::sleep(CONTACT + Duration::from_millis(1_500));
+    beside_bookings(&mut fleet, |fleet, _| {
+        for number in 0..16 {
+            let attempt = format!("deadly-{number}");
+            send(fleet, number % 2 + 1, "GET", "/look/odd", &attempt, "");
+            thread::sleep(Duration::from_millis(900));
+        }
+        Ok(())
+    })?;
+    judge(&fleet, 2 * SERVERS, "deadly", 3)
+}
+
 /// A request that crashes servers comes again and again; when it is known, the routers are restarted
 /// in turn. Without the disruption nothing is restarted.
 pub fn restarts() -> Result<bool, CannotRun> {
--- a/review/stand-3/src/fleet.rs
+++ b/review/stand-3/src/fleet.rs
@@ -77,8 +77,13 @@
         started.elapsed()
     }
 
-    fn has_ended(&mut self) -> bool {
-        !matches!(self.0.try_wait(), Ok(None))
+    /// Returns the exit code of a process that has ended, 1 if a signal ended it.
+    fn exit_code(&mut self) -> Option<i32> {
+        match self.0.try_wait() {
+            Ok(None) => None,
+            Ok(Some(status)) => Some(status.code().unwrap_or(1)),
+            Err(_) => Some(1),
+        }
     }
 }
 
@@ -221,7 +226,7 @@
         &mut self,
         number: usize,
         settings: impl Fn(Settings) -> Settings,
-    ) -> Result<(), CannotRun> {
+    ) -> Result<SocketAddr, CannotRun> {
         let listen = TcpListener::bind((self.routers[0].ip, 0))?.local_addr()?;
         let settings = settings(Settings {
             listen,
@@ -258,11 +263,18 @@
                     return;
                 };
                 record.line(format!("server {id} starts"));
-                while !process.has_ended() {
+                let code = loop {
+                    if let Some(code) = process.exit_code() {
+                        break code;
+                    }
                     if is_over.load(Ordering::SeqCst) {
                         return;
                     }
                     thread::sleep(Duration::from_millis(10));
+                };
+                if code == 0 {
+                    record.line(format!("server {id} has left"));
+                    return;
                 }
                 record.line(format!("server {id} has crashed"));
                 thread::sleep(SERVER_DOWN);
@@ -272,7 +284,7 @@
             }
         });
         self.keepers.push(keeper);
-        Ok(())
+        Ok(listen)
     }
 
     pub fn callers(&self, number: usize) -> SocketAddr {
--- a/review/stand-3/src/main.rs
+++ b/review/stand-3/src/main.rs
@@ -15,6 +15,7 @@
             replica::run(replica::Settings::parse(&args[1..]));
             return;
         }
+        Some("release") => crashes::release(),
         Some("restarts") => crashes::restarts(),
         Some("late-part") => crashes::late_part(),
         Some("close-crashes") => crashes::close_crashes(),
--- a/review/stand-3/src/replica.rs
+++ b/review/stand-3/src/replica.rs
@@ -5,7 +5,10 @@
     fs::{File, OpenOptions},
     io::{BufReader, Write},
     net::{SocketAddr, TcpListener, TcpStream},
-    sync::{Arc, Mutex},
+    sync::{
+        atomic::{AtomicBool, Ordering},
+        Arc, Mutex,
+    },
     thread,
     time::{Duration, SystemTime, UNIX_EPOCH},
 };
@@ -96,9 +99,13 @@
     since.map_or(0, |since| since.as_millis() as u64)
 }
 
+/// Time for which a server that leaves goes on to serve.
+const DRAIN: Duration = Duration::from_millis(2_500);
+
 struct Replica {
     settings: Settings,
     log: Mutex<File>,
+    is_draining: AtomicBool,
 }
 
 impl Replica {
@@ -136,6 +143,15 @@
             return Ok(true);
         }
         let (_, path) = request.target();
+        if path == "/stand/drain" {
+            self.is_draining.store(true, Ordering::SeqCst);
+            thread::spawn(|| {
+                thread::sleep(DRAIN);
+                std::process::exit(0);
+            });
+            to.write_all(head("200 OK", "Content-Length: 0\r\n\r\n").as_bytes())?;
+            return Ok(true);
+        }
         if path == "/healthz" {
             let rest = format!("X-Replica-Id: {}\r\nContent-Length: 0\r\n\r\n", settings.id);
             to.write_all(head("200 OK", &rest).as_bytes())?;
@@ -185,8 +201,12 @@
         let settings = &self.settings;
         let path = format!("/record/keyed.servers/{}", settings.id);
         for sequence in 0_u64.. {
+            let state = match self.is_draining.load(Ordering::SeqCst) {
+                true => "draining",
+                false => "ready",
+            };
             let entry = format!(
-                r#"{{"service":"{}","address":"{}","zone":"zone-1","version":"v1","slots":64,"state":"ready","cold_remaining_ms":0,"sequence":{sequence},"born":{born}}}"#,
+                r#"{{"service":"{}","address":"{}","zone":"zone-1","version":"v1","slots":64,"state":"{state}","cold_remaining_ms":0,"sequence":{sequence},"born":{born}}}"#,
                 settings.service, settings.listen
             );
             let timeout = Duration::from_secs(1);
@@ -211,6 +231,7 @@
     let listener = TcpListener::bind(settings.listen).expect("a free address");
     let replica = Arc::new(Replica {
         log: Mutex::new(log.expect("a log file")),
+        is_draining: AtomicBool::new(false),
         settings,
     });
     let registering = replica.clone();
