--- a/review/stand-3/src/crashes.rs
+++ b/review/stand-3/src/crashes.rs
@@ -331,7 +331,7 @@
                 send_deadly(fleet, router);
             }
             let is_served = send(
-                &fleet,
+                fleet,
                 router,
                 "GET",
                 "/look/sound",
